--- /dev/null
+++ b/packages/common/include/mangodeck/common/clock.h
@@ -0,0 +1,36 @@
+#ifndef MANGODECK_COMMON_CLOCK_H
+#define MANGODECK_COMMON_CLOCK_H
+
+#include "mangodeck/common/units.h"
+
+namespace mangodeck {
+
+/// Source of the current time for the parts that do input and output.
+class Clock {
+public:
+  virtual ~Clock() = default;
+  virtual TimePoint now() const = 0;
+  virtual WallMilliseconds wallNow() const = 0;
+};
+
+/// The machine's own clocks.
+class SystemClock : public Clock {
+public:
+  TimePoint now() const override;
+  WallMilliseconds wallNow() const override;
+};
+
+/// A clock that moves only when told; for tests and replays.
+class ManualClock : public Clock {
+public:
+  TimePoint now() const override { return m_Now; }
+  WallMilliseconds wallNow() const override;
+  void advance(Duration Span) { m_Now += Span; }
+
+private:
+  TimePoint m_Now{std::chrono::hours(1)};
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/process/include/mangodeck/process/dispatchgroup.h
@@ -0,0 +1,119 @@
+#ifndef MANGODECK_PROCESS_DISPATCHGROUP_H
+#define MANGODECK_PROCESS_DISPATCHGROUP_H
+
+#include "mangodeck/request/outcome.h"
+#include "mangodeck/request/ticket.h"
+#include "mangodeck/version/snapshot.h"
+
+#include <memory>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace mangodeck {
+
+/// A target's own report of its load. It is stale by the time it arrives.
+struct LoadReport {
+  TargetName Target;
+  Incarnation Started = 0;
+  Duration Age{0}; ///< Of the report when it arrived.
+  std::uint32_t RunningSequences = 0;
+  std::uint32_t WaitingSequences = 0;
+  TokenCount KvTokensUsed = 0;
+  TokenCount KvTokensTotal = 0;
+  bool Leaving = false;
+};
+
+/// A change in a target's prefix cache, published late and with gaps.
+struct CacheEvent {
+  TargetName Target;
+  Incarnation Started = 0;
+  std::uint64_t Sequence = 0;
+  std::vector<std::uint64_t> Stored;  ///< Prefix block hashes.
+  std::vector<std::uint64_t> Evicted; ///< Prefix block hashes.
+};
+
+/// Grants a waiting ticket a target; to be sent to Entry.
+struct GrantAction {
+  VmName Entry;
+  Grant Granted;
+};
+
+/// Gives a waiting ticket up; to be sent to Entry at once.
+struct RefuseAction {
+  VmName Entry;
+  RequestId Request;
+  Refusal Reason;
+};
+
+/// Passes a waiting ticket to another group of the service.
+struct SpillAction {
+  GroupId To;
+  Ticket Request;
+};
+
+using GroupAction = std::variant<GrantAction, RefuseAction, SpillAction>;
+
+/// What other groups of the service are told of a group. It ages.
+struct GroupDigest {
+  GroupId Group;
+  std::uint64_t Epoch = 0;
+  std::uint32_t FreeSequences = 0;
+  std::vector<std::uint32_t> WaitingPerTier;
+  /// Lowest tier that is not shed at present; a larger rank is shed.
+  TierRank LowestAdmitted = 255;
+  Duration QueueDelay{0};
+};
+
+/// Order, placement, shedding and limits for the targets of one group. Does no
+/// input or output: events go in with the time, actions are appended to Out.
+class DispatchGroup {
+public:
+  using Actions = std::vector<GroupAction>;
+
+  virtual ~DispatchGroup() = default;
+
+  /// Takes a new configuration over; running and waiting requests stay.
+  virtual void configure(SnapshotPtr Config, TimePoint Now, Actions &Out) = 0;
+
+  virtual void submit(Ticket Request, TimePoint Now, Actions &Out) = 0;
+  virtual void withdraw(const RequestId &Request, TimePoint Now,
+                        Actions &Out) = 0;
+  virtual void returnGrant(const RequestId &Request, ReturnReason Reason,
+                           TimePoint Now, Actions &Out) = 0;
+  virtual void finish(const FinishReport &Report, TimePoint Now,
+                      Actions &Out) = 0;
+
+  /// Takes over what an entry daemon runs; for a new owner.
+  virtual void adoptRunning(std::span<const RunningRequest> Running,
+                            TimePoint Now, Actions &Out) = 0;
+
+  virtual void reportLoad(const LoadReport &Report, TimePoint Now,
+                          Actions &Out) = 0;
+  virtual void reportCache(const CacheEvent &Report, TimePoint Now) = 0;
+  virtual void markLeaving(const TargetName &Target, Incarnation Started,
+                           TimePoint Now, Actions &Out) = 0;
+  virtual void markDown(const TargetName &Target, TimePoint Now,
+                        Actions &Out) = 0;
+  virtual void quarantine(std::uint64_t Fingerprint, TimePoint Now,
+                          Actions &Out) = 0;
+
+  /// Forgets the requests of an entry daemon that is gone.
+  virtual void forgetEntry(const VmName &Entry, TimePoint Now,
+                           Actions &Out) = 0;
+
+  virtual void updateDigest(const GroupDigest &Other, Duration LinkDelay,
+                            TimePoint Now) = 0;
+  virtual GroupDigest digest(TimePoint Now) const = 0;
+
+  /// Expires tickets, probes slow targets, adapts limits; call every 100 ms.
+  virtual void tick(TimePoint Now, Actions &Out) = 0;
+};
+
+/// Makes the group that the product runs.
+std::unique_ptr<DispatchGroup>
+makeDispatchGroup(GroupId Id, std::uint64_t Epoch, std::uint64_t Seed);
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Runs every test program of a build folder and adds up their counts.
+# Tests listed in KNOWN-RED.txt are printed and not counted as failed.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+build=$1
+export MANGODECK_BUILD="$PWD/$build" MANGODECK_SOURCE="$PWD"
+passed=0 failed=0
+for program in "$build"/test/*_test; do
+  [ -x "$program" ] || continue
+  out=$(timeout 900 "$program" --known-red KNOWN-RED.txt 2>&1)
+  code=$?
+  line=$(printf '%s\n' "$out" | grep -E '^[0-9]+ passed, [0-9]+ failed' | tail -n 1)
+  if [ -z "$line" ] || { [ $code -ne 0 ] && [[ "$line" == *", 0 failed" ]]; }; then
+    printf '%s\n' "$out" | tail -n 60
+    echo "$(basename "$program"): ended with code $code without a verdict"
+    failed=$((failed + 1))
+    continue
+  fi
+  p=${line%% passed*}; f=${line#*, }; f=${f%% failed*}
+  passed=$((passed + p)); failed=$((failed + f))
+  echo "$(basename "$program"): $line"
+  printf '%s\n' "$out" | grep -E '^known red: ' || true
+  [ "$f" -eq 0 ] || printf '%s\n' "$out" | tail -n 200
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
