--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -1,6 +1,34 @@
-#include <fmt/format.h>
+#include "command.h"
 
-int main() {
-  fmt::print(stderr, "mangodeck: not wired yet\n");
-  return 1;
+#include <utility>
+#include <vector>
+
+namespace mangodeck {
+
+/// Makes every subcommand, in the order in which --help lists them.
+static std::vector<std::unique_ptr<Command>> makeCommands() {
+  std::vector<std::unique_ptr<Command>> Commands;
+  return Commands;
+}
+
+} // namespace mangodeck
+
+int main(int Argc, char **Argv) {
+  CLI::App App{"Operators' program of the mangodeck request scheduler"};
+  App.require_subcommand(1);
+  auto Commands = mangodeck::makeCommands();
+  std::vector<std::pair<CLI::App *, mangodeck::Command *>> Declared;
+  for (auto &Entry : Commands)
+    Declared.emplace_back(Entry->declare(App), Entry.get());
+
+  try {
+    App.parse(Argc, Argv);
+  } catch (const CLI::ParseError &Error) {
+    return App.exit(Error) == 0 ? mangodeck::ExitSuccess
+                                : mangodeck::ExitInvalid;
+  }
+  for (auto &[Subcommand, Entry] : Declared)
+    if (Subcommand->parsed())
+      return Entry->run();
+  return mangodeck::ExitInvalid;
 }
--- a/packages/common/include/mangodeck/common/ids.h
+++ b/packages/common/include/mangodeck/common/ids.h
@@ -1,12 +1,12 @@
 #ifndef MANGODECK_COMMON_IDS_H
 #define MANGODECK_COMMON_IDS_H
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace mangodeck {
 
@@ -20,7 +20,8 @@
 
   std::string_view view() const { return Text; }
   bool empty() const { return Text.empty(); }
-  auto operator<=>(const Name &) const = default;
+  bool operator==(const Name &) const = default;
+  bool operator<(const Name &Other) const { return Text < Other.Text; }
 };
 
 using CustomerName = Name<struct CustomerTag>;
@@ -36,7 +37,10 @@
   std::uint64_t High = 0;
   std::uint64_t Low = 0;
 
-  auto operator<=>(const RequestId &) const = default;
+  bool operator==(const RequestId &) const = default;
+  bool operator<(const RequestId &Other) const {
+    return std::tie(High, Low) < std::tie(Other.High, Other.Low);
+  }
 };
 
 /// Writes \p Id as 32 lower-case hexadecimal digits.
@@ -58,7 +62,11 @@
   FailureDomain Domain;
   std::uint32_t Slice = 0;
 
-  auto operator<=>(const GroupId &) const = default;
+  bool operator==(const GroupId &) const = default;
+  bool operator<(const GroupId &Other) const {
+    return std::tie(Service, Domain, Slice) <
+           std::tie(Other.Service, Other.Domain, Other.Slice);
+  }
 };
 
 std::string toString(const GroupId &Id);
--- a/packages/process/include/mangodeck/process/dispatchgroup.h
+++ b/packages/process/include/mangodeck/process/dispatchgroup.h
@@ -2,6 +2,7 @@
 #define MANGODECK_PROCESS_DISPATCHGROUP_H
 
 #include "mangodeck/request/outcome.h"
+#include "mangodeck/request/targetreport.h"
 #include "mangodeck/request/ticket.h"
 #include "mangodeck/version/snapshot.h"
 
@@ -12,27 +13,6 @@
 
 namespace mangodeck {
 
-/// A target's own report of its load. It is stale by the time it arrives.
-struct LoadReport {
-  TargetName Target;
-  Incarnation Started = 0;
-  Duration Age{0}; ///< Of the report when it arrived.
-  std::uint32_t RunningSequences = 0;
-  std::uint32_t WaitingSequences = 0;
-  TokenCount KvTokensUsed = 0;
-  TokenCount KvTokensTotal = 0;
-  bool Leaving = false;
-};
-
-/// A change in a target's prefix cache, published late and with gaps.
-struct CacheEvent {
-  TargetName Target;
-  Incarnation Started = 0;
-  std::uint64_t Sequence = 0;
-  std::vector<std::uint64_t> Stored;  ///< Prefix block hashes.
-  std::vector<std::uint64_t> Evicted; ///< Prefix block hashes.
-};
-
 /// Grants a waiting ticket a target; to be sent to Entry.
 struct GrantAction {
   VmName Entry;
--- /dev/null
+++ b/packages/request/include/mangodeck/request/targetreport.h
@@ -0,0 +1,60 @@
+#ifndef MANGODECK_REQUEST_TARGETREPORT_H
+#define MANGODECK_REQUEST_TARGETREPORT_H
+
+#include "mangodeck/common/ids.h"
+#include "mangodeck/common/units.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangodeck {
+
+/// A target's own report of its load. It is stale by the time it arrives.
+struct LoadReport {
+  TargetName Target;
+  Incarnation Started = 0;
+  Duration Age{0}; ///< Of the report when it arrived.
+  std::uint32_t RunningSequences = 0;
+  std::uint32_t WaitingSequences = 0;
+  TokenCount KvTokensUsed = 0;
+  TokenCount KvTokensTotal = 0;
+  bool Leaving = false;
+};
+
+/// A change in a target's prefix cache, published late and with gaps.
+struct CacheEvent {
+  TargetName Target;
+  Incarnation Started = 0;
+  std::uint64_t Sequence = 0;
+  std::vector<std::uint64_t> Stored;  ///< Prefix block hashes.
+  std::vector<std::uint64_t> Evicted; ///< Prefix block hashes.
+};
+
+/// Receives what a target publishes; called on the watcher's thread.
+class TargetReportHandler {
+public:
+  virtual ~TargetReportHandler() = default;
+  virtual void onLoad(const LoadReport &Report) = 0;
+  virtual void onCache(const CacheEvent &Report) = 0;
+
+  /// The target answers, for the first time or again after onDown().
+  virtual void onUp(const TargetName &Target, Incarnation Started) = 0;
+
+  /// New connections to the target are refused or time out.
+  virtual void onDown(const TargetName &Target) = 0;
+};
+
+/// Follows the reports of some targets. Only the owner of a dispatch group
+/// watches the group's targets.
+class TargetWatcher {
+public:
+  virtual ~TargetWatcher() = default;
+  virtual void watch(const TargetName &Target, const std::string &Address) = 0;
+  virtual void unwatch(const TargetName &Target) = 0;
+};
+
+} // namespace mangodeck
+
+#endif
