--- /dev/null
+++ b/packages/connection/src/curlloop.cpp
@@ -0,0 +1,301 @@
+#include "curlloop.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cerrno>
+#include <charconv>
+#include <utility>
+
+namespace mangodeck {
+
+namespace {
+
+constexpr int MaxPollMilliseconds = 1000;
+constexpr long KeepAliveIdleSeconds = 10;
+constexpr long KeepAliveIntervalSeconds = 5;
+
+long toMilliseconds(Duration Span) {
+  return static_cast<long>(
+      std::chrono::ceil<std::chrono::milliseconds>(Span).count());
+}
+
+std::string_view trim(std::string_view Text) {
+  const auto First = Text.find_first_not_of(" \t\r\n");
+  if (First == std::string_view::npos)
+    return {};
+  const auto Last = Text.find_last_not_of(" \t\r\n");
+  return Text.substr(First, Last - First + 1);
+}
+
+/// Reads the status of a line "HTTP/1.1 200 OK"; 0 if it is none.
+int parseStatusLine(std::string_view Line) {
+  const auto Space = Line.find(' ');
+  if (!Line.starts_with("HTTP/") || Space == std::string_view::npos)
+    return 0;
+  int Status = 0;
+  std::from_chars(Line.data() + Space + 1, Line.data() + Line.size(), Status);
+  return Status;
+}
+
+/// libcurl must be initialized once, before the first thread uses it.
+void initializeCurl() {
+  static const CURLcode Result = curl_global_init(CURL_GLOBAL_ALL);
+  assert(Result == CURLE_OK && "libcurl cannot be initialized");
+  static_cast<void>(Result);
+}
+
+} // namespace
+
+struct CurlLoop::Transfer {
+  CallId Id = 0;
+  HttpCall Call;
+  std::shared_ptr<HttpCallHandler> Handler; ///< Null once stopped.
+  CURL *Easy = nullptr;
+  curl_slist *HeaderList = nullptr;
+  int Status = 0;
+  bool HeadDone = false;
+  std::vector<Header> Headers;
+
+  ~Transfer() {
+    curl_easy_cleanup(Easy);
+    curl_slist_free_all(HeaderList);
+  }
+
+  /// Collects the head line by line; the empty line ends it. Interim (1xx)
+  /// heads are dropped, trailers ignored.
+  static std::size_t onHeaderLine(char *Data, std::size_t Size,
+                                  std::size_t Count, void *Self) {
+    auto &Entry = *static_cast<Transfer *>(Self);
+    const std::string_view Line(Data, Size * Count);
+    if (!Entry.Handler)
+      return 0;
+    if (Entry.HeadDone)
+      return Line.size();
+    if (const int Status = parseStatusLine(Line)) {
+      Entry.Status = Status;
+      Entry.Headers.clear();
+    } else if (trim(Line).empty()) {
+      Entry.endHead();
+    } else if (const auto Colon = Line.find(':');
+               Colon != std::string_view::npos) {
+      Entry.Headers.push_back({std::string(trim(Line.substr(0, Colon))),
+                               std::string(trim(Line.substr(Colon + 1)))});
+    }
+    return Entry.Handler ? Line.size() : 0;
+  }
+
+  void endHead() {
+    if (Status < 200)
+      return;
+    HeadDone = true;
+    const auto Receiver = Handler;
+    Receiver->onHead(Status, std::move(Headers));
+  }
+
+  static std::size_t onData(char *Data, std::size_t Size, std::size_t Count,
+                            void *Self) {
+    auto &Entry = *static_cast<Transfer *>(Self);
+    if (!Entry.Handler)
+      return 0;
+    const auto Receiver = Entry.Handler;
+    Receiver->onBytes({Data, Size * Count});
+    return Entry.Handler ? Size * Count : 0;
+  }
+};
+
+CurlLoop::CurlLoop() {
+  initializeCurl();
+  m_Multi = curl_multi_init();
+  assert(m_Multi && "no memory for a libcurl multi handle");
+  m_Thread = std::thread([this] { run(); });
+}
+
+CurlLoop::~CurlLoop() {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Ending = true;
+  }
+  curl_multi_wakeup(m_Multi);
+  m_Thread.join();
+  for (const auto &[Id, Entry] : m_Transfers)
+    curl_multi_remove_handle(m_Multi, Entry->Easy);
+  m_Transfers.clear();
+  curl_multi_cleanup(m_Multi);
+}
+
+void CurlLoop::post(std::function<void()> Task) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Tasks.push_back(std::move(Task));
+  }
+  curl_multi_wakeup(m_Multi);
+}
+
+CurlLoop::CallId CurlLoop::start(HttpCall Call,
+                                 std::shared_ptr<HttpCallHandler> Handler) {
+  auto Entry = std::make_unique<Transfer>();
+  Entry->Id = m_NextId++;
+  Entry->Call = std::move(Call);
+  Entry->Handler = std::move(Handler);
+  Entry->Easy = curl_easy_init();
+  assert(Entry->Easy && "no memory for a libcurl handle");
+  setOptions(*Entry);
+  const auto Id = Entry->Id;
+  m_Transfers.emplace(Id, std::move(Entry));
+  m_Started.push_back(Id);
+  return Id;
+}
+
+void CurlLoop::stop(CallId Id) {
+  const auto It = m_Transfers.find(Id);
+  if (It == m_Transfers.end())
+    return;
+  It->second->Handler.reset();
+  m_Stopped.push_back(Id);
+}
+
+CurlLoop::TimerId CurlLoop::callAfter(Duration Delay,
+                                      std::function<void()> Task) {
+  const TimerId Timer{std::chrono::steady_clock::now() + Delay, m_NextId++};
+  m_Timers.emplace(Timer, std::move(Task));
+  return Timer;
+}
+
+void CurlLoop::cancelTimer(const TimerId &Timer) { m_Timers.erase(Timer); }
+
+void CurlLoop::run() {
+  for (;;) {
+    {
+      const std::lock_guard Lock(m_Mutex);
+      if (m_Ending)
+        return;
+    }
+    runTasks();
+    runTimers();
+    applyChanges();
+    int Running = 0;
+    curl_multi_perform(m_Multi, &Running);
+    finishTransfers();
+    applyChanges();
+    curl_multi_poll(m_Multi, nullptr, 0, pollMilliseconds(), nullptr);
+  }
+}
+
+void CurlLoop::runTasks() {
+  std::vector<std::function<void()>> Tasks;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Tasks.swap(m_Tasks);
+  }
+  for (auto &Task : Tasks)
+    Task();
+}
+
+void CurlLoop::runTimers() {
+  const auto Now = std::chrono::steady_clock::now();
+  while (!m_Timers.empty() && m_Timers.begin()->first.first <= Now) {
+    const auto Node = m_Timers.extract(m_Timers.begin());
+    Node.mapped()();
+  }
+}
+
+void CurlLoop::finishTransfers() {
+  int Left = 0;
+  while (const CURLMsg *Message = curl_multi_info_read(m_Multi, &Left)) {
+    if (Message->msg != CURLMSG_DONE)
+      continue;
+    HttpCallEnd End;
+    End.Code = Message->data.result;
+    CURL *Easy = Message->easy_handle;
+    Transfer *Entry = nullptr;
+    curl_off_t ConnectTime = 0;
+    long SentBytes = 0;
+    long SystemError = 0;
+    curl_easy_getinfo(Easy, CURLINFO_PRIVATE, &Entry);
+    curl_easy_getinfo(Easy, CURLINFO_CONNECT_TIME_T, &ConnectTime);
+    curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &SentBytes);
+    curl_easy_getinfo(Easy, CURLINFO_OS_ERRNO, &SystemError);
+    End.Connected = ConnectTime > 0;
+    End.Refused = !End.Connected && SystemError == ECONNREFUSED;
+    End.Sent = SentBytes > 0;
+    curl_multi_remove_handle(m_Multi, Easy);
+    const auto Node = m_Transfers.extract(Entry->Id);
+    if (const auto Receiver = Node.mapped()->Handler)
+      Receiver->onDone(End);
+  }
+}
+
+/// Adds and removes handles between two rounds: libcurl refuses both from
+/// inside its callbacks, where start() and stop() may be called.
+void CurlLoop::applyChanges() {
+  for (const auto Id : std::exchange(m_Started, {})) {
+    const auto It = m_Transfers.find(Id);
+    if (It != m_Transfers.end())
+      curl_multi_add_handle(m_Multi, It->second->Easy);
+  }
+  for (const auto Id : std::exchange(m_Stopped, {})) {
+    const auto It = m_Transfers.find(Id);
+    if (It == m_Transfers.end())
+      continue;
+    curl_multi_remove_handle(m_Multi, It->second->Easy);
+    m_Transfers.erase(It);
+  }
+}
+
+int CurlLoop::pollMilliseconds() const {
+  if (m_Timers.empty())
+    return MaxPollMilliseconds;
+  const auto Wait =
+      m_Timers.begin()->first.first - std::chrono::steady_clock::now();
+  return static_cast<int>(
+      std::clamp<long>(toMilliseconds(Wait), 0, MaxPollMilliseconds));
+}
+
+/// Each call has a connection of its own that is never used again, so that
+/// libcurl has no reason to send a request a second time. Proxies, redirects
+/// and HTTP/0.9 answers are off.
+void CurlLoop::setOptions(Transfer &Entry) {
+  const auto &Call = Entry.Call;
+  CURL *Easy = Entry.Easy;
+  curl_easy_setopt(Easy, CURLOPT_PRIVATE, &Entry);
+  curl_easy_setopt(Easy, CURLOPT_URL, Call.Url.c_str());
+  curl_easy_setopt(Easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(Easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(Easy, CURLOPT_HTTP09_ALLOWED, 0L);
+  curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   toMilliseconds(Call.ConnectTimeout));
+  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, toMilliseconds(Call.TotalTimeout));
+  if (Call.ConnectOnly) {
+    curl_easy_setopt(Easy, CURLOPT_CONNECT_ONLY, 1L);
+    return;
+  }
+  if (Call.Method == "HEAD") {
+    curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
+  } else if (!Call.Body.empty() || Call.Method == "POST") {
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(Call.Body.size()));
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Call.Body.data());
+  }
+  if (Call.Method != "HEAD")
+    curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Call.Method.c_str());
+  auto *List = curl_slist_append(nullptr, "Expect:");
+  for (const auto &Field : Call.Headers)
+    List = curl_slist_append(List, (Field.Name + ": " + Field.Value).c_str());
+  Entry.HeaderList = List;
+  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, List);
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeaderLine);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Entry);
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &Transfer::onData);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Entry);
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/connection/test/callerserver_test.cpp
@@ -0,0 +1,228 @@
+#include "mangodeck/connection/callerserver.h"
+
+#include "rawcaller.h"
+#include "recordinghandler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace mangodeck {
+
+class CallerServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallerServerTest);
+  CPPUNIT_TEST(request_answered_carriesStatusHeadersAndBody);
+  CPPUNIT_TEST(request_streamed_arrivesChunked);
+  CPPUNIT_TEST(stream_aborted_endsWithoutLastChunk);
+  CPPUNIT_TEST(exchange_droppedUnanswered_closesConnection);
+  CPPUNIT_TEST(caller_closesWhileWaiting_isNoticed);
+  CPPUNIT_TEST(caller_closesWhileStreaming_isNoticed);
+  CPPUNIT_TEST(caller_closesAfterKeepAliveAnswer_isNoticedForTheNextOnly);
+  CPPUNIT_TEST(caller_closesItsSendingHalf_countsAsHungUp);
+  CPPUNIT_TEST(caller_takesNoBytes_isCutOffAfterWriteTimeout);
+  CPPUNIT_TEST(caller_sendsSlowly_isCutOffAfterReadTimeout);
+  CPPUNIT_TEST(address_inUse_startFails);
+  CPPUNIT_TEST(address_malformed_startFails);
+  CPPUNIT_TEST(server_stopsAccepting_finishesOpenRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr auto Get =
+      "GET /a?b=1 HTTP/1.1\r\nHost: h\r\nX-A: b\r\n\r\n";
+
+public:
+  void setUp() override { start({}); }
+
+  void tearDown() override { m_Server.reset(); }
+
+  void request_answered_carriesStatusHeadersAndBody() {
+    const RawCaller Caller(m_Server->port());
+    Caller.send("POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-A: b\r\n"
+                "Content-Length: 3\r\n\r\nxyz");
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    const auto &Request = Exchange->request();
+    CPPUNIT_ASSERT_EQUAL(std::string("POST"), Request.Method);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a?b=1"), Request.Path);
+    CPPUNIT_ASSERT_EQUAL(std::string("xyz"), Request.Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), *findHeader(Request.Headers, "x-a"));
+    const std::vector<Header> Headers{{"X-C", "d"}, {"Connection", "none"}};
+    Exchange->respond(404, Headers, "no\n");
+    const auto Answer = Caller.readUntil("no\n");
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 404 Not Found\r\n"));
+    CPPUNIT_ASSERT(Answer.find("X-C: d\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(Answer.find("Content-Length: 3\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(Answer.find("none") == std::string::npos);
+  }
+
+  void request_streamed_arrivesChunked() {
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Exchange->begin(200, {});
+    Exchange->write("abc");
+    Exchange->write("0123456789abcdef");
+    Exchange->finish();
+    const auto Answer = Caller.readUntil("0\r\n\r\n");
+    CPPUNIT_ASSERT(Answer.find("Transfer-Encoding: chunked") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(Answer.ends_with(
+        "\r\n\r\n3\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n"));
+  }
+
+  void stream_aborted_endsWithoutLastChunk() {
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Exchange->begin(200, {});
+    Exchange->write("abc");
+    Exchange->abort();
+    CPPUNIT_ASSERT(Caller.readAll().ends_with("3\r\nabc\r\n"));
+  }
+
+  void exchange_droppedUnanswered_closesConnection() {
+    m_DropAll = true;
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Caller.readAll());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_Server->openExchanges());
+  }
+
+  void caller_closesWhileWaiting_isNoticed() {
+    RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Signal HungUp;
+    Exchange->onHangUp([&HungUp] { HungUp.raise(); });
+    Caller.close();
+    CPPUNIT_ASSERT(HungUp.await());
+    Exchange->respond(200, {}, "late");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_Server->openExchanges());
+  }
+
+  void caller_closesWhileStreaming_isNoticed() {
+    RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Exchange->begin(200, {});
+    Exchange->write("abc");
+    Caller.readUntil("abc\r\n");
+    Caller.close();
+    Signal HungUp;
+    Exchange->onHangUp([&HungUp] { HungUp.raise(); });
+    CPPUNIT_ASSERT(HungUp.await());
+    CPPUNIT_ASSERT_EQUAL(1, HungUp.count());
+  }
+
+  void caller_closesAfterKeepAliveAnswer_isNoticedForTheNextOnly() {
+    RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto First = m_Handler.await(0);
+    CPPUNIT_ASSERT(First);
+    Signal FirstHungUp;
+    First->onHangUp([&FirstHungUp] { FirstHungUp.raise(); });
+    First->respond(200, {}, "one\n");
+    Caller.readUntil("one\n");
+    Caller.send(Get);
+    const auto Second = m_Handler.await(1);
+    CPPUNIT_ASSERT(Second);
+    Signal SecondHungUp;
+    Second->onHangUp([&SecondHungUp] { SecondHungUp.raise(); });
+    Caller.close();
+    CPPUNIT_ASSERT(SecondHungUp.await());
+    CPPUNIT_ASSERT_EQUAL(0, FirstHungUp.count());
+  }
+
+  void caller_closesItsSendingHalf_countsAsHungUp() {
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Signal HungUp;
+    Exchange->onHangUp([&HungUp] { HungUp.raise(); });
+    Caller.closeSending();
+    CPPUNIT_ASSERT(HungUp.await());
+    CPPUNIT_ASSERT_EQUAL(std::string(), Caller.readAll());
+  }
+
+  void caller_takesNoBytes_isCutOffAfterWriteTimeout() {
+    start({.WriteTimeout = 200ms});
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Signal HungUp;
+    Exchange->onHangUp([&HungUp] { HungUp.raise(); });
+    Exchange->begin(200, {});
+    for (int I = 0; I < 16; ++I)
+      Exchange->write(std::string(std::size_t{1} << 20, 'x'));
+    CPPUNIT_ASSERT(Exchange->pendingBytes() > 0);
+    CPPUNIT_ASSERT(HungUp.await());
+  }
+
+  void caller_sendsSlowly_isCutOffAfterReadTimeout() {
+    start({.ReadTimeout = 200ms});
+    const RawCaller Caller(m_Server->port());
+    Caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+    Caller.readAll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_Handler.count());
+  }
+
+  void address_inUse_startFails() {
+    CallerServerOptions Options;
+    Options.Address = fmt::format("127.0.0.1:{}", m_Server->port());
+    CallerServer Second(Options, m_Handler);
+    CPPUNIT_ASSERT(Second.start() == std::errc::address_in_use);
+  }
+
+  void address_malformed_startFails() {
+    for (const auto *Address : {"", "127.0.0.1", "127.0.0.1:x", "host:1"}) {
+      CallerServer Server({.Address = Address}, m_Handler);
+      CPPUNIT_ASSERT(Server.start());
+    }
+  }
+
+  void server_stopsAccepting_finishesOpenRequest() {
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    m_Server->stopAccepting();
+    const RawCaller Late(m_Server->port());
+    CPPUNIT_ASSERT(!Late.isConnected());
+    Exchange->respond(200, {}, "whole\n");
+    const auto Answer = Caller.readAll();
+    CPPUNIT_ASSERT(Answer.ends_with("whole\n"));
+    CPPUNIT_ASSERT(Answer.find("Connection: close") != std::string::npos);
+  }
+
+private:
+  /// Hands exchanges to the recorder, or drops them at once.
+  class Switch : public CallerHandler {
+  public:
+    explicit Switch(CallerServerTest &Test) : m_Test(Test) {}
+    void handle(std::shared_ptr<CallerExchange> Exchange) override {
+      if (!m_Test.m_DropAll)
+        m_Test.m_Handler.handle(std::move(Exchange));
+    }
+
+  private:
+    CallerServerTest &m_Test;
+  };
+
+  void start(CallerServerOptions Options) {
+    m_Server = std::make_unique<CallerServer>(std::move(Options), m_Switch);
+    CPPUNIT_ASSERT(!m_Server->start());
+  }
+
+  std::atomic<bool> m_DropAll{false};
+  RecordingHandler m_Handler;
+  Switch m_Switch{*this};
+  std::unique_ptr<CallerServer> m_Server;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerServerTest);
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/connection/test/curltargetclient_test.cpp
@@ -0,0 +1,231 @@
+#include "mangodeck/connection/curltargetclient.h"
+
+#include "recordinganswer.h"
+
+#include "mangodeck/testing/childprocess.h"
+#include "mangodeck/testing/standintokens.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace mangodeck {
+
+using testing::ChildProcess;
+using testing::StandInAnswer;
+
+class CurlTargetClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CurlTargetClientTest);
+  CPPUNIT_TEST(stream_undisturbed_isWholeByteForByte);
+  CPPUNIT_TEST(answer_notStreamed_isWhole);
+  CPPUNIT_TEST(stream_cut_isResumedByteForByte);
+  CPPUNIT_TEST(stream_silent_isResumedByteForByte);
+  CPPUNIT_TEST(answer_brokenBeforeItsHead_isResumed);
+  CPPUNIT_TEST(answer_notStreamedAndCut_isBroken);
+  CPPUNIT_TEST(target_diesMidStream_isBrokenAndGone);
+  CPPUNIT_TEST(target_crashesOnBody_isBrokenAndGone);
+  CPPUNIT_TEST(target_refusesConnection_isNotDelivered);
+  CPPUNIT_TEST(target_rejects_isRejected);
+  CPPUNIT_TEST(answer_late_isWhole);
+  CPPUNIT_TEST(answer_doubled_isGivenOnce);
+  CPPUNIT_TEST(answer_ofAnotherRequest_isNeverGiven);
+  CPPUNIT_TEST(frames_ofAnotherRequest_areNeverGivenAndStreamGoesOn);
+  CPPUNIT_TEST(exchange_cancelled_endsAtTheTarget);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    TargetClientOptions Options;
+    Options.StreamSilence = 300ms;
+    Options.ResumeDelay = 10ms;
+    m_Client = std::make_unique<CurlTargetClient>(Options);
+  }
+
+  void tearDown() override {
+    m_Client.reset();
+    m_Target.reset();
+  }
+
+  void stream_undisturbed_isWholeByteForByte() {
+    startTarget("{}");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(200, Answer->Status);
+    CPPUNIT_ASSERT_EQUAL(1, Answer->Ends);
+    CPPUNIT_ASSERT_EQUAL(0, Answer->Resumes);
+  }
+
+  void answer_notStreamed_isWhole() {
+    startTarget("{}");
+    const auto Answer = dispatch(false);
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(testing::makeBody(describe()), Answer->Body);
+  }
+
+  void stream_cut_isResumedByteForByte() {
+    startTarget(R"({"cut_after_frames":7,"times":1})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(1, Answer->Resumes);
+    CPPUNIT_ASSERT_EQUAL(1, Answer->Heads);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  void stream_silent_isResumedByteForByte() {
+    startTarget(R"({"silent_after_frames":9,"times":1})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  void answer_brokenBeforeItsHead_isResumed() {
+    startTarget(R"({"cut_after_frames":0,"times":1})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  void answer_notStreamedAndCut_isBroken() {
+    startTarget(R"({"cut_after_frames":0})");
+    const auto Answer = dispatch(false);
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Broken);
+    CPPUNIT_ASSERT(!Answer->Gone);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  void target_diesMidStream_isBrokenAndGone() {
+    startTarget(R"({"die_after_frames":5})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Broken);
+    CPPUNIT_ASSERT(Answer->Gone);
+    CPPUNIT_ASSERT(expectedStream().starts_with(Answer->Body));
+  }
+
+  void target_crashesOnBody_isBrokenAndGone() {
+    startTarget(R"({"crash_on":"lantern"})");
+    const auto Answer = dispatch(false);
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Broken);
+    CPPUNIT_ASSERT(Answer->Gone);
+  }
+
+  void target_refusesConnection_isNotDelivered() {
+    startTarget("{}");
+    m_Target->kill(SIGKILL);
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::NotDelivered);
+    CPPUNIT_ASSERT(Answer->Gone);
+    CPPUNIT_ASSERT_EQUAL(0, Answer->Heads);
+  }
+
+  void target_rejects_isRejected() {
+    startTarget(R"({"reject":true})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Rejected);
+    CPPUNIT_ASSERT_EQUAL(0, Answer->Heads);
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), dispatchCount());
+  }
+
+  void answer_late_isWhole() {
+    startTarget(R"({"late_ms":700})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  void answer_doubled_isGivenOnce() {
+    startTarget(R"({"doubled":true})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(1, Answer->Ends);
+  }
+
+  void answer_ofAnotherRequest_isNeverGiven() {
+    startTarget(R"({"foreign_head":true})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::WrongAnswer);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(0, Answer->Heads);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  void frames_ofAnotherRequest_areNeverGivenAndStreamGoesOn() {
+    startTarget(R"({"foreign_after_frames":4,"times":1})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  void exchange_cancelled_endsAtTheTarget() {
+    startTarget(R"({"slow_factor":50})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitBody(1));
+    m_Client->cancel(Id);
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Cancelled);
+    CPPUNIT_ASSERT(Answer->Body.size() < expectedStream().size());
+  }
+
+private:
+  static constexpr RequestId Id{0x1122334455667788, 0x99aabbccddeeff00};
+  static constexpr std::size_t Tokens = 20;
+
+  void startTarget(const std::string &Faults) {
+    m_Target = std::make_unique<ChildProcess>(std::vector<std::string>{
+        testing::findProgram("standin-target"), "--address", "127.0.0.1:0",
+        "--faults", Faults});
+    CPPUNIT_ASSERT(!m_Target->address().empty());
+  }
+
+  static StandInAnswer describe() {
+    return {toString(Id), "scribe", "lantern desk", Tokens, false};
+  }
+
+  static std::string expectedStream() {
+    return testing::makeStream(describe());
+  }
+
+  std::shared_ptr<RecordingAnswer> dispatchStream() { return dispatch(true); }
+
+  std::shared_ptr<RecordingAnswer> dispatch(bool Streaming) {
+    TargetRequest Request;
+    Request.Id = Id;
+    Request.Target = TargetName("t");
+    Request.Address = m_Target->address();
+    Request.Method = "POST";
+    Request.Path = "/v1/completions";
+    Request.Headers.push_back({"Content-Type", "application/json"});
+    Request.Body = fmt::format(
+        R"({{"model":"scribe","prompt":"lantern desk","max_tokens":{},"stream":{}}})",
+        Tokens, Streaming);
+    Request.Streaming = Streaming;
+    auto Answer = std::make_shared<RecordingAnswer>();
+    m_Client->dispatch(std::move(Request), Answer);
+    return Answer;
+  }
+
+  /// How often the target got the request, by its own count.
+  std::string dispatchCount() {
+    TargetRequest Request;
+    Request.Id = RequestId{1, 1};
+    Request.Address = m_Target->address();
+    Request.Method = "GET";
+    Request.Path = "/standin/dispatches";
+    const auto Answer = std::make_shared<RecordingAnswer>();
+    m_Client->dispatch(std::move(Request), Answer);
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    const auto Root = nlohmann::json::parse(Answer->Body);
+    return std::to_string(Root["requests"].value(toString(Id), 0));
+  }
+
+  std::unique_ptr<CurlTargetClient> m_Client;
+  std::unique_ptr<ChildProcess> m_Target;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CurlTargetClientTest);
+
+} // namespace mangodeck
