--- a/packages/connection/test/curltargetclient_test.cpp
+++ b/packages/connection/test/curltargetclient_test.cpp
@@ -1,7 +1,10 @@
 #include "mangodeck/connection/curltargetclient.h"
 
+#include "rawcaller.h"
 #include "recordinganswer.h"
 
+#include "mangodeck/connection/callerserver.h"
+
 #include "mangodeck/testing/childprocess.h"
 #include "mangodeck/testing/standintokens.h"
 
@@ -30,6 +33,10 @@
   CPPUNIT_TEST(answer_ofAnotherRequest_isNeverGiven);
   CPPUNIT_TEST(frames_ofAnotherRequest_areNeverGivenAndStreamGoesOn);
   CPPUNIT_TEST(exchange_cancelled_endsAtTheTarget);
+  CPPUNIT_TEST(link_goesSilentMidStream_isResumedByteForByte);
+  CPPUNIT_TEST(link_goesSilentBeforeTheRequest_isRejectedAndNeverRun);
+  CPPUNIT_TEST(link_blocked_isNotDelivered);
+  CPPUNIT_TEST(connection_closedByTarget_isNotUsedAgain);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +49,7 @@
 
   void tearDown() override {
     m_Client.reset();
+    m_Relay.reset();
     m_Target.reset();
   }
 
@@ -170,6 +178,62 @@
     CPPUNIT_ASSERT(Answer->Body.size() < expectedStream().size());
   }
 
+  void link_goesSilentMidStream_isResumedByteForByte() {
+    startTarget(R"({"slow_factor":10})");
+    startRelay();
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitBody(1));
+    setLink(R"({"silent":true})");
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(1, Answer->Resumes);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
+  /// The link takes the request and delivers nothing; the target, asked on a
+  /// new connection, vouches that it will not run it.
+  void link_goesSilentBeforeTheRequest_isRejectedAndNeverRun() {
+    startTarget("{}");
+    startRelay();
+    dispatchCount(); // Makes the target's incarnation known.
+    setLink(R"({"delay_ms":60000})");
+    const auto Answer = dispatchStream();
+    awaitConnections(2);
+    setLink(R"({"silent":true})");
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Rejected);
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), dispatchCount());
+    const auto Late = dispatchStream();
+    CPPUNIT_ASSERT(Late->awaitEnd() == TargetEnd::Rejected);
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), dispatchCount());
+  }
+
+  void link_blocked_isNotDelivered() {
+    startTarget("{}");
+    m_Address = "127.0.0.1:1"; // No listener.
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::NotDelivered);
+  }
+
+  /// libcurl would send a request again on a new connection if it had used one
+  /// that turned out to be closed. A listener that closes each connection after
+  /// one answer, and answers a second request on none, shows that each dispatch
+  /// opens its own.
+  void connection_closedByTarget_isNotUsedAgain() {
+    RecordingHandler Handler;
+    CallerServer Target({.ReadTimeout = 100ms}, Handler);
+    CPPUNIT_ASSERT(!Target.start());
+    m_Address = fmt::format("127.0.0.1:{}", Target.port());
+    const auto First = dispatch(false);
+    answerPlainly(Handler, 0);
+    CPPUNIT_ASSERT(First->awaitEnd() == TargetEnd::Completed);
+    const auto Second = dispatch(false);
+    const auto Exchange = Handler.await(1);
+    CPPUNIT_ASSERT(Exchange);
+    Exchange->abort();
+    CPPUNIT_ASSERT(Second->awaitEnd() == TargetEnd::Broken);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Handler.count());
+  }
+
 private:
   static constexpr RequestId Id{0x1122334455667788, 0x99aabbccddeeff00};
   static constexpr std::size_t Tokens = 20;
@@ -179,6 +243,39 @@
         testing::findProgram("standin-target"), "--address", "127.0.0.1:0",
         "--faults", Faults});
     CPPUNIT_ASSERT(!m_Target->address().empty());
+    m_Address = m_Target->address();
+  }
+
+  /// Puts a relay between the client and the target.
+  void startRelay() {
+    m_Relay = std::make_unique<ChildProcess>(
+        std::vector<std::string>{testing::findProgram("standin-relay"),
+                                 "--target", m_Target->address()});
+    m_Address = m_Relay->address();
+    m_Control = m_Relay->readValue();
+    CPPUNIT_ASSERT(!m_Control.empty());
+  }
+
+  void setLink(const std::string &State) {
+    CPPUNIT_ASSERT(!callOnce(m_Control, "POST", "/link", State).empty());
+  }
+
+  /// Waits until the relay has seen \p Count connections.
+  void awaitConnections(int Count) {
+    for (int I = 0; I < 1000; ++I) {
+      const auto State = nlohmann::json::parse(callOnce(m_Control, "GET", "/"));
+      if (State["connections"] >= Count)
+        return;
+      ::usleep(10'000);
+    }
+    CPPUNIT_FAIL("the relay saw too few connections");
+  }
+
+  static void answerPlainly(RecordingHandler &Handler, std::size_t Index) {
+    const auto Exchange = Handler.await(Index);
+    CPPUNIT_ASSERT(Exchange);
+    const std::vector<Header> Headers{{"X-Request-Id", toString(Id)}};
+    Exchange->respond(200, Headers, "done\n");
   }
 
   static StandInAnswer describe() {
@@ -195,7 +292,7 @@
     TargetRequest Request;
     Request.Id = Id;
     Request.Target = TargetName("t");
-    Request.Address = m_Target->address();
+    Request.Address = m_Address;
     Request.Method = "POST";
     Request.Path = "/v1/completions";
     Request.Headers.push_back({"Content-Type", "application/json"});
@@ -212,7 +309,7 @@
   std::string dispatchCount() {
     TargetRequest Request;
     Request.Id = RequestId{1, 1};
-    Request.Address = m_Target->address();
+    Request.Address = m_Address;
     Request.Method = "GET";
     Request.Path = "/standin/dispatches";
     const auto Answer = std::make_shared<RecordingAnswer>();
@@ -224,6 +321,9 @@
 
   std::unique_ptr<CurlTargetClient> m_Client;
   std::unique_ptr<ChildProcess> m_Target;
+  std::unique_ptr<ChildProcess> m_Relay;
+  std::string m_Address; ///< Where the client finds the target.
+  std::string m_Control; ///< Of the relay.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CurlTargetClientTest);
--- a/packages/connection/test/rawcaller.h
+++ b/packages/connection/test/rawcaller.h
@@ -78,6 +78,25 @@
   bool m_Connected = false;
 };
 
+/// The port of an address IP:PORT.
+inline std::uint16_t portOf(const std::string &Address) {
+  return static_cast<std::uint16_t>(
+      std::stoul(Address.substr(Address.rfind(':') + 1)));
+}
+
+/// Sends one request and returns the body of its answer.
+inline std::string callOnce(const std::string &Address,
+                            const std::string &Method, const std::string &Path,
+                            const std::string &Body = {}) {
+  const RawCaller Caller(portOf(Address));
+  Caller.send(Method + " " + Path + " HTTP/1.1\r\nHost: h\r\nConnection: " +
+              "close\r\nContent-Length: " + std::to_string(Body.size()) +
+              "\r\n\r\n" + Body);
+  const auto Answer = Caller.readAll();
+  const auto End = Answer.find("\r\n\r\n");
+  return End == std::string::npos ? "" : Answer.substr(End + 4);
+}
+
 } // namespace mangodeck
 
 #endif
--- a/testing/standin/standinengine.cpp
+++ b/testing/standin/standinengine.cpp
@@ -33,14 +33,6 @@
   return Id ? *Id : std::string();
 }
 
-void respondJson(CallerExchange &Exchange, int Status, std::string Body) {
-  std::vector<Header> Headers;
-  Headers.push_back({"Content-Type", "application/json"});
-  if (const auto Id = idOf(Exchange.request()); !Id.empty())
-    Headers.push_back({"X-Request-Id", Id});
-  Exchange.respond(Status, Headers, std::move(Body) + "\n");
-}
-
 /// The text that an answer follows from: the prompt, or all contents.
 std::string readPrompt(const nlohmann::json &Body) {
   if (Body.contains("prompt"))
@@ -70,6 +62,9 @@
   std::vector<std::string> Frames; ///< One for an answer that is not streamed.
   std::size_t Produced = 0;        ///< Frames that exist by now.
   bool Finished = false;
+  Duration Prefill{0};
+  std::size_t AnswerTokens = 0;
+  TokenCount CachedTokens = 0;
 
   ExchangePtr Exchange;  ///< Null while nobody listens.
   std::size_t Skip = 0;  ///< Bytes that the listener has.
@@ -125,7 +120,10 @@
   if (Path == "/standin/payments")
     return respondJson(*Exchange, 200, describePayments());
   if (Path == "/standin/faults") {
+    const bool WasLeaving = m_Faults.Leaving;
     const auto Error = m_Faults.replace(Request.Body);
+    if (m_Faults.Leaving != WasLeaving)
+      publishState();
     return respondJson(*Exchange, Error.empty() ? 200 : 400,
                        Json{{"error", Error}}.dump());
   }
@@ -174,7 +172,12 @@
     Answer.Tokens = Body.value("max_tokens", DefaultTokens);
     Entry->Streaming = Body.value("stream", false);
   }
-  cachePrompt(Request);
+  Entry->CachedTokens = cachePrompt(Request);
+  const auto Prefilled = std::max<TokenCount>(
+      estimateTokens(Answer.Prompt) - Entry->CachedTokens, 0);
+  Entry->Prefill =
+      m_Options.PrefillDelay + m_Options.PrefillPerToken * Prefilled;
+  Entry->AnswerTokens = Answer.Tokens;
   if (Entry->Streaming)
     Entry->Frames = makeFrames(Answer);
   else
@@ -208,8 +211,9 @@
   if (Entry->Cancelled)
     return;
   const auto Slow = m_Faults.SlowFactor;
-  const auto Delay =
-      Entry->Produced == 0 ? m_Options.PrefillDelay : m_Options.TokenDelay;
+  auto Delay = Entry->Produced == 0 ? Entry->Prefill : m_Options.TokenDelay;
+  if (!Entry->Streaming)
+    Delay += m_Options.TokenDelay * Entry->AnswerTokens;
   callAfter(fromSeconds(toSeconds(Delay) * Slow), [this, Entry] {
     ++Entry->Produced;
     Entry->Finished = Entry->Produced == Entry->Frames.size();
@@ -240,6 +244,9 @@
   auto Headers =
       makeHeaders(Entry->Fault.ForeignHead ? std::string(OtherId) : Entry->Id,
                   Entry->Streaming ? "text/event-stream" : "application/json");
+  if (!m_Options.Plain)
+    Headers.push_back(
+        {"X-Mangodeck-Cached-Tokens", std::to_string(Entry->CachedTokens)});
   if (Entry->Resumed)
     Headers.push_back(
         {"X-Mangodeck-Resumed-From", std::to_string(Entry->Skip)});
@@ -374,6 +381,12 @@
   callAfter(m_Options.ReportPeriod, [this] { publishLoad(); });
 }
 
+void StandInEngine::publishState() {
+  const Json State = {{"incarnation", m_Options.Started},
+                      {"state", m_Faults.Leaving ? "leaving" : "ready"}};
+  publish("state", State.dump());
+}
+
 void StandInEngine::publish(std::string Event, std::string Data) {
   callAfter(m_Options.ReportLag, [this, Event, Data] {
     for (const auto &Entry : m_Subscribers)
@@ -446,6 +459,12 @@
   std::fflush(m_Journal);
 }
 
+void StandInEngine::respondJson(CallerExchange &Exchange, int Status,
+                                const std::string &Body) const {
+  const auto Id = idOf(Exchange.request());
+  Exchange.respond(Status, makeHeaders(Id, "application/json"), Body + "\n");
+}
+
 std::vector<Header>
 StandInEngine::makeHeaders(const std::string &Id,
                            const std::string &ContentType) const {
--- a/testing/standin/standinengine.h
+++ b/testing/standin/standinengine.h
@@ -75,12 +75,15 @@
 
   void subscribe(const ExchangePtr &Exchange);
   void publishLoad();
+  void publishState();
   void publish(std::string Event, std::string Data);
   TokenCount cachePrompt(const CallerRequest &Request);
 
   std::string describeDispatches() const;
   std::string describePayments() const;
   void writeJournal(const std::string &Line);
+  void respondJson(CallerExchange &Exchange, int Status,
+                   const std::string &Body) const;
   std::vector<Header> makeHeaders(const std::string &Id,
                                   const std::string &ContentType) const;
   void callAfter(Duration Delay, std::function<void()> Task);
--- a/testing/support/include/mangodeck/testing/childprocess.h
+++ b/testing/support/include/mangodeck/testing/childprocess.h
@@ -30,11 +30,15 @@
     if (m_Pid == 0)
       runChild(Command, Pipe[1]);
     ::close(Pipe[1]);
-    m_Address = readAddress(Pipe[0]);
-    ::close(Pipe[0]);
+    m_Output = Pipe[0];
+    m_Address = readValue();
   }
 
-  ~ChildProcess() { kill(SIGKILL); }
+  ~ChildProcess() {
+    kill(SIGKILL);
+    if (m_Output >= 0)
+      ::close(m_Output);
+  }
   ChildProcess(const ChildProcess &) = delete;
   ChildProcess &operator=(const ChildProcess &) = delete;
 
@@ -42,6 +46,16 @@
   const std::string &address() const { return m_Address; }
   pid_t pid() const { return m_Pid; }
 
+  /// Reads the next line "NAME=VALUE" of the program; its value.
+  std::string readValue() {
+    std::string Line;
+    char C = 0;
+    while (::read(m_Output, &C, 1) == 1 && C != '\n')
+      Line += C;
+    const auto Equals = Line.find('=');
+    return Equals == std::string::npos ? "" : Line.substr(Equals + 1);
+  }
+
   void send(int Signal) const {
     if (m_Pid > 0)
       ::kill(m_Pid, Signal);
@@ -76,16 +90,8 @@
     ::_exit(127);
   }
 
-  static std::string readAddress(int Input) {
-    std::string Line;
-    char C = 0;
-    while (::read(Input, &C, 1) == 1 && C != '\n')
-      Line += C;
-    const auto Equals = Line.find('=');
-    return Equals == std::string::npos ? "" : Line.substr(Equals + 1);
-  }
-
   pid_t m_Pid = -1;
+  int m_Output = -1;
   std::string m_Address;
 };
 
