connection: problem answers for malformed, oversized and slow input; back-pressure

Cause: RESTinio closes a connection without a word when a request is malformed, over a limit or too slow, and an answer that comes faster than its caller takes it filled the memory.

Change: the caller's socket answers such a request by a problem body with X-Mangodeck-Run: no before RESTinio closes it, as long as no request of that connection was handed over; later the answer could be taken for another request's, so the connection is only closed. TargetAnswer::pendingBytes() tells the target client how much its receiver holds; over a limit it stops reading.

Conclusion: callers are told of each of these; memory per answer is bounded.

--- a/packages/connection/include/mangodeck/connection/curltargetclient.h
+++ b/packages/connection/include/mangodeck/connection/curltargetclient.h
@@ -23,6 +23,8 @@
   unsigned MaxFruitlessResumes = 3;
   /// Wait before a resume; doubled after each fruitless one.
   Duration ResumeDelay = 100ms;
+  /// An answer whose receiver holds more than this is read no further.
+  std::size_t MaxPendingBytes = std::size_t{1} << 20;
   std::size_t MaxFrameBytes = std::size_t{1} << 20;
 };
 
--- a/packages/connection/src/callerserver.cpp
+++ b/packages/connection/src/callerserver.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/connection/callerserver.h"
 
+#include "callersocket.h"
+
 #include "mangodeck/request/problem.h"
 
 #include <restinio/all.hpp>
@@ -336,11 +338,13 @@
   ExchangeRegistryPtr m_Registry;
 };
 
-struct ServerTraits : public restinio::default_traits_t {
+struct ServerTraits : public restinio::traits_t<
+                          restinio::asio_timer_manager_t, ParserErrorLogger,
+                          std::function<restinio::request_handling_status_t(
+                              restinio::request_handle_t)>,
+                          restinio::default_strand_t, CallerSocket> {
   // NOLINTBEGIN(readability-identifier-naming): named by RESTinio.
   using connection_state_listener_t = ConnectionListener;
-  using request_handler_t = std::function<restinio::request_handling_status_t(
-      restinio::request_handle_t)>;
   static constexpr bool use_connection_count_limiter = true;
   // NOLINTEND(readability-identifier-naming)
 };
@@ -461,6 +465,7 @@
   }
 
   restinio::request_handling_status_t handle(restinio::request_t &Incoming) {
+    CallerSocket::noteRequest();
     const auto Entry =
         std::make_shared<Exchange>(m_State, m_Registry, Incoming);
     m_Registry->add(Incoming.connection_id(), Entry);
--- a/packages/connection/src/curlloop.cpp
+++ b/packages/connection/src/curlloop.cpp
@@ -154,6 +154,12 @@
   m_Stopped.push_back(Id);
 }
 
+void CurlLoop::setPaused(CallId Id, bool Paused) {
+  const auto It = m_Transfers.find(Id);
+  if (It != m_Transfers.end() && It->second->Handler)
+    curl_easy_pause(It->second->Easy, Paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+}
+
 CurlLoop::TimerId CurlLoop::callAfter(Duration Delay,
                                       std::function<void()> Task) {
   const TimerId Timer{std::chrono::steady_clock::now() + Delay, m_NextId++};
--- a/packages/connection/src/curlloop.h
+++ b/packages/connection/src/curlloop.h
@@ -46,8 +46,8 @@
   virtual void onDone(const HttpCallEnd &End) = 0;
 };
 
-/// A libcurl multi handle with its thread. start(), stop() and callAfter() may
-/// be called on that thread only; post() gets work there from any thread.
+/// A libcurl multi handle with its thread. post() gets work there from any
+/// thread; all else may be called on that thread only.
 class CurlLoop {
 public:
   using CallId = std::uint64_t;
@@ -66,6 +66,9 @@
   /// Ends a call without another callback. Unknown ids are ignored.
   void stop(CallId Id);
 
+  /// Stops reading a call's answer, or goes on.
+  void setPaused(CallId Id, bool Paused);
+
   TimerId callAfter(Duration Delay, std::function<void()> Task);
   void cancelTimer(const TimerId &Timer);
 
--- a/packages/connection/src/targetexchange.cpp
+++ b/packages/connection/src/targetexchange.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view EndOfStream = "[DONE]";
 constexpr auto CancelTimeout = 5s;
 constexpr auto ProbeTimeout = 1s;
+constexpr auto PausePollPeriod = 10ms;
 
 std::optional<std::uint64_t> parseNumber(std::string_view Text) {
   std::uint64_t Value = 0;
@@ -152,12 +153,8 @@
 
 void TargetExchange::onBytes(std::string_view Bytes) {
   m_LastByte = std::chrono::steady_clock::now();
-  if (!m_EventStream) {
-    m_Offset += Bytes.size();
-    m_FruitlessResumes = 0;
-    m_Answer->onBody(Bytes);
-    return;
-  }
+  if (!m_EventStream)
+    return giveBody(Bytes);
   m_Frames.append(Bytes);
   const auto Call = m_Call;
   while (!m_Over && m_Call == Call) {
@@ -183,13 +180,37 @@
   if (!Last && !carriesOwnId(Data))
     return recover(Fault::WrongAnswer);
   m_FinishSeen = m_FinishSeen || namesFinishReason(Data);
-  m_Offset += Frame.size();
-  m_FruitlessResumes = 0;
-  m_Answer->onBody(Frame);
+  giveBody(Frame);
   if (Last)
     end(TargetEnd::Completed, false);
 }
 
+void TargetExchange::giveBody(std::string_view Bytes) {
+  m_Offset += Bytes.size();
+  m_FruitlessResumes = 0;
+  m_Answer->onBody(Bytes);
+  if (!m_PauseTimer)
+    watchReceiver();
+}
+
+/// Stops reading while the receiver holds too much, so that a slow caller does
+/// not fill the memory.
+void TargetExchange::watchReceiver() {
+  const bool WasPaused = m_PauseTimer.has_value();
+  m_PauseTimer.reset();
+  if (m_Over || m_Call == 0)
+    return;
+  const bool Full = m_Answer->pendingBytes() > m_State.Options.MaxPendingBytes;
+  m_LastByte = std::chrono::steady_clock::now();
+  if (Full != WasPaused)
+    m_Loop.setPaused(m_Call, Full);
+  if (Full)
+    m_PauseTimer =
+        m_Loop.callAfter(PausePollPeriod, [Self = shared_from_this()] {
+          Self->watchReceiver();
+        });
+}
+
 void TargetExchange::onDone(const HttpCallEnd &End) {
   m_Call = 0;
   if (!m_Resuming && !End.Connected && !End.Sent)
@@ -305,6 +326,9 @@
   if (m_SilenceTimer)
     m_Loop.cancelTimer(*m_SilenceTimer);
   m_SilenceTimer.reset();
+  if (m_PauseTimer)
+    m_Loop.cancelTimer(*m_PauseTimer);
+  m_PauseTimer.reset();
 }
 
 /// Ends the exchange after a new connection has shown whether the target's
--- a/packages/connection/src/targetexchange.h
+++ b/packages/connection/src/targetexchange.h
@@ -61,6 +61,8 @@
   void resume();
   void watchSilence();
   void onSilenceTimer();
+  void giveBody(std::string_view Bytes);
+  void watchReceiver();
   void dropCall();
   void probeAndEnd(TargetEnd End);
   void end(TargetEnd End, bool Gone);
@@ -77,6 +79,7 @@
   CurlLoop::CallId m_Call = 0;
   std::optional<CurlLoop::TimerId> m_SilenceTimer;
   std::optional<CurlLoop::TimerId> m_ResumeTimer;
+  std::optional<CurlLoop::TimerId> m_PauseTimer; ///< Set while paused.
   TimePoint m_LastByte;
 
   /// Incarnation that answered at the address before the dispatch.
--- a/packages/connection/test/callerserver_test.cpp
+++ b/packages/connection/test/callerserver_test.cpp
@@ -19,7 +19,11 @@
   CPPUNIT_TEST(caller_closesAfterKeepAliveAnswer_isNoticedForTheNextOnly);
   CPPUNIT_TEST(caller_closesItsSendingHalf_countsAsHungUp);
   CPPUNIT_TEST(caller_takesNoBytes_isCutOffAfterWriteTimeout);
-  CPPUNIT_TEST(caller_sendsSlowly_isCutOffAfterReadTimeout);
+  CPPUNIT_TEST(caller_sendsSlowly_isToldAfterReadTimeout);
+  CPPUNIT_TEST(connection_idle_isClosedWithoutAnswer);
+  CPPUNIT_TEST(input_malformed_isToldAndNotRun);
+  CPPUNIT_TEST(input_oversized_isToldAndNotRun);
+  CPPUNIT_TEST(input_malformedAfterARequest_isNotAnsweredInItsPlace);
   CPPUNIT_TEST(address_inUse_startFails);
   CPPUNIT_TEST(address_malformed_startFails);
   CPPUNIT_TEST(server_stopsAccepting_finishesOpenRequest);
@@ -162,12 +166,62 @@
     CPPUNIT_ASSERT(HungUp.await());
   }
 
-  void caller_sendsSlowly_isCutOffAfterReadTimeout() {
+  void caller_sendsSlowly_isToldAfterReadTimeout() {
     start({.ReadTimeout = 200ms});
     const RawCaller Caller(m_Server->port());
     Caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
-    Caller.readAll();
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_Handler.count());
+    assertProblem(408, Caller.readAll());
+  }
+
+  void connection_idle_isClosedWithoutAnswer() {
+    start({.ReadTimeout = 200ms});
+    const RawCaller Caller(m_Server->port());
+    CPPUNIT_ASSERT_EQUAL(std::string(), Caller.readAll());
+  }
+
+  void input_malformed_isToldAndNotRun() {
+    for (const auto *Text :
+         {"\x16\x03\x01\x02", "HELLO\r\n\r\n", "GET / HTTP/9.x\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n"}) {
+      const RawCaller Caller(m_Server->port());
+      Caller.send(Text);
+      assertProblem(400, Caller.readAll());
+    }
+  }
+
+  void input_oversized_isToldAndNotRun() {
+    start({.MaxUrlBytes = 100,
+           .MaxHeaderValueBytes = 100,
+           .MaxHeaderCount = 5,
+           .MaxBodyBytes = 1000});
+    const std::string Long(2000, 'a');
+    std::string Many;
+    for (int I = 0; I < 6; ++I)
+      Many += "X-A: b\r\n";
+    assertProblem(
+        413, send("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + Long));
+    assertProblem(
+        413,
+        send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" +
+             Long));
+    assertProblem(414, send("GET /" + Long + " HTTP/1.1\r\n\r\n"));
+    assertProblem(431, send("GET / HTTP/1.1\r\nX-A: " + Long + "\r\n\r\n"));
+    assertProblem(431, send("GET / HTTP/1.1\r\n" + Many + "\r\n"));
+  }
+
+  void input_malformedAfterARequest_isNotAnsweredInItsPlace() {
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Signal HungUp;
+    Exchange->onHangUp([&HungUp] { HungUp.raise(); });
+    Caller.send("HELLO\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string(), Caller.readAll());
+    CPPUNIT_ASSERT(HungUp.await());
   }
 
   void address_inUse_startFails() {
@@ -199,6 +253,21 @@
   }
 
 private:
+  std::string send(const std::string &Text) {
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Text);
+    return Caller.readAll();
+  }
+
+  void assertProblem(int Status, const std::string &Answer) {
+    const auto Start = fmt::format("HTTP/1.1 {} ", Status);
+    CPPUNIT_ASSERT_MESSAGE(Answer, Answer.starts_with(Start));
+    CPPUNIT_ASSERT(Answer.find("X-Mangodeck-Run: no\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(Answer.find("application/problem+json") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_Handler.count());
+  }
+
   /// Hands exchanges to the recorder, or drops them at once.
   class Switch : public CallerHandler {
   public:
--- a/packages/connection/test/curltargetclient_test.cpp
+++ b/packages/connection/test/curltargetclient_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(link_goesSilentBeforeTheRequest_isRejectedAndNeverRun);
   CPPUNIT_TEST(link_blocked_isNotDelivered);
   CPPUNIT_TEST(connection_closedByTarget_isNotUsedAgain);
+  CPPUNIT_TEST(receiver_full_pausesTheTarget);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,7 +235,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Handler.count());
   }
 
+  void receiver_full_pausesTheTarget() {
+    RecordingHandler Handler;
+    CallerServer Target({}, Handler);
+    CPPUNIT_ASSERT(!Target.start());
+    m_Address = fmt::format("127.0.0.1:{}", Target.port());
+    const auto Answer = std::make_shared<FullReceiver>();
+    m_Client->dispatch(makeRequest(false), Answer);
+    const auto Exchange = Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    const std::vector<Header> Headers{{"X-Request-Id", toString(Id)}};
+    const std::string Body(std::size_t{16} << 20, 'x');
+    Exchange->respond(200, Headers, Body);
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT(Answer->Body == Body);
+    CPPUNIT_ASSERT(Answer->Pauses > 0);
+    CPPUNIT_ASSERT_EQUAL(0, Answer->BodiesWhileFull);
+  }
+
 private:
+  /// Says that it is full after each megabyte, then that it is empty again.
+  class FullReceiver : public RecordingAnswer {
+  public:
+    void onBody(std::string_view Bytes) override {
+      BodiesWhileFull += m_Full ? 1 : 0;
+      m_Held += Bytes.size();
+      RecordingAnswer::onBody(Bytes);
+    }
+
+    std::size_t pendingBytes() const override {
+      m_Full = m_Held > TargetClientOptions().MaxPendingBytes;
+      Pauses += m_Full ? 1 : 0;
+      return m_Full ? std::exchange(m_Held, 0) : m_Held;
+    }
+
+    int BodiesWhileFull = 0;
+    mutable int Pauses = 0;
+
+  private:
+    mutable std::size_t m_Held = 0;
+    mutable bool m_Full = false;
+  };
+
   static constexpr RequestId Id{0x1122334455667788, 0x99aabbccddeeff00};
   static constexpr std::size_t Tokens = 20;
 
@@ -289,6 +331,12 @@
   std::shared_ptr<RecordingAnswer> dispatchStream() { return dispatch(true); }
 
   std::shared_ptr<RecordingAnswer> dispatch(bool Streaming) {
+    auto Answer = std::make_shared<RecordingAnswer>();
+    m_Client->dispatch(makeRequest(Streaming), Answer);
+    return Answer;
+  }
+
+  TargetRequest makeRequest(bool Streaming) const {
     TargetRequest Request;
     Request.Id = Id;
     Request.Target = TargetName("t");
@@ -300,9 +348,7 @@
         R"({{"model":"scribe","prompt":"lantern desk","max_tokens":{},"stream":{}}})",
         Tokens, Streaming);
     Request.Streaming = Streaming;
-    auto Answer = std::make_shared<RecordingAnswer>();
-    m_Client->dispatch(std::move(Request), Answer);
-    return Answer;
+    return Request;
   }
 
   /// How often the target got the request, by its own count.
--- a/packages/connection/test/httptargetwatcher_test.cpp
+++ b/packages/connection/test/httptargetwatcher_test.cpp
@@ -95,7 +95,7 @@
 
   void target_reporting_isUpAndItsLoadArrives() {
     startTarget("127.0.0.1:0", 7);
-    m_Watcher->watch(Name, m_Target->address());
+    m_Watcher->watch(m_Name, m_Target->address());
     CPPUNIT_ASSERT(m_Reports->await("up t 7"));
     CPPUNIT_ASSERT(m_Reports->await("load"));
     CPPUNIT_ASSERT(m_Reports->await("load"));
@@ -103,7 +103,7 @@
 
   void target_leaving_isReported() {
     startTarget("127.0.0.1:0", 7);
-    m_Watcher->watch(Name, m_Target->address());
+    m_Watcher->watch(m_Name, m_Target->address());
     CPPUNIT_ASSERT(m_Reports->await("load"));
     callOnce(m_Target->address(), "POST", "/standin/faults",
              R"({"leaving":true})");
@@ -112,7 +112,7 @@
 
   void target_storingPrefixes_isReported() {
     startTarget("127.0.0.1:0", 7);
-    m_Watcher->watch(Name, m_Target->address());
+    m_Watcher->watch(m_Name, m_Target->address());
     CPPUNIT_ASSERT(m_Reports->await("load"));
     const RawCaller Caller(portOf(m_Target->address()));
     Caller.send(
@@ -125,7 +125,7 @@
   void target_killedAndStartedAgain_isDownThenUp() {
     startTarget("127.0.0.1:0", 7);
     const auto Address = m_Target->address();
-    m_Watcher->watch(Name, Address);
+    m_Watcher->watch(m_Name, Address);
     CPPUNIT_ASSERT(m_Reports->await("up t 7"));
     m_Target->kill(SIGKILL);
     CPPUNIT_ASSERT(m_Reports->await("down t"));
@@ -136,7 +136,7 @@
 
   void target_stopped_isDown() {
     startTarget("127.0.0.1:0", 7);
-    m_Watcher->watch(Name, m_Target->address());
+    m_Watcher->watch(m_Name, m_Target->address());
     CPPUNIT_ASSERT(m_Reports->await("load"));
     m_Target->send(SIGSTOP);
     CPPUNIT_ASSERT(m_Reports->await("down t"));
@@ -150,7 +150,7 @@
         std::vector<std::string>{testing::findProgram("standin-relay"),
                                  "--target", m_Target->address()});
     const auto Control = m_Relay->readValue();
-    m_Watcher->watch(Name, m_Relay->address());
+    m_Watcher->watch(m_Name, m_Relay->address());
     CPPUNIT_ASSERT(m_Reports->await("load"));
     callOnce(Control, "POST", "/link", R"({"silent":true})");
     callOnce(m_Target->address(), "POST", "/standin/faults",
@@ -164,7 +164,7 @@
     RecordingHandler Handler;
     CallerServer Target({}, Handler);
     CPPUNIT_ASSERT(!Target.start());
-    m_Watcher->watch(Name, fmt::format("127.0.0.1:{}", Target.port()));
+    m_Watcher->watch(m_Name, fmt::format("127.0.0.1:{}", Target.port()));
     for (std::size_t I = 0; I < 3; ++I) {
       const auto Exchange = Handler.await(I);
       CPPUNIT_ASSERT(Exchange);
@@ -189,7 +189,7 @@
   }
 
 private:
-  const TargetName Name{"t"};
+  const TargetName m_Name{"t"};
 
   void startTarget(const std::string &Address, int Started) {
     m_Target = std::make_unique<ChildProcess>(std::vector<std::string>{
--- a/packages/request/include/mangodeck/request/targetclient.h
+++ b/packages/request/include/mangodeck/request/targetclient.h
@@ -48,6 +48,9 @@
   /// Called when a broken or silent stream goes on from its last byte on a
   /// new connection to the same target.
   virtual void onResumed() {}
+  /// Bytes given to onBody() that were not passed on yet. The client reads no
+  /// further from the target while there are too many.
+  virtual std::size_t pendingBytes() const { return 0; }
 };
 
 /// Sends requests to targets. One call to dispatch() sends the request to the
