--- a/packages/request/include/mangodeck/request/peermessage.h
+++ b/packages/request/include/mangodeck/request/peermessage.h
@@ -34,6 +34,12 @@
   Refusal Reason;
 };
 
+/// Group owner to entry daemon: another group takes the waiting ticket.
+struct MoveTicket {
+  RequestId Request;
+  GroupId To;
+};
+
 /// Entry daemon to group owner: a grant was not used.
 struct ReturnGrant {
   GroupId Group;
@@ -109,9 +115,9 @@
 
 using PeerMessage =
     std::variant<SubmitTicket, WithdrawTicket, GrantTicket, RefuseTicket,
-                 ReturnGrant, ReportFinish, ReportRunning, FetchRevisions,
-                 OfferRevisions, JoinKey, KeyHolder, FollowAnswer, AnswerPart,
-                 ReleaseKey>;
+                 MoveTicket, ReturnGrant, ReportFinish, ReportRunning,
+                 FetchRevisions, OfferRevisions, JoinKey, KeyHolder,
+                 FollowAnswer, AnswerPart, ReleaseKey>;
 
 /// Sends messages to other daemons. Never blocks.
 class PeerSender {
--- /dev/null
+++ b/packages/request/test/lifecycle_test.cpp
@@ -0,0 +1,163 @@
+#include "mangodeck/request/lifecycle.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mangodeck {
+
+class RequestLifecycleTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestLifecycleTest);
+  CPPUNIT_TEST(grant_secondForOneRequest_isReturned);
+  CPPUNIT_TEST(grant_afterDeadline_isReturnedAsExpired);
+  CPPUNIT_TEST(grant_toLeavingTarget_isReturnedAndRequestWaitsOn);
+  CPPUNIT_TEST(grant_afterRefusal_isReturned);
+  CPPUNIT_TEST(refusal_afterDispatch_isIgnored);
+  CPPUNIT_TEST(claim_wonAfterRequestEnded_isReleased);
+  CPPUNIT_TEST(claim_wonButTargetLeaving_nextGrantNeedsNoClaim);
+  CPPUNIT_TEST(claim_unreachableStore_endsWithoutDispatch);
+  CPPUNIT_TEST(hangUp_runningNonIdempotent_runsOn);
+  CPPUNIT_TEST(notDelivered_dispatchedRequest_waitsAgain);
+  CPPUNIT_TEST(allEvents_everyOrderOfSix_dispatchAtMostOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr TimePoint Start{};
+  static constexpr TimePoint Deadline = Start + 10s;
+  const DispatchCondition m_Usable{};
+  const DispatchCondition m_Leaving{false, false};
+
+  static RequestLifecycle keyed() { return {Deadline, false, true}; }
+  static RequestLifecycle ordinary() { return {Deadline, true, false}; }
+
+public:
+  void grant_secondForOneRequest_isReturned() {
+    auto Request = ordinary();
+    CPPUNIT_ASSERT(Request.onGrant(Start, m_Usable).Verdict ==
+                   GrantVerdict::Dispatch);
+    const auto Second = Request.onGrant(Start, m_Usable);
+    CPPUNIT_ASSERT(Second.Verdict == GrantVerdict::Return);
+    CPPUNIT_ASSERT(Second.Reason == ReturnReason::Duplicate);
+  }
+
+  void grant_afterDeadline_isReturnedAsExpired() {
+    auto Request = ordinary();
+    CPPUNIT_ASSERT(Request.onGrant(Deadline, m_Usable).Reason ==
+                   ReturnReason::Expired);
+    CPPUNIT_ASSERT(Request.onExpiry(Deadline));
+  }
+
+  void grant_toLeavingTarget_isReturnedAndRequestWaitsOn() {
+    auto Request = ordinary();
+    CPPUNIT_ASSERT(Request.onGrant(Start, m_Leaving).Reason ==
+                   ReturnReason::TargetLeaving);
+    CPPUNIT_ASSERT(Request.state() == RequestState::Waiting);
+  }
+
+  void grant_afterRefusal_isReturned() {
+    auto Request = ordinary();
+    CPPUNIT_ASSERT(Request.onRefusal());
+    CPPUNIT_ASSERT(Request.onGrant(Start, m_Usable).Verdict ==
+                   GrantVerdict::Return);
+    CPPUNIT_ASSERT_EQUAL(0U, Request.dispatches());
+  }
+
+  void refusal_afterDispatch_isIgnored() {
+    auto Request = ordinary();
+    Request.onGrant(Start, m_Usable);
+    CPPUNIT_ASSERT(!Request.onRefusal());
+    CPPUNIT_ASSERT(!Request.onExpiry(Deadline));
+  }
+
+  void claim_wonAfterRequestEnded_isReleased() {
+    auto Request = keyed();
+    CPPUNIT_ASSERT(Request.onGrant(Start, m_Usable).Verdict ==
+                   GrantVerdict::Claim);
+    CPPUNIT_ASSERT(Request.onHangUp() == HangUpVerdict::Withdraw);
+    CPPUNIT_ASSERT(Request.onClaim(ClaimResult::Won, Start, m_Usable) ==
+                   ClaimVerdict::Release);
+    CPPUNIT_ASSERT_EQUAL(0U, Request.dispatches());
+  }
+
+  void claim_wonButTargetLeaving_nextGrantNeedsNoClaim() {
+    auto Request = keyed();
+    Request.onGrant(Start, m_Usable);
+    CPPUNIT_ASSERT(Request.onClaim(ClaimResult::Won, Start, m_Leaving) ==
+                   ClaimVerdict::WaitAgain);
+    CPPUNIT_ASSERT(Request.onGrant(Start, m_Usable).Verdict ==
+                   GrantVerdict::Dispatch);
+  }
+
+  void claim_unreachableStore_endsWithoutDispatch() {
+    auto Request = keyed();
+    Request.onGrant(Start, m_Usable);
+    CPPUNIT_ASSERT(Request.onClaim(ClaimResult::Unreachable, Start, m_Usable) ==
+                   ClaimVerdict::Refuse);
+    CPPUNIT_ASSERT(Request.state() == RequestState::Ended);
+    CPPUNIT_ASSERT_EQUAL(0U, Request.dispatches());
+  }
+
+  void hangUp_runningNonIdempotent_runsOn() {
+    RequestLifecycle Payment(Deadline, false, false);
+    Payment.onGrant(Start, m_Usable);
+    CPPUNIT_ASSERT(Payment.onHangUp() == HangUpVerdict::RunOn);
+    auto Completion = ordinary();
+    Completion.onGrant(Start, m_Usable);
+    CPPUNIT_ASSERT(Completion.onHangUp() == HangUpVerdict::Cancel);
+  }
+
+  void notDelivered_dispatchedRequest_waitsAgain() {
+    auto Request = ordinary();
+    Request.onGrant(Start, m_Usable);
+    CPPUNIT_ASSERT(Request.onNotDelivered());
+    CPPUNIT_ASSERT(Request.onGrant(Start, m_Usable).Verdict ==
+                   GrantVerdict::Dispatch);
+    CPPUNIT_ASSERT_EQUAL(1U, Request.dispatches());
+  }
+
+  /// Applies every sequence of six events out of seven to a keyed request and
+  /// counts the dispatches that no proof of non-delivery took back.
+  void allEvents_everyOrderOfSix_dispatchAtMostOnce() {
+    constexpr int Events = 7;
+    constexpr int Length = 6;
+    int Sequences = 1;
+    for (int I = 0; I < Length; ++I)
+      Sequences *= Events;
+    for (int Sequence = 0; Sequence < Sequences; ++Sequence)
+      CPPUNIT_ASSERT(applySequence(Sequence, Events, Length) <= 1);
+  }
+
+private:
+  int applySequence(int Sequence, int Events, int Length) {
+    auto Request = keyed();
+    int Dispatches = 0;
+    for (int I = 0; I < Length; ++I, Sequence /= Events)
+      Dispatches += applyEvent(Request, Sequence % Events);
+    return Dispatches;
+  }
+
+  int applyEvent(RequestLifecycle &Request, int Event) {
+    switch (Event) {
+    case 0:
+      return Request.onGrant(Start, m_Usable).Verdict == GrantVerdict::Dispatch;
+    case 1:
+      return Request.onGrant(Start, m_Leaving).Verdict ==
+             GrantVerdict::Dispatch;
+    case 2:
+      return Request.onClaim(ClaimResult::Won, Start, m_Usable) ==
+             ClaimVerdict::Dispatch;
+    case 3:
+      Request.onRefusal();
+      return 0;
+    case 4:
+      Request.onHangUp();
+      return 0;
+    case 5:
+      return Request.onNotDelivered() ? -1 : 0;
+    default:
+      Request.onEnd();
+      return 0;
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestLifecycleTest);
+
+} // namespace mangodeck
