--- /dev/null
+++ b/packages/process/include/mangodeck/process/claimclient.h
@@ -0,0 +1,57 @@
+#ifndef MANGODECK_PROCESS_CLAIMCLIENT_H
+#define MANGODECK_PROCESS_CLAIMCLIENT_H
+
+#include "mangodeck/common/ids.h"
+#include "mangodeck/request/lifecycle.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace mangodeck {
+
+/// An answer kept with a claim, for callers that send the request again.
+struct StoredAnswer {
+  int Status = 200;
+  std::string ContentType;
+  std::string Body;
+};
+
+/// Names one keyed request of one customer.
+struct ClaimKey {
+  CustomerName Customer;
+  std::string Key; ///< As the caller gave it.
+
+  bool operator==(const ClaimKey &) const = default;
+};
+
+/// What recording a claim came to.
+struct ClaimReply {
+  ClaimResult Result = ClaimResult::Unreachable;
+  /// With Held: the answer of the request that holds the key, if it is known.
+  std::optional<StoredAnswer> Answer;
+  /// With Held: the key was used with another body.
+  bool OtherBody = false;
+};
+
+/// Records claims of keyed non-idempotent requests. Safe from any thread.
+class ClaimClient {
+public:
+  virtual ~ClaimClient() = default;
+
+  /// Records that \p Request holds \p Key; \p Done runs once, on any thread.
+  virtual void claim(const ClaimKey &Key, std::uint64_t Fingerprint,
+                     const RequestId &Request,
+                     std::function<void(ClaimReply)> Done) = 0;
+
+  /// Keeps the answer of a claim that this daemon holds.
+  virtual void complete(const ClaimKey &Key, const RequestId &Request,
+                        StoredAnswer Answer) = 0;
+
+  /// Undoes a claim whose request was never dispatched.
+  virtual void release(const ClaimKey &Key, const RequestId &Request) = 0;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/process/include/mangodeck/process/targetmarks.h
@@ -0,0 +1,42 @@
+#ifndef MANGODECK_PROCESS_TARGETMARKS_H
+#define MANGODECK_PROCESS_TARGETMARKS_H
+
+#include "mangodeck/common/ids.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace mangodeck {
+
+/// What every daemon checks right before a dispatch. Immutable; request
+/// threads read it by read-copy-update.
+struct TargetMarks {
+  /// Leaving targets with the incarnation that leaves. A mark holds for that
+  /// start and all earlier ones, whatever later reports say.
+  std::unordered_map<TargetName, Incarnation> Leaving;
+  /// Fingerprints of requests that crashed two targets.
+  std::unordered_set<std::uint64_t> Quarantined;
+
+  bool isLeaving(const TargetName &Target, Incarnation Started) const {
+    const auto It = Leaving.find(Target);
+    return It != Leaving.end() && Started <= It->second;
+  }
+
+  bool isQuarantined(std::uint64_t Fingerprint) const {
+    return Quarantined.contains(Fingerprint);
+  }
+};
+
+/// Spreads marks to all daemons; safe from any thread.
+class MarkPublisher {
+public:
+  virtual ~MarkPublisher() = default;
+  virtual void publishLeaving(const TargetName &Target,
+                              Incarnation Started) = 0;
+  virtual void publishQuarantine(std::uint64_t Fingerprint) = 0;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/process/src/streammeter.cpp
@@ -0,0 +1,33 @@
+#include "streammeter.h"
+
+namespace mangodeck {
+
+namespace {
+
+constexpr std::string_view DataField = "data:";
+
+} // namespace
+
+void StreamMeter::onBytes(std::string_view Bytes, TimePoint Now) {
+  if (Bytes.empty())
+    return;
+  if (m_First == TimePoint{})
+    m_First = Now;
+  m_Last = Now;
+  if (m_AtLineStart && Bytes.starts_with(DataField))
+    ++m_Tokens;
+  for (auto At = Bytes.find("\ndata:"); At != std::string_view::npos;
+       At = Bytes.find("\ndata:", At + 1))
+    ++m_Tokens;
+  m_AtLineStart = Bytes.back() == '\n';
+}
+
+Duration StreamMeter::firstToken() const {
+  return m_First == TimePoint{} ? Duration{0} : m_First - m_Dispatched;
+}
+
+Duration StreamMeter::meanGap() const {
+  return m_Tokens < 2 ? Duration{0} : decode() / (m_Tokens - 1);
+}
+
+} // namespace mangodeck
