--- a/packages/version/include/mangodeck/version/store.h
+++ b/packages/version/include/mangodeck/version/store.h
@@ -68,6 +68,11 @@
                      std::int64_t Limit,
                      Callback<std::vector<StoreEntry>> Done) = 0;
 
+  /// The last \p Limit entries whose keys start with \p Prefix, greatest key
+  /// first. Reads the whole range unless the implementation does better.
+  virtual void last(std::string_view Prefix, std::int64_t Limit,
+                    Callback<std::vector<StoreEntry>> Done);
+
   virtual void compareAndSwap(StoreWrite Write,
                               Callback<StoreWriteResult> Done) = 0;
 
