--- /dev/null
+++ b/packages/process/src/entrytable.cpp
@@ -0,0 +1,87 @@
+#include "entrytable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace mangodeck {
+
+namespace {
+
+constexpr std::size_t MaxEntries = 20000;
+
+/// An entry with less time to live is not taken in, so that one which has
+/// just expired here does not come back.
+constexpr Duration MinRemaining = 1s;
+
+EntryTable::Key keyOf(const GossipEntry &Entry) {
+  if (Entry.Kind == EntryKind::Revision)
+    return {Entry.Kind, VmName(), std::string()};
+  return {Entry.Kind, Entry.Origin, Entry.Subject};
+}
+
+/// Revisions are ordered by their number, which is their version, over all
+/// origins; other entries by the origin's start and their version.
+bool supersedes(const GossipEntry &New, const GossipEntry &Old) {
+  if (New.Kind == EntryKind::Revision)
+    return New.Version > Old.Version;
+  return std::tie(New.Started, New.Version) >
+         std::tie(Old.Started, Old.Version);
+}
+
+} // namespace
+
+EntryTable::Record *EntryTable::merge(const GossipEntry &Entry, TimePoint Now) {
+  if (Entry.Remaining < MinRemaining)
+    return nullptr;
+  const auto Name = keyOf(Entry);
+  const auto It = m_Records.find(Name);
+  if (It != m_Records.end() && !supersedes(Entry, It->second.Entry))
+    return nullptr;
+  if (It == m_Records.end() && m_Records.size() >= MaxEntries)
+    return nullptr;
+  auto &Found = m_Records[Name];
+  Found.Entry = Entry;
+  Found.Expiry = Now + Entry.Remaining;
+  return &Found;
+}
+
+std::uint64_t EntryTable::nextVersion(EntryKind Kind, const VmName &Origin,
+                                      std::string_view Subject) const {
+  const auto It = m_Records.find(Key{Kind, Origin, std::string(Subject)});
+  return It == m_Records.end() ? 1 : It->second.Entry.Version + 1;
+}
+
+std::string EntryTable::bucketKey(const Key &Name) {
+  std::string Text(1, static_cast<char>('0' + static_cast<int>(Name.Kind)));
+  Text.append(Name.Origin.Text).push_back('/');
+  return Text.append(Name.Subject);
+}
+
+void EntryTable::addTo(BucketHashes &Hashes) const {
+  for (const auto &[Name, Found] : m_Records) {
+    if (Found.Entry.Direct)
+      continue;
+    const auto Text = bucketKey(Name);
+    const std::uint64_t Fields[] = {
+        Name.Kind == EntryKind::Revision ? 0 : Found.Entry.Started,
+        Found.Entry.Version};
+    const auto Seed = XXH3_64bits(Text.data(), Text.size());
+    Hashes[bucketOf(Text)] ^= static_cast<std::uint32_t>(
+        XXH3_64bits_withSeed(Fields, sizeof(Fields), Seed));
+  }
+}
+
+void EntryTable::expire(TimePoint Now) {
+  std::erase_if(m_Records,
+                [Now](const auto &Item) { return Item.second.Expiry <= Now; });
+}
+
+GossipEntry EntryTable::aged(const Record &Found, TimePoint Now) {
+  auto Entry = Found.Entry;
+  Entry.Remaining = std::max(Duration(0), Duration(Found.Expiry - Now));
+  return Entry;
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/process/src/packetcodec.cpp
@@ -0,0 +1,217 @@
+#include "mangodeck/process/packetcodec.h"
+
+#include "generated/gossip.pb.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <optional>
+
+namespace mangodeck {
+
+namespace {
+
+constexpr char FormatVersion = 1;
+constexpr std::size_t CodeBytes = 16;
+constexpr std::size_t HeaderBytes = 1 + CodeBytes;
+constexpr std::size_t MaxNameBytes = 64;
+constexpr std::size_t MaxSubjectBytes = 128;
+constexpr std::size_t MaxValueBytes = 512;
+constexpr std::uint32_t MaxRemainingSeconds = 24 * 3600;
+
+/// Bytes of the field tags, lengths and numbers of a message at their longest.
+constexpr std::size_t RumorFixedBytes = 3 + 3 * 2 + 2 + 2 + 11 + 6;
+constexpr std::size_t EntryFixedBytes = 3 + 2 + 3 * 3 + 11 + 11 + 6 + 2;
+constexpr std::size_t PacketFixedBytes = HeaderBytes + 2 + 6 + 2 + 3;
+constexpr std::size_t BucketBytes = 4;
+
+std::array<char, CodeBytes> authenticate(std::string_view Key,
+                                         std::string_view Body) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned int Length = 0;
+  HMAC(EVP_sha256(), Key.data(), static_cast<int>(Key.size()),
+       reinterpret_cast<const unsigned char *>(Body.data()), Body.size(),
+       Digest.data(), &Length);
+  std::array<char, CodeBytes> Code{};
+  std::copy_n(Digest.begin(), CodeBytes, Code.begin());
+  return Code;
+}
+
+void toWire(const Member &Rumor, gossipwire::MemberRumor &Wire) {
+  Wire.set_vm(Rumor.Vm.Text);
+  Wire.set_address(Rumor.Address);
+  Wire.set_domain(Rumor.Domain.Text);
+  Wire.set_state(static_cast<std::uint32_t>(Rumor.State));
+  Wire.set_leaving(Rumor.Leaving);
+  Wire.set_started(Rumor.Started);
+  Wire.set_refutation(Rumor.Refutation);
+}
+
+void toWire(const GossipEntry &Entry, gossipwire::Entry &Wire) {
+  Wire.set_kind(static_cast<std::uint32_t>(Entry.Kind));
+  Wire.set_origin(Entry.Origin.Text);
+  Wire.set_subject(Entry.Subject);
+  Wire.set_started(Entry.Started);
+  Wire.set_version(Entry.Version);
+  Wire.set_remaining_seconds(static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, Entry.Remaining / 1s)));
+  Wire.set_value(Entry.Value);
+  Wire.set_direct(Entry.Direct);
+}
+
+std::optional<Member> fromWire(const gossipwire::MemberRumor &Wire) {
+  const bool Valid = !Wire.vm().empty() && Wire.vm().size() <= MaxNameBytes &&
+                     Wire.address().size() <= MaxNameBytes &&
+                     Wire.domain().size() <= MaxNameBytes &&
+                     Wire.state() <= static_cast<int>(MemberState::Left);
+  if (!Valid)
+    return std::nullopt;
+  Member Rumor;
+  Rumor.Vm = VmName(Wire.vm());
+  Rumor.Address = Wire.address();
+  Rumor.Domain = FailureDomain(Wire.domain());
+  Rumor.State = static_cast<MemberState>(Wire.state());
+  Rumor.Leaving = Wire.leaving();
+  Rumor.Started = Wire.started();
+  Rumor.Refutation = Wire.refutation();
+  return Rumor;
+}
+
+/// Reads an entry; one of a kind unknown here, sent by a newer daemon, is
+/// left out without making the datagram invalid.
+std::optional<GossipEntry> fromWire(const gossipwire::Entry &Wire) {
+  const bool Valid =
+      Wire.kind() <= static_cast<std::uint32_t>(EntryKind::CustomerUse) &&
+      Wire.origin().size() <= MaxNameBytes &&
+      Wire.subject().size() <= MaxSubjectBytes &&
+      Wire.value().size() <= MaxValueBytes;
+  if (!Valid)
+    return std::nullopt;
+  GossipEntry Entry;
+  Entry.Kind = static_cast<EntryKind>(Wire.kind());
+  Entry.Origin = VmName(Wire.origin());
+  Entry.Subject = Wire.subject();
+  Entry.Started = Wire.started();
+  Entry.Version = Wire.version();
+  Entry.Remaining =
+      std::min(Wire.remaining_seconds(), MaxRemainingSeconds) * 1s;
+  Entry.Value = Wire.value();
+  Entry.Direct = Wire.direct();
+  return Entry;
+}
+
+std::optional<Packet> fromWire(const gossipwire::Packet &Wire) {
+  const auto Sender = fromWire(Wire.sender());
+  const bool KnownKind =
+      Wire.kind() >= static_cast<std::uint32_t>(PacketKind::Probe) &&
+      Wire.kind() <= static_cast<std::uint32_t>(PacketKind::SyncAnswer);
+  if (!Sender || !KnownKind || Wire.target().size() > MaxNameBytes)
+    return std::nullopt;
+  Packet Message;
+  Message.Kind = static_cast<PacketKind>(Wire.kind());
+  Message.Sequence = Wire.sequence();
+  Message.Sender = *Sender;
+  Message.Target = VmName(Wire.target());
+  for (const auto &Item : Wire.members()) {
+    if (auto Rumor = fromWire(Item))
+      Message.Members.push_back(std::move(*Rumor));
+  }
+  for (const auto &Item : Wire.entries()) {
+    if (auto Entry = fromWire(Item))
+      Message.Entries.push_back(std::move(*Entry));
+  }
+  Message.Buckets.assign(Wire.buckets().begin(), Wire.buckets().end());
+  return Message;
+}
+
+} // namespace
+
+std::size_t encodedBound(const Member &Rumor) {
+  return RumorFixedBytes + Rumor.Vm.Text.size() + Rumor.Address.size() +
+         Rumor.Domain.Text.size();
+}
+
+std::size_t encodedBound(const GossipEntry &Entry) {
+  return EntryFixedBytes + Entry.Origin.Text.size() + Entry.Subject.size() +
+         Entry.Value.size();
+}
+
+std::size_t encodedBound(const Packet &Message) {
+  std::size_t Bytes = PacketFixedBytes + encodedBound(Message.Sender) +
+                      Message.Target.Text.size() +
+                      BucketBytes * Message.Buckets.size();
+  for (const auto &Rumor : Message.Members)
+    Bytes += encodedBound(Rumor);
+  for (const auto &Entry : Message.Entries)
+    Bytes += encodedBound(Entry);
+  return Bytes;
+}
+
+PacketCodec::PacketCodec(std::vector<std::string> Keys)
+    : m_Keys(std::move(Keys)) {
+  assert(!m_Keys.empty() && "settings are checked to have a peer key");
+}
+
+Expected<std::string> PacketCodec::encode(const Packet &Message) const {
+  gossipwire::Packet Wire;
+  Wire.set_kind(static_cast<std::uint32_t>(Message.Kind));
+  Wire.set_sequence(Message.Sequence);
+  toWire(Message.Sender, *Wire.mutable_sender());
+  Wire.set_target(Message.Target.Text);
+  for (const auto &Rumor : Message.Members)
+    toWire(Rumor, *Wire.add_members());
+  for (const auto &Entry : Message.Entries)
+    toWire(Entry, *Wire.add_entries());
+  for (const auto Bucket : Message.Buckets)
+    Wire.add_buckets(Bucket);
+
+  const auto Body = Wire.SerializeAsString();
+  if (Body.size() + HeaderBytes > MaxPacketBytes)
+    return unexpected(Errc::LimitExceeded);
+  const auto Code = authenticate(m_Keys.front(), Body);
+  std::string Bytes;
+  Bytes.reserve(HeaderBytes + Body.size());
+  Bytes.push_back(FormatVersion);
+  Bytes.append(Code.data(), Code.size());
+  Bytes.append(Body);
+  return Bytes;
+}
+
+bool PacketCodec::isAuthentic(std::string_view Code,
+                              std::string_view Body) const {
+  return std::any_of(m_Keys.begin(), m_Keys.end(), [&](const std::string &Key) {
+    const auto Wanted = authenticate(Key, Body);
+    return CRYPTO_memcmp(Wanted.data(), Code.data(), CodeBytes) == 0;
+  });
+}
+
+Expected<Packet> PacketCodec::decode(std::string_view Bytes) {
+  if (Bytes.size() > MaxPacketBytes) {
+    ++m_Drops.TooLong;
+    return unexpected(Errc::LimitExceeded);
+  }
+  if (Bytes.size() < HeaderBytes || Bytes.front() != FormatVersion) {
+    ++m_Drops.Malformed;
+    return unexpected(Errc::InvalidInput);
+  }
+  const auto Body = Bytes.substr(HeaderBytes);
+  if (!isAuthentic(Bytes.substr(1, CodeBytes), Body)) {
+    ++m_Drops.NotAuthentic;
+    return unexpected(Errc::InvalidInput);
+  }
+  gossipwire::Packet Wire;
+  const bool Parsed =
+      Wire.ParseFromArray(Body.data(), static_cast<int>(Body.size()));
+  auto Message = Parsed ? fromWire(Wire) : std::nullopt;
+  if (!Message) {
+    ++m_Drops.Malformed;
+    return unexpected(Errc::InvalidInput);
+  }
+  return std::move(*Message);
+}
+
+} // namespace mangodeck
