process: settings read from YAML, every error at once

Cause: a daemon learns its addresses and failure domain from its settings; a wrong file must tell where, what was found and what is allowed.

--- a/packages/process/include/mangodeck/process/settings.h
+++ b/packages/process/include/mangodeck/process/settings.h
@@ -1,11 +1,13 @@
 #ifndef MANGODECK_PROCESS_SETTINGS_H
 #define MANGODECK_PROCESS_SETTINGS_H
 
+#include "mangodeck/common/diagnostic.h"
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mangodeck {
@@ -45,6 +47,19 @@
   std::uint32_t TimelineEvents = 65536;
 };
 
+/// Settings as far as they could be read, and every error that was found.
+struct SettingsResult {
+  Settings Values; ///< Not to be used unless Errors is empty.
+  std::vector<Diagnostic> Errors;
+};
+
+/// Reads the YAML settings in \p Text; \p File names them in errors. Unknown
+/// fields are errors.
+SettingsResult parseSettings(std::string_view Text, std::string_view File);
+
+/// Reads the YAML file at \p Path, see parseSettings().
+SettingsResult loadSettings(const std::string &Path);
+
 } // namespace mangodeck
 
 #endif
