--- a/packages/common/include/mangodeck/common/clock.h
+++ b/packages/common/include/mangodeck/common/clock.h
@@ -11,6 +11,9 @@
   virtual ~Clock() = default;
   virtual TimePoint now() const = 0;
   virtual WallMilliseconds wallNow() const = 0;
+
+  /// Microseconds since the Unix epoch, as fine as the source has them.
+  virtual std::int64_t wallMicroseconds() const { return wallNow() * 1000; }
 };
 
 /// The machine's own clocks.
@@ -18,6 +21,7 @@
 public:
   TimePoint now() const override;
   WallMilliseconds wallNow() const override;
+  std::int64_t wallMicroseconds() const override;
 };
 
 /// A clock that moves only when told; for tests and replays.
