--- a/packages/process/include/mangodeck/process/entryobserver.h
+++ b/packages/process/include/mangodeck/process/entryobserver.h
@@ -13,7 +13,7 @@
   Run RunState = Run::No;
   /// Set when the request was not run.
   std::optional<NotRunReason> Reason;
-  bool InTime = false;       ///< Whole answer sent before its deadline.
+  bool InTime = false; ///< Whole answer sent before its deadline.
   TokenCount PromptTokens = 0;
   TokenCount CachedTokens = 0;
   TokenCount OutputTokens = 0;
--- a/packages/process/include/mangodeck/process/entryshard.h
+++ b/packages/process/include/mangodeck/process/entryshard.h
@@ -27,7 +27,7 @@
 struct AcceptedRequest {
   Ticket Request;
   GroupId Group;
-  std::string Key; ///< Idempotency key; empty when there is none.
+  std::string Key;        ///< Idempotency key; empty when there is none.
   TargetRequest Outgoing; ///< Without Target and Address.
   std::shared_ptr<CallerExchange> Exchange;
 };
--- a/packages/process/src/activerequest.h
+++ b/packages/process/src/activerequest.h
@@ -40,7 +40,7 @@
   int Status = 0; ///< 0 until the target's head has come.
   std::string ContentType;
   TokenCount CachedTokens = 0;
-  std::string Answer; ///< Whole answer, or what a late follower needs.
+  std::string Answer;     ///< Whole answer, or what a late follower needs.
   bool Streaming = false; ///< Answer is passed on as it comes.
 };
 
--- a/packages/process/src/answersink.cpp
+++ b/packages/process/src/answersink.cpp
@@ -4,7 +4,6 @@
 
 namespace mangodeck {
 
-
 std::vector<Header>
 CallerSink::makeHeaders(const std::string &ContentType) const {
   return {{"Content-Type", ContentType},
--- a/packages/process/src/entryshard.cpp
+++ b/packages/process/src/entryshard.cpp
@@ -101,9 +101,10 @@
 }
 
 Duration EntryShard::retryDelay() {
-  const auto Range = static_cast<double>((MaxRetryDelay - MinRetryDelay).count());
-  return MinRetryDelay + Duration(static_cast<std::int64_t>(
-                             m_Ports.Random.uniform() * Range));
+  const auto Range =
+      static_cast<double>((MaxRetryDelay - MinRetryDelay).count());
+  return MinRetryDelay +
+         Duration(static_cast<std::int64_t>(m_Ports.Random.uniform() * Range));
 }
 
 VmName EntryShard::ownerOf(const GroupId &Group) const {
@@ -163,9 +164,8 @@
   }
 
   // Step 4. Wait for a grant, the deadline or the caller's hang-up.
-  Exchange->onHangUp([this, Id] {
-    m_Ports.Loop.post([this, Id] { onHangUp(Id); });
-  });
+  Exchange->onHangUp(
+      [this, Id] { m_Ports.Loop.post([this, Id] { onHangUp(Id); }); });
   scheduleExpiry(Active);
   submit(Active);
 }
@@ -179,8 +179,8 @@
     return false;
   auto *Leader = find(It->second);
   assert(Leader && "the key index names requests in progress only");
-  auto Sink = std::make_unique<CallerSink>(Accepted.Exchange,
-                                           Accepted.Request.Id);
+  auto Sink =
+      std::make_unique<CallerSink>(Accepted.Exchange, Accepted.Request.Id);
   m_Open.fetch_sub(1, std::memory_order_relaxed);
   if (Leader->Facts.Fingerprint != Accepted.Request.Fingerprint) {
     Sink->fail(describeRefusal({NotRunReason::KeyInUse, Duration{0}}));
@@ -244,11 +244,11 @@
 
 void EntryShard::onMessage(const VmName &From, PeerMessage Message) {
   m_Ports.Loop.post([this, From, Moved = std::move(Message)] {
-    const auto Handle = Overload{
-        [&](const GrantTicket &M) { onGrant(From, M.Granted); },
-        [&](const RefuseTicket &M) { onRefusal(M.Request, M.Reason); },
-        [&](const MoveTicket &M) { onMove(M.Request, M.To); },
-        [](const auto &) {}};
+    const auto Handle =
+        Overload{[&](const GrantTicket &M) { onGrant(From, M.Granted); },
+                 [&](const RefuseTicket &M) { onRefusal(M.Request, M.Reason); },
+                 [&](const MoveTicket &M) { onMove(M.Request, M.To); },
+                 [](const auto &) {}};
     std::visit(Handle, Moved);
   });
 }
@@ -275,17 +275,19 @@
     return returnGrant(Owner, Offered, ReturnReason::Withdrawn);
 
   // Step 2. A repeated message about the grant in use changes nothing.
-  const bool InUse = Active->Granted && Active->Granted->Group == Offered.Group &&
+  const bool InUse = Active->Granted &&
+                     Active->Granted->Group == Offered.Group &&
                      Active->Granted->Target == Offered.Target;
   if (InUse && Active->Life.state() != RequestState::Waiting)
     return;
 
   // Step 3. Let the state machine decide with what is known right now.
-  const auto Decision = Active->Life.onGrant(m_Ports.Time.now(),
-                                             conditionOf(*Active, Offered));
+  const auto Decision =
+      Active->Life.onGrant(m_Ports.Time.now(), conditionOf(*Active, Offered));
   if (Decision.Verdict == GrantVerdict::Return) {
     returnGrant(Owner, Offered, Decision.Reason);
-    if (Decision.Reason == ReturnReason::Quarantined && Active->Life.onRefusal())
+    if (Decision.Reason == ReturnReason::Quarantined &&
+        Active->Life.onRefusal())
       refuse(*Active, {NotRunReason::Quarantined, Duration{0}});
     return;
   }
@@ -312,9 +314,8 @@
       m_Ports.Claims.release(Key, Id);
     return;
   }
-  const auto Verdict =
-      Active->Life.onClaim(Reply.Result, m_Ports.Time.now(),
-                           conditionOf(*Active, *Active->Granted));
+  const auto Verdict = Active->Life.onClaim(
+      Reply.Result, m_Ports.Time.now(), conditionOf(*Active, *Active->Granted));
   if (Verdict == ClaimVerdict::Dispatch) {
     m_Ports.Events.record({EventKind::ClaimCreated, Id, Key.Key, ""});
     return dispatch(*Active);
@@ -438,12 +439,12 @@
   m_Ports.Events.record({EventKind::RequestCompleted, Active.id(),
                          Active.Granted->Target.Text, ""});
   const auto Now = m_Ports.Time.now();
-  m_Ports.Observer.onEnded(
-      {Active.Facts.Service, Active.Facts.Tier, Run::Yes, std::nullopt,
-       Now <= Active.Facts.Deadline, Active.Facts.PromptTokens,
-       Active.CachedTokens, Active.Meter.tokens(),
-       Now - Active.Facts.Arrival - Active.Meter.decode(),
-       Active.Meter.meanGap()});
+  m_Ports.Observer.onEnded({Active.Facts.Service, Active.Facts.Tier, Run::Yes,
+                            std::nullopt, Now <= Active.Facts.Deadline,
+                            Active.Facts.PromptTokens, Active.CachedTokens,
+                            Active.Meter.tokens(),
+                            Now - Active.Facts.Arrival - Active.Meter.decode(),
+                            Active.Meter.meanGap()});
   erase(Active);
 }
 
--- a/packages/process/src/grouphost.cpp
+++ b/packages/process/src/grouphost.cpp
@@ -208,7 +208,9 @@
 
 void GroupHost::onUp(const TargetName &Target, Incarnation Started) {
   m_Loop.post([this, Target, Started] {
-    m_Events.record({EventKind::TargetUp, {}, Target.Text,
+    m_Events.record({EventKind::TargetUp,
+                     {},
+                     Target.Text,
                      fmt::format("incarnation {}", Started)});
     logEvent("target_up", "target={} incarnation={}", Target.Text, Started);
   });
@@ -234,18 +236,18 @@
 }
 
 void GroupHost::performOne(const GroupId &Id, const GroupAction &Action) {
-  const auto Handle = Overload{
-      [&](const GrantAction &A) {
-        m_Events.record({EventKind::TicketGranted, A.Granted.Request,
-                         A.Granted.Target.Text, toString(Id)});
-        m_Router.send(A.Entry, GrantTicket{A.Granted});
-      },
-      [&](const RefuseAction &A) {
-        m_Router.send(A.Entry, RefuseTicket{A.Request, A.Reason});
-      },
-      [&](const SpillAction &A) {
-        m_Router.send(A.Request.Entry, MoveTicket{A.Request.Id, A.To});
-      }};
+  const auto Handle =
+      Overload{[&](const GrantAction &A) {
+                 m_Events.record({EventKind::TicketGranted, A.Granted.Request,
+                                  A.Granted.Target.Text, toString(Id)});
+                 m_Router.send(A.Entry, GrantTicket{A.Granted});
+               },
+               [&](const RefuseAction &A) {
+                 m_Router.send(A.Entry, RefuseTicket{A.Request, A.Reason});
+               },
+               [&](const SpillAction &A) {
+                 m_Router.send(A.Request.Entry, MoveTicket{A.Request.Id, A.To});
+               }};
   std::visit(Handle, Action);
 }
 
--- a/packages/version/include/mangodeck/version/record.h
+++ b/packages/version/include/mangodeck/version/record.h
@@ -1,7 +1,7 @@
 #ifndef MANGODECK_VERSION_RECORD_H
 #define MANGODECK_VERSION_RECORD_H
 
-#include "mangodeck/version/diagnostic.h"
+#include "mangodeck/common/diagnostic.h"
 #include "mangodeck/version/snapshot.h"
 
 #include <map>
