process: dispatch group tells which fingerprints it quarantined

**Cause** A quarantine must reach the other groups by gossip, and the interface had no way to learn of one. **Change** DispatchGroup::quarantined(), with an empty default. **Measured** Builds; no caller yet. **Conclusion** No functional change.

--- a/packages/process/include/mangodeck/process/dispatchgroup.h
+++ b/packages/process/include/mangodeck/process/dispatchgroup.h
@@ -78,6 +78,9 @@
   virtual void quarantine(std::uint64_t Fingerprint, TimePoint Now,
                           Actions &Out) = 0;
 
+  /// Fingerprints that this group refuses to run, to be told to other groups.
+  virtual std::vector<std::uint64_t> quarantined() const { return {}; }
+
   /// Forgets the requests of an entry daemon that is gone.
   virtual void forgetEntry(const VmName &Entry, TimePoint Now,
                            Actions &Out) = 0;
