--- /dev/null
+++ b/packages/process/src/crashsuspects.cpp
@@ -0,0 +1,86 @@
+#include "crashsuspects.h"
+
+#include <algorithm>
+
+namespace mangodeck {
+
+namespace {
+
+constexpr std::size_t MaxEntries = 10000;
+constexpr Duration EntryLifetime = std::chrono::hours(1);
+
+} // namespace
+
+CrashSuspects::Entry &CrashSuspects::entryOf(std::uint64_t Fingerprint,
+                                             TimePoint Now) {
+  const auto [It, Created] = m_Entries.try_emplace(Fingerprint);
+  if (Created) {
+    m_Order.push_back(Fingerprint);
+    if (m_Order.size() > MaxEntries) {
+      m_Entries.erase(m_Order.front());
+      m_Order.pop_front();
+    }
+  }
+  It->second.Seen = Now;
+  return It->second;
+}
+
+bool CrashSuspects::note(std::uint64_t Fingerprint, CrashId Crash,
+                         TimePoint Now) {
+  const bool Known = m_Entries.contains(Fingerprint);
+  auto &Item = entryOf(Fingerprint, Now);
+  if (!Known) {
+    Item.First = Crash;
+    return false;
+  }
+  if (Item.Quarantined || Item.First == Crash)
+    return false;
+  Item.Quarantined = true;
+  return true;
+}
+
+void CrashSuspects::clear(std::uint64_t Fingerprint) {
+  const auto It = m_Entries.find(Fingerprint);
+  if (It == m_Entries.end() || It->second.Quarantined)
+    return;
+  m_Entries.erase(It);
+  std::erase(m_Order, Fingerprint);
+}
+
+bool CrashSuspects::quarantine(std::uint64_t Fingerprint, TimePoint Now) {
+  auto &Item = entryOf(Fingerprint, Now);
+  if (Item.Quarantined)
+    return false;
+  Item.Quarantined = true;
+  return true;
+}
+
+bool CrashSuspects::isSuspect(std::uint64_t Fingerprint) const {
+  const auto It = m_Entries.find(Fingerprint);
+  return It != m_Entries.end() && !It->second.Quarantined;
+}
+
+bool CrashSuspects::isQuarantined(std::uint64_t Fingerprint) const {
+  const auto It = m_Entries.find(Fingerprint);
+  return It != m_Entries.end() && It->second.Quarantined;
+}
+
+void CrashSuspects::expire(TimePoint Now) {
+  std::erase_if(m_Order, [&](std::uint64_t Fingerprint) {
+    const auto It = m_Entries.find(Fingerprint);
+    const bool Old = Now - It->second.Seen > EntryLifetime;
+    if (Old)
+      m_Entries.erase(It);
+    return Old;
+  });
+}
+
+std::vector<std::uint64_t> CrashSuspects::quarantined() const {
+  std::vector<std::uint64_t> Result;
+  for (const auto Fingerprint : m_Order)
+    if (m_Entries.at(Fingerprint).Quarantined)
+      Result.push_back(Fingerprint);
+  return Result;
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/process/src/enginespeed.h
@@ -0,0 +1,46 @@
+#ifndef MANGODECK_PROCESS_ENGINESPEED_H
+#define MANGODECK_PROCESS_ENGINESPEED_H
+
+#include "mangodeck/common/units.h"
+
+namespace mangodeck {
+
+/// Speed of one target, learned from finished requests.
+class EngineSpeed {
+public:
+  /// Starts from the speed of similar targets; ignored once learned.
+  void setPrior(const EngineSpeed &Similar);
+
+  /// Learns from a request that had \p Prefill tokens to fill and saw its
+  /// first token after \p FirstToken, not counting the expected delay by
+  /// earlier requests; it then made \p Output tokens in \p Decode.
+  void learn(TokenCount Prefill, Duration FirstToken, TokenCount Output,
+             Duration Decode);
+
+  /// Forgets what was learned, e.g. when the target was started again.
+  void reset();
+
+  /// Time that the prefill of \p Tokens takes.
+  Duration prefillTime(TokenCount Tokens) const;
+
+  /// Time until the first token with \p Tokens to prefill.
+  Duration timeToFirst(TokenCount Tokens) const;
+
+  /// Mean time between two output tokens.
+  Duration tokenGap() const { return fromSeconds(m_GapSeconds); }
+
+  /// Time for a whole answer.
+  Duration timeFor(TokenCount Prefill, TokenCount Output) const;
+
+  bool learned() const { return m_Samples > 0; }
+
+private:
+  double m_BaseSeconds = 0.03;
+  double m_SecondsPerToken = 1.0 / 4000;
+  double m_GapSeconds = 0.03;
+  unsigned m_Samples = 0;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/process/src/group.cpp
@@ -0,0 +1,298 @@
+#include "group.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace mangodeck {
+
+namespace {
+
+constexpr std::uint32_t DefaultQueueLimit = 1000;
+/// Believed blocks of a target: as many as its KV cache holds, of this size.
+constexpr TokenCount BlockTokens = 64;
+constexpr Duration PruneInterval = 10s;
+/// A grant whose end is not reported is forgotten so long after its deadline.
+constexpr Duration OverdueGrace = 60s;
+constexpr Duration NotDeliveredBackOff = 1s;
+
+} // namespace
+
+std::unique_ptr<DispatchGroup>
+makeDispatchGroup(GroupId Id, std::uint64_t Epoch, std::uint64_t Seed) {
+  return std::make_unique<Group>(std::move(Id), Epoch, Seed);
+}
+
+Group::Group(GroupId Id, std::uint64_t Epoch, std::uint64_t Seed)
+    : m_Id(std::move(Id)), m_Epoch(Epoch), m_Random(Seed) {}
+
+void Group::configure(SnapshotPtr Config, TimePoint Now, Actions &Out) {
+  m_Config = std::move(Config);
+  m_Reserve.configure(m_Config->Tiers);
+  const auto Records = m_Config->targetsOf(m_Id);
+  m_Placement.configure(Records, Now);
+  for (const auto *Record : Records)
+    if (Record->KvTokens > 0)
+      m_Placement.belief().setCapacity(
+          *m_Placement.find(Record->Name),
+          static_cast<std::size_t>(Record->KvTokens / BlockTokens));
+  decide(Now, Out);
+}
+
+void Group::withdraw(const RequestId &Request, TimePoint Now, Actions &Out) {
+  const auto Taken = m_Queue.remove(Request);
+  if (Taken)
+    m_Limits.release(Taken->Customer);
+}
+
+/// A grant that was not used frees its share. The request waits on only if its
+/// target was the reason.
+void Group::returnGrant(const RequestId &Request, ReturnReason Reason,
+                        TimePoint Now, Actions &Out) {
+  if (Reason == ReturnReason::Duplicate)
+    return;
+  auto Item = release(Request, Now);
+  if (!Item)
+    return;
+  auto &Target = m_Placement.target(Item->Target);
+  const bool Again = Reason == ReturnReason::TargetLeaving ||
+                     Reason == ReturnReason::NotDelivered;
+  if (Reason == ReturnReason::TargetLeaving)
+    Target.markLeaving(Item->TargetIncarnation);
+  if (Reason == ReturnReason::NotDelivered)
+    Target.backOff(Now + NotDeliveredBackOff);
+  m_Placement.refresh(Item->Target, Now);
+  if (Again) {
+    m_Limits.adopt(Item->Request.Customer);
+    enqueue(std::move(Item->Request), Now);
+  }
+  decide(Now, Out);
+}
+
+void Group::finish(const FinishReport &Report, TimePoint Now, Actions &Out) {
+  const auto Item = release(Report.Request, Now);
+  if (!Item)
+    return;
+  if (Report.Kind == FinishKind::Completed) {
+    learn(*Item, Report, Now);
+    m_Suspects.clear(Item->Request.Fingerprint);
+  }
+  if (Report.Kind == FinishKind::Crashed)
+    noteCrash(*Item, Now, Out);
+  m_Placement.refresh(Item->Target, Now);
+  decide(Now, Out);
+}
+
+/// Frees what a granted request holds; std::nullopt if it is not known.
+std::optional<GrantedRequest> Group::release(const RequestId &Id,
+                                             TimePoint Now) {
+  const auto It = m_Granted.find(Id);
+  if (It == m_Granted.end())
+    return std::nullopt;
+  GrantedRequest Item = std::move(It->second);
+  m_Granted.erase(It);
+  m_Placement.target(Item.Target).removeGrant(Item.Work, Now);
+  m_Placement.refresh(Item.Target, Now);
+  m_Limits.release(Item.Request.Customer);
+  if (m_RunningSuspect == Id) {
+    m_RunningSuspect.reset();
+    m_Queue.unpark();
+  }
+  return Item;
+}
+
+/// Learns the target's speed and adapts its limit. A first token counts for
+/// the limit only if the prompt is short enough to meet the tier's target.
+void Group::learn(const GrantedRequest &Item, const FinishReport &Report,
+                  TimePoint Now) {
+  auto &Target = m_Placement.target(Item.Target);
+  if (Item.TargetLife != Target.life())
+    return;
+  const auto Prefill = Report.CachedTokens > 0
+                           ? Report.PromptTokens - Report.CachedTokens
+                           : Item.Work.Prefill;
+  const Duration Own =
+      std::max<Duration>(Duration(0), Report.FirstToken - Item.Ahead);
+  Target.Speed.learn(Prefill, Own, Report.OutputTokens, Report.Decode);
+
+  const auto &Targets = tierOf(Item.Request.Tier);
+  if (Report.OutputTokens > 1) {
+    const double Gap =
+        toSeconds(Report.Decode) / static_cast<double>(Report.OutputTokens - 1);
+    Target.Limit.observe(Gap / toSeconds(Targets.TokenGapTarget), Item.Full,
+                         Now);
+  }
+}
+
+/// A target crashed: whatever ran there is suspect. All reports of one life of
+/// the target are the same crash. Linear in the running requests.
+void Group::noteCrash(const GrantedRequest &Item, TimePoint Now, Actions &Out) {
+  auto &Target = m_Placement.target(Item.Target);
+  const CrashId Crash{Item.Target, Item.TargetLife};
+  if (m_Suspects.note(Item.Request.Fingerprint, Crash, Now))
+    refuseQuarantined(Item.Request.Fingerprint, Now, Out);
+  if (Item.TargetLife != Target.life())
+    return;
+  for (const auto &[Id, Other] : m_Granted)
+    if (Other.Target == Item.Target && Other.TargetLife == Item.TargetLife)
+      m_Suspects.note(Other.Request.Fingerprint, Crash, Now);
+  Target.endLife();
+  Target.markDown(Now);
+  m_Placement.belief().forget(Item.Target);
+}
+
+void Group::adoptRunning(std::span<const RunningRequest> Running, TimePoint Now,
+                         Actions &Out) {
+  for (const auto &Entry : Running) {
+    const auto Index = m_Placement.find(Entry.Target);
+    if (!Index || m_Granted.contains(Entry.Request.Id))
+      continue;
+    withdraw(Entry.Request.Id, Now, Out);
+    auto &Target = m_Placement.target(*Index);
+    GrantedRequest Item;
+    Item.Request = Entry.Request;
+    Item.Target = *Index;
+    Item.TargetIncarnation = Entry.TargetIncarnation;
+    Item.TargetLife = Target.life();
+    Item.Work.Kv = Placement::kvOf(Entry.Request);
+    Item.GrantedAt = Now - Entry.Running;
+    Target.addGrant(Item.Work, Now);
+    m_Placement.belief().place(*Index, Entry.Request);
+    m_Placement.refresh(*Index, Now);
+    m_Limits.adopt(Entry.Request.Customer);
+    m_Granted.emplace(Entry.Request.Id, std::move(Item));
+  }
+}
+
+void Group::reportLoad(const LoadReport &Report, TimePoint Now, Actions &Out) {
+  const auto Index = m_Placement.find(Report.Target);
+  if (!Index)
+    return;
+  auto &Target = m_Placement.target(*Index);
+  const auto Life = Target.life();
+  if (!Target.report(Report, Now))
+    return;
+  if (Target.life() != Life)
+    m_Placement.belief().forget(*Index);
+  m_Placement.refresh(*Index, Now);
+  decide(Now, Out);
+}
+
+void Group::reportCache(const CacheEvent &Report, TimePoint Now) {
+  if (const auto Index = m_Placement.find(Report.Target))
+    m_Placement.belief().update(*Index, Report);
+}
+
+void Group::markLeaving(const TargetName &Target, Incarnation Started,
+                        TimePoint Now, Actions &Out) {
+  const auto Index = m_Placement.find(Target);
+  if (!Index)
+    return;
+  m_Placement.target(*Index).markLeaving(Started);
+  m_Placement.refresh(*Index, Now);
+}
+
+void Group::markDown(const TargetName &Target, TimePoint Now, Actions &Out) {
+  const auto Index = m_Placement.find(Target);
+  if (!Index)
+    return;
+  m_Placement.target(*Index).markDown(Now);
+  m_Placement.refresh(*Index, Now);
+}
+
+void Group::quarantine(std::uint64_t Fingerprint, TimePoint Now, Actions &Out) {
+  if (m_Suspects.quarantine(Fingerprint, Now))
+    refuseQuarantined(Fingerprint, Now, Out);
+}
+
+void Group::refuseQuarantined(std::uint64_t Fingerprint, TimePoint Now,
+                              Actions &Out) {
+  for (const auto &Id : m_Queue.ticketsWith(Fingerprint))
+    giveUp(Id, NotRunReason::Quarantined, Now, Out);
+}
+
+std::vector<std::uint64_t> Group::quarantined() const {
+  return m_Suspects.quarantined();
+}
+
+/// Linear in waiting and running requests; an entry daemon is rarely lost.
+void Group::forgetEntry(const VmName &Entry, TimePoint Now, Actions &Out) {
+  for (const auto &Id : m_Queue.ticketsOf(Entry))
+    withdraw(Id, Now, Out);
+  std::vector<RequestId> Running;
+  for (const auto &[Id, Item] : m_Granted)
+    if (Item.Request.Entry == Entry)
+      Running.push_back(Id);
+  for (const auto &Id : Running)
+    release(Id, Now);
+  decide(Now, Out);
+}
+
+void Group::updateDigest(const GroupDigest &Other, Duration LinkDelay,
+                         TimePoint Now) {
+  if (Other.Group.Service == m_Id.Service && !(Other.Group == m_Id))
+    m_Spill.update(Other, LinkDelay, Now);
+}
+
+GroupDigest Group::digest(TimePoint Now) const {
+  GroupDigest Result;
+  Result.Group = m_Id;
+  Result.Epoch = m_Epoch;
+  Result.FreeSequences = m_Queue.empty() ? m_Placement.freeSequences() : 0;
+  const auto Lowest = m_Queue.lowestWaiting();
+  if (Lowest)
+    Result.WaitingPerTier.resize(*Lowest + 1U);
+  for (std::size_t Rank = 0; Rank < Result.WaitingPerTier.size(); ++Rank)
+    Result.WaitingPerTier[Rank] = static_cast<std::uint32_t>(
+        m_Queue.countOf(static_cast<TierRank>(Rank)));
+  if (Lowest && m_Queue.size() >= queueLimit())
+    Result.LowestAdmitted = *Lowest > 0 ? *Lowest - 1 : 0;
+  Result.QueueDelay = m_Drain.timeFor(m_Queue.tokensThrough(255));
+  return Result;
+}
+
+void Group::tick(TimePoint Now, Actions &Out) {
+  expire(Now, Out);
+  dropOverdue(Now);
+  m_Drain.update(Now, !m_Queue.empty());
+  m_Placement.refreshAll(Now);
+  refuseWithoutTargets(Now, Out);
+  decide(Now, Out);
+  spillWaiting(Now, Out);
+  if (Now - m_LastPrune >= PruneInterval) {
+    m_LastPrune = Now;
+    m_Queue.prune();
+    m_Suspects.expire(Now);
+  }
+}
+
+void Group::dropOverdue(TimePoint Now) {
+  if (Now - m_LastPrune < PruneInterval)
+    return;
+  std::vector<RequestId> Overdue;
+  for (const auto &[Id, Item] : m_Granted)
+    if (Now > Item.Request.Deadline + OverdueGrace)
+      Overdue.push_back(Id);
+  for (const auto &Id : Overdue)
+    release(Id, Now);
+}
+
+const Customer &Group::customerOf(const Ticket &Request) const {
+  const auto *Record =
+      m_Config ? m_Config->findCustomer(Request.Customer) : nullptr;
+  return Record ? *Record : m_UnknownCustomer;
+}
+
+const Tier &Group::tierOf(TierRank Rank) const {
+  if (m_Config)
+    for (const auto &Entry : m_Config->Tiers)
+      if (Entry.Rank == Rank)
+        return Entry;
+  return m_UnknownTier;
+}
+
+std::uint32_t Group::queueLimit() const {
+  const auto *Owner = m_Config ? m_Config->findService(m_Id.Service) : nullptr;
+  return Owner ? Owner->QueueLimit : DefaultQueueLimit;
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/process/src/groupdecision.cpp
@@ -0,0 +1,139 @@
+#include "group.h"
+
+#include <cassert>
+
+namespace mangodeck {
+
+/// Grants waiting tickets targets until nothing may go. Each round takes one
+/// ticket out of dispatch order or ends the loop, and costs the logarithm of
+/// tickets and targets.
+void Group::decide(TimePoint Now, Actions &Out) {
+  while (grantHeld(Now, Out)) {
+  }
+  while (decideNext(Now, Out) != Step::Stop) {
+  }
+}
+
+/// The dispatch decision for one ticket.
+Group::Step Group::decideNext(TimePoint Now, Actions &Out) {
+  // Step 1. Stop when no target has room.
+  if (!m_Placement.hasRoom())
+    return Step::Stop;
+
+  // Step 2. Choose the tier: one whose reserve is due, else the highest.
+  auto Rank = m_Reserve.due(m_Queue);
+  if (!Rank)
+    Rank = m_Queue.highestReady();
+  if (!Rank)
+    return Step::Stop;
+
+  // Step 3. Take the customer with the least service, its earliest deadline.
+  const WaitingTicket &Next = *m_Queue.front(*Rank);
+  const RequestId Id = Next.Request.Id;
+
+  // Step 4. Give up what could not be answered in time.
+  if (Now > Next.LatestStart) {
+    giveUp(Id, NotRunReason::Expired, Now, Out);
+    return Step::Continue;
+  }
+
+  // Step 5. Let a crash suspect wait while another one runs.
+  if (m_RunningSuspect && m_Suspects.isSuspect(Next.Request.Fingerprint)) {
+    m_Queue.park(Id);
+    return Step::Continue;
+  }
+
+  // Step 6. Choose the target with the least expected time to first token.
+  const std::optional<TargetIndex> Held =
+      m_Hold ? std::optional(m_Hold->Target) : std::nullopt;
+  const auto Chosen = m_Placement.choose(Next.Request, Held, Now);
+
+  // Step 7. Keep a target free for a ticket that fits nowhere at present.
+  if (!Chosen) {
+    hold(Next, Now, Out);
+    return Step::Continue;
+  }
+
+  // Step 8. Grant.
+  grant(Id, *Chosen, Now, Out);
+  return Step::Granted;
+}
+
+/// Grants the ticket that a target is kept for, once it fits somewhere. Returns
+/// true if the queue changed.
+bool Group::grantHeld(TimePoint Now, Actions &Out) {
+  if (!m_Hold)
+    return false;
+  const auto *Entry = m_Queue.find(m_Hold->Request);
+  const bool Usable = m_Placement.target(m_Hold->Target).isUsable(Now);
+  if (!Entry || !Usable) {
+    releaseHold();
+    return true;
+  }
+  const auto Chosen = m_Placement.choose(Entry->Request, std::nullopt, Now);
+  if (!Chosen)
+    return false;
+  const RequestId Id = m_Hold->Request;
+  releaseHold();
+  grant(Id, *Chosen, Now, Out);
+  return true;
+}
+
+/// Takes a ticket that fits nowhere out of dispatch order. The first one gets a
+/// target that takes no other work until it fits; without this a long request
+/// would never find room beside short ones.
+void Group::hold(const WaitingTicket &Entry, TimePoint Now, Actions &Out) {
+  const RequestId Id = Entry.Request.Id;
+  const auto Kv = Placement::kvOf(Entry.Request);
+  const auto Target = m_Placement.chooseToHold(Kv, Now);
+  if (!Target) {
+    giveUp(Id, NotRunReason::NoTarget, Now, Out);
+    return;
+  }
+  m_Queue.park(Id);
+  if (!m_Hold)
+    m_Hold = Hold{Id, *Target};
+}
+
+void Group::releaseHold() {
+  m_Hold.reset();
+  m_Queue.unpark();
+}
+
+void Group::grant(const RequestId &Id, const Choice &Chosen, TimePoint Now,
+                  Actions &Out) {
+  auto Taken = m_Queue.dispatch(Id);
+  assert(Taken && "granted ticket does not wait");
+  auto &Target = m_Placement.target(Chosen.Target);
+  assert(Target.hasRoom(Now) && "granted target has no room");
+
+  GrantedRequest Item;
+  Item.Request = std::move(*Taken);
+  Item.Target = Chosen.Target;
+  Item.TargetIncarnation = Target.incarnation();
+  Item.TargetLife = Target.life();
+  Item.Work.Prefill = Item.Request.PromptTokens - Chosen.Cached;
+  Item.Work.Kv = Placement::kvOf(Item.Request);
+  Item.GrantedAt = Now;
+  Item.Suspect = m_Suspects.isSuspect(Item.Request.Fingerprint);
+  Item.Ahead = Target.addGrant(Item.Work, Now);
+  Item.Full = Target.freeSequences() == 0;
+
+  m_Placement.belief().place(Chosen.Target, Item.Request);
+  m_Placement.refresh(Chosen.Target, Now);
+  m_Reserve.onDispatched(Item.Request.Tier, costOf(Item.Request), m_Queue);
+  m_Drain.add(costOf(Item.Request));
+  if (Item.Suspect)
+    m_RunningSuspect = Id;
+  emitGrant(Item, Out);
+  m_Granted.emplace(Id, std::move(Item));
+}
+
+void Group::emitGrant(const GrantedRequest &Item, Actions &Out) const {
+  const auto &Target = m_Placement.target(Item.Target);
+  Out.push_back(GrantAction{Item.Request.Entry,
+                            Grant{Item.Request.Id, m_Id, Target.name(),
+                                  Item.TargetIncarnation, m_Epoch}});
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/process/src/placement.cpp
@@ -0,0 +1,140 @@
+#include "placement.h"
+
+#include <algorithm>
+
+namespace mangodeck {
+
+namespace {
+
+/// Targets considered by load, and by believed cache, for one choice.
+constexpr std::size_t LoadCandidates = 8;
+constexpr std::size_t CacheCandidates = 16;
+/// Output tokens whose gap counts as much as the time to the first token.
+constexpr TokenCount DecodeWeightTokens = 32;
+
+/// Mixes two numbers; the target with the highest mix of a prefix and its own
+/// position wins ties, so that equal prefixes go to the same target.
+std::uint64_t mix(std::uint64_t A, std::uint64_t B) {
+  std::uint64_t X = A ^ (B * 0x9e3779b97f4a7c15ULL);
+  X ^= X >> 31;
+  X *= 0xbf58476d1ce4e5b9ULL;
+  return X ^ (X >> 29);
+}
+
+} // namespace
+
+void Placement::configure(std::span<const Target *const> Records,
+                          TimePoint Now) {
+  for (auto &Item : m_Targets)
+    Item.removeFromConfig();
+  for (const auto *Record : Records) {
+    const auto Known = find(Record->Name);
+    if (Known) {
+      m_Targets[*Known].configure(*Record);
+      continue;
+    }
+    const auto Index = static_cast<TargetIndex>(m_Targets.size());
+    m_ByName.emplace(Record->Name.Text, Index);
+    m_Targets.emplace_back(*Record);
+    m_Summaries.emplace_back();
+  }
+  refreshAll(Now);
+}
+
+std::optional<TargetIndex> Placement::find(const TargetName &Name) const {
+  const auto It = m_ByName.find(Name.Text);
+  if (It == m_ByName.end())
+    return std::nullopt;
+  return It->second;
+}
+
+void Placement::refresh(TargetIndex Index, TimePoint Now) {
+  auto &Old = m_Summaries[Index];
+  const auto &Item = m_Targets[Index];
+  Summary New;
+  New.Usable = Item.isUsable(Now);
+  New.Free = New.Usable ? Item.freeSequences() : 0;
+  New.Open = New.Free > 0;
+  New.Load = Item.load();
+
+  m_FreeSequences = m_FreeSequences - Old.Free + New.Free;
+  m_UsableCount = m_UsableCount - Old.Usable + New.Usable;
+  if (Old.Open)
+    m_Open.erase({Old.Load, Index});
+  if (New.Open)
+    m_Open.insert({New.Load, Index});
+  Old = New;
+}
+
+void Placement::refreshAll(TimePoint Now) {
+  for (TargetIndex Index = 0; Index < m_Targets.size(); ++Index)
+    refresh(Index, Now);
+}
+
+std::optional<Choice> Placement::rate(TargetIndex Index, const Ticket &Request,
+                                      TimePoint Now) const {
+  const auto &Item = m_Targets[Index];
+  if (!m_Summaries[Index].Open || !Item.fits(kvOf(Request)))
+    return std::nullopt;
+  Choice Result;
+  Result.Target = Index;
+  Result.Cached = m_Belief.cachedTokens(Index, Request);
+  const auto Prefill = Request.PromptTokens - Result.Cached;
+  const auto Weighed = std::min(Request.OutputTokens, DecodeWeightTokens);
+  Result.FirstToken =
+      Item.expectedFirstToken(Prefill, Now) +
+      fromSeconds(m_Summaries[Index].Load * static_cast<double>(Weighed));
+  return Result;
+}
+
+/// Candidates are the targets with the least load and those that are believed
+/// to hold the prompt's prefix; the least expected time wins. Constant in the
+/// number of targets, but for the ordered set's logarithm.
+std::optional<Choice> Placement::choose(const Ticket &Request,
+                                        std::optional<TargetIndex> Held,
+                                        TimePoint Now) const {
+  const std::uint64_t Prefix = Request.PrefixBlocks.empty()
+                                   ? Request.Id.Low
+                                   : Request.PrefixBlocks.front();
+  std::optional<Choice> Best;
+  const auto Consider = [&](TargetIndex Index) {
+    if (Held == Index)
+      return;
+    const auto Rated = rate(Index, Request, Now);
+    if (!Rated)
+      return;
+    const bool Better = !Best || Rated->FirstToken < Best->FirstToken ||
+                        (Rated->FirstToken == Best->FirstToken &&
+                         mix(Prefix, Index) > mix(Prefix, Best->Target));
+    if (Better)
+      Best = Rated;
+  };
+
+  const auto Holders = m_Belief.holders(Request);
+  for (std::size_t I = 0; I < std::min(Holders.size(), CacheCandidates); ++I)
+    Consider(Holders[I]);
+  std::size_t Seen = 0;
+  for (auto It = m_Open.begin(); It != m_Open.end() && Seen < LoadCandidates;
+       ++It, ++Seen)
+    Consider(It->second);
+  return Best;
+}
+
+std::optional<TargetIndex> Placement::chooseToHold(TokenCount Kv,
+                                                   TimePoint Now) const {
+  std::optional<TargetIndex> Best;
+  TokenCount MostFree = 0;
+  for (TargetIndex Index = 0; Index < m_Targets.size(); ++Index) {
+    const auto &Item = m_Targets[Index];
+    if (!Item.isUsable(Now) || !Item.couldEverFit(Kv))
+      continue;
+    const auto Free = Item.kvLimit() - Item.ownKv();
+    if (!Best || Free > MostFree) {
+      Best = Index;
+      MostFree = Free;
+    }
+  }
+  return Best;
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/process/src/prefixbelief.cpp
@@ -0,0 +1,127 @@
+#include "prefixbelief.h"
+
+#include <algorithm>
+
+namespace mangodeck {
+
+namespace {
+
+/// Blocks remembered for a target whose cache size is unknown.
+constexpr std::size_t DefaultCapacityBlocks = 4096;
+
+} // namespace
+
+std::span<const TargetIndex>
+PrefixBelief::holders(const Ticket &Request) const {
+  if (Request.PrefixBlocks.empty())
+    return {};
+  const auto It = m_Holders.find(Request.PrefixBlocks.front());
+  if (It == m_Holders.end())
+    return {};
+  return It->second.Targets;
+}
+
+std::size_t PrefixBelief::cachedBlocks(TargetIndex Target,
+                                       const Ticket &Request) const {
+  std::size_t Count = 0;
+  for (const auto Block : Request.PrefixBlocks) {
+    const auto It = m_Holders.find(Block);
+    if (It == m_Holders.end())
+      break;
+    const auto &Targets = It->second.Targets;
+    if (std::find(Targets.begin(), Targets.end(), Target) == Targets.end())
+      break;
+    ++Count;
+  }
+  return Count;
+}
+
+TokenCount PrefixBelief::cachedTokens(TargetIndex Target,
+                                      const Ticket &Request) const {
+  const auto Blocks = static_cast<TokenCount>(cachedBlocks(Target, Request));
+  const TokenCount Tokens = Blocks * Request.TokensPerBlock;
+  return std::clamp<TokenCount>(
+      Tokens, 0, std::max<TokenCount>(0, Request.PromptTokens - 1));
+}
+
+PrefixBelief::TargetBlocks &PrefixBelief::blocksOf(TargetIndex Target) {
+  if (Target >= m_Targets.size())
+    m_Targets.resize(Target + 1);
+  auto &Blocks = m_Targets[Target];
+  if (Blocks.Capacity == 0)
+    Blocks.Capacity = DefaultCapacityBlocks;
+  return Blocks;
+}
+
+void PrefixBelief::setCapacity(TargetIndex Target, std::size_t Blocks) {
+  blocksOf(Target).Capacity = std::max<std::size_t>(1, Blocks);
+}
+
+/// Adds a block or marks it as just used. The holders of one block are few, so
+/// their search is short.
+void PrefixBelief::add(TargetIndex Target, std::uint64_t Block) {
+  auto &Blocks = blocksOf(Target);
+  auto &Item = m_Holders[Block];
+  const auto It = std::find(Item.Targets.begin(), Item.Targets.end(), Target);
+  if (It != Item.Targets.end()) {
+    const auto Position =
+        Item.Positions[static_cast<std::size_t>(It - Item.Targets.begin())];
+    Blocks.ByUse.splice(Blocks.ByUse.end(), Blocks.ByUse, Position);
+    return;
+  }
+  Blocks.ByUse.push_back(Block);
+  Item.Targets.push_back(Target);
+  Item.Positions.push_back(std::prev(Blocks.ByUse.end()));
+  if (Blocks.ByUse.size() > Blocks.Capacity)
+    drop(Target, Blocks.ByUse.front());
+}
+
+void PrefixBelief::drop(TargetIndex Target, std::uint64_t Block) {
+  const auto Item = m_Holders.find(Block);
+  if (Item == m_Holders.end())
+    return;
+  auto &[Targets, Positions] = Item->second;
+  const auto It = std::find(Targets.begin(), Targets.end(), Target);
+  if (It == Targets.end())
+    return;
+  const auto Index = It - Targets.begin();
+  m_Targets[Target].ByUse.erase(Positions[static_cast<std::size_t>(Index)]);
+  Targets.erase(It);
+  Positions.erase(Positions.begin() + Index);
+  if (Targets.empty())
+    m_Holders.erase(Item);
+}
+
+/// The last block is booked first, so that the leading ones, which more
+/// prompts share, are the most recently used.
+void PrefixBelief::place(TargetIndex Target, const Ticket &Request) {
+  const auto &Blocks = Request.PrefixBlocks;
+  for (auto It = Blocks.rbegin(); It != Blocks.rend(); ++It)
+    add(Target, *It);
+}
+
+void PrefixBelief::update(TargetIndex Target, const CacheEvent &Event) {
+  const auto &Known = blocksOf(Target);
+  const bool Restarted = Event.Started != Known.Started;
+  if (Event.Started < Known.Started ||
+      (!Restarted && Event.Sequence <= Known.Sequence))
+    return;
+  const bool Gap = Known.Sequence != 0 && Event.Sequence != Known.Sequence + 1;
+  if ((Restarted && Known.Started != 0) || (!Restarted && Gap))
+    forget(Target);
+  auto &Blocks = m_Targets[Target];
+  Blocks.Started = Event.Started;
+  Blocks.Sequence = Event.Sequence;
+  for (const auto Block : Event.Evicted)
+    drop(Target, Block);
+  for (const auto Block : Event.Stored)
+    add(Target, Block);
+}
+
+void PrefixBelief::forget(TargetIndex Target) {
+  auto &Blocks = blocksOf(Target);
+  while (!Blocks.ByUse.empty())
+    drop(Target, Blocks.ByUse.front());
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/process/src/prefixbelief.h
@@ -0,0 +1,69 @@
+#ifndef MANGODECK_PROCESS_PREFIXBELIEF_H
+#define MANGODECK_PROCESS_PREFIXBELIEF_H
+
+#include "mangodeck/request/targetreport.h"
+#include "mangodeck/request/ticket.h"
+
+#include <cstdint>
+#include <list>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace mangodeck {
+
+/// Position of a target in its dispatch group.
+using TargetIndex = std::uint32_t;
+
+/// Which prompt prefixes the targets are believed to hold. Own placements
+/// count at once; the targets' cache events correct them. The number of blocks
+/// remembered for a target is bounded; the least recently used one goes.
+class PrefixBelief {
+public:
+  /// Targets believed to hold the first block of \p Request, and no others.
+  std::span<const TargetIndex> holders(const Ticket &Request) const;
+
+  /// Leading blocks of \p Request that \p Target is believed to hold.
+  std::size_t cachedBlocks(TargetIndex Target, const Ticket &Request) const;
+
+  /// Leading prompt tokens that \p Target is believed to hold; always at least
+  /// one token less than the prompt.
+  TokenCount cachedTokens(TargetIndex Target, const Ticket &Request) const;
+
+  /// Books the placement of \p Request on \p Target.
+  void place(TargetIndex Target, const Ticket &Request);
+
+  /// Takes a cache event over. After a gap in the sequence numbers what was
+  /// believed of this target is dropped.
+  void update(TargetIndex Target, const CacheEvent &Event);
+
+  /// Drops what is believed of \p Target. Linear in its blocks.
+  void forget(TargetIndex Target);
+
+  /// Bounds the blocks remembered for \p Target.
+  void setCapacity(TargetIndex Target, std::size_t Blocks);
+
+private:
+  struct TargetBlocks {
+    std::list<std::uint64_t> ByUse; ///< Least recently used first.
+    std::size_t Capacity = 0;
+    std::uint64_t Sequence = 0;
+    std::uint64_t Started = 0;
+  };
+
+  TargetBlocks &blocksOf(TargetIndex Target);
+  void add(TargetIndex Target, std::uint64_t Block);
+  void drop(TargetIndex Target, std::uint64_t Block);
+
+  struct Holders {
+    std::vector<TargetIndex> Targets;
+    std::vector<std::list<std::uint64_t>::iterator> Positions;
+  };
+
+  std::unordered_map<std::uint64_t, Holders> m_Holders;
+  std::vector<TargetBlocks> m_Targets;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/process/src/spill.cpp
@@ -0,0 +1,69 @@
+#include "spill.h"
+
+namespace mangodeck {
+
+namespace {
+
+/// Older digests are not acted on.
+constexpr Duration DigestLifetime = 3s;
+
+bool hasLowerWaiting(const GroupDigest &Digest, TierRank Tier) {
+  for (std::size_t Rank = Tier + 1U; Rank < Digest.WaitingPerTier.size();
+       ++Rank)
+    if (Digest.WaitingPerTier[Rank] > 0)
+      return true;
+  return false;
+}
+
+} // namespace
+
+bool Spill::isFresh(const Peer &Other, TimePoint Now) {
+  return Now - Other.Received <= DigestLifetime;
+}
+
+void Spill::update(const GroupDigest &Digest, Duration LinkDelay,
+                   TimePoint Now) {
+  m_Peers[Digest.Group] = {Digest, LinkDelay, Now};
+}
+
+std::optional<GroupId> Spill::withRoom(TimePoint Now) const {
+  const Peer *Best = nullptr;
+  for (const auto &[Id, Other] : m_Peers) {
+    if (!isFresh(Other, Now) || Other.Digest.FreeSequences == 0)
+      continue;
+    const bool Better =
+        !Best || Other.LinkDelay < Best->LinkDelay ||
+        (Other.LinkDelay == Best->LinkDelay &&
+         Other.Digest.FreeSequences > Best->Digest.FreeSequences);
+    if (Better)
+      Best = &Other;
+  }
+  if (!Best)
+    return std::nullopt;
+  return Best->Digest.Group;
+}
+
+std::optional<GroupId> Spill::admitting(TierRank Tier, TimePoint Now) const {
+  if (const auto Room = withRoom(Now))
+    return Room;
+  const Peer *Best = nullptr;
+  for (const auto &[Id, Other] : m_Peers) {
+    const bool Admits = Other.Digest.LowestAdmitted >= Tier &&
+                        hasLowerWaiting(Other.Digest, Tier);
+    if (!isFresh(Other, Now) || !Admits)
+      continue;
+    if (!Best || Other.Digest.QueueDelay < Best->Digest.QueueDelay)
+      Best = &Other;
+  }
+  if (!Best)
+    return std::nullopt;
+  return Best->Digest.Group;
+}
+
+void Spill::onPassed(const GroupId &Group) {
+  const auto It = m_Peers.find(Group);
+  if (It != m_Peers.end() && It->second.Digest.FreeSequences > 0)
+    --It->second.Digest.FreeSequences;
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/process/src/spill.h
@@ -0,0 +1,41 @@
+#ifndef MANGODECK_PROCESS_SPILL_H
+#define MANGODECK_PROCESS_SPILL_H
+
+#include "mangodeck/process/dispatchgroup.h"
+
+#include <map>
+#include <optional>
+
+namespace mangodeck {
+
+/// Chooses another group of the service for a ticket that this group would
+/// make wait or give up. Other groups are known by their digests, which age;
+/// tickets passed since a digest are taken off its free share.
+class Spill {
+public:
+  void update(const GroupDigest &Digest, Duration LinkDelay, TimePoint Now);
+
+  /// The reachable group with free sequences that is nearest.
+  std::optional<GroupId> withRoom(TimePoint Now) const;
+
+  /// A group that has room, or lower tiers than \p Tier waiting.
+  std::optional<GroupId> admitting(TierRank Tier, TimePoint Now) const;
+
+  /// Books a ticket as passed to \p Group.
+  void onPassed(const GroupId &Group);
+
+private:
+  struct Peer {
+    GroupDigest Digest;
+    Duration LinkDelay{0};
+    TimePoint Received;
+  };
+
+  static bool isFresh(const Peer &Other, TimePoint Now);
+
+  std::map<GroupId, Peer> m_Peers;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/process/src/targetstate.h
@@ -0,0 +1,110 @@
+#ifndef MANGODECK_PROCESS_TARGETSTATE_H
+#define MANGODECK_PROCESS_TARGETSTATE_H
+
+#include "enginespeed.h"
+#include "targetlimit.h"
+
+#include "mangodeck/request/targetreport.h"
+#include "mangodeck/version/snapshot.h"
+
+#include <deque>
+
+namespace mangodeck {
+
+/// Work that a grant puts on a target.
+struct GrantedWork {
+  TokenCount Prefill = 0; ///< Prompt tokens that are not believed cached.
+  TokenCount Kv = 0;      ///< KV tokens when the answer is complete.
+};
+
+/// What a dispatch group knows of one target.
+class TargetState {
+public:
+  explicit TargetState(const Target &Record);
+
+  void configure(const Target &Record);
+  void removeFromConfig() { m_Configured = false; }
+
+  /// A target may be granted work: configured, up, not leaving.
+  bool isUsable(TimePoint Now) const;
+
+  /// A usable target that has room for one more sequence.
+  bool hasRoom(TimePoint Now) const;
+  bool fits(TokenCount Kv) const;
+
+  /// Whether \p Kv tokens would ever fit, with nothing else running.
+  bool couldEverFit(TokenCount Kv) const;
+
+  /// Books a grant. Returns the delay that the prefill of earlier grants is
+  /// expected to cause.
+  Duration addGrant(const GrantedWork &Work, TimePoint Now);
+  void removeGrant(const GrantedWork &Work, TimePoint Now);
+
+  /// Takes a report over. Returns false if it is older than what is known.
+  bool report(const LoadReport &Report, TimePoint Now);
+
+  /// The target leaves with incarnation \p Started (0: the present one); it
+  /// stays leaving until a later incarnation is seen.
+  void markLeaving(Incarnation Started);
+  void markDown(TimePoint Now);
+
+  /// Does not use the target until \p Until.
+  void backOff(TimePoint Until);
+
+  /// Ends the present life of the target; grants belong to a life.
+  void endLife() { ++m_Life; }
+
+  /// Time until the first token of a request with \p Prefill tokens to fill.
+  Duration expectedFirstToken(TokenCount Prefill, TimePoint Now) const;
+
+  /// Expected time between two output tokens with one more sequence, relative
+  /// to an idle target; less is better.
+  double load() const;
+
+  std::uint32_t freeSequences() const;
+  std::uint32_t runningSequences() const { return m_Sequences + m_Foreign; }
+  std::uint32_t ownSequences() const { return m_Sequences; }
+  TokenCount ownKv() const { return m_Kv; }
+  TokenCount kvLimit() const;
+  const TargetName &name() const { return m_Record.Name; }
+  const Target &record() const { return m_Record; }
+  Incarnation incarnation() const { return m_Incarnation; }
+  std::uint64_t life() const { return m_Life; }
+  bool isLeaving() const;
+  bool isDown() const { return m_Down; }
+  bool isConfigured() const { return m_Configured; }
+
+  EngineSpeed Speed;
+  TargetLimit Limit;
+
+private:
+  struct Change {
+    TimePoint At;
+    std::uint32_t Sequences;
+    TokenCount Kv;
+  };
+
+  void noteChange(TimePoint Now);
+  Change ownAt(TimePoint Time) const;
+
+  Target m_Record;
+  bool m_Configured = true;
+  bool m_Down = false;
+  TimePoint m_DownSince{};
+  TimePoint m_BackOffUntil{};
+  Incarnation m_Incarnation = 0;
+  bool m_Leaving = false;
+  Incarnation m_LeavingThrough = 0;
+  std::uint64_t m_Life = 1;
+  std::uint32_t m_Sequences = 0;
+  TokenCount m_Kv = 0;
+  TimePoint m_PrefillUntil{}; ///< When granted prefill is expected to end.
+  std::uint32_t m_Foreign = 0;
+  TokenCount m_ForeignKv = 0;
+  TokenCount m_ReportedKvTotal = 0;
+  std::deque<Change> m_Changes;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/process/test/group_test.cpp
@@ -0,0 +1,407 @@
+#include "groupfixture.h"
+
+namespace mangodeck {
+
+class GroupTest : public GroupFixture {
+  CPPUNIT_TEST_SUITE(GroupTest);
+  CPPUNIT_TEST(ticket_targetFree_isGrantedAtOnce);
+  CPPUNIT_TEST(ticket_targetFull_waitsForFinish);
+  CPPUNIT_TEST(tickets_targetFrees_goByTierThenDeadline);
+  CPPUNIT_TEST(customers_oneFloods_shareByTokens);
+  CPPUNIT_TEST(queue_fullOfLowerTier_evictsNewestOfLowest);
+  CPPUNIT_TEST(queue_fullOfSameTier_shedsArrivalWithRetryAfter);
+  CPPUNIT_TEST(ticket_deadlinePassed_isExpiredAtNextTick);
+  CPPUNIT_TEST(ticket_submittedAgain_isGrantedOnce);
+  CPPUNIT_TEST(grantedTicket_submittedAgain_repeatsSameGrant);
+  CPPUNIT_TEST(withdrawnTicket_targetFrees_isNotGranted);
+  CPPUNIT_TEST(returnedGrant_notDelivered_isPlacedElsewhere);
+  CPPUNIT_TEST(returnedGrant_duplicate_keepsItsShare);
+  CPPUNIT_TEST(leavingTarget_reportsFlip_staysLeaving);
+  CPPUNIT_TEST(leavingTarget_laterIncarnation_isUsedAgain);
+  CPPUNIT_TEST(leavingTarget_markedBeforeFirstReport_staysLeaving);
+  CPPUNIT_TEST(downTarget_nextReport_isUsedAgain);
+  CPPUNIT_TEST(noUsableTarget_afterGrace_refusesAllAtOnce);
+  CPPUNIT_TEST(poison_secondCrash_isQuarantined);
+  CPPUNIT_TEST(suspects_waitingTogether_runOneAtATime);
+  CPPUNIT_TEST(suspect_completed_isNoLongerIsolated);
+  CPPUNIT_TEST(customer_overConcurrency_isRateLimited);
+  CPPUNIT_TEST(customer_overRequestRate_toldWhenToRetry);
+  CPPUNIT_TEST(newOwner_adoptedRequests_countAgainstLimit);
+  CPPUNIT_TEST(lostEntry_itsRequests_areForgotten);
+  CPPUNIT_TEST(largeTicket_besideSmallOnes_isGrantedInTheEnd);
+  CPPUNIT_TEST(fullGroup_otherHasRoom_passesTicketOnce);
+  CPPUNIT_TEST(fullGroup_passedTicket_isNotPassedAgain);
+  CPPUNIT_TEST(staleReport_ownGrantsSince_areAdded);
+  CPPUNIT_TEST(lowTier_withReserve_isNotStarved);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ticket_targetFree_isGrantedAtOnce() {
+    configure(makeConfig(1, 1));
+    const auto Id = submit(makeTicket(0));
+    CPPUNIT_ASSERT(findGrant(Id));
+    CPPUNIT_ASSERT_EQUAL(std::string("t0"), findGrant(Id)->Target.Text);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), findGrant(Id)->Epoch);
+  }
+
+  void ticket_targetFull_waitsForFinish() {
+    configure(makeConfig(1, 1));
+    const auto First = submit(makeTicket(0));
+    const auto Second = submit(makeTicket(0));
+    CPPUNIT_ASSERT(!findGrant(Second));
+    finish(First);
+    CPPUNIT_ASSERT(findGrant(Second));
+  }
+
+  void tickets_targetFrees_goByTierThenDeadline() {
+    configure(makeConfig(1, 1));
+    const auto First = submit(makeTicket(0));
+    const auto Low = submit(makeTicket(2));
+    const auto Late = submit(makeTicket(1));
+    auto Urgent = makeTicket(1);
+    Urgent.Deadline -= 10s;
+    const auto Early = submit(Urgent);
+    finish(First);
+    CPPUNIT_ASSERT(findGrant(Early) && !findGrant(Late) && !findGrant(Low));
+    finish(Early);
+    CPPUNIT_ASSERT(findGrant(Late) && !findGrant(Low));
+  }
+
+  void customers_oneFloods_shareByTokens() {
+    configure(makeConfig(1, 1));
+    auto Running = submit(makeTicket(1, "flood"));
+    for (int I = 0; I < 20; ++I)
+      submit(makeTicket(1, "flood"));
+    std::vector<RequestId> Small;
+    for (int I = 0; I < 4; ++I)
+      Small.push_back(submit(makeTicket(1, "small")));
+    for (int I = 0; I < 9; ++I) {
+      finish(Running);
+      Running = std::get<GrantAction>(m_Out.back()).Granted.Request;
+    }
+    for (const auto &Id : Small)
+      CPPUNIT_ASSERT(findGrant(Id));
+  }
+
+  void queue_fullOfLowerTier_evictsNewestOfLowest() {
+    configure(makeConfig(1, 1, 3));
+    submit(makeTicket(0));
+    const auto A = submit(makeTicket(1));
+    const auto B = submit(makeTicket(2));
+    const auto C = submit(makeTicket(2));
+    const auto High = submit(makeTicket(0));
+    CPPUNIT_ASSERT(findRefusal(C));
+    CPPUNIT_ASSERT(findRefusal(C)->Reason == NotRunReason::Shed);
+    CPPUNIT_ASSERT(!findRefusal(A) && !findRefusal(B) && !findRefusal(High));
+  }
+
+  void queue_fullOfSameTier_shedsArrivalWithRetryAfter() {
+    configure(makeConfig(1, 1, 2));
+    submit(makeTicket(1));
+    submit(makeTicket(1));
+    submit(makeTicket(1));
+    const auto Id = submit(makeTicket(1));
+    CPPUNIT_ASSERT(findRefusal(Id));
+    CPPUNIT_ASSERT(findRefusal(Id)->Reason == NotRunReason::Shed);
+    CPPUNIT_ASSERT(findRefusal(Id)->RetryAfter > Duration(0));
+  }
+
+  void ticket_deadlinePassed_isExpiredAtNextTick() {
+    configure(makeConfig(1, 1));
+    submit(makeTicket(0));
+    auto Short = makeTicket(0);
+    Short.Deadline = now() + 1s;
+    const auto Id = submit(Short);
+    tick(1100ms);
+    CPPUNIT_ASSERT(findRefusal(Id));
+    CPPUNIT_ASSERT(findRefusal(Id)->Reason == NotRunReason::Expired);
+  }
+
+  void ticket_submittedAgain_isGrantedOnce() {
+    configure(makeConfig(1, 1));
+    const auto First = submit(makeTicket(0));
+    const auto Waiting = makeTicket(0);
+    submit(Waiting);
+    submit(Waiting);
+    finish(First);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), countGrants(Waiting.Id));
+  }
+
+  void grantedTicket_submittedAgain_repeatsSameGrant() {
+    configure(makeConfig(2, 4));
+    const auto Request = makeTicket(0);
+    submit(Request);
+    const auto Target = findGrant(Request.Id)->Target;
+    submit(Request);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), countGrants(Request.Id));
+    CPPUNIT_ASSERT(findGrant(Request.Id)->Target == Target);
+  }
+
+  void withdrawnTicket_targetFrees_isNotGranted() {
+    configure(makeConfig(1, 1));
+    const auto First = submit(makeTicket(0));
+    const auto Gone = submit(makeTicket(0));
+    m_Group->withdraw(Gone, now(), m_Out);
+    finish(First);
+    CPPUNIT_ASSERT(!findGrant(Gone));
+  }
+
+  void returnedGrant_notDelivered_isPlacedElsewhere() {
+    configure(makeConfig(2, 1));
+    const auto Id = submit(makeTicket(0));
+    const auto First = findGrant(Id)->Target;
+    m_Group->returnGrant(Id, ReturnReason::NotDelivered, now(), m_Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), countGrants(Id));
+    CPPUNIT_ASSERT(!(findGrant(Id)->Target == First));
+  }
+
+  void returnedGrant_duplicate_keepsItsShare() {
+    configure(makeConfig(1, 1));
+    const auto Id = submit(makeTicket(0));
+    m_Group->returnGrant(Id, ReturnReason::Duplicate, now(), m_Out);
+    CPPUNIT_ASSERT(!findGrant(submit(makeTicket(0))));
+  }
+
+  void leavingTarget_reportsFlip_staysLeaving() {
+    configure(makeConfig(1, 1));
+    report("t0", 5);
+    m_Group->markLeaving(TargetName("t0"), 5, now(), m_Out);
+    report("t0", 5, false);
+    CPPUNIT_ASSERT(!findGrant(submit(makeTicket(0))));
+  }
+
+  void leavingTarget_laterIncarnation_isUsedAgain() {
+    configure(makeConfig(1, 1));
+    report("t0", 5, true);
+    const auto Id = submit(makeTicket(0));
+    CPPUNIT_ASSERT(!findGrant(Id));
+    report("t0", 6);
+    CPPUNIT_ASSERT(findGrant(Id));
+  }
+
+  void leavingTarget_markedBeforeFirstReport_staysLeaving() {
+    configure(makeConfig(1, 1));
+    m_Group->markLeaving(TargetName("t0"), 0, now(), m_Out);
+    report("t0", 5);
+    CPPUNIT_ASSERT(!findGrant(submit(makeTicket(0))));
+  }
+
+  void downTarget_nextReport_isUsedAgain() {
+    configure(makeConfig(1, 1));
+    report("t0", 5);
+    m_Group->markDown(TargetName("t0"), now(), m_Out);
+    const auto Id = submit(makeTicket(0));
+    CPPUNIT_ASSERT(!findGrant(Id));
+    report("t0", 3);
+    CPPUNIT_ASSERT(findGrant(Id));
+  }
+
+  void noUsableTarget_afterGrace_refusesAllAtOnce() {
+    configure(makeConfig(1, 1));
+    m_Group->markDown(TargetName("t0"), now(), m_Out);
+    const auto Waiting = submit(makeTicket(0));
+    tick(100ms);
+    CPPUNIT_ASSERT(!findRefusal(Waiting));
+    tick(3s);
+    CPPUNIT_ASSERT(findRefusal(Waiting));
+    CPPUNIT_ASSERT(findRefusal(Waiting)->Reason == NotRunReason::NoTarget);
+    const auto Late = submit(makeTicket(0));
+    CPPUNIT_ASSERT(findRefusal(Late));
+    CPPUNIT_ASSERT(findRefusal(Late)->RetryAfter > Duration(0));
+  }
+
+  void poison_secondCrash_isQuarantined() {
+    configure(makeConfig(3, 2));
+    auto Poison = makeTicket(0);
+    for (int Crash = 0; Crash < 2; ++Crash) {
+      Poison.Id = makeTicket(0).Id;
+      submit(Poison);
+      finish(Poison.Id, FinishKind::Crashed);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Group->quarantined().size());
+    Poison.Id = makeTicket(0).Id;
+    submit(Poison);
+    CPPUNIT_ASSERT(!findGrant(Poison.Id));
+    CPPUNIT_ASSERT(findRefusal(Poison.Id)->Reason == NotRunReason::Quarantined);
+  }
+
+  void suspects_waitingTogether_runOneAtATime() {
+    configure(makeConfig(3, 4));
+    std::vector<Ticket> Requests;
+    std::vector<RequestId> OnCrashed;
+    for (int I = 0; I < 12; ++I) {
+      Requests.push_back(makeTicket(0));
+      submit(Requests.back());
+    }
+    const auto Crashed = findGrant(Requests[0].Id)->Target;
+    std::vector<Ticket> Again;
+    for (auto &Request : Requests)
+      if (findGrant(Request.Id)->Target == Crashed)
+        Again.push_back(Request);
+    CPPUNIT_ASSERT(Again.size() >= 2);
+    finish(Again[0].Id, FinishKind::Crashed);
+    for (const auto &Request : Requests)
+      if (!(findGrant(Request.Id)->Target == Crashed))
+        finish(Request.Id);
+    Again[0].Id = makeTicket(0).Id;
+    Again[1].Id = makeTicket(0).Id;
+    submit(Again[0]);
+    submit(Again[1]);
+    CPPUNIT_ASSERT(findGrant(Again[0].Id) && !findGrant(Again[1].Id));
+    CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
+    finish(Again[0].Id);
+    CPPUNIT_ASSERT(findGrant(Again[1].Id));
+  }
+
+  void suspect_completed_isNoLongerIsolated() {
+    configure(makeConfig(3, 4));
+    auto Request = makeTicket(0);
+    submit(Request);
+    finish(Request.Id, FinishKind::Crashed);
+    Request.Id = makeTicket(0).Id;
+    submit(Request);
+    finish(Request.Id);
+    Request.Id = makeTicket(0).Id;
+    submit(Request);
+    finish(Request.Id, FinishKind::Crashed);
+    CPPUNIT_ASSERT(m_Group->quarantined().empty());
+  }
+
+  void customer_overConcurrency_isRateLimited() {
+    auto Config = makeConfig(1, 4);
+    Customer Record;
+    Record.Name = CustomerName("c");
+    Record.Concurrency = 2;
+    Config.Customers.push_back(Record);
+    configure(Config);
+    const auto First = submit(makeTicket(0));
+    submit(makeTicket(0));
+    const auto Over = submit(makeTicket(0));
+    CPPUNIT_ASSERT(findRefusal(Over));
+    CPPUNIT_ASSERT(findRefusal(Over)->Reason == NotRunReason::RateLimited);
+    finish(First);
+    CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
+  }
+
+  void customer_overRequestRate_toldWhenToRetry() {
+    auto Config = makeConfig(1, 16);
+    Customer Record;
+    Record.Name = CustomerName("c");
+    Record.RequestsPerSecond = 0.5;
+    Config.Customers.push_back(Record);
+    configure(Config);
+    CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
+    const auto Over = submit(makeTicket(0));
+    CPPUNIT_ASSERT(findRefusal(Over));
+    CPPUNIT_ASSERT(findRefusal(Over)->RetryAfter == Duration(2s));
+    tick(2s);
+    CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
+  }
+
+  void newOwner_adoptedRequests_countAgainstLimit() {
+    configure(makeConfig(1, 1));
+    RunningRequest Running;
+    Running.Request = makeTicket(1);
+    Running.Target = TargetName("t0");
+    m_Group->adoptRunning(std::span(&Running, 1), now(), m_Out);
+    const auto Id = submit(makeTicket(0));
+    CPPUNIT_ASSERT(!findGrant(Id));
+    FinishReport Report;
+    Report.Request = Running.Request.Id;
+    Report.Target = Running.Target;
+    m_Group->finish(Report, now(), m_Out);
+    CPPUNIT_ASSERT(findGrant(Id));
+  }
+
+  void lostEntry_itsRequests_areForgotten() {
+    configure(makeConfig(1, 1));
+    submit(makeTicket(0));
+    auto Other = makeTicket(0);
+    Other.Entry = VmName("vm2");
+    submit(Other);
+    m_Group->forgetEntry(VmName("vm1"), now(), m_Out);
+    CPPUNIT_ASSERT(findGrant(Other.Id));
+  }
+
+  void largeTicket_besideSmallOnes_isGrantedInTheEnd() {
+    auto Config = makeConfig(1, 8);
+    Config.Targets[0].KvTokens = 1000;
+    configure(Config);
+    std::vector<RequestId> Small;
+    for (int I = 0; I < 6; ++I)
+      Small.push_back(submit(makeTicket(0)));
+    auto Large = makeTicket(0);
+    Large.PromptTokens = 800;
+    submit(Large);
+    const auto After = submit(makeTicket(0));
+    finish(Small[0]);
+    CPPUNIT_ASSERT(!findGrant(After) && !findGrant(Large.Id));
+    for (std::size_t I = 1; I < Small.size(); ++I)
+      finish(Small[I]);
+    CPPUNIT_ASSERT(findGrant(Large.Id));
+  }
+
+  void fullGroup_otherHasRoom_passesTicketOnce() {
+    configure(makeConfig(1, 1));
+    GroupDigest Other;
+    Other.Group = GroupId{m_Id.Service, FailureDomain("b"), 0};
+    Other.FreeSequences = 1;
+    m_Group->updateDigest(Other, 3ms, now());
+    submit(makeTicket(0));
+    const auto Passed = submit(makeTicket(0));
+    CPPUNIT_ASSERT(findSpill(Passed));
+    CPPUNIT_ASSERT(findSpill(Passed)->To == Other.Group);
+    CPPUNIT_ASSERT(findSpill(Passed)->Request.Hops == 1);
+    CPPUNIT_ASSERT(!findSpill(submit(makeTicket(0))));
+  }
+
+  void fullGroup_passedTicket_isNotPassedAgain() {
+    configure(makeConfig(1, 1));
+    GroupDigest Other;
+    Other.Group = GroupId{m_Id.Service, FailureDomain("b"), 0};
+    Other.FreeSequences = 5;
+    m_Group->updateDigest(Other, 3ms, now());
+    submit(makeTicket(0));
+    auto Request = makeTicket(0);
+    Request.Hops = 1;
+    submit(Request);
+    tick(100ms);
+    CPPUNIT_ASSERT(!findSpill(Request.Id));
+  }
+
+  void staleReport_ownGrantsSince_areAdded() {
+    configure(makeConfig(1, 4));
+    tick(10s);
+    submit(makeTicket(0));
+    submit(makeTicket(0));
+    LoadReport Report;
+    Report.Target = TargetName("t0");
+    Report.Started = 1;
+    Report.Age = 5s;
+    Report.RunningSequences = 1; // Another owner's, before both grants.
+    m_Group->reportLoad(Report, now(), m_Out);
+    CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
+    CPPUNIT_ASSERT(!findGrant(submit(makeTicket(0))));
+  }
+
+  void lowTier_withReserve_isNotStarved() {
+    auto Config = makeConfig(1, 1);
+    Config.Tiers[2].Reserve = 0.1;
+    configure(Config);
+    auto Running = submit(makeTicket(0));
+    const auto Low = submit(makeTicket(2));
+    for (int I = 0; I < 40; ++I)
+      submit(makeTicket(0));
+    int Rounds = 0;
+    while (!findGrant(Low) && ++Rounds < 15) {
+      finish(Running);
+      Running = std::get<GrantAction>(m_Out.back()).Granted.Request;
+    }
+    CPPUNIT_ASSERT(findGrant(Low));
+    CPPUNIT_ASSERT(Rounds >= 9);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupTest);
+
+} // namespace mangodeck
