--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: help setup build test run bench capacity format format-check lint docs-check generate clean
+.PHONY: help setup build test run stop bench capacity format format-check lint docs-check generate clean
 
 help:
 	@echo "make setup         install the Debian packages in packages.txt"
 	@echo "make build         configure and compile into $(BUILD)/"
 	@echo "make test          set up, build and run all tests"
 	@echo "make run           set up, start the system with stand-ins, serve two requests"
+	@echo "make stop          stop what make run started"
 	@echo "make bench         measure speeds (not part of the tests)"
 	@echo "make capacity      measure the slopes quoted in docs/CAPACITY.md"
 	@echo "make format        format the sources in place"
@@ -37,6 +38,9 @@
 run: setup build
 	@scripts/run.sh $(BUILD)
 
+stop:
+	@scripts/stop.sh
+
 bench: setup build
 	@scripts/bench.sh $(BUILD)
 
--- /dev/null
+++ b/apps/mangodeckd/daemon.cpp
@@ -0,0 +1,467 @@
+#include "daemon.h"
+
+#include "adminhandler.h"
+#include "mangodeck/common/hybridclock.h"
+#include "mangodeck/common/log.h"
+#include "mangodeck/connection/callerserver.h"
+#include "mangodeck/connection/curltargetclient.h"
+#include "mangodeck/connection/datagramtransport.h"
+#include "mangodeck/connection/loopthread.h"
+#include "mangodeck/connection/peertransport.h"
+#include "mangodeck/connection/targetwatcher.h"
+#include "mangodeck/process/configagent.h"
+#include "mangodeck/process/drain.h"
+#include "mangodeck/process/entry.h"
+#include "mangodeck/process/memberagent.h"
+#include "mangodeck/process/messagehub.h"
+#include "mangodeck/process/packetcodec.h"
+#include "mangodeck/version/memorystore.h"
+
+#include <asio/signal_set.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace mangodeck {
+
+namespace {
+
+constexpr Duration TickPeriod = 100ms;
+constexpr Duration DigestPeriod = 500ms;
+
+/// Expected one-way delay to another failure domain, for placement.
+constexpr Duration DomainLinkDelay = 5ms;
+
+/// Makes the product's dispatch groups.
+class StandardGroupFactory : public DispatchGroupFactory {
+public:
+  StandardGroupFactory(Incarnation Started, RandomSource &Random)
+      : m_Started(Started), m_Random(Random) {}
+
+  std::unique_ptr<DispatchGroup> make(const GroupId &Id) override {
+    return makeDispatchGroup(Id, m_Started, m_Random.next());
+  }
+
+private:
+  Incarnation m_Started;
+  RandomSource &m_Random;
+};
+
+/// Encodes packets and hands them to the datagram transport.
+class DatagramSender : public PacketSender {
+public:
+  DatagramSender(const PacketCodec &Codec, DatagramTransport &Transport)
+      : m_Codec(Codec), m_Transport(Transport) {}
+
+  void sendPacket(std::string_view Address, const Packet &Message) override {
+    if (const auto Bytes = m_Codec.encode(Message))
+      m_Transport.send(Address, *Bytes);
+  }
+
+private:
+  const PacketCodec &m_Codec;
+  DatagramTransport &m_Transport;
+};
+
+} // namespace
+
+class Daemon::Impl : private MemberObserver,
+                     private ConfigObserver,
+                     private EventSink,
+                     private EntryObserver {
+public:
+  Impl(Settings Options, std::optional<RecordSet> Records);
+  ~Impl() { stopThreads(); }
+
+  std::error_code start();
+  void runUntilDrained();
+
+private:
+  struct ShardParts {
+    LoopThread Loop;
+    SeededRandom Random;
+    CurlTargetClient Targets;
+    explicit ShardParts(std::uint64_t Seed) : Random(Seed) {}
+  };
+
+  std::unique_ptr<Store> makeStore() const;
+  EntryPorts portsOf(ShardParts &Parts);
+  CallerServerOptions callerOptions() const;
+  CallerServerOptions adminOptions() const;
+  PeerTransportOptions peerOptions() const;
+  MembershipOptions membershipOptions(std::string_view PeerAddress) const;
+  std::error_code openPeers();
+  void startTimers();
+  void waitForSignal();
+  void beginDrain(std::string_view Cause);
+  void updateDrain();
+  void stopThreads();
+  void addAdminFunctions();
+  AdminAnswer status() const;
+  AdminAnswer takeRevisions(std::string_view Body);
+
+  void onMembersChanged(std::span<const Member> Members) override;
+  void onMemberGone(const Member &Gone) override;
+  void onMarksChanged(const TargetMarks &Marks) override;
+  void onDigest(const GroupDigest &Digest) override;
+  void onRevisionHeard(const VmName &Origin,
+                       const ConfigRevision &Revision) override;
+  void onLeaveRequested() override { beginDrain("platform list"); }
+  void onSnapshot(const SnapshotPtr &Config) override;
+
+  void record(Event Entry) override {}
+  void onAccepted(const Ticket &Request) override {}
+  void onDispatched(const Ticket &Request) override {}
+  void onGrantReturned(ReturnReason Reason) override {}
+  void onResumed() override {}
+  void onHangUp() override {}
+  void onEnded(const RequestSummary &Summary) override {}
+
+  Settings m_Options;
+  std::optional<RecordSet> m_Records;
+  SystemClock m_Time;
+  HybridClock m_Stamps{m_Time};
+  DeviceRandom m_Device;
+  SeededRandom m_ControlRandom{m_Device.next()};
+  SeededRandom m_HostRandom{m_Device.next()};
+  SeededRandom m_PeerRandom{m_Device.next()};
+  Incarnation m_Started = static_cast<Incarnation>(m_Time.wallNow());
+
+  RcuPointer<Snapshot> m_Config{std::make_shared<const Snapshot>()};
+  RcuPointer<OwnerTable> m_Owners{std::make_shared<const OwnerTable>()};
+  RcuPointer<TargetMarks> m_Marks{std::make_shared<const TargetMarks>()};
+  BodyBudget m_Bodies;
+
+  LoopThread m_ControlLoop;
+  LoopThread m_HostLoop;
+  std::unique_ptr<Store> m_Store;
+  PeerTransport m_Peers;
+  LocalRouter m_Router;
+  std::unique_ptr<ClaimClient> m_Claims;
+  std::vector<std::unique_ptr<ShardParts>> m_ShardParts;
+  std::vector<std::unique_ptr<EntryShard>> m_Shards;
+  std::unique_ptr<Entry> m_Entry;
+  StandardGroupFactory m_Factory;
+  ReportForwarder m_Reports;
+  HttpTargetWatcher m_Watcher;
+  PacketCodec m_Codec;
+  std::unique_ptr<DatagramTransport> m_Datagrams;
+  std::unique_ptr<DatagramSender> m_PacketSender;
+  std::unique_ptr<MemberAgent> m_Members;
+  std::unique_ptr<GroupHost> m_Host;
+  std::unique_ptr<ConfigAgent> m_ConfigAgent;
+  std::unique_ptr<MessageHub> m_Hub;
+  AdminHandler m_Admin;
+  std::unique_ptr<CallerServer> m_CallerServer;
+  std::unique_ptr<CallerServer> m_AdminServer;
+
+  Drain m_Drain;
+  std::atomic<DrainPhase> m_Phase = DrainPhase::Serving;
+  std::promise<void> m_Drained;
+  asio::signal_set m_Signals;
+};
+
+Daemon::Impl::Impl(Settings Options, std::optional<RecordSet> Records)
+    : m_Options(std::move(Options)), m_Records(std::move(Records)),
+      m_Bodies(m_Options.MaxWaitingBytes), m_Store(makeStore()),
+      m_Peers(peerOptions(), m_Time, m_Stamps, m_PeerRandom),
+      m_Router(m_Options.Vm, m_Peers), m_Claims(makeClaims()),
+      m_Factory(m_Started, m_HostRandom), m_Watcher(m_Reports),
+      m_Codec(m_Options.PeerKeys), m_Drain(m_Options.BalancerLag),
+      m_Signals(m_ControlLoop.context(), SIGTERM, SIGINT) {
+  for (std::uint32_t I = 0; I < std::max(1U, m_Options.EntryThreads); ++I) {
+    m_ShardParts.push_back(std::make_unique<ShardParts>(m_Device.next()));
+    m_Shards.push_back(
+        std::make_unique<EntryShard>(portsOf(*m_ShardParts.back())));
+  }
+  m_Entry = std::make_unique<Entry>(m_Options.Vm, m_Options.Domain, m_Time,
+                                    m_Config, m_Shards);
+  m_ConfigAgent = std::make_unique<ConfigAgent>(m_ControlLoop, m_Time, *m_Store,
+                                                m_Config, *this, *this);
+}
+
+std::unique_ptr<Store> Daemon::Impl::makeStore() const {
+  return std::make_unique<MemoryStore>(m_Time);
+}
+
+EntryPorts Daemon::Impl::portsOf(ShardParts &Parts) {
+  return {m_Options.Vm, Parts.Loop, m_Time,        Parts.Random, m_Config,
+          m_Owners,     m_Marks,    m_Router,      Parts.Targets, *m_Claims,
+          m_Bodies,     *this,      *this};
+}
+
+CallerServerOptions Daemon::Impl::callerOptions() const {
+  CallerServerOptions Options;
+  Options.Address = m_Options.CallerAddress;
+  Options.Threads = m_Options.EntryThreads;
+  Options.MaxBodyBytes = m_Options.MaxBodyBytes;
+  Options.MaxHeaderValueBytes = m_Options.MaxHeaderBytes / 4;
+  Options.ReadTimeout = m_Options.CallerIdleTimeout;
+  Options.WriteTimeout = m_Options.CallerIdleTimeout;
+  return Options;
+}
+
+CallerServerOptions Daemon::Impl::adminOptions() const {
+  CallerServerOptions Options;
+  Options.Address = m_Options.AdminAddress;
+  Options.Threads = 1;
+  Options.MaxConnections = 64;
+  return Options;
+}
+
+PeerTransportOptions Daemon::Impl::peerOptions() const {
+  PeerTransportOptions Options;
+  Options.Vm = m_Options.Vm;
+  Options.ListenAddress = m_Options.PeerAddress;
+  Options.Keys = m_Options.PeerKeys;
+  return Options;
+}
+
+MembershipOptions
+Daemon::Impl::membershipOptions(std::string_view PeerAddress) const {
+  MembershipOptions Options;
+  Options.Vm = m_Options.Vm;
+  Options.Domain = m_Options.Domain;
+  Options.Started = m_Started;
+  Options.PeerAddress = PeerAddress;
+  Options.Seeds = m_Options.Seeds;
+  Options.GossipBytesPerSecond = m_Options.GossipBytesPerSecond;
+  return Options;
+}
+
+/// Opens the datagram socket and builds what depends on its address.
+std::error_code Daemon::Impl::openPeers() {
+  auto Opened =
+      openUdpTransport(m_ControlLoop.context(), m_Options.PeerAddress);
+  if (!Opened)
+    return Opened.error();
+  m_Datagrams = std::move(*Opened);
+  m_PacketSender = std::make_unique<DatagramSender>(m_Codec, *m_Datagrams);
+  m_Members = std::make_unique<MemberAgent>(
+      membershipOptions(m_Datagrams->localAddress()), m_ControlLoop, m_Time,
+      m_ControlRandom, *m_PacketSender, m_Owners, m_Marks, *this, *this);
+  m_Host = std::make_unique<GroupHost>(m_HostLoop, m_Time, m_Router, m_Watcher,
+                                       m_Factory, *m_Members, *this);
+  m_Reports.attach(*m_Host);
+  m_Hub = std::make_unique<MessageHub>(m_HostLoop, *m_Host, *m_Entry, m_Shards,
+                                       *m_ConfigAgent);
+  m_Router.attach(*m_Hub);
+  m_ConfigAgent->attach(m_Router);
+  m_Datagrams->start([this](std::string_view Bytes, std::string_view Source) {
+    if (const auto Message = m_Codec.decode(Bytes))
+      m_Members->onPacket(*Message, Source);
+  });
+  return m_Peers.start(*m_Hub);
+}
+
+std::error_code Daemon::Impl::start() {
+  // Step 1. Open what other daemons need, before callers can come.
+  if (const auto Error = openPeers())
+    return Error;
+
+  // Step 2. Fill the store in memory, where it is the one that is used.
+  if (m_Records)
+    if (const auto Error = seedStore(*m_Store, *m_Records))
+      return Error;
+
+  // Step 3. Start the loops and the configuration.
+  waitForSignal();
+  startTimers();
+  m_HostLoop.start();
+  m_ControlLoop.start();
+  for (auto &Parts : m_ShardParts)
+    Parts->Loop.start();
+  m_ControlLoop.post([this] { m_ConfigAgent->start(); });
+
+  // Step 4. Listen to callers and operators.
+  addAdminFunctions();
+  m_CallerServer = std::make_unique<CallerServer>(callerOptions(), *m_Entry);
+  m_AdminServer = std::make_unique<CallerServer>(adminOptions(), m_Admin);
+  if (const auto Error = m_CallerServer->start())
+    return Error;
+  if (const auto Error = m_AdminServer->start())
+    return Error;
+  logEvent("started", "vm={} failure_domain={} callers={} admin={} peers={}",
+           m_Options.Vm.Text, m_Options.Domain.Text, m_Options.CallerAddress,
+           m_Options.AdminAddress, m_Datagrams->localAddress());
+  if (m_Records)
+    logEvent("store_in_memory", "note=\"claims and revisions live as long as "
+                                "this process\"");
+  return {};
+}
+
+void Daemon::Impl::startTimers() {
+  m_ControlLoop.postEvery(TickPeriod, [this] {
+    m_Members->tick();
+    m_ConfigAgent->tick();
+    updateDrain();
+  });
+  m_HostLoop.postEvery(TickPeriod, [this] { m_Host->tick(); });
+  m_HostLoop.postEvery(DigestPeriod, [this] {
+    m_ControlLoop.post([this, Digests = m_Host->digests()] {
+      m_Members->publishDigests(Digests);
+    });
+  });
+}
+
+void Daemon::Impl::waitForSignal() {
+  m_Signals.async_wait([this](std::error_code Error, int) {
+    if (!Error)
+      beginDrain("signal");
+  });
+}
+
+/// Begins the graceful shutdown: not ready any more, groups go to other
+/// members, but callers are served until the balancer has noticed.
+void Daemon::Impl::beginDrain(std::string_view Cause) {
+  if (m_Phase.load() != DrainPhase::Serving)
+    return;
+  logEvent("drain_started", "cause=\"{}\" open={}", Cause, m_Entry->open());
+  m_Drain.begin(m_Time.now());
+  m_Phase.store(DrainPhase::Leaving);
+  m_Members->setLeaving();
+}
+
+void Daemon::Impl::updateDrain() {
+  const auto Before = m_Phase.load();
+  const auto Now = m_Drain.update(m_Time.now(), m_CallerServer->openExchanges() +
+                                                    m_Entry->open());
+  if (Now == Before)
+    return;
+  m_Phase.store(Now);
+  if (Now == DrainPhase::Finishing) {
+    m_CallerServer->stopAccepting();
+    m_Entry->stopAdmitting();
+  } else if (Now == DrainPhase::Done) {
+    m_Members->leave();
+    m_Drained.set_value();
+  }
+}
+
+void Daemon::Impl::runUntilDrained() {
+  m_Drained.get_future().wait();
+  m_CallerServer->stop();
+  m_Peers.flush(2s);
+  logEvent("stopped", "open={}", m_Entry->open());
+}
+
+void Daemon::Impl::stopThreads() {
+  if (m_CallerServer)
+    m_CallerServer->stop();
+  if (m_AdminServer)
+    m_AdminServer->stop();
+  m_Peers.stop();
+  m_ControlLoop.stop();
+  m_HostLoop.stop();
+  for (auto &Parts : m_ShardParts)
+    Parts->Loop.stop();
+}
+
+void Daemon::Impl::onMembersChanged(std::span<const Member> Members) {
+  std::vector<PeerAddress> Peers;
+  for (const auto &Item : Members)
+    if (Item.isLive() && !(Item.Vm == m_Options.Vm))
+      Peers.push_back({Item.Vm, Item.Address});
+  m_Peers.setPeers(Peers);
+  m_HostLoop.post([this, Owned = m_Owners.share()->ownedBy(m_Options.Vm)] {
+    m_Host->setOwned(Owned);
+  });
+  for (const auto &Shard : m_Shards)
+    Shard->onOwnersChanged();
+}
+
+void Daemon::Impl::onMemberGone(const Member &Gone) {
+  m_HostLoop.post([this, Vm = Gone.Vm] { m_Host->onMemberGone(Vm); });
+}
+
+void Daemon::Impl::onMarksChanged(const TargetMarks &Marks) {
+  m_HostLoop.post([this, Marks] { m_Host->onMarks(Marks); });
+}
+
+void Daemon::Impl::onDigest(const GroupDigest &Digest) {
+  const auto Delay =
+      Digest.Group.Domain == m_Options.Domain ? Duration{0} : DomainLinkDelay;
+  m_HostLoop.post([this, Digest, Delay] { m_Host->onDigest(Digest, Delay); });
+}
+
+void Daemon::Impl::onRevisionHeard(const VmName &Origin,
+                                   const ConfigRevision &Revision) {
+  m_ConfigAgent->onRevisionHeard(Origin, Revision.Number, Revision.Digest);
+}
+
+void Daemon::Impl::onSnapshot(const SnapshotPtr &Config) {
+  m_Members->publishRevision(Config->Revision, Config->Digest);
+  m_HostLoop.post([this, Config] { m_Host->configure(Config); });
+  m_Members->setGroups(groupsOf(*Config));
+}
+
+void Daemon::Impl::addAdminFunctions() {
+  m_Admin.add("GET", "/healthz", [](auto, auto) {
+    return AdminAnswer{200, "text/plain", "alive\n"};
+  });
+  m_Admin.add("GET", "/readyz", [this](auto, auto) {
+    const bool IsReady = m_Phase.load() == DrainPhase::Serving &&
+                         m_ConfigAgent->status().InForce > 0;
+    return AdminAnswer{IsReady ? 200 : 503, "text/plain",
+                       IsReady ? "ready\n" : "not ready\n"};
+  });
+  m_Admin.add("GET", "/status", [this](auto, auto) { return status(); });
+  m_Admin.add("POST", "/revisions",
+              [this](auto, auto Body) { return takeRevisions(Body); });
+}
+
+AdminAnswer Daemon::Impl::status() const {
+  const auto Config = m_ConfigAgent->status();
+  nlohmann::json Alarms = nlohmann::json::array();
+  for (const auto Alarm : Config.Alarms)
+    Alarms.push_back(toString(Alarm));
+  nlohmann::json Owned = nlohmann::json::array();
+  const auto Owners = m_Owners.share();
+  for (const auto &Group : Owners->ownedBy(m_Options.Vm))
+    Owned.push_back(toString(Group));
+  const nlohmann::json Body{
+      {"vm", m_Options.Vm.Text},
+      {"failure_domain", m_Options.Domain.Text},
+      {"revision", Config.InForce},
+      {"known_revision", Config.Known},
+      {"digest", Config.Digest},
+      {"alarms", Alarms},
+      {"ready", m_Phase.load() == DrainPhase::Serving},
+      {"open_requests", m_Entry->open()},
+      {"groups", Owned},
+  };
+  return {200, "application/json", Body.dump() + "\n"};
+}
+
+/// Takes revisions that an operator hands over after their acceptance: a JSON
+/// array of {"number", "value"}.
+AdminAnswer Daemon::Impl::takeRevisions(std::string_view Body) {
+  const auto Parsed = nlohmann::json::parse(Body, nullptr, false);
+  std::vector<LogEntry> Entries;
+  bool IsValid = Parsed.is_array();
+  for (const auto &Item : IsValid ? Parsed : nlohmann::json::array()) {
+    IsValid = IsValid && Item.is_object() && Item.contains("number") &&
+              Item["number"].is_number_unsigned() && Item.contains("value") &&
+              Item["value"].is_string();
+    if (IsValid)
+      Entries.push_back({Item["number"].get<RevisionNumber>(),
+                         Item["value"].get<std::string>()});
+  }
+  if (!IsValid)
+    return {400, "text/plain",
+            "body: allowed: a JSON array of {\"number\": N, \"value\": TEXT}\n"};
+  m_ConfigAgent->offer(std::move(Entries));
+  return {202, "application/json", "{}\n"};
+}
+
+Daemon::Daemon(Settings Options, std::optional<RecordSet> Records)
+    : m_Impl(std::make_unique<Impl>(std::move(Options), std::move(Records))) {}
+
+Daemon::~Daemon() = default;
+
+std::error_code Daemon::start() { return m_Impl->start(); }
+
+void Daemon::runUntilDrained() { m_Impl->runUntilDrained(); }
+
+} // namespace mangodeck
--- a/packages/process/src/grouphost.cpp
+++ b/packages/process/src/grouphost.cpp
@@ -116,7 +116,6 @@
         perform(M.Group, Out);
       },
       [&](const ReportRunning &M) {
-        ensure(M.Group).Group->forgetEntry(From, Now, Out);
         ensure(M.Group).Group->adoptRunning(M.Running, Now, Out);
         perform(M.Group, Out);
       },
@@ -157,6 +156,9 @@
     DispatchGroup::Actions Out;
     Entry.Group->tick(m_Time.now(), Out);
     perform(Id, Out);
+    for (const auto Fingerprint : Entry.Group->quarantined())
+      if (m_KnownQuarantined.insert(Fingerprint).second)
+        m_Marks.publishQuarantine(Fingerprint);
   }
   dropUnowned();
 }
