--- /dev/null
+++ b/packages/version/include/mangodeck/version/configurationsync.h
@@ -0,0 +1,71 @@
+#ifndef MANGODECK_VERSION_CONFIGURATIONSYNC_H
+#define MANGODECK_VERSION_CONFIGURATIONSYNC_H
+
+#include "mangodeck/common/clock.h"
+#include "mangodeck/version/configurationfollower.h"
+#include "mangodeck/version/store.h"
+
+#include <functional>
+#include <memory>
+
+namespace mangodeck {
+
+/// What a daemon does for its configuration.
+class ConfigurationOutput {
+public:
+  virtual ~ConfigurationOutput() = default;
+  virtual void putInForce(SnapshotPtr Config) = 0;
+  virtual void fetchFromPeer(const VmName &Peer, RevisionNumber After) = 0;
+  virtual void setAlarm(const SetAlarm &Alarm) = 0;
+};
+
+/// Runs a task later on the one thread or strand that owns the caller.
+using Executor = std::function<void(std::function<void()>)>;
+
+/// Connects a ConfigurationFollower to the store and to its daemon. All
+/// methods are called on one strand; the store's callbacks are moved there by
+/// the executor.
+class ConfigurationSync {
+public:
+  ConfigurationSync(Store &Inner, ConfigurationOutput &Output, Executor Post,
+                    const Clock &Time, FollowerOptions Options = {});
+  ~ConfigurationSync();
+
+  /// Opens the watch on the log and begins to follow.
+  void start();
+  /// Call every 100 ms or so.
+  void tick();
+
+  void onGossip(const VmName &Peer, RevisionNumber Number,
+                std::string_view Digest);
+  /// Entries of a peer or, with an empty name, handed over by an operator.
+  void onPeerEntries(const VmName &Peer, std::span<const LogEntry> Entries);
+
+  const ConfigurationFollower &follower() const { return m_Follower; }
+
+private:
+  void perform(ConfigurationFollower::Actions Actions);
+  void execute(const ReadStoreLog &Action);
+  void execute(const ReadStoreHead &Action);
+  void execute(const ReadStoreImage &Action);
+  void execute(const ReopenWatch &Action);
+  void execute(const FetchFromPeer &Action);
+  void execute(const PutInForce &Action);
+  void execute(const SetAlarm &Action);
+
+  template <typename T, typename Function>
+  Store::Callback<T> onStrand(Function Handle);
+
+  Store &m_Store;
+  ConfigurationOutput &m_Output;
+  Executor m_Post;
+  const Clock &m_Clock;
+  ConfigurationFollower m_Follower;
+  /// Callbacks that arrive after the destruction find it expired.
+  std::shared_ptr<ConfigurationSync *> m_Alive;
+  std::unique_ptr<StoreWatch> m_Watch;
+};
+
+} // namespace mangodeck
+
+#endif
--- a/packages/version/include/mangodeck/version/store.h
+++ b/packages/version/include/mangodeck/version/store.h
@@ -73,6 +73,12 @@
   virtual void last(std::string_view Prefix, std::int64_t Limit,
                     Callback<std::vector<StoreEntry>> Done);
 
+  /// The greatest key that starts with \p Prefix, its value left out; empty
+  /// if there is none. Costs a whole entry unless the implementation does
+  /// better.
+  virtual void lastKey(std::string_view Prefix,
+                       Callback<std::vector<StoreEntry>> Done);
+
   virtual void compareAndSwap(StoreWrite Write,
                               Callback<StoreWriteResult> Done) = 0;
 
--- a/packages/version/src/store.cpp
+++ b/packages/version/src/store.cpp
@@ -18,4 +18,15 @@
         });
 }
 
+void Store::lastKey(std::string_view Prefix,
+                    Callback<std::vector<StoreEntry>> Done) {
+  last(Prefix, 1,
+       [Done = std::move(Done)](Expected<std::vector<StoreEntry>> Entries) {
+         if (Entries)
+           for (auto &Entry : *Entries)
+             Entry.Value.clear();
+         Done(std::move(Entries));
+       });
+}
+
 } // namespace mangodeck
