--- a/packages/process/include/mangodeck/process/membership.h
+++ b/packages/process/include/mangodeck/process/membership.h
@@ -111,6 +111,8 @@
 
   /// All members known, this one included, dead ones too, by name.
   std::vector<Member> members() const;
+  /// Number of live members, this one included.
+  std::size_t liveCount() const;
   const Member &self() const;
   const Member *find(const VmName &Vm) const;
 
@@ -132,6 +134,7 @@
   void expireSuspicions(TimePoint Now, Actions &Out);
   void contactUnreachable(TimePoint Now, Actions &Out);
   void synchronize(TimePoint Now, Actions &Out);
+  void expireRecords(TimePoint Now);
   void gossip(TimePoint Now, Actions &Out);
 
   void takeRumor(const Member &Rumor, TimePoint Now, Actions &Out);
@@ -163,6 +166,7 @@
   TimePoint m_NextContact;
   TimePoint m_NextSync;
   TimePoint m_NextGossip;
+  TimePoint m_NextExpiry;
   MembershipCounts m_Counts;
 };
 
--- a/packages/process/include/mangodeck/process/ownertable.h
+++ b/packages/process/include/mangodeck/process/ownertable.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_PROCESS_OWNERTABLE_H
 #define MANGODECK_PROCESS_OWNERTABLE_H
 
+#include "mangodeck/common/rcupointer.h"
 #include "mangodeck/process/member.h"
 
 #include <cstdint>
@@ -49,6 +50,9 @@
   std::unordered_map<GroupId, VmName> m_Owners;
 };
 
+/// The table in force. One thread replaces it; request threads read it.
+using OwnerTablePointer = RcuPointer<OwnerTable>;
+
 } // namespace mangodeck
 
 #endif
--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -21,6 +21,7 @@
 constexpr Duration SyncInterval = 5s;
 /// Between comparisons while the last one showed differences.
 constexpr Duration FastSyncInterval = 1s;
+constexpr Duration ExpiryInterval = 1s;
 constexpr Duration ReminderInterval = 1s;
 constexpr Duration ContactInterval = 1s;
 /// How often all members together contact one that is unreachable.
@@ -60,6 +61,8 @@
 
 const Member &Membership::self() const { return m_Members->self(); }
 
+std::size_t Membership::liveCount() const { return m_Members->liveCount(); }
+
 const Member *Membership::find(const VmName &Vm) const {
   const auto *Found = std::as_const(*m_Members).find(Vm);
   return Found ? &Found->Known : nullptr;
@@ -80,6 +83,13 @@
   contactUnreachable(Now, Out);
   synchronize(Now, Out);
   gossip(Now, Out);
+  expireRecords(Now);
+}
+
+void Membership::expireRecords(TimePoint Now) {
+  if (Now < m_NextExpiry)
+    return;
+  m_NextExpiry = Now + ExpiryInterval;
   m_Entries->expire(Now);
   m_Members->expire(Now);
 }
@@ -157,6 +167,8 @@
 }
 
 void Membership::expireSuspicions(TimePoint Now, Actions &Out) {
+  if (m_Members->suspectCount() == 0)
+    return;
   for (auto &[Vm, Found] : m_Members->records()) {
     const bool Expired =
         Found.Known.State == MemberState::Suspect && Now >= Found.SuspectUntil;
--- a/packages/process/src/membertable.cpp
+++ b/packages/process/src/membertable.cpp
@@ -113,10 +113,12 @@
 }
 
 void MemberTable::recount() {
-  m_LiveCount = static_cast<std::size_t>(
-      std::count_if(m_Records.begin(), m_Records.end(), [](const auto &Item) {
-        return Item.second.Known.isLive();
-      }));
+  m_LiveCount = 0;
+  m_SuspectCount = 0;
+  for (const auto &[Vm, Entry] : m_Records) {
+    m_LiveCount += Entry.Known.isLive() ? 1 : 0;
+    m_SuspectCount += Entry.Known.State == MemberState::Suspect ? 1 : 0;
+  }
 }
 
 std::vector<const Member *> MemberTable::livePeers() const {
--- a/packages/process/src/membertable.h
+++ b/packages/process/src/membertable.h
@@ -50,6 +50,7 @@
   /// Live members other than this one.
   std::vector<const Member *> livePeers() const;
   std::size_t liveCount() const { return m_LiveCount; }
+  std::size_t suspectCount() const { return m_SuspectCount; }
 
   /// Adds the live members' versions to \p Hashes.
   void addTo(BucketHashes &Hashes) const;
@@ -63,6 +64,7 @@
   VmName m_Self;
   std::map<VmName, Record> m_Records;
   std::size_t m_LiveCount = 1;
+  std::size_t m_SuspectCount = 0;
 };
 
 } // namespace mangodeck
