--- a/apps/mangodeckd/daemon.cpp
+++ b/apps/mangodeckd/daemon.cpp
@@ -8,7 +8,6 @@
 #include "mangodeck/connection/datagramtransport.h"
 #include "mangodeck/connection/loopthread.h"
 #include "mangodeck/connection/peertransport.h"
-#include "mangodeck/connection/targetwatcher.h"
 #include "mangodeck/process/configagent.h"
 #include "mangodeck/process/drain.h"
 #include "mangodeck/process/entry.h"
@@ -48,6 +47,24 @@
   RandomSource &m_Random;
 };
 
+/// Watches nothing.
+class NoWatcher : public TargetWatcher {
+public:
+  void watch(const TargetName &, const std::string &) override {}
+  void unwatch(const TargetName &) override {}
+};
+
+/// Confirms no claim.
+class NoClaims : public ClaimClient {
+public:
+  void claim(const ClaimKey &, std::uint64_t, const RequestId &,
+             std::function<void(ClaimReply)> Done) override {
+    Done({});
+  }
+  void complete(const ClaimKey &, const RequestId &, StoredAnswer) override {}
+  void release(const ClaimKey &, const RequestId &) override {}
+};
+
 /// Encodes packets and hands them to the datagram transport.
 class DatagramSender : public PacketSender {
 public:
@@ -66,10 +83,10 @@
 
 } // namespace
 
-class Daemon::Impl : private MemberObserver,
-                     private ConfigObserver,
-                     private EventSink,
-                     private EntryObserver {
+class Daemon::Impl : public MemberObserver,
+                     public ConfigObserver,
+                     public EventSink,
+                     public EntryObserver {
 public:
   Impl(Settings Options, std::optional<RecordSet> Records);
   ~Impl() { stopThreads(); }
@@ -143,8 +160,7 @@
   std::vector<std::unique_ptr<EntryShard>> m_Shards;
   std::unique_ptr<Entry> m_Entry;
   StandardGroupFactory m_Factory;
-  ReportForwarder m_Reports;
-  HttpTargetWatcher m_Watcher;
+  NoWatcher m_Watcher;
   PacketCodec m_Codec;
   std::unique_ptr<DatagramTransport> m_Datagrams;
   std::unique_ptr<DatagramSender> m_PacketSender;
@@ -166,9 +182,9 @@
     : m_Options(std::move(Options)), m_Records(std::move(Records)),
       m_Bodies(m_Options.MaxWaitingBytes), m_Store(makeStore()),
       m_Peers(peerOptions(), m_Time, m_Stamps, m_PeerRandom),
-      m_Router(m_Options.Vm, m_Peers), m_Claims(makeClaims()),
-      m_Factory(m_Started, m_HostRandom), m_Watcher(m_Reports),
-      m_Codec(m_Options.PeerKeys), m_Drain(m_Options.BalancerLag),
+      m_Router(m_Options.Vm, m_Peers), m_Claims(std::make_unique<NoClaims>()),
+      m_Factory(m_Started, m_HostRandom), m_Codec(m_Options.PeerKeys),
+      m_Drain(m_Options.BalancerLag),
       m_Signals(m_ControlLoop.context(), SIGTERM, SIGINT) {
   for (std::uint32_t I = 0; I < std::max(1U, m_Options.EntryThreads); ++I) {
     m_ShardParts.push_back(std::make_unique<ShardParts>(m_Device.next()));
@@ -186,8 +202,8 @@
 }
 
 EntryPorts Daemon::Impl::portsOf(ShardParts &Parts) {
-  return {m_Options.Vm, Parts.Loop, m_Time,        Parts.Random, m_Config,
-          m_Owners,     m_Marks,    m_Router,      Parts.Targets, *m_Claims,
+  return {m_Options.Vm, Parts.Loop, m_Time,   Parts.Random,  m_Config,
+          m_Owners,     m_Marks,    m_Router, Parts.Targets, *m_Claims,
           m_Bodies,     *this,      *this};
 }
 
@@ -243,7 +259,6 @@
       m_ControlRandom, *m_PacketSender, m_Owners, m_Marks, *this, *this);
   m_Host = std::make_unique<GroupHost>(m_HostLoop, m_Time, m_Router, m_Watcher,
                                        m_Factory, *m_Members, *this);
-  m_Reports.attach(*m_Host);
   m_Hub = std::make_unique<MessageHub>(m_HostLoop, *m_Host, *m_Entry, m_Shards,
                                        *m_ConfigAgent);
   m_Router.attach(*m_Hub);
@@ -325,8 +340,8 @@
 
 void Daemon::Impl::updateDrain() {
   const auto Before = m_Phase.load();
-  const auto Now = m_Drain.update(m_Time.now(), m_CallerServer->openExchanges() +
-                                                    m_Entry->open());
+  const auto Now = m_Drain.update(
+      m_Time.now(), m_CallerServer->openExchanges() + m_Entry->open());
   if (Now == Before)
     return;
   m_Phase.store(Now);
@@ -449,8 +464,9 @@
                          Item["value"].get<std::string>()});
   }
   if (!IsValid)
-    return {400, "text/plain",
-            "body: allowed: a JSON array of {\"number\": N, \"value\": TEXT}\n"};
+    return {
+        400, "text/plain",
+        "body: allowed: a JSON array of {\"number\": N, \"value\": TEXT}\n"};
   m_ConfigAgent->offer(std::move(Entries));
   return {202, "application/json", "{}\n"};
 }
