connection: codec of MoveTicket

Measured: build/test/connection_test: all pass; the sample of a move takes the bytes printed by message_everyKind_staysWithinItsSize. Conclusion: every kind is carried.

--- a/packages/connection/src/peercodec.cpp
+++ b/packages/connection/src/peercodec.cpp
@@ -182,6 +182,12 @@
   To.set_retry_after_us(writeSpan(In.Reason.RetryAfter));
 }
 
+void write(proto::Envelope &Out, const MoveTicket &In, TimePoint) {
+  auto &To = *Out.mutable_move_ticket();
+  To.set_request(writeId(In.Request));
+  write(*To.mutable_to(), In.To);
+}
+
 void write(proto::Envelope &Out, const ReturnGrant &In, TimePoint) {
   auto &To = *Out.mutable_return_grant();
   write(*To.mutable_group(), In.Group);
@@ -290,6 +296,10 @@
        readSpan(In.retry_after_us())}};
 }
 
+PeerMessage read(const proto::MoveTicket &In, ReadContext &Context) {
+  return MoveTicket{readId(In.request(), Context), read(In.to(), Context)};
+}
+
 PeerMessage read(const proto::ReturnGrant &In, ReadContext &Context) {
   return ReturnGrant{
       read(In.group(), Context), readId(In.request(), Context),
@@ -394,6 +404,8 @@
     return read(In.answer_part(), Context);
   case proto::Envelope::kReleaseKey:
     return read(In.release_key(), Context);
+  case proto::Envelope::kMoveTicket:
+    return read(In.move_ticket(), Context);
   case proto::Envelope::MESSAGE_NOT_SET:
     break;
   }
--- a/packages/connection/test/peersamples.h
+++ b/packages/connection/test/peersamples.h
@@ -42,6 +42,7 @@
           WithdrawTicket{sampleGroup(), Id},
           GrantTicket{{Id, sampleGroup(), Target, 1733260000, 12}},
           RefuseTicket{Id, {NotRunReason::Draining, 1500ms}},
+          MoveTicket{Id, sampleGroup()},
           ReturnGrant{sampleGroup(), Id, Target, ReturnReason::Expired},
           ReportFinish{sampleGroup(), Report},
           ReportRunning{sampleGroup(), {Running, Running}},
