--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -1,4 +1,5 @@
 #include "command.h"
+#include "replaycommand.h"
 
 #include <utility>
 #include <vector>
@@ -8,6 +9,7 @@
 /// Makes every subcommand, in the order in which --help lists them.
 static std::vector<std::unique_ptr<Command>> makeCommands() {
   std::vector<std::unique_ptr<Command>> Commands;
+  Commands.push_back(std::make_unique<ReplayCommand>());
   return Commands;
 }
 
