--- a/packages/version/include/mangodeck/version/diagnostic.h
+++ b/packages/common/include/mangodeck/common/diagnostic.h
@@ -1,24 +1,25 @@
-#ifndef MANGODECK_VERSION_DIAGNOSTIC_H
-#define MANGODECK_VERSION_DIAGNOSTIC_H
+#ifndef MANGODECK_COMMON_DIAGNOSTIC_H
+#define MANGODECK_COMMON_DIAGNOSTIC_H
 
 #include "mangodeck/common/error.h"
 
+#include <span>
 #include <string>
 #include <vector>
 
 namespace mangodeck {
 
-/// Where a record was read from. Line 0 means the whole file.
+/// Where a record or setting was read from. Line 0 means the whole file.
 struct SourcePlace {
   std::string File;
   int Line = 0;
 };
 
-/// One fault in a record: where, in which field, what was found and what is
-/// allowed.
+/// One fault in a file that an operator wrote: where, in which field, what was
+/// found and what is allowed.
 struct Diagnostic {
   SourcePlace Place;
-  std::string Field; ///< Empty when the whole record is meant.
+  std::string Field; ///< Empty when the whole record or file is meant.
   std::string Found;
   std::string Allowed;
   /// Errc::InvalidInput, or Errc::UnknownSchema when only a newer program
@@ -31,6 +32,9 @@
 /// Writes "FILE:LINE: FIELD: found F; allowed: A".
 std::string toString(const Diagnostic &Fault);
 
+/// Writes one line for each fault, each ended by a newline.
+std::string toString(std::span<const Diagnostic> Faults);
+
 /// Orders by file, line and field, and drops repetitions.
 void sortDiagnostics(Diagnostics &Faults);
 
--- a/packages/version/src/diagnostic.cpp
+++ b/packages/common/src/diagnostic.cpp
@@ -1,4 +1,4 @@
-#include "mangodeck/version/diagnostic.h"
+#include "mangodeck/common/diagnostic.h"
 
 #include <algorithm>
 #include <tuple>
@@ -15,6 +15,13 @@
   return Text + "found " + Fault.Found + "; allowed: " + Fault.Allowed;
 }
 
+std::string toString(std::span<const Diagnostic> Faults) {
+  std::string Text;
+  for (const auto &Fault : Faults)
+    Text += toString(Fault) + '\n';
+  return Text;
+}
+
 void sortDiagnostics(Diagnostics &Faults) {
   const auto Key = [](const Diagnostic &Fault) {
     return std::tie(Fault.Place.File, Fault.Place.Line, Fault.Field,
