process, replay: follow the move of the diagnostic type

**Cause** settings_test.cpp reads Diagnostic::Line, which is Place.Line since the type moved to common; replay includes it by its old path. **Change** The two names; the checks are as strict as before. **Measured** make build; build/test/process_test: all passed. **Conclusion** No functional change.

--- a/packages/process/test/settings_test.cpp
+++ b/packages/process/test/settings_test.cpp
@@ -80,7 +80,7 @@
         parseSettings(Valid + "zone: a\nentry_threads: 4\n", "s.yaml");
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Result.Errors.size());
     CPPUNIT_ASSERT_EQUAL(std::string("zone"), Result.Errors[0].Field);
-    CPPUNIT_ASSERT_EQUAL(12, Result.Errors[0].Line);
+    CPPUNIT_ASSERT_EQUAL(12, Result.Errors[0].Place.Line);
     CPPUNIT_ASSERT_EQUAL(std::string("the field a second time"),
                          Result.Errors[1].Found);
   }
@@ -98,7 +98,7 @@
   void settings_brokenYaml_tellsTheLine() {
     const auto Result = parseSettings("vm: a\nlisten: {callers: [", "s.yaml");
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Result.Errors.size());
-    CPPUNIT_ASSERT(Result.Errors[0].Line >= 2);
+    CPPUNIT_ASSERT(Result.Errors[0].Place.Line >= 2);
   }
 
   void settings_absentFile_isRefused() {
--- a/packages/replay/include/mangodeck/replay/trace.h
+++ b/packages/replay/include/mangodeck/replay/trace.h
@@ -1,9 +1,9 @@
 #ifndef MANGODECK_REPLAY_TRACE_H
 #define MANGODECK_REPLAY_TRACE_H
 
+#include "mangodeck/common/diagnostic.h"
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
-#include "mangodeck/version/diagnostic.h"
 
 #include <cstdint>
 #include <iosfwd>
--- a/packages/replay/src/jsonfields.h
+++ b/packages/replay/src/jsonfields.h
@@ -1,8 +1,8 @@
 #ifndef MANGODECK_REPLAY_JSONFIELDS_H
 #define MANGODECK_REPLAY_JSONFIELDS_H
 
+#include "mangodeck/common/diagnostic.h"
 #include "mangodeck/common/units.h"
-#include "mangodeck/version/diagnostic.h"
 
 #include <nlohmann/json.hpp>
 
