process: dispatch groups can tell each other their crash suspects

**Cause** A request sent again through another failure domain is a stranger to that domain's group, so that it crashes one target in each. **Change** CrashSuspect, DispatchGroup::suspects() and noteSuspects(), with empty defaults. **Measured** Builds. **Conclusion** No functional change.

--- a/packages/process/include/mangodeck/process/dispatchgroup.h
+++ b/packages/process/include/mangodeck/process/dispatchgroup.h
@@ -45,6 +45,14 @@
   Duration QueueDelay{0};
 };
 
+/// A request that was running when a target crashed, by its fingerprint and a
+/// number that names the crash. The same fingerprint in two different crashes
+/// is quarantined.
+struct CrashSuspect {
+  std::uint64_t Fingerprint = 0;
+  std::uint64_t Crash = 0;
+};
+
 /// Order, placement, shedding and limits for the targets of one group. Does no
 /// input or output: events go in with the time, actions are appended to Out.
 class DispatchGroup {
@@ -81,6 +89,14 @@
   /// Fingerprints that this group refuses to run, to be told to other groups.
   virtual std::vector<std::uint64_t> quarantined() const { return {}; }
 
+  /// Recent suspects of crashes that this group has seen, to be told to the
+  /// other groups at once.
+  virtual std::vector<CrashSuspect> suspects(TimePoint Now) const { return {}; }
+
+  /// Takes over the suspects of another group.
+  virtual void noteSuspects(std::span<const CrashSuspect> Suspects,
+                            TimePoint Now, Actions &Out) {}
+
   /// Forgets the requests of an entry daemon that is gone.
   virtual void forgetEntry(const VmName &Entry, TimePoint Now,
                            Actions &Out) = 0;
