--- a/packages/process/src/crashsuspects.cpp
+++ b/packages/process/src/crashsuspects.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t MaxEntries = 10000;
+/// Suspects are told to other groups for so long.
+constexpr Duration RecentSpan = 30s;
 constexpr Duration EntryLifetime = std::chrono::hours(1);
 
 } // namespace
@@ -25,20 +27,31 @@
   return It->second;
 }
 
-bool CrashSuspects::note(std::uint64_t Fingerprint, CrashId Crash,
+bool CrashSuspects::note(const CrashSuspect &Suspect, bool Told,
                          TimePoint Now) {
-  const bool Known = m_Entries.contains(Fingerprint);
-  auto &Item = entryOf(Fingerprint, Now);
+  const bool Known = m_Entries.contains(Suspect.Fingerprint);
+  auto &Item = entryOf(Suspect.Fingerprint, Now);
   if (!Known) {
-    Item.First = Crash;
+    Item.FirstCrash = Suspect.Crash;
+    Item.Told = Told;
     return false;
   }
-  if (Item.Quarantined || Item.First == Crash)
+  if (Item.Quarantined || Item.FirstCrash == Suspect.Crash)
     return false;
   Item.Quarantined = true;
   return true;
 }
 
+std::vector<CrashSuspect> CrashSuspects::recent(TimePoint Now) const {
+  std::vector<CrashSuspect> Result;
+  for (const auto Fingerprint : m_Order) {
+    const auto &Item = m_Entries.at(Fingerprint);
+    if (!Item.Told && !Item.Quarantined && Now - Item.Seen < RecentSpan)
+      Result.push_back({Fingerprint, Item.FirstCrash});
+  }
+  return Result;
+}
+
 void CrashSuspects::clear(std::uint64_t Fingerprint) {
   const auto It = m_Entries.find(Fingerprint);
   if (It == m_Entries.end() || It->second.Quarantined)
--- a/packages/process/src/crashsuspects.h
+++ b/packages/process/src/crashsuspects.h
@@ -1,8 +1,7 @@
 #ifndef MANGODECK_PROCESS_CRASHSUSPECTS_H
 #define MANGODECK_PROCESS_CRASHSUSPECTS_H
 
-#include "mangodeck/common/ids.h"
-#include "mangodeck/common/units.h"
+#include "mangodeck/process/dispatchgroup.h"
 
 #include <cstdint>
 #include <deque>
@@ -11,20 +10,13 @@
 
 namespace mangodeck {
 
-/// One crash of a target.
-struct CrashId {
-  std::uint32_t Target = 0;
-  std::uint64_t Life = 0;
-  bool operator==(const CrashId &) const = default;
-};
-
 /// Fingerprints of requests that were running when a target crashed. One that
 /// was seen in two crashes is quarantined.
 class CrashSuspects {
 public:
-  /// Books that \p Fingerprint was running in \p Crash. Returns true if it is
-  /// quarantined by this.
-  bool note(std::uint64_t Fingerprint, CrashId Crash, TimePoint Now);
+  /// Books a suspect of this group, or one that another group \p Told of.
+  /// Returns true if its fingerprint is quarantined by this.
+  bool note(const CrashSuspect &Suspect, bool Told, TimePoint Now);
 
   /// The request ended well: it is no suspect any longer.
   void clear(std::uint64_t Fingerprint);
@@ -39,12 +31,16 @@
   /// Forgets entries that have not been seen for a long time.
   void expire(TimePoint Now);
 
+  /// Suspects of this group that were seen lately.
+  std::vector<CrashSuspect> recent(TimePoint Now) const;
+
   /// Quarantined fingerprints.
   std::vector<std::uint64_t> quarantined() const;
 
 private:
   struct Entry {
-    CrashId First;
+    std::uint64_t FirstCrash = 0;
+    bool Told = false; ///< Known from another group only.
     bool Quarantined = false;
     TimePoint Seen;
   };
--- a/packages/process/src/group.cpp
+++ b/packages/process/src/group.cpp
@@ -1,5 +1,7 @@
 #include "group.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cassert>
 
@@ -127,19 +129,29 @@
 /// the target are the same crash. Linear in the running requests.
 void Group::noteCrash(const GrantedRequest &Item, TimePoint Now, Actions &Out) {
   auto &Target = m_Placement.target(Item.Target);
-  const CrashId Crash{Item.Target, Item.TargetLife};
-  if (m_Suspects.note(Item.Request.Fingerprint, Crash, Now))
+  const auto Crash = crashOf(Item);
+  if (m_Suspects.note({Item.Request.Fingerprint, Crash}, false, Now))
     refuseQuarantined(Item.Request.Fingerprint, Now, Out);
   if (Item.TargetLife != Target.life())
     return;
   for (const auto &[Id, Other] : m_Granted)
     if (Other.Target == Item.Target && Other.TargetLife == Item.TargetLife)
-      m_Suspects.note(Other.Request.Fingerprint, Crash, Now);
+      m_Suspects.note({Other.Request.Fingerprint, Crash}, false, Now);
   Target.endLife();
   Target.markDown(Now);
   m_Placement.belief().forget(Item.Target);
 }
 
+/// Names a crash alike in all groups: by the target and its incarnation, or by
+/// this owner's own count while the incarnation is unknown.
+std::uint64_t Group::crashOf(const GrantedRequest &Item) const {
+  const auto &Name = m_Placement.target(Item.Target).name().Text;
+  const auto Number = Item.TargetIncarnation != 0
+                          ? Item.TargetIncarnation
+                          : ~(Item.TargetLife ^ (m_Epoch << 32));
+  return XXH3_64bits_withSeed(Name.data(), Name.size(), Number);
+}
+
 void Group::adoptRunning(std::span<const RunningRequest> Running, TimePoint Now,
                          Actions &Out) {
   for (const auto &Entry : Running) {
@@ -214,6 +226,17 @@
   return m_Suspects.quarantined();
 }
 
+std::vector<CrashSuspect> Group::suspects(TimePoint Now) const {
+  return m_Suspects.recent(Now);
+}
+
+void Group::noteSuspects(std::span<const CrashSuspect> Suspects, TimePoint Now,
+                         Actions &Out) {
+  for (const auto &Suspect : Suspects)
+    if (m_Suspects.note(Suspect, true, Now))
+      refuseQuarantined(Suspect.Fingerprint, Now, Out);
+}
+
 /// Linear in waiting and running requests; an entry daemon is rarely lost.
 void Group::forgetEntry(const VmName &Entry, TimePoint Now, Actions &Out) {
   for (const auto &Id : m_Queue.ticketsOf(Entry))
--- a/packages/process/src/group.h
+++ b/packages/process/src/group.h
@@ -52,6 +52,9 @@
   void quarantine(std::uint64_t Fingerprint, TimePoint Now,
                   Actions &Out) override;
   std::vector<std::uint64_t> quarantined() const override;
+  std::vector<CrashSuspect> suspects(TimePoint Now) const override;
+  void noteSuspects(std::span<const CrashSuspect> Suspects, TimePoint Now,
+                    Actions &Out) override;
   void forgetEntry(const VmName &Entry, TimePoint Now, Actions &Out) override;
   void updateDigest(const GroupDigest &Other, Duration LinkDelay,
                     TimePoint Now) override;
@@ -91,6 +94,7 @@
   void learn(const GrantedRequest &Item, const FinishReport &Report,
              TimePoint Now);
   void noteCrash(const GrantedRequest &Item, TimePoint Now, Actions &Out);
+  std::uint64_t crashOf(const GrantedRequest &Item) const;
   void refuseQuarantined(std::uint64_t Fingerprint, TimePoint Now,
                          Actions &Out);
   void dropOverdue(TimePoint Now);
--- a/packages/replay/include/mangodeck/replay/checkedgroup.h
+++ b/packages/replay/include/mangodeck/replay/checkedgroup.h
@@ -39,6 +39,9 @@
   void quarantine(std::uint64_t Fingerprint, TimePoint Now,
                   Actions &Out) override;
   std::vector<std::uint64_t> quarantined() const override;
+  std::vector<CrashSuspect> suspects(TimePoint Now) const override;
+  void noteSuspects(std::span<const CrashSuspect> Suspects, TimePoint Now,
+                    Actions &Out) override;
   void forgetEntry(const VmName &Entry, TimePoint Now, Actions &Out) override;
   void updateDigest(const GroupDigest &Other, Duration LinkDelay,
                     TimePoint Now) override;
--- a/packages/replay/src/checkedgroup.cpp
+++ b/packages/replay/src/checkedgroup.cpp
@@ -129,6 +129,17 @@
   return m_Checked->quarantined();
 }
 
+std::vector<CrashSuspect> CheckedGroup::suspects(TimePoint Now) const {
+  return m_Checked->suspects(Now);
+}
+
+void CheckedGroup::noteSuspects(std::span<const CrashSuspect> Suspects,
+                                TimePoint Now, Actions &Out) {
+  const auto From = Out.size();
+  m_Checked->noteSuspects(Suspects, Now, Out);
+  check(From, Out);
+}
+
 void CheckedGroup::forgetEntry(const VmName &Entry, TimePoint Now,
                                Actions &Out) {
   const auto From = Out.size();
--- a/packages/replay/src/grouppolicy.cpp
+++ b/packages/replay/src/grouppolicy.cpp
@@ -166,15 +166,17 @@
   for (const auto &[From, Item] : m_Groups) {
     const auto Digest = Item->digest(m_Context.Loop.now());
     const auto Quarantined = Item->quarantined();
+    const auto Suspects = Item->suspects(m_Context.Loop.now());
     for (const auto &[To, Other] : m_Groups) {
       if (To == From || !(To.Service == From.Service))
         continue;
       const auto Delay = m_Context.delay(From.Domain, To.Domain);
       callAfter(Delay, To,
-                [this, Digest, Delay, Quarantined](
-                    DispatchGroup &Group, DispatchGroup::Actions &Out) {
+                [this, Digest, Delay, Quarantined,
+                 Suspects](DispatchGroup &Group, DispatchGroup::Actions &Out) {
                   const auto Now = m_Context.Loop.now();
                   Group.updateDigest(Digest, Delay, Now);
+                  Group.noteSuspects(Suspects, Now, Out);
                   for (const auto Fingerprint : Quarantined)
                     Group.quarantine(Fingerprint, Now, Out);
                 });
