--- a/apps/mangodeckd/adminhandler.cpp
+++ b/apps/mangodeckd/adminhandler.cpp
@@ -21,8 +21,8 @@
     Problem Unknown;
     Unknown.Status = 404;
     Unknown.Type = "not-found";
-    Unknown.Detail = "no such admin path or method: " + Request.Method + ' ' +
-                     Path;
+    Unknown.Detail =
+        "no such admin path or method: " + Request.Method + ' ' + Path;
     respondWith(*Exchange, Unknown);
     return;
   }
--- a/apps/mangodeckd/daemon.cpp
+++ b/apps/mangodeckd/daemon.cpp
@@ -186,8 +186,8 @@
 }
 
 EntryPorts Daemon::Impl::portsOf(ShardParts &Parts) {
-  return {m_Options.Vm, Parts.Loop, m_Time,        Parts.Random, m_Config,
-          m_Owners,     m_Marks,    m_Router,      Parts.Targets, *m_Claims,
+  return {m_Options.Vm, Parts.Loop, m_Time,   Parts.Random,  m_Config,
+          m_Owners,     m_Marks,    m_Router, Parts.Targets, *m_Claims,
           m_Bodies,     *this,      *this};
 }
 
@@ -325,8 +325,8 @@
 
 void Daemon::Impl::updateDrain() {
   const auto Before = m_Phase.load();
-  const auto Now = m_Drain.update(m_Time.now(), m_CallerServer->openExchanges() +
-                                                    m_Entry->open());
+  const auto Now = m_Drain.update(
+      m_Time.now(), m_CallerServer->openExchanges() + m_Entry->open());
   if (Now == Before)
     return;
   m_Phase.store(Now);
@@ -449,8 +449,9 @@
                          Item["value"].get<std::string>()});
   }
   if (!IsValid)
-    return {400, "text/plain",
-            "body: allowed: a JSON array of {\"number\": N, \"value\": TEXT}\n"};
+    return {
+        400, "text/plain",
+        "body: allowed: a JSON array of {\"number\": N, \"value\": TEXT}\n"};
   m_ConfigAgent->offer(std::move(Entries));
   return {202, "application/json", "{}\n"};
 }
--- a/packages/process/src/configagent.cpp
+++ b/packages/process/src/configagent.cpp
@@ -40,8 +40,8 @@
 }
 
 ConfigAgent::ConfigAgent(Executor &Loop, const Clock &Time, Store &Source,
-                         RcuPointer<Snapshot> &Config,
-                         ConfigObserver &Observer, EventSink &Events)
+                         RcuPointer<Snapshot> &Config, ConfigObserver &Observer,
+                         EventSink &Events)
     : m_Loop(Loop), m_Time(Time), m_Source(Source), m_Config(Config),
       m_Observer(Observer), m_Events(Events), m_Follower(FollowerOptions{}) {}
 
@@ -75,19 +75,19 @@
 }
 
 void ConfigAgent::perform(const ConfigurationFollower::Actions &Actions) {
-  const auto Handle = Overload{
-      [this](const ReadStoreLog &A) { readLog(A); },
-      [this](const ReadStoreHead &) { readHead(); },
-      [this](const ReadStoreImage &) { readImage(); },
-      [this](const ReopenWatch &) { openWatch(); },
-      [this](const FetchFromPeer &A) {
-        m_Router->send(A.Peer, FetchRevisions{A.After});
-      },
-      [this](const PutInForce &A) { putInForce(A.Config); },
-      [](const SetAlarm &A) {
-        logEvent("config_alarm", "kind={} raised={} detail=\"{}\"",
-                 toString(A.Kind), A.Raised, A.Detail);
-      }};
+  const auto Handle =
+      Overload{[this](const ReadStoreLog &A) { readLog(A); },
+               [this](const ReadStoreHead &) { readHead(); },
+               [this](const ReadStoreImage &) { readImage(); },
+               [this](const ReopenWatch &) { openWatch(); },
+               [this](const FetchFromPeer &A) {
+                 m_Router->send(A.Peer, FetchRevisions{A.After});
+               },
+               [this](const PutInForce &A) { putInForce(A.Config); },
+               [](const SetAlarm &A) {
+                 logEvent("config_alarm", "kind={} raised={} detail=\"{}\"",
+                          toString(A.Kind), A.Raised, A.Detail);
+               }};
   for (const auto &Action : Actions)
     std::visit(Handle, Action);
   updateStatus();
@@ -130,18 +130,18 @@
 
 void ConfigAgent::readTail(std::optional<RecordImage> Image) {
   const RevisionNumber From = Image ? Image->Entry.Number + 1 : 1;
-  m_Source.range(
-      LogPrefix, logKey(From), 0,
-      [this, Image = std::move(Image)](Expected<std::vector<StoreEntry>> Reply) {
-        m_Loop.post([this, Image, Moved = std::move(Reply)] {
-          if (!Moved)
-            return m_Follower.onStoreFailed(m_Time.now());
-          ConfigurationFollower::Actions Out;
-          m_Follower.onStoreImage(Image, toLogEntries(*Moved), m_Time.now(),
-                                  Out);
-          perform(Out);
-        });
-      });
+  m_Source.range(LogPrefix, logKey(From), 0,
+                 [this, Image = std::move(Image)](
+                     Expected<std::vector<StoreEntry>> Reply) {
+                   m_Loop.post([this, Image, Moved = std::move(Reply)] {
+                     if (!Moved)
+                       return m_Follower.onStoreFailed(m_Time.now());
+                     ConfigurationFollower::Actions Out;
+                     m_Follower.onStoreImage(Image, toLogEntries(*Moved),
+                                             m_Time.now(), Out);
+                     perform(Out);
+                   });
+                 });
 }
 
 void ConfigAgent::putInForce(const SnapshotPtr &Config) {
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -40,8 +40,8 @@
   const auto Domains = domainsOf(Config, Request.Service);
   GroupId Group{Request.Service, Domain, 0};
   if (!Domains.empty() && !Domains.contains(Domain))
-    Group.Domain = *std::next(Domains.begin(),
-                              static_cast<std::ptrdiff_t>(Hash % Domains.size()));
+    Group.Domain = *std::next(
+        Domains.begin(), static_cast<std::ptrdiff_t>(Hash % Domains.size()));
   if (const auto *Found = Config.findService(Request.Service))
     Group.Slice = static_cast<std::uint32_t>(Hash % Found->SlicesPerDomain);
   return Group;
@@ -78,8 +78,8 @@
 void Entry::handle(std::shared_ptr<CallerExchange> Exchange) {
   // Step 1. A daemon that exits takes nothing more.
   if (!m_Admitting.load(std::memory_order_relaxed)) {
-    respondWith(*Exchange, describeRefusal({NotRunReason::Draining,
-                                            DrainingRetryDelay}));
+    respondWith(*Exchange,
+                describeRefusal({NotRunReason::Draining, DrainingRetryDelay}));
     return;
   }
 
--- a/packages/process/src/memberagent.cpp
+++ b/packages/process/src/memberagent.cpp
@@ -32,8 +32,8 @@
                          RcuPointer<TargetMarks> &Marks,
                          MemberObserver &Observer, EventSink &Events)
     : m_Loop(Loop), m_Time(Time), m_Sender(Sender), m_Owners(Owners),
-      m_Marks(Marks), m_Observer(Observer), m_Events(Events),
-      m_Vm(Options.Vm), m_Membership(std::move(Options), Random) {}
+      m_Marks(Marks), m_Observer(Observer), m_Events(Events), m_Vm(Options.Vm),
+      m_Membership(std::move(Options), Random) {}
 
 void MemberAgent::setGroups(std::vector<GroupId> Groups) {
   m_Groups = std::move(Groups);
@@ -72,11 +72,13 @@
 
 void MemberAgent::onChange(const MemberChanged &Change) {
   const auto &After = Change.After;
-  m_Events.record({eventOf(After), {}, After.Vm.Text,
+  m_Events.record({eventOf(After),
+                   {},
+                   After.Vm.Text,
                    fmt::format("start {}", After.Started)});
-  const bool IsSameState =
-      Change.Before && Change.Before->State == After.State &&
-      Change.Before->Leaving == After.Leaving;
+  const bool IsSameState = Change.Before &&
+                           Change.Before->State == After.State &&
+                           Change.Before->Leaving == After.Leaving;
   if (!IsSameState)
     logEvent("member_changed", "vm={} state={} leaving={}", After.Vm.Text,
              toString(After.State), After.Leaving);
@@ -89,8 +91,8 @@
 /// group and member, and waits for readers of the old table.
 void MemberAgent::rebuildOwners() {
   const auto Members = m_Membership.members();
-  m_Owners.replace(std::make_shared<const OwnerTable>(Members, m_Groups,
-                                                      ++m_TableVersion));
+  m_Owners.replace(
+      std::make_shared<const OwnerTable>(Members, m_Groups, ++m_TableVersion));
   m_Observer.onMembersChanged(Members);
 }
 
@@ -98,16 +100,16 @@
   const auto Value = decodeValue(Entry.Kind, Entry.Value);
   if (!Value)
     return;
-  const auto Handle = Overload{
-      [&](const LeavingTarget &V) {
-        mark(TargetName(Entry.Subject), V.Started);
-      },
-      [&](const Quarantine &V) { quarantine(V.Fingerprint); },
-      [&](const ConfigRevision &V) {
-        m_Observer.onRevisionHeard(Entry.Origin, V);
-      },
-      [&](const GroupDigest &V) { m_Observer.onDigest(V); },
-      [](const CustomerUse &) {}};
+  const auto Handle =
+      Overload{[&](const LeavingTarget &V) {
+                 mark(TargetName(Entry.Subject), V.Started);
+               },
+               [&](const Quarantine &V) { quarantine(V.Fingerprint); },
+               [&](const ConfigRevision &V) {
+                 m_Observer.onRevisionHeard(Entry.Origin, V);
+               },
+               [&](const GroupDigest &V) { m_Observer.onDigest(V); },
+               [](const CustomerUse &) {}};
   std::visit(Handle, *Value);
 }
 
--- a/packages/version/include/mangodeck/version/configurationsync.h
+++ b/packages/version/include/mangodeck/version/configurationsync.h
@@ -2,10 +2,10 @@
 #define MANGODECK_VERSION_CONFIGURATIONSYNC_H
 
 #include "mangodeck/common/clock.h"
+#include "mangodeck/common/executor.h"
 #include "mangodeck/version/configurationfollower.h"
 #include "mangodeck/version/store.h"
 
-#include <functional>
 #include <memory>
 
 namespace mangodeck {
@@ -19,15 +19,12 @@
   virtual void setAlarm(const SetAlarm &Alarm) = 0;
 };
 
-/// Runs a task later on the one thread or strand that owns the caller.
-using Executor = std::function<void(std::function<void()>)>;
-
 /// Connects a ConfigurationFollower to the store and to its daemon. All
-/// methods are called on one strand; the store's callbacks are moved there by
-/// the executor.
+/// methods are called on one executor, which also runs what the store's
+/// callbacks say.
 class ConfigurationSync {
 public:
-  ConfigurationSync(Store &Inner, ConfigurationOutput &Output, Executor Post,
+  ConfigurationSync(Store &Inner, ConfigurationOutput &Output, Executor &Loop,
                     const Clock &Time, FollowerOptions Options = {});
   ~ConfigurationSync();
 
@@ -58,7 +55,7 @@
 
   Store &m_Store;
   ConfigurationOutput &m_Output;
-  Executor m_Post;
+  Executor &m_Loop;
   const Clock &m_Clock;
   ConfigurationFollower m_Follower;
   /// Callbacks that arrive after the destruction find it expired.
--- a/packages/version/src/configurationsync.cpp
+++ b/packages/version/src/configurationsync.cpp
@@ -11,9 +11,9 @@
 } // namespace
 
 ConfigurationSync::ConfigurationSync(Store &Inner, ConfigurationOutput &Output,
-                                     Executor Post, const Clock &Time,
+                                     Executor &Loop, const Clock &Time,
                                      FollowerOptions Options)
-    : m_Store(Inner), m_Output(Output), m_Post(std::move(Post)), m_Clock(Time),
+    : m_Store(Inner), m_Output(Output), m_Loop(Loop), m_Clock(Time),
       m_Follower(Options),
       m_Alive(std::make_shared<ConfigurationSync *>(this)) {}
 
@@ -23,9 +23,9 @@
 /// runs on the strand and only while this object lives.
 template <typename T, typename Function>
 Store::Callback<T> ConfigurationSync::onStrand(Function Handle) {
-  return [Post = m_Post, Alive = std::weak_ptr(m_Alive),
+  return [&Loop = m_Loop, Alive = std::weak_ptr(m_Alive),
           Handle = std::move(Handle)](Expected<T> Result) {
-    Post([Alive, Handle, Result = std::move(Result)] {
+    Loop.post([Alive, Handle, Result = std::move(Result)] {
       if (const auto Self = Alive.lock())
         Handle(**Self, Result);
     });
--- a/packages/version/test/configurationsync_test.cpp
+++ b/packages/version/test/configurationsync_test.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <deque>
 #include <memory>
 
 namespace mangodeck {
@@ -18,6 +19,27 @@
 /// How often a daemon tells one other daemon what it knows.
 constexpr int StepsPerGossip = 10;
 
+/// Runs posted work once it is told to.
+class StepExecutor : public Executor {
+public:
+  void post(std::function<void()> Work) override {
+    m_Work.push_back(std::move(Work));
+  }
+  void postAfter(Duration, std::function<void()> Work) override {
+    post(std::move(Work));
+  }
+  void runAll() {
+    while (!m_Work.empty()) {
+      const auto Work = std::move(m_Work.front());
+      m_Work.pop_front();
+      Work();
+    }
+  }
+
+private:
+  std::deque<std::function<void()>> m_Work;
+};
+
 /// One daemon of the fleet: follows, answers peers, and checks that the
 /// revision in force never falls.
 class FakeDaemon : public ConfigurationOutput {
@@ -33,9 +55,8 @@
     InForce.reset();
     Sync.reset();
     Fetches.clear();
-    Sync = std::make_unique<ConfigurationSync>(
-        View, *this, [](std::function<void()> Task) { Task(); }, m_Clock,
-        m_Options);
+    Sync = std::make_unique<ConfigurationSync>(View, *this, m_Loop, m_Clock,
+                                               m_Options);
     Sync->start();
   }
 
@@ -48,7 +69,15 @@
   }
   void setAlarm(const SetAlarm &) override {}
 
-  RevisionNumber number() const { return InForce ? InForce->Revision : 0; }
+  RevisionNumber number() {
+    m_Loop.runAll();
+    return InForce ? InForce->Revision : 0;
+  }
+  void tick() {
+    m_Loop.runAll();
+    Sync->tick();
+    m_Loop.runAll();
+  }
   bool hasAlarm(ConfigurationAlarm Kind) const {
     return Sync->follower().alarms().contains(Kind);
   }
@@ -60,6 +89,7 @@
   std::unique_ptr<ConfigurationSync> Sync;
 
 private:
+  StepExecutor m_Loop;
   const Clock &m_Clock;
   FollowerOptions m_Options;
 };
@@ -292,7 +322,7 @@
       m_Clock.advance(StepLength);
       ++m_Step;
       for (std::size_t I = 0; I < m_Fleet.size(); ++I) {
-        m_Fleet[I]->Sync->tick();
+        m_Fleet[I]->tick();
         if ((m_Step + static_cast<int>(I)) % StepsPerGossip == 0)
           gossip(*m_Fleet[I], *m_Fleet[m_Random.below(m_Fleet.size())]);
         answerFetches(*m_Fleet[I]);
