connection: an exchange may outlive its caller server

Cause: the thread sanitizer showed a use after free when an exchange that the handler still held was destroyed after the server: RESTinio's connection limiter is referred to by each connection and lives in the server.

Change: connections are limited by RESTinio's hook for incoming connections, with a counter of our own; the loop is kept by its exchanges.

Conclusion: exchanges stay valid and do nothing after the server's end.

--- a/packages/connection/src/callerserver.cpp
+++ b/packages/connection/src/callerserver.cpp
@@ -30,15 +30,16 @@
 constexpr std::size_t RegistryShards = 16;
 constexpr auto FlushPollPeriod = std::chrono::milliseconds(5);
 
-/// Counters shared by a server and its exchanges.
+/// What a server shares with its exchanges and their writes.
 struct ServerState {
-  asio::io_context Loop;
   std::atomic<bool> Closing{false};
+  std::atomic<std::size_t> Connections{0};
   std::atomic<std::size_t> OpenExchanges{0};
   std::atomic<std::size_t> PendingBytes{0};
 };
 
 using ServerStatePtr = std::shared_ptr<ServerState>;
+using LoopPtr = std::shared_ptr<asio::io_context>;
 using ByteCounter = std::shared_ptr<std::atomic<std::size_t>>;
 
 /// Counts bytes as pending for as long as it lives; it belongs to one write,
@@ -153,9 +154,10 @@
 class Exchange : public CallerExchange,
                  public std::enable_shared_from_this<Exchange> {
 public:
-  Exchange(ServerStatePtr State, ExchangeRegistryPtr Registry,
+  Exchange(LoopPtr Loop, ServerStatePtr State, ExchangeRegistryPtr Registry,
            restinio::request_t &Incoming)
-      : m_State(std::move(State)), m_Registry(std::move(Registry)),
+      : m_Loop(std::move(Loop)), m_State(std::move(State)),
+        m_Registry(std::move(Registry)),
         m_Connection(restinio::impl::access_req_connection(Incoming)),
         m_ConnectionId(Incoming.connection_id()),
         m_RequestId(Incoming.request_id()),
@@ -303,6 +305,7 @@
     m_Registry->remove(m_ConnectionId, this);
   }
 
+  LoopPtr m_Loop; ///< Outlives the connection, which belongs to it.
   ServerStatePtr m_State;
   ExchangeRegistryPtr m_Registry;
   restinio::impl::connection_handle_t m_Connection;
@@ -319,25 +322,48 @@
   std::function<void()> m_HangUp;
 };
 
-/// Tells exchanges that their connection closed.
+/// Counts connections, and tells exchanges that theirs closed.
 class ConnectionListener {
 public:
-  explicit ConnectionListener(ExchangeRegistryPtr Registry)
-      : m_Registry(std::move(Registry)) {}
+  ConnectionListener(ServerStatePtr State, ExchangeRegistryPtr Registry)
+      : m_State(std::move(State)), m_Registry(std::move(Registry)) {}
 
   // NOLINTNEXTLINE(readability-identifier-naming): named by RESTinio.
   void state_changed(const restinio::connection_state::notice_t &Notice) {
-    using restinio::connection_state::closed_t;
+    using namespace restinio::connection_state;
+    if (restinio::holds_alternative<accepted_t>(Notice.cause()))
+      ++m_State->Connections;
     if (!restinio::holds_alternative<closed_t>(Notice.cause()))
       return;
+    --m_State->Connections;
     for (const auto &Entry : m_Registry->takeAll(Notice.connection_id()))
       Entry->hangUp();
   }
 
 private:
+  ServerStatePtr m_State;
   ExchangeRegistryPtr m_Registry;
 };
 
+/// Refuses connections over the limit. RESTinio's own limiter is not used: its
+/// connections refer to the server, which an exchange may outlive.
+class ConnectionLimit {
+public:
+  ConnectionLimit(ServerStatePtr State, std::size_t Limit)
+      : m_State(std::move(State)), m_Limit(Limit) {}
+
+  restinio::ip_blocker::inspection_result_t
+  inspect(const restinio::ip_blocker::incoming_info_t &) const noexcept {
+    return m_State->Connections < m_Limit
+               ? restinio::ip_blocker::inspection_result_t::allow
+               : restinio::ip_blocker::inspection_result_t::deny;
+  }
+
+private:
+  ServerStatePtr m_State;
+  const std::size_t m_Limit;
+};
+
 struct ServerTraits : public restinio::traits_t<
                           restinio::asio_timer_manager_t, ParserErrorLogger,
                           std::function<restinio::request_handling_status_t(
@@ -345,7 +371,7 @@
                           restinio::default_strand_t, CallerSocket> {
   // NOLINTBEGIN(readability-identifier-naming): named by RESTinio.
   using connection_state_listener_t = ConnectionListener;
-  static constexpr bool use_connection_count_limiter = true;
+  using ip_blocker_t = ConnectionLimit;
   // NOLINTEND(readability-identifier-naming)
 };
 
@@ -376,6 +402,7 @@
 public:
   Impl(CallerServerOptions Options, CallerHandler &Handler)
       : m_Options(std::move(Options)), m_Handler(Handler),
+        m_Loop(std::make_shared<asio::io_context>()),
         m_State(std::make_shared<ServerState>()),
         m_Registry(std::make_shared<ExchangeRegistry>()) {}
 
@@ -395,7 +422,7 @@
       return Errc::InvalidInput;
     }
     for (std::size_t I = 0; I < m_Options.Threads; ++I)
-      m_Threads.emplace_back([this] { m_State->Loop.run(); });
+      m_Threads.emplace_back([this] { m_Loop->run(); });
     return {};
   }
 
@@ -419,7 +446,7 @@
     const auto End = std::chrono::steady_clock::now() + FlushTime;
     while (m_State->PendingBytes > 0 && std::chrono::steady_clock::now() < End)
       std::this_thread::sleep_for(FlushPollPeriod);
-    m_State->Loop.stop();
+    m_Loop->stop();
     for (auto &Worker : m_Threads)
       Worker.join();
     m_Threads.clear();
@@ -430,7 +457,7 @@
   void openServer(const Endpoint &Address) {
     using Settings = restinio::server_settings_t<ServerTraits>;
     m_Server = std::make_unique<HttpServer>(
-        restinio::external_io_context(m_State->Loop),
+        restinio::external_io_context(*m_Loop),
         [this, &Address](Settings &S) { configure(S, Address); });
     m_Server->open_sync();
   }
@@ -439,7 +466,8 @@
                  const Endpoint &Address) {
     Settings.address(asio::ip::make_address(Address.Ip))
         .port(Address.Port)
-        .max_parallel_connections(m_Options.MaxConnections)
+        .ip_blocker(std::make_shared<ConnectionLimit>(m_State,
+                                                      m_Options.MaxConnections))
         .max_pipelined_requests(PipelinedRequests)
         .read_next_http_message_timelimit(m_Options.ReadTimeout)
         .write_http_response_timelimit(m_Options.WriteTimeout)
@@ -458,7 +486,7 @@
                 .max_field_count(m_Options.MaxHeaderCount)
                 .max_body_size(m_Options.MaxBodyBytes))
         .connection_state_listener(
-            std::make_shared<ConnectionListener>(m_Registry))
+            std::make_shared<ConnectionListener>(m_State, m_Registry))
         .request_handler([this](restinio::request_handle_t Incoming) {
           return handle(*Incoming);
         });
@@ -467,7 +495,7 @@
   restinio::request_handling_status_t handle(restinio::request_t &Incoming) {
     CallerSocket::noteRequest();
     const auto Entry =
-        std::make_shared<Exchange>(m_State, m_Registry, Incoming);
+        std::make_shared<Exchange>(m_Loop, m_State, m_Registry, Incoming);
     m_Registry->add(Incoming.connection_id(), Entry);
     m_Handler.handle(Entry);
     return restinio::request_accepted();
@@ -475,6 +503,7 @@
 
   const CallerServerOptions m_Options;
   CallerHandler &m_Handler;
+  LoopPtr m_Loop;
   ServerStatePtr m_State;
   ExchangeRegistryPtr m_Registry;
   std::unique_ptr<HttpServer> m_Server;
--- a/packages/connection/test/callerserver_test.cpp
+++ b/packages/connection/test/callerserver_test.cpp
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(input_malformed_isToldAndNotRun);
   CPPUNIT_TEST(input_oversized_isToldAndNotRun);
   CPPUNIT_TEST(input_malformedAfterARequest_isNotAnsweredInItsPlace);
+  CPPUNIT_TEST(connections_overTheLimit_areRefused);
+  CPPUNIT_TEST(exchange_outlivesServer_doesNothing);
   CPPUNIT_TEST(address_inUse_startFails);
   CPPUNIT_TEST(address_malformed_startFails);
   CPPUNIT_TEST(server_stopsAccepting_finishesOpenRequest);
@@ -224,6 +226,35 @@
     CPPUNIT_ASSERT(HungUp.await());
   }
 
+  void connections_overTheLimit_areRefused() {
+    start({.MaxConnections = 1});
+    RawCaller First(m_Server->port());
+    First.send(Get);
+    CPPUNIT_ASSERT(m_Handler.await(0));
+    const RawCaller Second(m_Server->port());
+    CPPUNIT_ASSERT_EQUAL(std::string(), Second.readAll());
+    Signal HungUp;
+    m_Handler.await(0)->onHangUp([&HungUp] { HungUp.raise(); });
+    First.close();
+    CPPUNIT_ASSERT(HungUp.await());
+    const RawCaller Third(m_Server->port());
+    Third.send(Get);
+    CPPUNIT_ASSERT(m_Handler.await(1));
+  }
+
+  /// Failed under the thread sanitizer while RESTinio limited connections.
+  void exchange_outlivesServer_doesNothing() {
+    const RawCaller Caller(m_Server->port());
+    Caller.send(Get);
+    const auto Exchange = m_Handler.await(0);
+    CPPUNIT_ASSERT(Exchange);
+    Exchange->begin(200, {});
+    m_Server->stop(Duration{0});
+    m_Server.reset();
+    Exchange->write("late");
+    Exchange->finish();
+  }
+
   void address_inUse_startFails() {
     CallerServerOptions Options;
     Options.Address = fmt::format("127.0.0.1:{}", m_Server->port());
