--- a/packages/connection/include/mangodeck/connection/peertransport.h
+++ b/packages/connection/include/mangodeck/connection/peertransport.h
@@ -95,6 +95,10 @@
 
   std::vector<PeerStatistics> statistics() const;
 
+  /// Sums over all peers since the start, also those that are gone; Peer is
+  /// empty and Connected tells whether any is.
+  PeerStatistics totals() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/packages/connection/src/peertable.cpp
+++ b/packages/connection/src/peertable.cpp
@@ -55,6 +55,33 @@
   return {reinterpret_cast<const char *>(Bytes), sizeof Bytes};
 }
 
+PeerStatistics readCounters(const Peer &Entry) {
+  return {Entry.Vm,
+          Entry.Connected,
+          Entry.MessagesSent,
+          Entry.MessagesReceived,
+          Entry.BytesSent,
+          Entry.BytesReceived,
+          Entry.MessagesDropped,
+          Entry.MessagesRejected,
+          Entry.Connections,
+          Entry.Queue.messages(),
+          Entry.Queue.bytes()};
+}
+
+void add(PeerStatistics &Sum, const PeerStatistics &Part) {
+  Sum.Connected = Sum.Connected || Part.Connected;
+  Sum.MessagesSent += Part.MessagesSent;
+  Sum.MessagesReceived += Part.MessagesReceived;
+  Sum.BytesSent += Part.BytesSent;
+  Sum.BytesReceived += Part.BytesReceived;
+  Sum.MessagesDropped += Part.MessagesDropped;
+  Sum.MessagesRejected += Part.MessagesRejected;
+  Sum.Connections += Part.Connections;
+  Sum.QueuedMessages += Part.QueuedMessages;
+  Sum.QueuedBytes += Part.QueuedBytes;
+}
+
 } // namespace
 
 PeerTable::PeerTable(asio::io_context &Context, PeerTransportOptions Options,
@@ -183,23 +210,33 @@
 
 void PeerTable::erase(const VmName &Name) {
   const std::unique_lock Guard(m_Lock);
-  m_Peers.erase(Name);
+  const auto It = m_Peers.find(Name);
+  if (It == m_Peers.end())
+    return;
+  add(m_Gone, readCounters(*It->second));
+  m_Gone.Connected = false;
+  m_Gone.QueuedMessages = m_Gone.QueuedBytes = 0;
+  m_Peers.erase(It);
 }
 
 std::vector<PeerStatistics> PeerTable::statistics() const {
   std::vector<PeerStatistics> Result;
   const std::shared_lock Guard(m_Lock);
   for (const auto &[Name, Entry] : m_Peers)
-    Result.push_back({Name, Entry->Connected, Entry->MessagesSent,
-                      Entry->MessagesReceived, Entry->BytesSent,
-                      Entry->BytesReceived, Entry->MessagesDropped,
-                      Entry->MessagesRejected, Entry->Connections,
-                      Entry->Queue.messages(), Entry->Queue.bytes()});
+    Result.push_back(readCounters(*Entry));
   std::sort(Result.begin(), Result.end(),
             [](const auto &A, const auto &B) { return A.Peer < B.Peer; });
   return Result;
 }
 
+PeerStatistics PeerTable::totals() const {
+  const std::shared_lock Guard(m_Lock);
+  auto Sum = m_Gone;
+  for (const auto &[Name, Entry] : m_Peers)
+    add(Sum, readCounters(*Entry));
+  return Sum;
+}
+
 bool PeerTable::isFlushed() const {
   return std::none_of(
       m_Connections.begin(), m_Connections.end(), [](const auto &Item) {
--- a/packages/connection/src/peertable.h
+++ b/packages/connection/src/peertable.h
@@ -58,6 +58,7 @@
   bool send(const VmName &To, const PeerMessage &Message);
   void setPeers(std::span<const PeerAddress> Peers);
   std::vector<PeerStatistics> statistics() const;
+  PeerStatistics totals() const;
   std::uint16_t port() const { return m_Port; }
 
   // Before the thread starts.
@@ -110,7 +111,8 @@
   std::array<char, 64 << 10> m_ReadBuffer;
   std::set<ConnectionPtr> m_Connections;
 
-  mutable std::shared_mutex m_Lock; ///< Guards m_Peers, not the peers.
+  mutable std::shared_mutex m_Lock; ///< Guards these two, not the peers.
+  PeerStatistics m_Gone;            ///< Of peers that were erased.
   std::unordered_map<VmName, PeerPtr> m_Peers;
 };
 
--- a/packages/connection/src/peertransport.cpp
+++ b/packages/connection/src/peertransport.cpp
@@ -90,4 +90,8 @@
   return m_Impl->table().statistics();
 }
 
+PeerStatistics PeerTransport::totals() const {
+  return m_Impl->table().totals();
+}
+
 } // namespace mangodeck
--- a/packages/connection/test/peertransport_test.cpp
+++ b/packages/connection/test/peertransport_test.cpp
@@ -129,6 +129,8 @@
     CPPUNIT_ASSERT(m_A.Handler.waitFor([&] { return m_A.Handler.Lost == 1; }));
     CPPUNIT_ASSERT(m_A.Transport.flush(10s));
     CPPUNIT_ASSERT(!m_A.Transport.send(VmName("vm-b"), FetchRevisions{2}));
+    CPPUNIT_ASSERT(m_A.Transport.statistics().empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_A.Transport.totals().MessagesSent);
   }
 
   void transport_queueFull_refusesMessages() {
--- /dev/null
+++ b/packages/process/include/mangodeck/process/metrics.h
@@ -0,0 +1,73 @@
+#ifndef MANGODECK_PROCESS_METRICS_H
+#define MANGODECK_PROCESS_METRICS_H
+
+#include "mangodeck/process/entryobserver.h"
+#include "mangodeck/process/member.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangodeck {
+
+/// State and totals that other parts of the daemon keep themselves; taken
+/// together when metrics are read.
+struct MetricsSample {
+  std::vector<std::uint32_t> WaitingPerTier; ///< In groups owned here.
+  std::map<MemberState, std::uint64_t> Members;
+  std::uint64_t RevisionInForce = 0;
+  bool StoreUp = true;
+  std::uint64_t OpenRequests = 0;
+  std::uint64_t WaitingBodyBytes = 0;
+  std::uint64_t PeersConnected = 0;
+  // Totals since the start.
+  std::uint64_t PeerMessagesSent = 0;
+  std::uint64_t PeerMessagesReceived = 0;
+  std::uint64_t PeerMessagesDropped = 0;
+  std::uint64_t PeerMessagesRejected = 0;
+  std::uint64_t PeerBytesSent = 0;
+  std::uint64_t PeerBytesReceived = 0;
+  std::uint64_t PeerConnections = 0;
+  std::uint64_t GossipPacketsSent = 0;
+  std::uint64_t GossipBytesSent = 0;
+  std::uint64_t WrongAnswers = 0;
+  std::uint64_t EventsOverwritten = 0;
+};
+
+/// The daemon's metrics, served in Prometheus's text format; docs/METRICS.md
+/// lists them. Safe from any thread.
+class Metrics : public EntryObserver {
+public:
+  Metrics();
+  ~Metrics() override;
+
+  void onAccepted(const Ticket &Request) override;
+  void onDispatched(const Ticket &Request) override;
+  void onGrantReturned(ReturnReason Reason) override;
+  void onResumed() override;
+  void onHangUp() override;
+  void onEnded(const RequestSummary &Summary) override;
+
+  /// \p Kind is the call, e.g. "get"; \p Result "ok" or an error's name.
+  void countStoreCall(std::string_view Kind, std::string_view Result);
+
+  /// \p Cause is e.g. "authentication" or "malformed".
+  void countDatagramDropped(std::string_view Cause);
+
+  /// Takes \p Sample over and writes all metrics.
+  std::string serialize(const MetricsSample &Sample);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+/// Stable identifier for metrics and logs, e.g. "target-leaving".
+std::string_view toString(ReturnReason Reason);
+
+} // namespace mangodeck
+
+#endif
