--- /dev/null
+++ b/apps/mangodeck/adminclient.h
@@ -0,0 +1,29 @@
+#ifndef MANGODECK_APPS_MANGODECK_ADMINCLIENT_H
+#define MANGODECK_APPS_MANGODECK_ADMINCLIENT_H
+
+#include "mangodeck/common/error.h"
+#include "mangodeck/common/units.h"
+
+#include <string>
+#include <string_view>
+
+namespace mangodeck {
+
+/// An answer of a daemon's admin listener.
+struct AdminResponse {
+  long Status = 0; ///< HTTP status.
+  std::string Body;
+};
+
+/// Calls a daemon's admin listener at \p Address (IP:PORT). With a \p Body the
+/// call is a POST, without it a GET. Errc::InvalidInput if \p Address is no
+/// IP:PORT, Errc::Unavailable if the daemon cannot be reached, Errc::Timeout
+/// after \p Limit, Errc::LimitExceeded for an answer above 64 MiB.
+Expected<AdminResponse> callAdmin(std::string_view Address,
+                                  std::string_view Path,
+                                  std::string_view Body = {},
+                                  Duration Limit = 5s);
+
+} // namespace mangodeck
+
+#endif
--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -1,5 +1,6 @@
 #include "command.h"
 #include "replaycommand.h"
+#include "timelinecommand.h"
 
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 static std::vector<std::unique_ptr<Command>> makeCommands() {
   std::vector<std::unique_ptr<Command>> Commands;
   Commands.push_back(std::make_unique<ReplayCommand>());
+  Commands.push_back(std::make_unique<TimelineCommand>());
   return Commands;
 }
 
--- /dev/null
+++ b/apps/mangodeck/timelinecommand.h
@@ -0,0 +1,36 @@
+#ifndef MANGODECK_APPS_MANGODECK_TIMELINECOMMAND_H
+#define MANGODECK_APPS_MANGODECK_TIMELINECOMMAND_H
+
+#include "command.h"
+
+#include "mangodeck/process/timelineformat.h"
+
+#include <string>
+#include <vector>
+
+namespace mangodeck {
+
+/// "mangodeck timeline": merges the events of daemons and prints them. Exits
+/// with ExitFailure if a daemon could not be asked; what the others gave is
+/// printed all the same.
+class TimelineCommand : public Command {
+public:
+  CLI::App *declare(CLI::App &Parent) override;
+  int run() override;
+
+private:
+  Expected<DaemonEvents> fetch(const std::string &Address) const;
+  Expected<DaemonEvents> fetchPage(const std::string &Address,
+                                   HybridTime After) const;
+  std::string format(std::span<const MergedEvent> Events) const;
+
+  std::vector<std::string> m_Daemons;
+  std::string m_Request;
+  std::string m_After = "0.0";
+  std::string m_Format = "text";
+  bool m_Json = false;
+};
+
+} // namespace mangodeck
+
+#endif
