connection: accept goes on after an error; tests stop their transports

Cause: an accept that fails at once, such as for lack of file descriptors, would have been tried without pause; ThreadSanitizer showed a test that read a count while the transport still ran. Change: the next tick accepts again; tearDown stops the transports, counts are atomic. The retry after a failed accept has no test.

--- a/packages/connection/include/mangodeck/connection/peertransport.h
+++ b/packages/connection/include/mangodeck/connection/peertransport.h
@@ -79,7 +79,8 @@
   void stop();
 
   /// Waits until all messages for connected peers are handed to the network,
-  /// at most \p Limit. Returns whether they are. Not from the handler.
+  /// at most \p Limit. Returns whether they are. Not from the handler, and not
+  /// while another thread calls stop().
   bool flush(Duration Limit);
 
   /// Sets the peers that messages may be sent to; connections to peers that
--- a/packages/connection/src/peertable.cpp
+++ b/packages/connection/src/peertable.cpp
@@ -279,10 +279,16 @@
   Entry.NextDial = m_Clock.now() + fromSeconds(toSeconds(Delay) * Share);
 }
 
+/// After an error, such as a lack of file descriptors, the next tick tries
+/// again.
 void PeerTable::accept() {
   m_Acceptor.async_accept([this](std::error_code Error, tcp::socket Socket) {
     if (m_Closing)
       return;
+    if (Error) {
+      m_AcceptFailed = true;
+      return;
+    }
     const auto Unproven = std::count_if(
         m_Connections.begin(), m_Connections.end(), [](const auto &Item) {
           return !Item->isAuthenticated() && Item->role() == PeerRole::Acceptor;
@@ -440,6 +446,8 @@
       Connection->excuseSilence();
     checkLiveness(*Connection, Now);
   }
+  if (std::exchange(m_AcceptFailed, false))
+    accept();
   std::vector<PeerPtr> ToDial;
   {
     const std::shared_lock Guard(m_Lock);
--- a/packages/connection/src/peertable.h
+++ b/packages/connection/src/peertable.h
@@ -106,6 +106,7 @@
   asio::steady_timer m_Timer;
   std::uint16_t m_Port = 0;
   bool m_Closing = false;
+  bool m_AcceptFailed = false;
   TimePoint m_LastTick;
   TimePoint m_NextRefusalLog;
   std::array<char, 64 << 10> m_ReadBuffer;
--- a/packages/connection/test/peersupport.h
+++ b/packages/connection/test/peersupport.h
@@ -7,6 +7,7 @@
 #include <asio.hpp>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <future>
@@ -53,8 +54,8 @@
   }
 
   std::vector<PeerMessage> Messages;
-  int Connected = 0;
-  int Lost = 0;
+  std::atomic<int> Connected{0};
+  std::atomic<int> Lost{0};
   std::function<void(const VmName &)> OnConnected;
 
 private:
--- a/packages/connection/test/peertransport_test.cpp
+++ b/packages/connection/test/peertransport_test.cpp
@@ -33,8 +33,9 @@
   }
 
   void tearDown() override {
-    m_A.Handler.OnConnected = nullptr;
     m_B.Handler.block(false);
+    m_A.Transport.stop();
+    m_B.Transport.stop();
   }
 
   void transport_everyKindBothWays_arrivesInOrder() {
@@ -50,7 +51,7 @@
       CPPUNIT_ASSERT_EQUAL(I, m_B.Handler.Messages[I].index());
       CPPUNIT_ASSERT_EQUAL(I, m_A.Handler.Messages[I].index());
     }
-    CPPUNIT_ASSERT_EQUAL(1, m_A.Handler.Connected);
+    CPPUNIT_ASSERT_EQUAL(1, m_A.Handler.Connected.load());
     const auto Counted = m_A.Transport.statistics().at(0);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(15), Counted.MessagesSent);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(15), Counted.MessagesReceived);
@@ -60,7 +61,7 @@
   void transport_relayGoesSilent_opensNewConnectionAndTells() {
     SilentRelay Relay(m_B.Transport.port());
     const auto Ticket = sampleTicket(m_A.Source.now());
-    m_A.Handler.OnConnected = [&](const VmName &Peer) {
+    m_A.Handler.OnConnected = [this, Ticket](const VmName &Peer) {
       m_A.Transport.send(Peer, Ticket);
     };
     m_A.listPeer("vm-b", PeerDaemon::addressOf(Relay.port()));
@@ -73,7 +74,7 @@
     CPPUNIT_ASSERT(m_B.Handler.waitForMessages(3));
     const auto &Last = std::get<SubmitTicket>(m_B.Handler.Messages.back());
     CPPUNIT_ASSERT(Last.Request.Id == Ticket.Request.Id);
-    CPPUNIT_ASSERT_EQUAL(1, m_A.Handler.Lost);
+    CPPUNIT_ASSERT_EQUAL(1, m_A.Handler.Lost.load());
   }
 
   /// Whichever attempt wins, both ends agree on one connection, and what is
@@ -191,8 +192,8 @@
     m_A.listPeer("vm-b", m_B.address());
     m_A.Transport.send(VmName("vm-b"), FetchRevisions{1});
     CPPUNIT_ASSERT(m_B.Handler.waitForMessages(1));
-    CPPUNIT_ASSERT_EQUAL(0, C.Handler.Connected);
-    CPPUNIT_ASSERT_EQUAL(1, m_A.Handler.Connected);
+    CPPUNIT_ASSERT_EQUAL(0, C.Handler.Connected.load());
+    CPPUNIT_ASSERT_EQUAL(1, m_A.Handler.Connected.load());
   }
 
   void transport_newerPeer_unknownPartsAreLeftOut() {
@@ -230,7 +231,7 @@
     char Byte[256];
     while (!Error)
       Socket.read_some(asio::buffer(Byte), Error);
-    CPPUNIT_ASSERT_EQUAL(0, m_A.Handler.Connected);
+    CPPUNIT_ASSERT_EQUAL(0, m_A.Handler.Connected.load());
   }
 
   void transport_message_carriesTheHybridClock() {
