members: fewer duplicates of rumors, faster comparison after arrivals

Cause: after a change of many members at once, rumors went on being repeated long after all knew them (2 kB/s per member a minute after 360 joined), and a member whose comparison found an empty budget waited 5 s for the next one.

Change: a rumor heard again is passed on less often; an arrival brings the next comparison forward.

At 200 and more the byte budget bounds the joining of all members at once.

--- a/packages/process/include/mangodeck/process/membership.h
+++ b/packages/process/include/mangodeck/process/membership.h
@@ -139,6 +139,7 @@
 
   void takeRumor(const Member &Rumor, TimePoint Now, Actions &Out);
   void takeEntry(const GossipEntry &Entry, TimePoint Now, Actions &Out);
+  void noteDuplicate(const Member &Rumor);
   void refute(const Member &Rumor);
   void answer(const Packet &Message, std::string_view Source, TimePoint Now,
               Actions &Out);
--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -21,6 +21,7 @@
 constexpr Duration SyncInterval = 5s;
 /// Between comparisons while the last one showed differences.
 constexpr Duration FastSyncInterval = 1s;
+constexpr std::uint32_t SendsSavedPerDuplicate = 3;
 constexpr Duration ExpiryInterval = 1s;
 constexpr Duration ReminderInterval = 1s;
 constexpr Duration ContactInterval = 1s;
@@ -187,10 +188,14 @@
     return;
   }
   std::optional<Member> Before;
-  if (!m_Members->merge(Rumor, Now, Before))
+  if (!m_Members->merge(Rumor, Now, Before)) {
+    noteDuplicate(Rumor);
     return;
+  }
   auto &Found = *m_Members->find(Rumor.Vm);
   m_Gossip->spread(Found);
+  if (!Before)
+    m_NextSync = std::min(m_NextSync, Now + FastSyncInterval);
   if (Found.Known.State == MemberState::Suspect)
     Found.SuspectUntil = Now + suspicionTime(m_Members->liveCount());
   const bool Visible = !Before || Before->State != Found.Known.State ||
@@ -201,6 +206,19 @@
     Out.push_back(MemberChanged{Before, Found.Known});
 }
 
+/// A rumor that comes again has spread already, and is passed on less often
+/// from here (rumor mongering with feedback; Demers et al., 1987). This saves
+/// most of the duplicates when many members change at once.
+void Membership::noteDuplicate(const Member &Rumor) {
+  auto *Found = m_Members->find(Rumor.Vm);
+  if (!Found || Found->SendsLeft == 0 ||
+      Found->Known.Started != Rumor.Started ||
+      Found->Known.Refutation != Rumor.Refutation ||
+      Found->Known.State != Rumor.State)
+    return;
+  Found->SendsLeft -= std::min(Found->SendsLeft, SendsSavedPerDuplicate);
+}
+
 /// Outranks a rumor about this daemon itself that is not true: a suspicion or
 /// death by a higher refutation, an earlier process of the same VM with a
 /// clock ahead of ours by a later start.
@@ -245,7 +263,9 @@
                             TimePoint Now, Actions &Out) {
   if (Message.Sender.Vm == self().Vm)
     return;
-  takeRumor(Message.Sender, Now, Out);
+  const auto *Known = find(Message.Sender.Vm);
+  if (!Known || *Known != Message.Sender)
+    takeRumor(Message.Sender, Now, Out);
   for (const auto &Rumor : Message.Members)
     takeRumor(Rumor, Now, Out);
   for (const auto &Entry : Message.Entries)
