claims: keyed non-idempotent requests run at most once

Change: ClaimRegistry creates once/CUSTOMER/HASH by compare-and-swap with a nonce per attempt; a call without an answer is repeated with the same nonce; a claim that was given up is replaced by a released one, so that a late call fails.

--- /dev/null
+++ b/packages/process/test/claimregistry_test.cpp
@@ -0,0 +1,280 @@
+#include "mangodeck/process/claimregistry.h"
+
+#include "explorer.h"
+#include "scriptedstore.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace mangodeck {
+
+namespace {
+
+/// Distinct numbers at little cost.
+class CountingRandom : public RandomSource {
+public:
+  explicit CountingRandom(std::uint64_t First) : m_Last(First << 32) {}
+  std::uint64_t next() override { return ++m_Last; }
+
+private:
+  std::uint64_t m_Last;
+};
+
+/// Always the same number: takes the guard of the nonce out.
+class ConstantRandom : public RandomSource {
+public:
+  std::uint64_t next() override { return 7; }
+};
+
+struct Faults {
+  bool SharedNonce = false;
+  bool StoreOverwrites = false;
+  bool LostMeansGranted = false; ///< The caller takes silence for a claim.
+};
+
+/// Daemons that each receive the same keyed request once. The explorer decides
+/// in which order calls are settled, how, and which daemon crashes when.
+class ClaimScenario {
+public:
+  ClaimScenario(Explorer &Choices, Faults Broken)
+      : m_Choices(Choices), m_Broken(Broken) {
+    m_Store.IgnoresExpectedRevision = Broken.StoreOverwrites;
+    for (std::size_t I = 0; I < m_Daemons.size(); ++I)
+      start(I);
+  }
+
+  void run() {
+    while (step()) {
+    }
+  }
+
+  int dispatches() const { return m_Dispatches; }
+  bool truthful() const { return m_Truthful; }
+
+private:
+  static constexpr int FaultBudget = 3;
+
+  struct Daemon {
+    std::unique_ptr<ScriptedConnection> Connection;
+    std::unique_ptr<CountingRandom> Random;
+    std::unique_ptr<ClaimRegistry> Registry;
+    bool Alive = true;
+  };
+
+  void start(std::size_t Index) {
+    auto &Each = m_Daemons[Index];
+    Each.Connection = std::make_unique<ScriptedConnection>(m_Store);
+    Each.Random = std::make_unique<CountingRandom>(Index + 1);
+    ClaimOptions Options;
+    Options.Vm = VmName(fmt::format("vm-{}", Index));
+    Options.Started = 1;
+    Options.Attempts = 2;
+    RandomSource &Random = m_Broken.SharedNonce
+                               ? static_cast<RandomSource &>(m_Constant)
+                               : *Each.Random;
+    Each.Registry =
+        std::make_unique<ClaimRegistry>(Options, *Each.Connection, Random);
+    Each.Registry->claim(
+        {CustomerName("coop"), "key", 1}, TimePoint(),
+        [this, Index](ClaimResult Result) { onClaim(Index, Result); });
+  }
+
+  void onClaim(std::size_t Index, const ClaimResult &Result) {
+    auto &Registry = *m_Daemons[Index].Registry;
+    const bool Assumed = m_Broken.LostMeansGranted &&
+                         Result.Verdict == ClaimVerdict::Unreachable;
+    if (Result.Verdict == ClaimVerdict::Granted || (Assumed && Result.Held)) {
+      ++m_Dispatches;
+      Registry.finish(*Result.Held, {200, "text/plain", "paid", false},
+                      [](std::error_code) {});
+      return;
+    }
+    if (Result.Verdict == ClaimVerdict::Finished)
+      m_Truthful = m_Truthful && m_Dispatches == 1 && Result.Answer &&
+                   Result.Answer->Body == "paid";
+    if (Result.Verdict == ClaimVerdict::Unreachable && Result.Held)
+      Registry.release(*Result.Held, [](std::error_code) {});
+  }
+
+  /// Takes one of all possible next steps; false when none is left.
+  bool step() {
+    std::vector<std::function<void()>> Steps;
+    for (std::size_t I = 0; I < m_Daemons.size(); ++I)
+      addSteps(I, Steps);
+    if (Steps.empty())
+      return false;
+    Steps[m_Choices.choose(Steps.size())]();
+    return true;
+  }
+
+  void addSteps(std::size_t Index, std::vector<std::function<void()>> &Steps) {
+    auto &Each = m_Daemons[Index];
+    auto &Connection = *Each.Connection;
+    if (Connection.pending() > 0) {
+      Steps.push_back([&] { Connection.settle(0, CallFate::Answered); });
+      const auto Fates = {CallFate::AnswerLost, CallFate::NeverSent,
+                          CallFate::Delayed};
+      for (const auto Fate : Fates) {
+        if (m_FaultsUsed < FaultBudget)
+          Steps.push_back([this, &Connection, Fate] {
+            ++m_FaultsUsed;
+            Connection.settle(0, Fate);
+          });
+      }
+    }
+    if (Connection.delayed() > 0)
+      Steps.push_back([&] { Connection.applyDelayed(0); });
+    if (Each.Alive && Connection.pending() > 0 && m_FaultsUsed < FaultBudget)
+      Steps.push_back([this, &Each] {
+        ++m_FaultsUsed;
+        Each.Alive = false;
+        Each.Registry.reset();
+        Each.Connection->abandon();
+      });
+  }
+
+  Explorer &m_Choices;
+  Faults m_Broken;
+  ScriptedStore m_Store;
+  ConstantRandom m_Constant;
+  std::array<Daemon, 2> m_Daemons;
+  int m_FaultsUsed = 0;
+  int m_Dispatches = 0;
+  bool m_Truthful = true;
+};
+
+struct Findings {
+  std::size_t Runs = 0;
+  std::size_t DoubleRuns = 0;
+  std::size_t Untruths = 0;
+};
+
+Findings explore(Faults Broken, std::size_t MaxRuns, bool StopAtFault) {
+  Findings Result;
+  Explorer Choices;
+  do {
+    ClaimScenario Scenario(Choices, Broken);
+    Scenario.run();
+    Result.DoubleRuns += Scenario.dispatches() > 1 ? 1 : 0;
+    Result.Untruths += Scenario.truthful() ? 0 : 1;
+    if (StopAtFault && Result.DoubleRuns > 0)
+      break;
+  } while (Choices.advance() && Choices.runs() < MaxRuns);
+  Result.Runs = Choices.runs();
+  return Result;
+}
+
+constexpr std::size_t AllRuns = 20'000'000;
+
+} // namespace
+
+class ClaimRegistryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ClaimRegistryTest);
+  CPPUNIT_TEST(claim_allOrdersAndFaults_runsAtMostOnce);
+  CPPUNIT_TEST(claim_guardsTakenOut_explorerFindsDoubleRun);
+  CPPUNIT_TEST(claim_finishedBefore_storedAnswerIsReturned);
+  CPPUNIT_TEST(claim_withoutResult_isUnknown);
+  CPPUNIT_TEST(claim_otherBody_isKeyInUse);
+  CPPUNIT_TEST(claim_releasedBefore_isGranted);
+  CPPUNIT_TEST(claim_givenUpThenReleased_lateWriteHasNoEffect);
+  CPPUNIT_TEST(claim_longAnswer_isKeptWithoutBody);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void claim_allOrdersAndFaults_runsAtMostOnce() {
+    const auto Found = explore({}, AllRuns, false);
+    fmt::print("claims: {} runs explored\n", Found.Runs);
+    CPPUNIT_ASSERT(Found.Runs > 1000 && Found.Runs < AllRuns);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Found.DoubleRuns);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Found.Untruths);
+  }
+
+  void claim_guardsTakenOut_explorerFindsDoubleRun() {
+    constexpr std::size_t Enough = 200'000;
+    CPPUNIT_ASSERT(explore({true, false, false}, Enough, true).DoubleRuns > 0);
+    CPPUNIT_ASSERT(explore({false, true, false}, Enough, true).DoubleRuns > 0);
+    CPPUNIT_ASSERT(explore({false, false, true}, Enough, true).DoubleRuns > 0);
+  }
+
+  void claim_finishedBefore_storedAnswerIsReturned() {
+    const StoredAnswer Answer{201, "application/json", "{}", false};
+    const auto First = claim("key", 1);
+    finish(*First.Held, Answer);
+    const auto Second = claim("key", 1);
+    CPPUNIT_ASSERT(Second.Verdict == ClaimVerdict::Finished);
+    CPPUNIT_ASSERT(Second.Answer == Answer);
+  }
+
+  void claim_withoutResult_isUnknown() {
+    claim("key", 1);
+    CPPUNIT_ASSERT(claim("key", 1).Verdict == ClaimVerdict::Unknown);
+  }
+
+  void claim_otherBody_isKeyInUse() {
+    claim("key", 1);
+    CPPUNIT_ASSERT(claim("key", 2).Verdict == ClaimVerdict::KeyInUse);
+    CPPUNIT_ASSERT(claim("other", 2).Verdict == ClaimVerdict::Granted);
+  }
+
+  void claim_releasedBefore_isGranted() {
+    const auto First = claim("key", 1);
+    m_Registry.release(*First.Held, [](std::error_code) {});
+    answerAll();
+    CPPUNIT_ASSERT(claim("key", 1).Verdict == ClaimVerdict::Granted);
+  }
+
+  void claim_givenUpThenReleased_lateWriteHasNoEffect() {
+    ClaimResult First;
+    m_Registry.claim({CustomerName("coop"), "key", 1}, TimePoint(),
+                     [&](ClaimResult Result) { First = std::move(Result); });
+    m_Connection.settle(0, CallFate::Answered);
+    while (m_Connection.pending() > 0)
+      m_Connection.settle(0, CallFate::Delayed);
+    CPPUNIT_ASSERT(First.Verdict == ClaimVerdict::Unreachable && First.Held);
+    m_Registry.release(*First.Held, [](std::error_code) {});
+    answerAll();
+    while (m_Connection.delayed() > 0)
+      m_Connection.applyDelayed(0);
+    CPPUNIT_ASSERT(claim("key", 1).Verdict == ClaimVerdict::Granted);
+  }
+
+  void claim_longAnswer_isKeptWithoutBody() {
+    const auto First = claim("key", 1);
+    finish(*First.Held, {200, "text/plain", std::string(1 << 20, 'x'), false});
+    const auto Second = claim("key", 1);
+    CPPUNIT_ASSERT(Second.Verdict == ClaimVerdict::Finished);
+    CPPUNIT_ASSERT(Second.Answer->Cut && Second.Answer->Body.empty());
+  }
+
+private:
+  void answerAll() {
+    while (m_Connection.pending() > 0)
+      m_Connection.settle(0, CallFate::Answered);
+  }
+
+  ClaimResult claim(std::string_view Key, std::uint64_t Fingerprint) {
+    ClaimResult Last;
+    m_Registry.claim({CustomerName("coop"), std::string(Key), Fingerprint},
+                     TimePoint(),
+                     [&](ClaimResult Result) { Last = std::move(Result); });
+    answerAll();
+    return Last;
+  }
+
+  void finish(const Claim &Held, StoredAnswer Answer) {
+    std::error_code Last = Errc::Unavailable;
+    m_Registry.finish(Held, std::move(Answer),
+                      [&](std::error_code Error) { Last = Error; });
+    answerAll();
+    CPPUNIT_ASSERT(!Last);
+  }
+
+  ScriptedStore m_Store;
+  ScriptedConnection m_Connection{m_Store};
+  SeededRandom m_Random{1};
+  ClaimRegistry m_Registry{{VmName("vm-1"), 1}, m_Connection, m_Random};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimRegistryTest);
+
+} // namespace mangodeck
