--- a/packages/process/test/scriptedstore.cpp
+++ b/packages/process/test/scriptedstore.cpp
@@ -1,6 +1,6 @@
 #include "scriptedstore.h"
 
-#include <optional>
+#include <utility>
 
 namespace mangodeck {
 
@@ -85,8 +85,12 @@
 void ScriptedConnection::settle(std::size_t Index, CallFate Fate) {
   const auto Settled = m_Calls[Index];
   m_Calls.erase(m_Calls.begin() + static_cast<std::ptrdiff_t>(Index));
-  if (Fate == CallFate::Answered || Fate == CallFate::AnswerLost)
+  if (Fate != CallFate::NeverSent && Fate != CallFate::Delayed)
     Settled.Effect();
+  if (Fate == CallFate::AnswerLate) {
+    m_Late.push_back(Settled.Answer);
+    return;
+  }
   if (Fate == CallFate::Delayed)
     m_Delayed.push_back(Settled.Effect);
   Fate == CallFate::Answered ? Settled.Answer() : Settled.Fail();
@@ -98,6 +102,12 @@
   Effect();
 }
 
+void ScriptedConnection::deliverLate() {
+  const auto Answers = std::exchange(m_Late, {});
+  for (const auto &Answer : Answers)
+    Answer();
+}
+
 void ScriptedConnection::abandon() {
   for (auto &Each : m_Calls)
     m_Delayed.push_back(Each.Effect);
--- a/packages/process/test/scriptedstore.h
+++ b/packages/process/test/scriptedstore.h
@@ -14,6 +14,7 @@
   AnswerLost, ///< Takes effect; the caller sees a timeout.
   NeverSent,  ///< No effect; the caller sees a timeout.
   Delayed,    ///< The caller sees a timeout; may take effect later.
+  AnswerLate, ///< Takes effect; the answer waits for deliverLate().
 };
 
 /// The store's contents, shared by the connections of several daemons. Time
@@ -64,6 +65,9 @@
   /// Lets a delayed call take effect.
   void applyDelayed(std::size_t Index);
 
+  /// Hands out the answers that were held back.
+  void deliverLate();
+
   /// The daemon is gone: its calls may still take effect.
   void abandon();
 
@@ -94,6 +98,7 @@
   ScriptedStore &m_Shared;
   std::vector<Call> m_Calls;
   std::vector<std::function<void()>> m_Delayed;
+  std::vector<std::function<void()>> m_Late;
 };
 
 } // namespace mangodeck
