members: more robust probes, last probes before a death, exact sizes

Cause: at 20% loss one in 40 probes raised a suspicion; with 360 members the rumors of these filled the byte budget, refutations came late and live members were taken for dead (50 members: 1 in 120 s; 360 members: 15 in 20 s).

At 360 the probing rate bounds how fast a cut of a whole failure domain is known to every member.

--- a/packages/process/src/failuredetector.cpp
+++ b/packages/process/src/failuredetector.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 constexpr Duration RoundLength = 1s;
-constexpr Duration DirectTimeout = 300ms;
+/// An unanswered probe is repeated after each of these, with helpers.
+constexpr Duration RetryInterval = 300ms;
+constexpr int MaxRetries = 2;
 constexpr std::size_t HelperCount = 3;
 constexpr Duration RelayLifetime = 1s;
 constexpr std::size_t MaxRelays = 256;
@@ -22,8 +24,9 @@
 /// One member is probed per round, each once before any is probed again, in
 /// random order: the time to the first probe of a failed member is bounded by
 /// the number of members, and its mean is one round, at constant cost per
-/// member. When the direct probe is not answered, helpers probe it too and it
-/// is probed directly once more, so that one lossy path raises no suspicion.
+/// member. While the probe is not answered, it is repeated twice, directly
+/// and by other helpers each time, so that lossy paths raise few suspicions:
+/// each one costs rumors to all members.
 FailureDetector::Step FailureDetector::advance(TimePoint Now) {
   Step Due;
   // Step 1. Spread the first rounds of members that start together.
@@ -40,7 +43,7 @@
         Elapsed < 2 * RoundLength ? *m_RoundStart + RoundLength : Now;
     m_Target = nextTarget();
     m_Acked = false;
-    m_AskedHelpers = false;
+    m_Retries = 0;
     if (!m_Target)
       return Due;
     m_TargetSequence = nextSequence();
@@ -50,8 +53,9 @@
   }
 
   // Step 3. Try again, directly and through helpers.
-  if (m_Target && !m_Acked && !m_AskedHelpers && Elapsed >= DirectTimeout) {
-    m_AskedHelpers = true;
+  const bool Waiting = m_Target && !m_Acked && m_Retries < MaxRetries;
+  if (Waiting && Elapsed >= RetryInterval * (m_Retries + 1)) {
+    ++m_Retries;
     Due.Probe = m_Target;
     Due.Sequence = m_TargetSequence;
     Due.Helpers = selectHelpers(*m_Target);
--- a/packages/process/src/failuredetector.h
+++ b/packages/process/src/failuredetector.h
@@ -67,7 +67,7 @@
   std::optional<VmName> m_Target;
   std::uint32_t m_TargetSequence = 0;
   bool m_Acked = false;
-  bool m_AskedHelpers = false;
+  int m_Retries = 0;
   std::optional<TimePoint> m_RoundStart;
   std::map<std::uint32_t, Relay> m_Relays;
 };
--- a/packages/process/src/gossipscheduler.cpp
+++ b/packages/process/src/gossipscheduler.cpp
@@ -9,8 +9,12 @@
 
 namespace {
 
-/// Urgency of rumors beside entries; lower goes first.
-enum class Urgency : std::uint8_t { StateChange, Entry, Arrival };
+/// How often news is passed on that most others find out by themselves.
+constexpr std::uint32_t BriefSends = 2;
+
+/// Urgency of rumors beside entries; lower goes first. Refutations go before
+/// the suspicions that they outrank.
+enum class Urgency : std::uint8_t { Refutation, StateChange, Entry, Arrival };
 
 /// A rumor or entry that waits to be passed on.
 struct Candidate {
@@ -27,9 +31,11 @@
 }
 
 Urgency urgencyOf(const Member &Known) {
-  const bool Arrival = Known.State == MemberState::Alive && !Known.Leaving &&
-                       Known.Refutation == 0;
-  return Arrival ? Urgency::Arrival : Urgency::StateChange;
+  if (Known.State != MemberState::Alive)
+    return Urgency::StateChange;
+  if (Known.Leaving || Known.Refutation > 0)
+    return Urgency::Refutation;
+  return Urgency::Arrival;
 }
 
 } // namespace
@@ -68,6 +74,12 @@
   Found.SendsLeft = sendLimit();
 }
 
+void GossipScheduler::spreadBriefly(MemberTable::Record &Found) {
+  if (Found.SendsLeft == 0)
+    ++m_PendingMembers;
+  Found.SendsLeft = BriefSends;
+}
+
 void GossipScheduler::spread(EntryTable::Record &Found) {
   if (Found.SendsLeft == 0)
     ++m_PendingEntries;
--- a/packages/process/src/gossipscheduler.h
+++ b/packages/process/src/gossipscheduler.h
@@ -33,6 +33,9 @@
   void spread(MemberTable::Record &Found);
   void spread(EntryTable::Record &Found);
 
+  /// Marks a rumor as news that most others find out by themselves.
+  void spreadBriefly(MemberTable::Record &Found);
+
   bool hasPending() const { return m_PendingMembers + m_PendingEntries > 0; }
 
   /// Adds what fits to \p Message and charges it to the budget.
--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -30,6 +30,7 @@
 /// Suspicion lasts this long, and longer by SuspicionPerDoubling for each
 /// doubling of the members, as rumors then need more hops.
 constexpr Duration MinSuspicion = 2s;
+constexpr Duration LastChance = 2s;
 constexpr Duration SuspicionPerDoubling = 500ms;
 
 Duration suspicionTime(std::size_t LiveMembers) {
@@ -167,21 +168,6 @@
   sendProbe(Found.Known, m_Detector->nextSequence(), Now, Out);
 }
 
-void Membership::expireSuspicions(TimePoint Now, Actions &Out) {
-  if (m_Members->suspectCount() == 0)
-    return;
-  for (auto &[Vm, Found] : m_Members->records()) {
-    const bool Expired =
-        Found.Known.State == MemberState::Suspect && Now >= Found.SuspectUntil;
-    if (!Expired)
-      continue;
-    ++m_Counts.Deaths;
-    auto Rumor = Found.Known;
-    Rumor.State = MemberState::Dead;
-    takeRumor(Rumor, Now, Out);
-  }
-}
-
 void Membership::takeRumor(const Member &Rumor, TimePoint Now, Actions &Out) {
   if (Rumor.Vm == self().Vm) {
     refute(Rumor);
@@ -206,6 +192,29 @@
     Out.push_back(MemberChanged{Before, Found.Known});
 }
 
+/// Declares suspects dead that did not refute in time. In the last part of
+/// the suspicion every member probes the suspect itself, so that on lossy
+/// links a refutation that was missed does not cost a live member its state.
+/// Others run the same timers, so the death need not be spread by all.
+void Membership::expireSuspicions(TimePoint Now, Actions &Out) {
+  if (m_Members->suspectCount() == 0)
+    return;
+  for (auto &[Vm, Found] : m_Members->records()) {
+    if (Found.Known.State != MemberState::Suspect)
+      continue;
+    if (Now < Found.SuspectUntil) {
+      if (Now >= Found.SuspectUntil - LastChance)
+        remind(Vm, Now, Out);
+      continue;
+    }
+    ++m_Counts.Deaths;
+    auto Rumor = Found.Known;
+    Rumor.State = MemberState::Dead;
+    takeRumor(Rumor, Now, Out);
+    m_Gossip->spreadBriefly(Found);
+  }
+}
+
 /// A rumor that comes again has spread already, and is passed on less often
 /// from here (rumor mongering with feedback; Demers et al., 1987). This saves
 /// most of the duplicates when many members change at once.
--- a/packages/process/src/packetcodec.cpp
+++ b/packages/process/src/packetcodec.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cassert>
 #include <optional>
 
@@ -23,12 +24,20 @@
 constexpr std::size_t MaxValueBytes = 512;
 constexpr std::uint32_t MaxRemainingSeconds = 24 * 3600;
 
-/// Bytes of the field tags, lengths and numbers of a message at their longest.
-constexpr std::size_t RumorFixedBytes = 3 + 3 * 2 + 2 + 2 + 11 + 6;
-constexpr std::size_t EntryFixedBytes = 3 + 2 + 3 * 3 + 11 + 11 + 6 + 2;
+/// Tags and lengths of a rumor within a datagram, and of its strings.
+constexpr std::size_t RumorFixedBytes = 3 + 3 * 2;
+/// The same of an entry; its numbers and strings come on top.
+constexpr std::size_t EntryFixedBytes = 3 + 2 + 2 * 2 + 3 + 6 + 2;
 constexpr std::size_t PacketFixedBytes = HeaderBytes + 2 + 6 + 2 + 3;
 constexpr std::size_t BucketBytes = 4;
 
+/// Bytes of a numeric field; none if it is 0.
+std::size_t fieldBytes(std::uint64_t Value) {
+  constexpr int BitsPerByte = 7;
+  const auto Bits = static_cast<std::size_t>(std::bit_width(Value));
+  return Value == 0 ? 0 : 1 + (Bits + BitsPerByte - 1) / BitsPerByte;
+}
+
 std::array<char, CodeBytes> authenticate(std::string_view Key,
                                          std::string_view Body) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
@@ -132,12 +141,16 @@
 
 std::size_t encodedBound(const Member &Rumor) {
   return RumorFixedBytes + Rumor.Vm.Text.size() + Rumor.Address.size() +
-         Rumor.Domain.Text.size();
+         Rumor.Domain.Text.size() +
+         fieldBytes(static_cast<std::uint64_t>(Rumor.State)) +
+         fieldBytes(Rumor.Leaving ? 1 : 0) + fieldBytes(Rumor.Started) +
+         fieldBytes(Rumor.Refutation);
 }
 
 std::size_t encodedBound(const GossipEntry &Entry) {
   return EntryFixedBytes + Entry.Origin.Text.size() + Entry.Subject.size() +
-         Entry.Value.size();
+         Entry.Value.size() + fieldBytes(Entry.Started) +
+         fieldBytes(Entry.Version);
 }
 
 std::size_t encodedBound(const Packet &Message) {
--- a/packages/process/test/virtualnetwork.cpp
+++ b/packages/process/test/virtualnetwork.cpp
@@ -25,6 +25,22 @@
     m_ByAddress[addressOf(I)] = I;
     start(I);
   }
+  if (Options.Warm)
+    introduce();
+}
+
+/// Tells every member of all others, so often that none passes it on.
+void VirtualNetwork::introduce() {
+  constexpr int Repeats = 10;
+  Packet Message;
+  for (const auto &Each : m_Nodes)
+    Message.Members.push_back(Each.Members->self());
+  Membership::Actions Ignored;
+  for (std::size_t I = 0; I < size(); ++I) {
+    Message.Sender = at((I + 1) % size()).self();
+    for (int Repeat = 0; Repeat < Repeats; ++Repeat)
+      at(I).onDatagram(Message, "", m_Now, Ignored);
+  }
 }
 
 VirtualNetwork::~VirtualNetwork() = default;
--- a/packages/process/test/virtualnetwork.h
+++ b/packages/process/test/virtualnetwork.h
@@ -22,6 +22,7 @@
   Duration DomainDelay = 4ms;
   Duration DelayJitter = 2ms;
   std::uint64_t GossipBytesPerSecond = 3000;
+  bool Warm = false; ///< All members know each other from the start.
 };
 
 /// Traffic of all members since the last reset, in whole datagrams with their
@@ -118,6 +119,7 @@
   };
 
   void start(std::size_t Index);
+  void introduce();
   void scheduleTick(std::size_t Index, Duration Delay);
   void step(const Arrival &Due);
   void deliver(std::size_t Index, std::string_view Bytes,
