--- /dev/null
+++ b/packages/process/src/keyhome.cpp
@@ -0,0 +1,170 @@
+#include "mangodeck/process/keyhome.h"
+
+#include <algorithm>
+
+namespace mangodeck {
+
+namespace {
+
+constexpr std::size_t MaxKeys = 100000;
+constexpr Duration HolderLifetime = std::chrono::minutes(3);
+
+std::string joinName(std::string_view Customer, std::string_view Key) {
+  std::string Name(Customer);
+  Name.push_back('/');
+  return Name.append(Key);
+}
+
+} // namespace
+
+void KeyHome::join(const VmName &From, const JoinKey &Message, TimePoint Now,
+                   PeerActions &Out) {
+  KeyHolder Answer;
+  Answer.Request = Message.Request;
+  const auto It = m_Holders.find(Message.Key);
+  const bool SameRequest = It != m_Holders.end() && It->second.Vm == From &&
+                           It->second.Request == Message.Request;
+  if (It == m_Holders.end() || SameRequest) {
+    if (SameRequest || m_Holders.size() < MaxKeys)
+      m_Holders[Message.Key] = {From, Message.Request, Now};
+  } else {
+    Answer.Holder = It->second.Vm;
+    Answer.HeldRequest = It->second.Request;
+  }
+  Out.push_back({From, Answer});
+}
+
+void KeyHome::release(const VmName &From, const ReleaseKey &Message) {
+  const auto It = m_Holders.find(Message.Key);
+  if (It != m_Holders.end() && It->second.Vm == From &&
+      It->second.Request == Message.Request)
+    m_Holders.erase(It);
+}
+
+void KeyHome::forgetMember(const VmName &Vm) {
+  std::erase_if(m_Holders,
+                [&](const auto &Item) { return Item.second.Vm == Vm; });
+}
+
+void KeyHome::expire(TimePoint Now) {
+  std::erase_if(m_Holders, [Now](const auto &Item) {
+    return Now - Item.second.Registered > HolderLifetime;
+  });
+}
+
+KeyedRequests::KeyedRequests(VmName Self, FailureDomain Domain)
+    : m_Self(std::move(Self)), m_Domain(std::move(Domain)) {}
+
+const VmName *KeyedRequests::homeOf(const Keyed &Entry,
+                                    const OwnerTable &Owners) const {
+  return Owners.homeOf(m_Domain, Entry.Customer, Entry.Key);
+}
+
+void KeyedRequests::ask(Keyed &Entry, const RequestId &Request,
+                        const VmName &Home, PeerActions &Out) const {
+  Entry.Home = Home;
+  Out.push_back({Home, JoinKey{joinName(Entry.Customer, Entry.Key), Request}});
+}
+
+KeyedRequests::Course KeyedRequests::arrive(std::string_view Customer,
+                                            std::string_view Key,
+                                            const RequestId &Request,
+                                            const OwnerTable &Owners,
+                                            PeerActions &Out) {
+  if (localHolder(Customer, Key))
+    return Course::Local;
+  Keyed Entry{std::string(Customer), std::string(Key), VmName(), VmName(),
+              false};
+  const auto *Home = homeOf(Entry, Owners);
+  const auto Result = Home ? Course::Asked : Course::Direct;
+  if (Home)
+    ask(Entry, Request, *Home, Out);
+  m_Requests.emplace(Request, std::move(Entry));
+  return Result;
+}
+
+std::optional<RequestId>
+KeyedRequests::localHolder(std::string_view Customer,
+                           std::string_view Key) const {
+  const auto It =
+      std::find_if(m_Requests.begin(), m_Requests.end(), [&](const auto &Item) {
+        const auto &Entry = Item.second;
+        return Entry.Customer == Customer && Entry.Key == Key;
+      });
+  if (It == m_Requests.end())
+    return std::nullopt;
+  return It->first;
+}
+
+std::optional<VmName> KeyedRequests::onHolder(const KeyHolder &Message,
+                                              PeerActions &Out) {
+  const auto It = m_Requests.find(Message.Request);
+  const bool Follows = It != m_Requests.end() && !It->second.Dispatched &&
+                       !Message.Holder.empty() && Message.Holder != m_Self;
+  if (!Follows)
+    return std::nullopt;
+  It->second.Followed = Message.Holder;
+  Out.push_back(
+      {Message.Holder, FollowAnswer{Message.Request, Message.HeldRequest}});
+  return Message.Holder;
+}
+
+void KeyedRequests::noteDispatched(const RequestId &Request) {
+  const auto It = m_Requests.find(Request);
+  if (It == m_Requests.end())
+    return;
+  It->second.Dispatched = true;
+  It->second.Followed = VmName();
+}
+
+bool KeyedRequests::isHeld(const RequestId &Request) const {
+  const auto It = m_Requests.find(Request);
+  return It != m_Requests.end() && It->second.Followed.empty();
+}
+
+void KeyedRequests::goAlone(const RequestId &Request) {
+  const auto It = m_Requests.find(Request);
+  if (It != m_Requests.end())
+    It->second.Followed = VmName();
+}
+
+void KeyedRequests::finish(const RequestId &Request, const OwnerTable &Owners,
+                           PeerActions &Out) {
+  const auto It = m_Requests.find(Request);
+  if (It == m_Requests.end())
+    return;
+  const auto &Entry = It->second;
+  const auto *Home = homeOf(Entry, Owners);
+  if (Home && Entry.Followed.empty())
+    Out.push_back(
+        {*Home, ReleaseKey{joinName(Entry.Customer, Entry.Key), Request}});
+  m_Requests.erase(It);
+}
+
+void KeyedRequests::rehome(const OwnerTable &Owners, bool Renew,
+                           PeerActions &Out) {
+  for (auto &[Request, Entry] : m_Requests) {
+    const auto *Home = homeOf(Entry, Owners);
+    if (!Home || !Entry.Followed.empty())
+      continue;
+    if (Renew || Entry.Home != *Home)
+      ask(Entry, Request, *Home, Out);
+  }
+}
+
+std::vector<RequestId> KeyedRequests::onMemberGone(const VmName &Vm,
+                                                   const OwnerTable &Owners,
+                                                   PeerActions &Out) {
+  std::vector<RequestId> Orphans;
+  for (auto &[Request, Entry] : m_Requests) {
+    if (Entry.Followed != Vm)
+      continue;
+    Entry.Followed = VmName();
+    Orphans.push_back(Request);
+    if (const auto *Home = homeOf(Entry, Owners))
+      ask(Entry, Request, *Home, Out);
+  }
+  return Orphans;
+}
+
+} // namespace mangodeck
--- a/packages/process/src/membertable.cpp
+++ b/packages/process/src/membertable.cpp
@@ -54,11 +54,15 @@
 }
 
 MemberTable::MemberTable(Member Self) : m_Self(Self.Vm) {
-  m_Records[m_Self].Known = std::move(Self);
+  m_SelfRecord = &m_Records[m_Self];
+  m_SelfRecord->Known = std::move(Self);
+  count(m_SelfRecord->Known, +1);
 }
 
 void MemberTable::setSelf(const Member &Self) {
-  m_Records.at(m_Self).Known = Self;
+  count(m_SelfRecord->Known, -1);
+  m_SelfRecord->Known = Self;
+  count(Self, +1);
 }
 
 MemberTable::Record *MemberTable::find(const VmName &Vm) {
@@ -85,7 +89,7 @@
     auto &Added = m_Records[Rumor.Vm];
     Added.Known = Rumor;
     Added.Since = Now;
-    recount();
+    count(Added.Known, +1);
     return true;
   }
 
@@ -108,17 +112,17 @@
   Found->Known = New;
   if (New.State != Old.State)
     Found->Since = Now;
-  recount();
+  count(Old, -1);
+  count(New, +1);
   return true;
 }
 
-void MemberTable::recount() {
-  m_LiveCount = 0;
-  m_SuspectCount = 0;
-  for (const auto &[Vm, Entry] : m_Records) {
-    m_LiveCount += Entry.Known.isLive() ? 1 : 0;
-    m_SuspectCount += Entry.Known.State == MemberState::Suspect ? 1 : 0;
-  }
+void MemberTable::count(const Member &Known, int Sign) {
+  const auto Step = static_cast<std::size_t>(Sign);
+  if (Known.isLive())
+    m_LiveCount += Step;
+  if (Known.State == MemberState::Suspect)
+    m_SuspectCount += Step;
 }
 
 std::vector<const Member *> MemberTable::livePeers() const {
--- a/packages/process/src/membertable.h
+++ b/packages/process/src/membertable.h
@@ -31,6 +31,8 @@
   };
 
   explicit MemberTable(Member Self);
+  MemberTable(const MemberTable &) = delete;
+  MemberTable &operator=(const MemberTable &) = delete;
 
   /// Merges a rumor about another member. Returns whether it was news; \p
   /// Before is then what was known, if anything.
@@ -39,7 +41,7 @@
   /// Replaces what this daemon says of itself.
   void setSelf(const Member &Self);
 
-  const Member &self() const { return m_Records.at(m_Self).Known; }
+  const Member &self() const { return m_SelfRecord->Known; }
   const VmName &selfName() const { return m_Self; }
   Record *find(const VmName &Vm);
   const Record *find(const VmName &Vm) const;
@@ -59,11 +61,13 @@
   void expire(TimePoint Now);
 
 private:
-  void recount();
+  /// Counts \p Known in (+1) or out (-1).
+  void count(const Member &Known, int Sign);
 
   VmName m_Self;
   std::map<VmName, Record> m_Records;
-  std::size_t m_LiveCount = 1;
+  Record *m_SelfRecord; ///< Map nodes do not move.
+  std::size_t m_LiveCount = 0;
   std::size_t m_SuspectCount = 0;
 };
 
