--- a/packages/process/include/mangodeck/process/claimclient.h
+++ b/packages/process/include/mangodeck/process/claimclient.h
@@ -15,6 +15,9 @@
   int Status = 200;
   std::string ContentType;
   std::string Body;
+  bool Cut = false; ///< The body was too long to keep and is left out.
+
+  bool operator==(const StoredAnswer &) const = default;
 };
 
 /// Names one keyed request of one customer.
--- a/packages/process/include/mangodeck/process/claimregistry.h
+++ b/packages/process/include/mangodeck/process/claimregistry.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/random.h"
 #include "mangodeck/common/units.h"
+#include "mangodeck/process/claimclient.h"
 #include "mangodeck/version/store.h"
 
 #include <cstdint>
@@ -15,16 +16,6 @@
 
 namespace mangodeck {
 
-/// Answer of a finished request, kept with its claim.
-struct StoredAnswer {
-  int Status = 0;
-  std::string ContentType;
-  std::string Body;
-  bool Cut = false; ///< The body was too long to keep and is left out.
-
-  bool operator==(const StoredAnswer &) const = default;
-};
-
 enum class ClaimState : std::uint8_t {
   Claimed,  ///< May have been dispatched.
   Finished, ///< Ran; the answer is stored.
@@ -62,7 +53,7 @@
   std::int64_t Lease = 0;
 };
 
-enum class ClaimVerdict : std::uint8_t {
+enum class ClaimStatus : std::uint8_t {
   Granted,     ///< Dispatch it; Held is set.
   Finished,    ///< Ran before; Answer is set.
   Unknown,     ///< Claimed before without a result: never run it.
@@ -70,8 +61,8 @@
   Unreachable, ///< The store did not confirm: not run.
 };
 
-struct ClaimResult {
-  ClaimVerdict Verdict = ClaimVerdict::Unreachable;
+struct ClaimOutcome {
+  ClaimStatus Status = ClaimStatus::Unreachable;
   /// Set with Granted, and with Unreachable if a call without an answer may
   /// still create the claim: it should then be given to release().
   std::optional<Claim> Held;
@@ -98,7 +89,7 @@
 /// Used from one thread, on which the store's callbacks must run too.
 class ClaimRegistry {
 public:
-  using ClaimCallback = std::function<void(ClaimResult)>;
+  using ClaimCallback = std::function<void(ClaimOutcome)>;
   using DoneCallback = std::function<void(std::error_code)>;
 
   /// \p Platform and \p Random must outlive this object.
--- /dev/null
+++ b/packages/process/include/mangodeck/process/storeclaimclient.h
@@ -0,0 +1,40 @@
+#ifndef MANGODECK_PROCESS_STORECLAIMCLIENT_H
+#define MANGODECK_PROCESS_STORECLAIMCLIENT_H
+
+#include "mangodeck/common/clock.h"
+#include "mangodeck/common/executor.h"
+#include "mangodeck/common/random.h"
+#include "mangodeck/process/claimclient.h"
+#include "mangodeck/process/claimregistry.h"
+
+#include <memory>
+
+namespace mangodeck {
+
+/// Records claims in the platform's store. Answers and releases that the
+/// store does not confirm are repeated with an exponential delay for as long
+/// as the process lives, at most RetryLimit times.
+class StoreClaimClient : public ClaimClient {
+public:
+  static constexpr std::uint32_t RetryLimit = 40;
+
+  /// All references must outlive every callback posted to \p Loop.
+  StoreClaimClient(ClaimOptions Options, Store &Platform, RandomSource &Random,
+                   Executor &Loop, const Clock &Time);
+  ~StoreClaimClient() override;
+
+  void claim(const ClaimKey &Key, std::uint64_t Fingerprint,
+             const RequestId &Request,
+             std::function<void(ClaimReply)> Done) override;
+  void complete(const ClaimKey &Key, const RequestId &Request,
+                StoredAnswer Answer) override;
+  void release(const ClaimKey &Key, const RequestId &Request) override;
+
+private:
+  struct State;
+  std::shared_ptr<State> m_State;
+};
+
+} // namespace mangodeck
+
+#endif
--- a/packages/process/src/claimregistry.cpp
+++ b/packages/process/src/claimregistry.cpp
@@ -9,9 +9,9 @@
 /// Claims share a store lease for this fraction of the retention.
 constexpr int LeasePeriods = 4;
 
-ClaimResult withVerdict(ClaimVerdict Verdict) {
-  ClaimResult Result;
-  Result.Verdict = Verdict;
+ClaimOutcome withStatus(ClaimStatus Status) {
+  ClaimOutcome Result;
+  Result.Status = Status;
   return Result;
 }
 
@@ -73,18 +73,18 @@
     Work->create(0);
     return;
   }
-  m_Context->Platform.grantLease(
-      m_Context->Options.Retention + Period,
-      [Work, Now](Expected<StoreLease> Result) {
-        if (Work->Owner->Closed)
-          return;
-        if (!Result)
-          return Work->Granted(withVerdict(ClaimVerdict::Unreachable));
-        Work->Owner->Lease = Result->Id;
-        Work->Owner->LeaseGranted = Now;
-        Work->Wanted.Lease = Result->Id;
-        Work->create(0);
-      });
+  m_Context->Platform.grantLease(m_Context->Options.Retention + Period,
+                                 [Work, Now](Expected<StoreLease> Result) {
+                                   if (Work->Owner->Closed)
+                                     return;
+                                   if (!Result)
+                                     return Work->Granted(
+                                         withStatus(ClaimStatus::Unreachable));
+                                   Work->Owner->Lease = Result->Id;
+                                   Work->Owner->LeaseGranted = Now;
+                                   Work->Wanted.Lease = Result->Id;
+                                   Work->create(0);
+                                 });
 }
 
 /// Creates the claim, or replaces a released one. A call without an answer is
@@ -114,10 +114,10 @@
   if (Owner->Closed)
     return;
   Owner->Lease = 0;
-  auto Verdict = withVerdict(ClaimVerdict::Unreachable);
+  auto Outcome = withStatus(ClaimStatus::Unreachable);
   Wanted.ModRevision = 0;
-  Verdict.Held = Wanted;
-  Granted(std::move(Verdict));
+  Outcome.Held = Wanted;
+  Granted(std::move(Outcome));
 }
 
 void ClaimRegistry::Attempt::onCreated(Expected<StoreWriteResult> Result,
@@ -126,9 +126,9 @@
     return create(ExpectedModRevision);
   if (Result->Succeeded) {
     Wanted.ModRevision = Result->ModRevision;
-    auto Verdict = withVerdict(ClaimVerdict::Granted);
-    Verdict.Held = Wanted;
-    return Granted(std::move(Verdict));
+    auto Outcome = withStatus(ClaimStatus::Granted);
+    Outcome.Held = Wanted;
+    return Granted(std::move(Outcome));
   }
   if (Result->Current.empty())
     return create(0);
@@ -140,23 +140,23 @@
 void ClaimRegistry::Attempt::judge(const StoreEntry &Current) {
   const auto Found = decodeClaim(Current.Value);
   if (!Found)
-    return Granted(withVerdict(ClaimVerdict::Unknown));
+    return Granted(withStatus(ClaimStatus::Unknown));
   if (Found->Nonce == Wanted.Record.Nonce &&
       Found->State == ClaimState::Claimed) {
     Wanted.ModRevision = Current.ModRevision;
-    auto Verdict = withVerdict(ClaimVerdict::Granted);
-    Verdict.Held = Wanted;
-    return Granted(std::move(Verdict));
+    auto Outcome = withStatus(ClaimStatus::Granted);
+    Outcome.Held = Wanted;
+    return Granted(std::move(Outcome));
   }
   if (Found->State == ClaimState::Released)
     return create(Current.ModRevision);
   if (Found->Fingerprint != Wanted.Record.Fingerprint)
-    return Granted(withVerdict(ClaimVerdict::KeyInUse));
+    return Granted(withStatus(ClaimStatus::KeyInUse));
   if (Found->State == ClaimState::Claimed)
-    return Granted(withVerdict(ClaimVerdict::Unknown));
-  auto Verdict = withVerdict(ClaimVerdict::Finished);
-  Verdict.Answer = Found->Answer;
-  Granted(std::move(Verdict));
+    return Granted(withStatus(ClaimStatus::Unknown));
+  auto Outcome = withStatus(ClaimStatus::Finished);
+  Outcome.Answer = Found->Answer;
+  Granted(std::move(Outcome));
 }
 
 void ClaimRegistry::finish(Claim Held, StoredAnswer Answer, DoneCallback Done) {
--- a/packages/process/src/orderlease.cpp
+++ b/packages/process/src/orderlease.cpp
@@ -2,6 +2,7 @@
 
 #include "generated/claim.pb.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace mangodeck {
@@ -50,8 +51,9 @@
   void create();
   void renew(TimePoint Sent);
   void lose();
-  void extend(TimePoint Sent) {
-    ValidUntil = Sent + Options.TimeToLive - Options.Margin;
+  void extend(TimePoint Sent, const StoreLease &Granted) {
+    ValidUntil = Sent + std::min(Options.TimeToLive, Granted.TimeToLive) -
+                 Options.Margin;
   }
   void take(std::int64_t Revision) {
     Held = true;
@@ -107,7 +109,7 @@
       return;
     Self->Lease = Result->Id;
     Self->Nonce = Self->Random.nextRequestId();
-    Self->extend(Sent);
+    Self->extend(Sent, *Result);
     Self->create();
   });
 }
@@ -144,7 +146,7 @@
     if (Self->Closed || Used != Self->Lease)
       return;
     if (Result)
-      return Self->extend(Sent);
+      return Self->extend(Sent, *Result);
     if (Result.error() == make_error_code(Errc::NotFound))
       Self->lose();
   });
--- a/packages/process/test/claimregistry_test.cpp
+++ b/packages/process/test/claimregistry_test.cpp
@@ -76,23 +76,23 @@
         std::make_unique<ClaimRegistry>(Options, *Each.Connection, Random);
     Each.Registry->claim(
         {CustomerName("coop"), "key", 1}, TimePoint(),
-        [this, Index](ClaimResult Result) { onClaim(Index, Result); });
+        [this, Index](ClaimOutcome Result) { onClaim(Index, Result); });
   }
 
-  void onClaim(std::size_t Index, const ClaimResult &Result) {
+  void onClaim(std::size_t Index, const ClaimOutcome &Result) {
     auto &Registry = *m_Daemons[Index].Registry;
-    const bool Assumed = m_Broken.LostMeansGranted &&
-                         Result.Verdict == ClaimVerdict::Unreachable;
-    if (Result.Verdict == ClaimVerdict::Granted || (Assumed && Result.Held)) {
+    const bool Assumed =
+        m_Broken.LostMeansGranted && Result.Status == ClaimStatus::Unreachable;
+    if (Result.Status == ClaimStatus::Granted || (Assumed && Result.Held)) {
       ++m_Dispatches;
-      Registry.finish(*Result.Held, {200, "text/plain", "paid", false},
+      Registry.finish(*Result.Held, {200, "text/plain", "paid"},
                       [](std::error_code) {});
       return;
     }
-    if (Result.Verdict == ClaimVerdict::Finished)
+    if (Result.Status == ClaimStatus::Finished)
       m_Truthful = m_Truthful && m_Dispatches == 1 && Result.Answer &&
                    Result.Answer->Body == "paid";
-    if (Result.Verdict == ClaimVerdict::Unreachable && Result.Held)
+    if (Result.Status == ClaimStatus::Unreachable && Result.Held)
       Registry.release(*Result.Held, [](std::error_code) {});
   }
 
@@ -197,52 +197,52 @@
   }
 
   void claim_finishedBefore_storedAnswerIsReturned() {
-    const StoredAnswer Answer{201, "application/json", "{}", false};
+    const StoredAnswer Answer{201, "application/json", "{}"};
     const auto First = claim("key", 1);
     finish(*First.Held, Answer);
     const auto Second = claim("key", 1);
-    CPPUNIT_ASSERT(Second.Verdict == ClaimVerdict::Finished);
+    CPPUNIT_ASSERT(Second.Status == ClaimStatus::Finished);
     CPPUNIT_ASSERT(Second.Answer == Answer);
   }
 
   void claim_withoutResult_isUnknown() {
     claim("key", 1);
-    CPPUNIT_ASSERT(claim("key", 1).Verdict == ClaimVerdict::Unknown);
+    CPPUNIT_ASSERT(claim("key", 1).Status == ClaimStatus::Unknown);
   }
 
   void claim_otherBody_isKeyInUse() {
     claim("key", 1);
-    CPPUNIT_ASSERT(claim("key", 2).Verdict == ClaimVerdict::KeyInUse);
-    CPPUNIT_ASSERT(claim("other", 2).Verdict == ClaimVerdict::Granted);
+    CPPUNIT_ASSERT(claim("key", 2).Status == ClaimStatus::KeyInUse);
+    CPPUNIT_ASSERT(claim("other", 2).Status == ClaimStatus::Granted);
   }
 
   void claim_releasedBefore_isGranted() {
     const auto First = claim("key", 1);
     m_Registry.release(*First.Held, [](std::error_code) {});
     answerAll();
-    CPPUNIT_ASSERT(claim("key", 1).Verdict == ClaimVerdict::Granted);
+    CPPUNIT_ASSERT(claim("key", 1).Status == ClaimStatus::Granted);
   }
 
   void claim_givenUpThenReleased_lateWriteHasNoEffect() {
-    ClaimResult First;
+    ClaimOutcome First;
     m_Registry.claim({CustomerName("coop"), "key", 1}, TimePoint(),
-                     [&](ClaimResult Result) { First = std::move(Result); });
+                     [&](ClaimOutcome Result) { First = std::move(Result); });
     m_Connection.settle(0, CallFate::Answered);
     while (m_Connection.pending() > 0)
       m_Connection.settle(0, CallFate::Delayed);
-    CPPUNIT_ASSERT(First.Verdict == ClaimVerdict::Unreachable && First.Held);
+    CPPUNIT_ASSERT(First.Status == ClaimStatus::Unreachable && First.Held);
     m_Registry.release(*First.Held, [](std::error_code) {});
     answerAll();
     while (m_Connection.delayed() > 0)
       m_Connection.applyDelayed(0);
-    CPPUNIT_ASSERT(claim("key", 1).Verdict == ClaimVerdict::Granted);
+    CPPUNIT_ASSERT(claim("key", 1).Status == ClaimStatus::Granted);
   }
 
   void claim_longAnswer_isKeptWithoutBody() {
     const auto First = claim("key", 1);
-    finish(*First.Held, {200, "text/plain", std::string(1 << 20, 'x'), false});
+    finish(*First.Held, {200, "text/plain", std::string(1 << 20, 'x')});
     const auto Second = claim("key", 1);
-    CPPUNIT_ASSERT(Second.Verdict == ClaimVerdict::Finished);
+    CPPUNIT_ASSERT(Second.Status == ClaimStatus::Finished);
     CPPUNIT_ASSERT(Second.Answer->Cut && Second.Answer->Body.empty());
   }
 
@@ -252,11 +252,11 @@
       m_Connection.settle(0, CallFate::Answered);
   }
 
-  ClaimResult claim(std::string_view Key, std::uint64_t Fingerprint) {
-    ClaimResult Last;
+  ClaimOutcome claim(std::string_view Key, std::uint64_t Fingerprint) {
+    ClaimOutcome Last;
     m_Registry.claim({CustomerName("coop"), std::string(Key), Fingerprint},
                      TimePoint(),
-                     [&](ClaimResult Result) { Last = std::move(Result); });
+                     [&](ClaimOutcome Result) { Last = std::move(Result); });
     answerAll();
     return Last;
   }
--- a/packages/process/test/scriptedstore.cpp
+++ b/packages/process/test/scriptedstore.cpp
@@ -36,12 +36,12 @@
   return m_NextLease;
 }
 
-bool ScriptedStore::keepAlive(std::int64_t Lease) {
+std::optional<Duration> ScriptedStore::keepAlive(std::int64_t Lease) {
   const auto It = m_Leases.find(Lease);
   if (It == m_Leases.end())
-    return false;
+    return std::nullopt;
   It->second.Left = It->second.TimeToLive;
-  return true;
+  return It->second.TimeToLive;
 }
 
 bool ScriptedStore::revoke(std::int64_t Lease) {
@@ -150,9 +150,10 @@
                                         Callback<StoreLease> Done) {
   add<StoreLease>(
       [this, Lease]() -> Expected<StoreLease> {
-        if (!m_Shared.keepAlive(Lease))
+        const auto TimeToLive = m_Shared.keepAlive(Lease);
+        if (!TimeToLive)
           return unexpected(Errc::NotFound);
-        return StoreLease{Lease, Duration(0)};
+        return StoreLease{Lease, *TimeToLive};
       },
       std::move(Done));
 }
--- a/packages/process/test/scriptedstore.h
+++ b/packages/process/test/scriptedstore.h
@@ -4,6 +4,7 @@
 #include "mangodeck/version/store.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace mangodeck {
@@ -28,7 +29,7 @@
   StoreWriteResult apply(const StoreWrite &Write);
   std::vector<StoreEntry> read(std::string_view Key) const;
   std::int64_t grant(Duration TimeToLive);
-  bool keepAlive(std::int64_t Lease);
+  std::optional<Duration> keepAlive(std::int64_t Lease);
   bool revoke(std::int64_t Lease);
   void advance(Duration Span);
   bool erase(std::string_view Key);
