--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -21,6 +21,7 @@
 constexpr Duration SyncInterval = 5s;
 /// Between comparisons while the last one showed differences.
 constexpr Duration FastSyncInterval = 1s;
+constexpr std::uint32_t SendsSavedPerDuplicate = 3;
 constexpr Duration ExpiryInterval = 1s;
 constexpr Duration ReminderInterval = 1s;
 constexpr Duration ContactInterval = 1s;
@@ -29,6 +30,7 @@
 /// Suspicion lasts this long, and longer by SuspicionPerDoubling for each
 /// doubling of the members, as rumors then need more hops.
 constexpr Duration MinSuspicion = 2s;
+constexpr Duration LastChance = 2s;
 constexpr Duration SuspicionPerDoubling = 500ms;
 
 Duration suspicionTime(std::size_t LiveMembers) {
@@ -166,31 +168,20 @@
   sendProbe(Found.Known, m_Detector->nextSequence(), Now, Out);
 }
 
-void Membership::expireSuspicions(TimePoint Now, Actions &Out) {
-  if (m_Members->suspectCount() == 0)
-    return;
-  for (auto &[Vm, Found] : m_Members->records()) {
-    const bool Expired =
-        Found.Known.State == MemberState::Suspect && Now >= Found.SuspectUntil;
-    if (!Expired)
-      continue;
-    ++m_Counts.Deaths;
-    auto Rumor = Found.Known;
-    Rumor.State = MemberState::Dead;
-    takeRumor(Rumor, Now, Out);
-  }
-}
-
 void Membership::takeRumor(const Member &Rumor, TimePoint Now, Actions &Out) {
   if (Rumor.Vm == self().Vm) {
     refute(Rumor);
     return;
   }
   std::optional<Member> Before;
-  if (!m_Members->merge(Rumor, Now, Before))
+  if (!m_Members->merge(Rumor, Now, Before)) {
+    noteDuplicate(Rumor);
     return;
+  }
   auto &Found = *m_Members->find(Rumor.Vm);
   m_Gossip->spread(Found);
+  if (!Before)
+    m_NextSync = std::min(m_NextSync, Now + FastSyncInterval);
   if (Found.Known.State == MemberState::Suspect)
     Found.SuspectUntil = Now + suspicionTime(m_Members->liveCount());
   const bool Visible = !Before || Before->State != Found.Known.State ||
@@ -201,6 +192,42 @@
     Out.push_back(MemberChanged{Before, Found.Known});
 }
 
+/// Declares suspects dead that did not refute in time. In the last part of
+/// the suspicion every member probes the suspect itself, so that on lossy
+/// links a refutation that was missed does not cost a live member its state.
+/// Others run the same timers, so the death need not be spread by all.
+void Membership::expireSuspicions(TimePoint Now, Actions &Out) {
+  if (m_Members->suspectCount() == 0)
+    return;
+  for (auto &[Vm, Found] : m_Members->records()) {
+    if (Found.Known.State != MemberState::Suspect)
+      continue;
+    if (Now < Found.SuspectUntil) {
+      if (Now >= Found.SuspectUntil - LastChance)
+        remind(Vm, Now, Out);
+      continue;
+    }
+    ++m_Counts.Deaths;
+    auto Rumor = Found.Known;
+    Rumor.State = MemberState::Dead;
+    takeRumor(Rumor, Now, Out);
+    m_Gossip->spreadBriefly(Found);
+  }
+}
+
+/// A rumor that comes again has spread already, and is passed on less often
+/// from here (rumor mongering with feedback; Demers et al., 1987). This saves
+/// most of the duplicates when many members change at once.
+void Membership::noteDuplicate(const Member &Rumor) {
+  auto *Found = m_Members->find(Rumor.Vm);
+  if (!Found || Found->SendsLeft == 0 ||
+      Found->Known.Started != Rumor.Started ||
+      Found->Known.Refutation != Rumor.Refutation ||
+      Found->Known.State != Rumor.State)
+    return;
+  Found->SendsLeft -= std::min(Found->SendsLeft, SendsSavedPerDuplicate);
+}
+
 /// Outranks a rumor about this daemon itself that is not true: a suspicion or
 /// death by a higher refutation, an earlier process of the same VM with a
 /// clock ahead of ours by a later start.
@@ -245,7 +272,9 @@
                             TimePoint Now, Actions &Out) {
   if (Message.Sender.Vm == self().Vm)
     return;
-  takeRumor(Message.Sender, Now, Out);
+  const auto *Known = find(Message.Sender.Vm);
+  if (!Known || *Known != Message.Sender)
+    takeRumor(Message.Sender, Now, Out);
   for (const auto &Rumor : Message.Members)
     takeRumor(Rumor, Now, Out);
   for (const auto &Entry : Message.Entries)
