process: a gap in cache events no longer drops the prefix belief

**Cause** One cache event in twenty is lost, so that the belief of a target was dropped every ten seconds, and letters went where their prefix was not. **Change** A gap drops nothing; the belief is bounded by the target's KV memory (before: by blocks of 64 tokens, whatever the real size), least recently used first.

--- a/packages/process/src/group.cpp
+++ b/packages/process/src/group.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::uint32_t DefaultQueueLimit = 1000;
-/// Believed blocks of a target: as many as its KV cache holds, of this size.
-constexpr TokenCount BlockTokens = 64;
 constexpr Duration PruneInterval = 10s;
 /// A grant whose end is not reported is forgotten so long after its deadline.
 constexpr Duration OverdueGrace = 60s;
@@ -34,9 +32,8 @@
   m_Placement.configure(Records, Now);
   for (const auto *Record : Records)
     if (Record->KvTokens > 0)
-      m_Placement.belief().setCapacity(
-          *m_Placement.find(Record->Name),
-          static_cast<std::size_t>(Record->KvTokens / BlockTokens));
+      m_Placement.belief().setCapacity(*m_Placement.find(Record->Name),
+                                       Record->KvTokens);
   decide(Now, Out);
 }
 
--- a/packages/process/src/prefixbelief.cpp
+++ b/packages/process/src/prefixbelief.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Blocks remembered for a target whose cache size is unknown.
-constexpr std::size_t DefaultCapacityBlocks = 4096;
+/// Cache taken for granted on a target whose size is unknown.
+constexpr TokenCount DefaultCapacityTokens = 262144;
 
 } // namespace
 
@@ -49,12 +49,12 @@
     m_Targets.resize(Target + 1);
   auto &Blocks = m_Targets[Target];
   if (Blocks.Capacity == 0)
-    Blocks.Capacity = DefaultCapacityBlocks;
+    Blocks.Capacity = DefaultCapacityTokens;
   return Blocks;
 }
 
-void PrefixBelief::setCapacity(TargetIndex Target, std::size_t Blocks) {
-  blocksOf(Target).Capacity = std::max<std::size_t>(1, Blocks);
+void PrefixBelief::setCapacity(TargetIndex Target, TokenCount Tokens) {
+  blocksOf(Target).Capacity = std::max<TokenCount>(1, Tokens);
 }
 
 /// Adds a block or marks it as just used. The holders of one block are few, so
@@ -72,7 +72,8 @@
   Blocks.ByUse.push_back(Block);
   Item.Targets.push_back(Target);
   Item.Positions.push_back(std::prev(Blocks.ByUse.end()));
-  if (Blocks.ByUse.size() > Blocks.Capacity)
+  const auto Held = static_cast<TokenCount>(Blocks.ByUse.size());
+  if (Held > 1 && Held * m_TokensPerBlock > Blocks.Capacity)
     drop(Target, Blocks.ByUse.front());
 }
 
@@ -96,6 +97,8 @@
 /// prompts share, are the most recently used.
 void PrefixBelief::place(TargetIndex Target, const Ticket &Request) {
   const auto &Blocks = Request.PrefixBlocks;
+  if (Request.TokensPerBlock > 0)
+    m_TokensPerBlock = Request.TokensPerBlock;
   for (auto It = Blocks.rbegin(); It != Blocks.rend(); ++It)
     add(Target, *It);
 }
@@ -106,8 +109,7 @@
   if (Event.Started < Known.Started ||
       (!Restarted && Event.Sequence <= Known.Sequence))
     return;
-  const bool Gap = Known.Sequence != 0 && Event.Sequence != Known.Sequence + 1;
-  if ((Restarted && Known.Started != 0) || (!Restarted && Gap))
+  if (Restarted && Known.Started != 0)
     forget(Target);
   auto &Blocks = m_Targets[Target];
   Blocks.Started = Event.Started;
--- a/packages/process/src/prefixbelief.h
+++ b/packages/process/src/prefixbelief.h
@@ -16,8 +16,9 @@
 using TargetIndex = std::uint32_t;
 
 /// Which prompt prefixes the targets are believed to hold. Own placements
-/// count at once; the targets' cache events correct them. The number of blocks
-/// remembered for a target is bounded; the least recently used one goes.
+/// count at once; the targets' cache events correct them. The blocks remembered
+/// for a target are bounded by the size of its cache; the least recently used
+/// one goes.
 class PrefixBelief {
 public:
   /// Targets believed to hold the first block of \p Request, and no others.
@@ -33,20 +34,21 @@
   /// Books the placement of \p Request on \p Target.
   void place(TargetIndex Target, const Ticket &Request);
 
-  /// Takes a cache event over. After a gap in the sequence numbers what was
-  /// believed of this target is dropped.
+  /// Takes a cache event over. A later incarnation starts with nothing. A gap
+  /// in the sequence numbers drops nothing: a block that was evicted unseen
+  /// costs a prefill that another target would have had to do as well.
   void update(TargetIndex Target, const CacheEvent &Event);
 
   /// Drops what is believed of \p Target. Linear in its blocks.
   void forget(TargetIndex Target);
 
-  /// Bounds the blocks remembered for \p Target.
-  void setCapacity(TargetIndex Target, std::size_t Blocks);
+  /// Bounds the blocks remembered for \p Target to a cache of \p Tokens.
+  void setCapacity(TargetIndex Target, TokenCount Tokens);
 
 private:
   struct TargetBlocks {
     std::list<std::uint64_t> ByUse; ///< Least recently used first.
-    std::size_t Capacity = 0;
+    TokenCount Capacity = 0;        ///< In tokens.
     std::uint64_t Sequence = 0;
     std::uint64_t Started = 0;
   };
@@ -62,6 +64,7 @@
 
   std::unordered_map<std::uint64_t, Holders> m_Holders;
   std::vector<TargetBlocks> m_Targets;
+  TokenCount m_TokensPerBlock = 64; ///< Of the last placed ticket.
 };
 
 } // namespace mangodeck
