--- a/packages/process/src/group.h
+++ b/packages/process/src/group.h
@@ -76,6 +76,7 @@
 
   // Admission and giving up.
   bool makeRoom(const Ticket &Arriving, TimePoint Now, Actions &Out);
+  std::optional<GroupId> prefixHome(const Ticket &Request, TimePoint Now) const;
   void enqueue(Ticket Request, TimePoint Now);
   void refuse(const Ticket &Request, NotRunReason Reason, Duration RetryAfter,
               Actions &Out) const;
--- a/packages/process/src/groupadmission.cpp
+++ b/packages/process/src/groupadmission.cpp
@@ -9,6 +9,8 @@
 /// How long tickets wait for a usable target before they are refused.
 constexpr Duration NoTargetGrace = 3s;
 constexpr Duration NoTargetRetry = 3s;
+/// Requests with a common prefix of this length are gathered in one group.
+constexpr TokenCount GatheredPrefixTokens = 2048;
 
 } // namespace
 
@@ -57,7 +59,14 @@
     return;
   }
 
-  // Step 7. Queue and decide; pass the ticket on if only others have room.
+  // Step 7. Gather requests with a long common prefix in one group.
+  if (const auto Home = prefixHome(Request, Now)) {
+    m_Limits.release(Request.Customer);
+    passOn(std::move(Request), *Home, Out);
+    return;
+  }
+
+  // Step 8. Queue and decide; pass the ticket on if only others have room.
   const RequestId Id = Request.Id;
   const bool MayPass = Request.Hops == 0;
   enqueue(std::move(Request), Now);
@@ -67,6 +76,17 @@
       passOnWaiting(Id, *To, Out);
 }
 
+/// The other group that is to run requests with this one's prefix, if the
+/// prefix is so long that computing it twice costs more than the link.
+std::optional<GroupId> Group::prefixHome(const Ticket &Request,
+                                         TimePoint Now) const {
+  const auto Tokens = static_cast<TokenCount>(Request.PrefixBlocks.size()) *
+                      Request.TokensPerBlock;
+  if (Request.Hops > 0 || Tokens < GatheredPrefixTokens)
+    return std::nullopt;
+  return m_Spill.homeOf(Request.PrefixBlocks.back(), m_Id, Now);
+}
+
 /// Makes room for \p Arriving in a full queue: the newest ticket of the lowest
 /// tier goes, to another group if one admits it. If \p Arriving ranks no higher
 /// than that, it goes itself. Returns whether there is room.
--- a/packages/process/src/spill.cpp
+++ b/packages/process/src/spill.cpp
@@ -1,5 +1,7 @@
 #include "spill.h"
 
+#include <xxhash.h>
+
 namespace mangodeck {
 
 namespace {
@@ -15,6 +17,11 @@
   return false;
 }
 
+std::uint64_t weightOf(std::uint64_t Prefix, const GroupId &Group) {
+  const auto Text = toString(Group);
+  return XXH3_64bits_withSeed(Text.data(), Text.size(), Prefix);
+}
+
 } // namespace
 
 bool Spill::isFresh(const Peer &Other, TimePoint Now) {
@@ -60,6 +67,22 @@
   return Best->Digest.Group;
 }
 
+std::optional<GroupId> Spill::homeOf(std::uint64_t Prefix, const GroupId &Self,
+                                     TimePoint Now) const {
+  const Peer *Home = nullptr;
+  std::uint64_t Heaviest = weightOf(Prefix, Self);
+  for (const auto &[Id, Other] : m_Peers) {
+    const auto Weight = weightOf(Prefix, Id);
+    if (!isFresh(Other, Now) || Weight <= Heaviest)
+      continue;
+    Heaviest = Weight;
+    Home = &Other;
+  }
+  if (!Home || Home->Digest.FreeSequences == 0)
+    return std::nullopt;
+  return Home->Digest.Group;
+}
+
 void Spill::onPassed(const GroupId &Group) {
   const auto It = m_Peers.find(Group);
   if (It != m_Peers.end() && It->second.Digest.FreeSequences > 0)
--- a/packages/process/src/spill.h
+++ b/packages/process/src/spill.h
@@ -21,6 +21,12 @@
   /// A group that has room, or lower tiers than \p Tier waiting.
   std::optional<GroupId> admitting(TierRank Tier, TimePoint Now) const;
 
+  /// The group where requests with a prefix are to be gathered: the winner of
+  /// a rendezvous over \p Self and the reachable groups. std::nullopt if that
+  /// is \p Self, or if the winner has no room.
+  std::optional<GroupId> homeOf(std::uint64_t Prefix, const GroupId &Self,
+                                TimePoint Now) const;
+
   /// Books a ticket as passed to \p Group.
   void onPassed(const GroupId &Group);
 
