--- a/packages/process/src/group.cpp
+++ b/packages/process/src/group.cpp
@@ -162,7 +162,8 @@
     Item.Target = *Index;
     Item.TargetIncarnation = Entry.TargetIncarnation;
     Item.TargetLife = Target.life();
-    Item.Work.Kv = Placement::kvOf(Entry.Request);
+    Item.Work = workOf(Entry.Request);
+    Item.Work.Prefill = 0;
     Item.GrantedAt = Now - Entry.Running;
     Target.addGrant(Item.Work, Now);
     m_Placement.belief().place(*Index, Entry.Request);
--- a/packages/process/src/groupdecision.cpp
+++ b/packages/process/src/groupdecision.cpp
@@ -84,8 +84,7 @@
 /// would never find room beside short ones.
 void Group::hold(const WaitingTicket &Entry, TimePoint Now, Actions &Out) {
   const RequestId Id = Entry.Request.Id;
-  const auto Kv = Placement::kvOf(Entry.Request);
-  const auto Target = m_Placement.chooseToHold(Kv, Now);
+  const auto Target = m_Placement.chooseToHold(workOf(Entry.Request), Now);
   if (!Target) {
     giveUp(Id, NotRunReason::NoTarget, Now, Out);
     return;
@@ -112,8 +111,8 @@
   Item.Target = Chosen.Target;
   Item.TargetIncarnation = Target.incarnation();
   Item.TargetLife = Target.life();
-  Item.Work.Prefill = Item.Request.PromptTokens - Chosen.Cached;
-  Item.Work.Kv = Placement::kvOf(Item.Request);
+  Item.Work = workOf(Item.Request);
+  Item.Work.Prefill -= Chosen.Cached;
   Item.GrantedAt = Now;
   Item.Suspect = m_Suspects.isSuspect(Item.Request.Fingerprint);
   Item.Ahead = Target.addGrant(Item.Work, Now);
--- a/packages/process/src/placement.cpp
+++ b/packages/process/src/placement.cpp
@@ -72,9 +72,10 @@
 }
 
 std::optional<Choice> Placement::rate(TargetIndex Index, const Ticket &Request,
+                                      const GrantedWork &Work,
                                       TimePoint Now) const {
   const auto &Item = m_Targets[Index];
-  if (!m_Summaries[Index].Open || !Item.fits(kvOf(Request)))
+  if (!m_Summaries[Index].Open || !Item.fits(Work))
     return std::nullopt;
   Choice Result;
   Result.Target = Index;
@@ -96,11 +97,12 @@
   const std::uint64_t Prefix = Request.PrefixBlocks.empty()
                                    ? Request.Id.Low
                                    : Request.PrefixBlocks.front();
+  const auto Work = workOf(Request);
   std::optional<Choice> Best;
   const auto Consider = [&](TargetIndex Index) {
     if (Held == Index)
       return;
-    const auto Rated = rate(Index, Request, Now);
+    const auto Rated = rate(Index, Request, Work, Now);
     if (!Rated)
       return;
     const bool Better = !Best || Rated->FirstToken < Best->FirstToken ||
@@ -120,13 +122,13 @@
   return Best;
 }
 
-std::optional<TargetIndex> Placement::chooseToHold(TokenCount Kv,
+std::optional<TargetIndex> Placement::chooseToHold(const GrantedWork &Work,
                                                    TimePoint Now) const {
   std::optional<TargetIndex> Best;
   TokenCount MostFree = 0;
   for (TargetIndex Index = 0; Index < m_Targets.size(); ++Index) {
     const auto &Item = m_Targets[Index];
-    if (!Item.isUsable(Now) || !Item.couldEverFit(Kv))
+    if (!Item.isUsable(Now) || !Item.couldEverFit(Work))
       continue;
     const auto Free = Item.kvLimit() - Item.ownKv();
     if (!Best || Free > MostFree) {
--- a/packages/process/src/placement.h
+++ b/packages/process/src/placement.h
@@ -44,9 +44,10 @@
                                std::optional<TargetIndex> Held,
                                TimePoint Now) const;
 
-  /// The usable target that will soonest have room for \p Kv tokens; none if
+  /// The usable target that will soonest have room for \p Work; none if
   /// no target ever has. Linear in the targets; for rare large tickets.
-  std::optional<TargetIndex> chooseToHold(TokenCount Kv, TimePoint Now) const;
+  std::optional<TargetIndex> chooseToHold(const GrantedWork &Work,
+                                          TimePoint Now) const;
 
   /// Call after any change of a target.
   void refresh(TargetIndex Index, TimePoint Now);
@@ -59,11 +60,6 @@
   std::size_t usableCount() const { return m_UsableCount; }
   std::uint32_t freeSequences() const { return m_FreeSequences; }
 
-  /// Tokens of KV cache that a request takes when its answer is complete.
-  static TokenCount kvOf(const Ticket &Request) {
-    return Request.PromptTokens + Request.OutputTokens;
-  }
-
 private:
   struct Summary {
     bool Open = false;
@@ -73,7 +69,7 @@
   };
 
   std::optional<Choice> rate(TargetIndex Index, const Ticket &Request,
-                             TimePoint Now) const;
+                             const GrantedWork &Work, TimePoint Now) const;
 
   std::vector<TargetState> m_Targets;
   std::vector<Summary> m_Summaries;
--- a/packages/process/src/targetstate.cpp
+++ b/packages/process/src/targetstate.cpp
@@ -14,6 +14,20 @@
 
 } // namespace
 
+GrantedWork workOf(const Ticket &Request) {
+  GrantedWork Work;
+  Work.Prefill = Request.PromptTokens;
+  Work.Kv = Request.PromptTokens + Request.OutputTokens;
+  const auto Common = static_cast<TokenCount>(Request.PrefixBlocks.size()) *
+                      Request.TokensPerBlock;
+  if (Common > 0 && Common <= Request.PromptTokens) {
+    Work.Prefix = Request.PrefixBlocks.back();
+    Work.PrefixKv = Common;
+    Work.Kv -= Common;
+  }
+  return Work;
+}
+
 TargetState::TargetState(const Target &Record)
     : Limit(Record.MaxSequences), m_Record(Record) {}
 
@@ -46,12 +60,14 @@
   return static_cast<TokenCount>(KvFillShare * static_cast<double>(Total));
 }
 
-bool TargetState::fits(TokenCount Kv) const {
-  return kvLimit() == 0 || m_Kv + m_ForeignKv + Kv <= kvLimit();
+bool TargetState::fits(const GrantedWork &Work) const {
+  const bool Shared = Work.Prefix != 0 && m_Prefixes.contains(Work.Prefix);
+  const auto Added = Work.Kv + (Shared ? 0 : Work.PrefixKv);
+  return kvLimit() == 0 || m_Kv + m_ForeignKv + Added <= kvLimit();
 }
 
-bool TargetState::couldEverFit(TokenCount Kv) const {
-  return kvLimit() == 0 || Kv <= kvLimit();
+bool TargetState::couldEverFit(const GrantedWork &Work) const {
+  return kvLimit() == 0 || Work.Kv + Work.PrefixKv <= kvLimit();
 }
 
 Duration TargetState::addGrant(const GrantedWork &Work, TimePoint Now) {
@@ -59,6 +75,12 @@
   m_PrefillUntil = Now + Ahead + Speed.prefillTime(Work.Prefill);
   ++m_Sequences;
   m_Kv += Work.Kv;
+  if (Work.Prefix != 0) {
+    auto &Shared = m_Prefixes[Work.Prefix];
+    if (Shared.Users++ == 0)
+      Shared.Kv = Work.PrefixKv;
+    m_Kv += Shared.Users == 1 ? Shared.Kv : 0;
+  }
   noteChange(Now);
   return Ahead;
 }
@@ -67,6 +89,11 @@
   assert(m_Sequences > 0 && "grant removed twice");
   --m_Sequences;
   m_Kv -= Work.Kv;
+  const auto Shared = m_Prefixes.find(Work.Prefix);
+  if (Shared != m_Prefixes.end() && --Shared->second.Users == 0) {
+    m_Kv -= Shared->second.Kv;
+    m_Prefixes.erase(Shared);
+  }
   noteChange(Now);
 }
 
--- a/packages/process/src/targetstate.h
+++ b/packages/process/src/targetstate.h
@@ -5,18 +5,27 @@
 #include "targetlimit.h"
 
 #include "mangodeck/request/targetreport.h"
+#include "mangodeck/request/ticket.h"
 #include "mangodeck/version/snapshot.h"
 
 #include <deque>
+#include <unordered_map>
 
 namespace mangodeck {
 
 /// Work that a grant puts on a target.
 struct GrantedWork {
   TokenCount Prefill = 0; ///< Prompt tokens that are not believed cached.
-  TokenCount Kv = 0;      ///< KV tokens when the answer is complete.
+  /// KV tokens when the answer is complete, without the common prefix.
+  TokenCount Kv = 0;
+  /// The common prefix, which running sequences share; 0 for none.
+  std::uint64_t Prefix = 0;
+  TokenCount PrefixKv = 0;
 };
 
+/// The KV tokens of a request, all of its prompt still to be filled.
+GrantedWork workOf(const Ticket &Request);
+
 /// What a dispatch group knows of one target.
 class TargetState {
 public:
@@ -30,10 +39,10 @@
 
   /// A usable target that has room for one more sequence.
   bool hasRoom(TimePoint Now) const;
-  bool fits(TokenCount Kv) const;
+  bool fits(const GrantedWork &Work) const;
 
-  /// Whether \p Kv tokens would ever fit, with nothing else running.
-  bool couldEverFit(TokenCount Kv) const;
+  /// Whether \p Work would ever fit, with nothing else running.
+  bool couldEverFit(const GrantedWork &Work) const;
 
   /// Books a grant. Returns the delay that the prefill of earlier grants is
   /// expected to cause.
@@ -84,6 +93,11 @@
     TokenCount Kv;
   };
 
+  struct SharedPrefix {
+    std::uint32_t Users = 0;
+    TokenCount Kv = 0;
+  };
+
   void noteChange(TimePoint Now);
   Change ownAt(TimePoint Time) const;
 
@@ -103,6 +117,7 @@
   TokenCount m_ForeignKv = 0;
   TokenCount m_ReportedKvTotal = 0;
   std::deque<Change> m_Changes;
+  std::unordered_map<std::uint64_t, SharedPrefix> m_Prefixes;
 };
 
 } // namespace mangodeck
--- a/packages/replay/include/mangodeck/replay/checkedgroup.h
+++ b/packages/replay/include/mangodeck/replay/checkedgroup.h
@@ -16,7 +16,8 @@
 ///  - a grant or refusal is for a ticket that waits in the group;
 ///  - no ticket is shed while one of a lower tier waits;
 ///  - no target is granted work after it was marked as leaving;
-///  - a target's grants stay within its sequences and KV tokens;
+///  - a target's grants stay within its sequences and KV tokens, a common
+///    prefix of running requests counted once;
 ///  - a refusal that may be retried says when.
 class CheckedGroup : public DispatchGroup {
 public:
@@ -54,6 +55,7 @@
   struct TargetUse {
     std::uint32_t Sequences = 0;
     TokenCount Kv = 0;
+    std::map<std::vector<std::uint64_t>, std::uint32_t> PrefixUsers;
     Incarnation Known = 0;
     Incarnation LeavingThrough = 0;
     bool Leaving = false;
@@ -67,6 +69,9 @@
   void check(std::size_t From, const Actions &Out);
   void checkGrant(const Grant &Granted);
   void checkRefusal(const RefuseAction &Refused);
+  static TokenCount commonTokens(const Ticket &Request);
+  static void addUse(TargetUse &Use, const Ticket &Request);
+  static void removeUse(TargetUse &Use, const Ticket &Request);
   void release(const RequestId &Id, bool WaitsAgain);
   void removeWaiting(const RequestId &Id, std::string_view Action);
   void violate(std::string_view What, const RequestId &Id);
--- a/packages/replay/src/checkedgroup.cpp
+++ b/packages/replay/src/checkedgroup.cpp
@@ -72,8 +72,7 @@
     if (m_Waiting.contains(Item.Request.Id))
       removeWaiting(Item.Request.Id, "adopted");
     auto &Use = m_Targets[Item.Target];
-    ++Use.Sequences;
-    Use.Kv += Item.Request.PromptTokens + Item.Request.OutputTokens;
+    addUse(Use, Item.Request);
     m_Running.emplace(Item.Request.Id,
                       RunningTicket{Item.Request, Item.Target});
   }
@@ -185,6 +184,26 @@
   }
 }
 
+TokenCount CheckedGroup::commonTokens(const Ticket &Request) {
+  const auto Tokens = static_cast<TokenCount>(Request.PrefixBlocks.size()) *
+                      Request.TokensPerBlock;
+  return Tokens <= Request.PromptTokens ? Tokens : 0;
+}
+
+void CheckedGroup::addUse(TargetUse &Use, const Ticket &Request) {
+  ++Use.Sequences;
+  Use.Kv += Request.PromptTokens + Request.OutputTokens;
+  if (Use.PrefixUsers[Request.PrefixBlocks]++ > 0)
+    Use.Kv -= commonTokens(Request);
+}
+
+void CheckedGroup::removeUse(TargetUse &Use, const Ticket &Request) {
+  --Use.Sequences;
+  Use.Kv -= Request.PromptTokens + Request.OutputTokens;
+  if (--Use.PrefixUsers[Request.PrefixBlocks] > 0)
+    Use.Kv += commonTokens(Request);
+}
+
 void CheckedGroup::checkGrant(const Grant &Granted) {
   const auto Running = m_Running.find(Granted.Request);
   if (Running != m_Running.end()) {
@@ -199,8 +218,7 @@
   removeWaiting(Granted.Request, "granted");
 
   auto &Use = m_Targets[Granted.Target];
-  ++Use.Sequences;
-  Use.Kv += Request.PromptTokens + Request.OutputTokens;
+  addUse(Use, Request);
   const auto *Record = m_Config->findTarget(Granted.Target);
   if (!Record || Record->Draining)
     violate("granted a target that is not in use", Granted.Request);
@@ -235,8 +253,7 @@
     return;
   auto &Use = m_Targets[It->second.Target];
   const auto Request = std::move(It->second.Request);
-  --Use.Sequences;
-  Use.Kv -= Request.PromptTokens + Request.OutputTokens;
+  removeUse(Use, Request);
   m_Running.erase(It);
   if (!WaitsAgain)
     return;
