--- a/packages/replay/include/mangodeck/replay/checkedgroup.h
+++ b/packages/replay/include/mangodeck/replay/checkedgroup.h
@@ -64,6 +64,7 @@
   struct RunningTicket {
     Ticket Request;
     TargetName Target;
+    Incarnation TargetIncarnation = 0;
   };
 
   void check(std::size_t From, const Actions &Out);
--- a/packages/replay/src/checkedgroup.cpp
+++ b/packages/replay/src/checkedgroup.cpp
@@ -45,8 +45,10 @@
   const auto It = m_Running.find(Request);
   if (Reason == ReturnReason::TargetLeaving && It != m_Running.end()) {
     auto &Use = m_Targets[It->second.Target];
+    const auto Started = It->second.TargetIncarnation;
     Use.Leaving = true;
-    Use.LeavingThrough = std::max(Use.LeavingThrough, Use.Known);
+    Use.LeavingThrough =
+        std::max(Use.LeavingThrough, Started == 0 ? Use.Known : Started);
   }
   if (Reason != ReturnReason::Duplicate)
     release(Request, Reason == ReturnReason::TargetLeaving ||
@@ -73,8 +75,8 @@
       removeWaiting(Item.Request.Id, "adopted");
     auto &Use = m_Targets[Item.Target];
     addUse(Use, Item.Request);
-    m_Running.emplace(Item.Request.Id,
-                      RunningTicket{Item.Request, Item.Target});
+    m_Running.emplace(Item.Request.Id, RunningTicket{Item.Request, Item.Target,
+                                                     Item.TargetIncarnation});
   }
   m_Checked->adoptRunning(Running, Now, Out);
   check(From, Out);
@@ -228,7 +230,8 @@
     violate("granted above the target's KV tokens", Granted.Request);
   if (Use.Leaving && Use.Known <= Use.LeavingThrough)
     violate("granted a leaving target", Granted.Request);
-  m_Running.emplace(Granted.Request, RunningTicket{Request, Granted.Target});
+  m_Running.emplace(Granted.Request, RunningTicket{Request, Granted.Target,
+                                                   Granted.TargetIncarnation});
 }
 
 void CheckedGroup::checkRefusal(const RefuseAction &Refused) {
--- a/packages/replay/src/jsonfields.cpp
+++ b/packages/replay/src/jsonfields.cpp
@@ -4,6 +4,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace mangodeck {
 
@@ -52,7 +53,8 @@
 
 Duration JsonFields::milliseconds(std::string_view Key, double Least,
                                   double Most, std::optional<double> Default) {
-  return fromSeconds(number(Key, Least, Most, Default) / 1e3);
+  const double Value = number(Key, Least, Most, Default);
+  return std::chrono::microseconds(std::llround(Value * 1e3));
 }
 
 bool JsonFields::flag(std::string_view Key) {
--- a/packages/replay/src/tracegenerator.cpp
+++ b/packages/replay/src/tracegenerator.cpp
@@ -33,6 +33,11 @@
 /// down.
 constexpr double InTimeShare = 0.95;
 
+/// A span in whole microseconds, which a written trace keeps.
+Duration toSpan(double Seconds) {
+  return std::chrono::microseconds(std::llround(Seconds * 1e6));
+}
+
 /// A kind of request with the ranges its lengths are drawn from.
 struct RequestClass {
   std::string_view Customer;
@@ -176,14 +181,14 @@
       Item.Customer = m_Site.Customers[m_Random.below(2)].Name;
       Item.Service = m_Site.plain().Name;
       Item.Deadline = 10s;
-      Item.Work = fromSeconds(0.05 + 0.25 * m_Random.uniform());
+      Item.Work = toSpan(0.05 + 0.25 * m_Random.uniform());
       Item.Keyed = m_Random.uniform() < 0.7;
       m_Trace.Arrivals.push_back(std::move(Item));
     }
   }
 
   Duration gap(double Rate) {
-    return fromSeconds(-std::log(1.0 - m_Random.uniform()) / Rate);
+    return toSpan(-std::log(1.0 - m_Random.uniform()) / Rate);
   }
 
   const RequestClass &drawClass() {
@@ -214,7 +219,7 @@
     Item.MaxOutput = std::min(Item.MaxOutput, 2 * Kind.MostOutput);
     Item.Deadline = Kind.Deadline;
     if (m_Random.uniform() < HangUpShare)
-      Item.HangUp = fromSeconds(0.5 + 8 * m_Random.uniform());
+      Item.HangUp = toSpan(0.5 + 8 * m_Random.uniform());
     m_Trace.Arrivals.push_back(std::move(Item));
     return m_Trace.Arrivals.back();
   }
