--- /dev/null
+++ b/apps/mangodeck/benchcommand.h
@@ -0,0 +1,27 @@
+#ifndef MANGODECK_APPS_MANGODECK_BENCHCOMMAND_H
+#define MANGODECK_APPS_MANGODECK_BENCHCOMMAND_H
+
+#include "command.h"
+
+#include <string>
+
+namespace mangodeck {
+
+/// "mangodeck bench": time and memory of one dispatch decision, and one number
+/// that changes whenever a decision on any trace does.
+class BenchCommand : public Command {
+public:
+  CLI::App *declare(CLI::App &Parent) override;
+  int run() override;
+
+private:
+  int printSignature() const;
+
+  std::string m_Traces = "traces";
+  bool m_SignatureOnly = false;
+  bool m_Json = false;
+};
+
+} // namespace mangodeck
+
+#endif
--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -1,3 +1,4 @@
+#include "benchcommand.h"
 #include "command.h"
 #include "replaycommand.h"
 
@@ -10,6 +11,7 @@
 static std::vector<std::unique_ptr<Command>> makeCommands() {
   std::vector<std::unique_ptr<Command>> Commands;
   Commands.push_back(std::make_unique<ReplayCommand>());
+  Commands.push_back(std::make_unique<BenchCommand>());
   return Commands;
 }
 
