--- a/packages/process/src/group.cpp
+++ b/packages/process/src/group.cpp
@@ -113,6 +113,8 @@
       std::max<Duration>(Duration(0), Report.FirstToken - Item.Ahead);
   Target.Speed.learn(Prefill, Own, Report.OutputTokens, Report.Decode);
 
+  m_AnswerTime.learn(Item.Request.OutputTokens, Report);
+
   const auto &Targets = tierOf(Item.Request.Tier);
   if (Report.OutputTokens > 1) {
     const double Gap =
--- a/packages/process/src/group.h
+++ b/packages/process/src/group.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_PROCESS_GROUP_H
 #define MANGODECK_PROCESS_GROUP_H
 
+#include "answertime.h"
 #include "crashsuspects.h"
 #include "customerlimits.h"
 #include "drainrate.h"
@@ -121,6 +122,7 @@
   CrashSuspects m_Suspects;
   CustomerLimits m_Limits;
   DrainRate m_Drain;
+  AnswerTime m_AnswerTime;
   Spill m_Spill;
   std::unordered_map<RequestId, GrantedRequest> m_Granted;
   std::optional<RequestId> m_RunningSuspect;
