process: eject failing targets, probe slow ones back, priors by hardware

**Cause** A target that was slow and idle was never tried again; one that fails every request at once looked the least loaded; a new target started from a constant speed. **Change** TargetHealth: three failures in a row (lost or not delivered; an error answer may be the caller's fault) eject a target for 5 s, then longer, with one request as probe; at most a third is ejected.

--- a/packages/process/src/enginespeed.h
+++ b/packages/process/src/enginespeed.h
@@ -17,8 +17,14 @@
   void learn(TokenCount Prefill, Duration FirstToken, TokenCount Output,
              Duration Decode);
 
-  /// Forgets what was learned, e.g. when the target was started again.
-  void reset();
+  /// Moves a speed that has not been measured lately towards that of
+  /// \p Typical, so that a target that was slow is tried again; the next
+  /// samples then count for more.
+  void relaxTowards(const EngineSpeed &Typical);
+
+  /// What was learned is only a start from now on, e.g. when the target was
+  /// started again.
+  void restart() { m_Samples = 0; }
 
   /// Time that the prefill of \p Tokens takes.
   Duration prefillTime(TokenCount Tokens) const;
--- a/packages/process/src/group.cpp
+++ b/packages/process/src/group.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint32_t DefaultQueueLimit = 1000;
 constexpr Duration PruneInterval = 10s;
+constexpr Duration RelaxInterval = 1s;
 /// A grant whose end is not reported is forgotten so long after its deadline.
 constexpr Duration OverdueGrace = 60s;
 constexpr Duration NotDeliveredBackOff = 1s;
@@ -59,6 +60,8 @@
     Target.markLeaving(Item->TargetIncarnation);
   if (Reason == ReturnReason::NotDelivered)
     Target.backOff(Now + NotDeliveredBackOff);
+  if (Reason == ReturnReason::NotDelivered)
+    m_Placement.noteFailure(Item->Target, Now);
   m_Placement.refresh(Item->Target, Now);
   if (Again) {
     m_Limits.adopt(Item->Request.Customer);
@@ -75,6 +78,8 @@
     learn(*Item, Report, Now);
     m_Suspects.clear(Item->Request.Fingerprint);
   }
+  if (Report.Kind == FinishKind::Lost)
+    m_Placement.noteFailure(Item->Target, Now);
   if (Report.Kind == FinishKind::Crashed)
     noteCrash(*Item, Now, Out);
   m_Placement.refresh(Item->Target, Now);
@@ -111,6 +116,7 @@
                            : Item.Work.Prefill;
   const Duration Own =
       std::max<Duration>(Duration(0), Report.FirstToken - Item.Ahead);
+  Target.Health.noteSuccess();
   Target.Speed.learn(Prefill, Own, Report.OutputTokens, Report.Decode);
 
   m_AnswerTime.learn(Item.Request.OutputTokens, Report);
@@ -277,6 +283,10 @@
   expire(Now, Out);
   dropOverdue(Now);
   m_Drain.update(Now, !m_Queue.empty());
+  if (Now - m_LastRelax >= RelaxInterval) {
+    m_LastRelax = Now;
+    m_Placement.relaxIdle(Now);
+  }
   m_Placement.refreshAll(Now);
   refuseWithoutTargets(Now, Out);
   decide(Now, Out);
--- a/packages/process/src/placement.cpp
+++ b/packages/process/src/placement.cpp
@@ -37,10 +37,46 @@
     m_ByName.emplace(Record->Name.Text, Index);
     m_Targets.emplace_back(*Record);
     m_Summaries.emplace_back();
+    setPrior(Index);
   }
   refreshAll(Now);
 }
 
+/// A new target starts from the speed of one of the same hardware.
+void Placement::setPrior(TargetIndex Index) {
+  auto &New = m_Targets[Index];
+  for (const auto &Other : m_Targets)
+    if (Other.Speed.learned() &&
+        Other.record().HardwareGeneration == New.record().HardwareGeneration)
+      return New.Speed.setPrior(Other.Speed);
+}
+
+void Placement::relaxIdle(TimePoint Now) {
+  std::vector<const TargetState *> Known;
+  for (const auto &Item : m_Targets)
+    if (Item.isUsable(Now) && Item.Speed.learned())
+      Known.push_back(&Item);
+  if (Known.size() < 2)
+    return;
+  const auto Middle =
+      Known.begin() + static_cast<std::ptrdiff_t>(Known.size() / 2);
+  std::nth_element(Known.begin(), Middle, Known.end(),
+                   [](const TargetState *A, const TargetState *B) {
+                     return A->Speed.tokenGap() < B->Speed.tokenGap();
+                   });
+  const EngineSpeed Typical = (*Middle)->Speed;
+  for (auto &Item : m_Targets)
+    if (Item.isUsable(Now) && Item.isIdle(Now))
+      Item.Speed.relaxTowards(Typical);
+}
+
+void Placement::noteFailure(TargetIndex Index, TimePoint Now) {
+  auto &Item = m_Targets[Index];
+  if (Item.Health.noteFailure() && mayEject(m_EjectedCount, m_UsableCount))
+    Item.Health.eject(Now);
+  refresh(Index, Now);
+}
+
 std::optional<TargetIndex> Placement::find(const TargetName &Name) const {
   const auto It = m_ByName.find(Name.Text);
   if (It == m_ByName.end())
@@ -53,12 +89,14 @@
   const auto &Item = m_Targets[Index];
   Summary New;
   New.Usable = Item.isUsable(Now);
+  New.Ejected = Item.Health.state() == TargetHealth::State::Ejected;
   New.Free = New.Usable ? Item.freeSequences() : 0;
   New.Open = New.Free > 0;
   New.Load = Item.load();
 
   m_FreeSequences = m_FreeSequences - Old.Free + New.Free;
   m_UsableCount = m_UsableCount - Old.Usable + New.Usable;
+  m_EjectedCount = m_EjectedCount - Old.Ejected + New.Ejected;
   if (Old.Open)
     m_Open.erase({Old.Load, Index});
   if (New.Open)
@@ -67,8 +105,10 @@
 }
 
 void Placement::refreshAll(TimePoint Now) {
-  for (TargetIndex Index = 0; Index < m_Targets.size(); ++Index)
+  for (TargetIndex Index = 0; Index < m_Targets.size(); ++Index) {
+    m_Targets[Index].Health.update(Now);
     refresh(Index, Now);
+  }
 }
 
 std::optional<Choice> Placement::rate(TargetIndex Index, const Ticket &Request,
--- a/packages/process/src/placement.h
+++ b/packages/process/src/placement.h
@@ -55,6 +55,13 @@
   /// Re-evaluates all targets.
   void refreshAll(TimePoint Now);
 
+  /// Lets the speeds of idle targets drift towards the median target's, so
+  /// that one that was slow is tried again. Linear in the targets.
+  void relaxIdle(TimePoint Now);
+
+  /// Books a failure of the target and ejects it if the cap allows.
+  void noteFailure(TargetIndex Index, TimePoint Now);
+
   bool hasRoom() const { return !m_Open.empty(); }
   bool hasUsable() const { return m_UsableCount > 0; }
   std::size_t usableCount() const { return m_UsableCount; }
@@ -64,10 +71,13 @@
   struct Summary {
     bool Open = false;
     bool Usable = false;
+    bool Ejected = false;
     double Load = 0;
     std::uint32_t Free = 0;
   };
 
+  void setPrior(TargetIndex Index);
+
   std::optional<Choice> rate(TargetIndex Index, const Ticket &Request,
                              const GrantedWork &Work, TimePoint Now) const;
 
@@ -76,6 +86,7 @@
   std::unordered_map<std::string, TargetIndex> m_ByName;
   std::set<std::pair<double, TargetIndex>> m_Open;
   std::size_t m_UsableCount = 0;
+  std::size_t m_EjectedCount = 0;
   std::uint32_t m_FreeSequences = 0;
   PrefixBelief m_Belief;
 };
--- a/packages/process/src/targetstate.cpp
+++ b/packages/process/src/targetstate.cpp
@@ -11,6 +11,7 @@
 constexpr double KvFillShare = 0.95;
 /// How far back own grants are remembered to correct stale reports.
 constexpr Duration HistorySpan = 30s;
+constexpr Duration IdleAfter = 5s;
 
 } // namespace
 
@@ -42,7 +43,8 @@
 }
 
 bool TargetState::isUsable(TimePoint Now) const {
-  return m_Configured && !m_Down && !isLeaving() && Now >= m_BackOffUntil;
+  return m_Configured && !m_Down && !isLeaving() && Now >= m_BackOffUntil &&
+         Health.state() != TargetHealth::State::Ejected;
 }
 
 bool TargetState::hasRoom(TimePoint Now) const {
@@ -51,7 +53,9 @@
 
 std::uint32_t TargetState::freeSequences() const {
   const auto Used = runningSequences();
-  return Limit.sequences() > Used ? Limit.sequences() - Used : 0;
+  const bool Probing = Health.state() == TargetHealth::State::Probing;
+  const auto Most = Probing ? 1 : Limit.sequences();
+  return Most > Used ? Most - Used : 0;
 }
 
 TokenCount TargetState::kvLimit() const {
@@ -73,6 +77,7 @@
 Duration TargetState::addGrant(const GrantedWork &Work, TimePoint Now) {
   const Duration Ahead = std::max<Duration>(Duration(0), m_PrefillUntil - Now);
   m_PrefillUntil = Now + Ahead + Speed.prefillTime(Work.Prefill);
+  m_LastGrant = Now;
   ++m_Sequences;
   m_Kv += Work.Kv;
   if (Work.Prefix != 0) {
@@ -125,7 +130,8 @@
   if (m_Leaving && m_LeavingThrough == 0)
     m_LeavingThrough = Report.Started;
   if (Report.Started > m_Incarnation && m_Incarnation != 0) {
-    Speed.reset();
+    Speed.restart();
+    Health.noteSuccess();
     endLife();
   }
   m_Incarnation = Report.Started;
@@ -154,6 +160,10 @@
   m_ForeignKv = 0;
 }
 
+bool TargetState::isIdle(TimePoint Now) const {
+  return m_Sequences == 0 && Now - m_LastGrant >= IdleAfter;
+}
+
 void TargetState::backOff(TimePoint Until) {
   m_BackOffUntil = std::max(m_BackOffUntil, Until);
 }
--- a/packages/process/src/targetstate.h
+++ b/packages/process/src/targetstate.h
@@ -2,6 +2,7 @@
 #define MANGODECK_PROCESS_TARGETSTATE_H
 
 #include "enginespeed.h"
+#include "targethealth.h"
 #include "targetlimit.h"
 
 #include "mangodeck/request/targetreport.h"
@@ -83,8 +84,12 @@
   bool isDown() const { return m_Down; }
   bool isConfigured() const { return m_Configured; }
 
+  /// Nothing was granted for a while and nothing runs.
+  bool isIdle(TimePoint Now) const;
+
   EngineSpeed Speed;
   TargetLimit Limit;
+  TargetHealth Health;
 
 private:
   struct Change {
@@ -112,6 +117,7 @@
   std::uint64_t m_Life = 1;
   std::uint32_t m_Sequences = 0;
   TokenCount m_Kv = 0;
+  TimePoint m_LastGrant{};
   TimePoint m_PrefillUntil{}; ///< When granted prefill is expected to end.
   std::uint32_t m_Foreign = 0;
   TokenCount m_ForeignKv = 0;
--- a/packages/process/test/group_test.cpp
+++ b/packages/process/test/group_test.cpp
@@ -33,6 +33,11 @@
   CPPUNIT_TEST(fullGroup_passedTicket_isNotPassedAgain);
   CPPUNIT_TEST(staleReport_ownGrantsSince_areAdded);
   CPPUNIT_TEST(lowTier_withReserve_isNotStarved);
+  CPPUNIT_TEST(suspect_toldByOtherGroup_secondCrashQuarantines);
+  CPPUNIT_TEST(failingTarget_isEjectedAndProbedBack);
+  CPPUNIT_TEST(longPrefix_otherGroupIsHome_isGatheredThere);
+  CPPUNIT_TEST(commonPrefix_runningTwice_isChargedOnce);
+  CPPUNIT_TEST(ticket_answerCannotComeInTime_isExpiredAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -400,6 +405,79 @@
     CPPUNIT_ASSERT(findGrant(Low));
     CPPUNIT_ASSERT(Rounds >= 9);
   }
+
+  void suspect_toldByOtherGroup_secondCrashQuarantines() {
+    configure(makeConfig(2, 2));
+    auto Poison = makeTicket(0);
+    const CrashSuspect Told{Poison.Fingerprint, 99};
+    m_Group->noteSuspects(std::span(&Told, 1), now(), m_Out);
+    CPPUNIT_ASSERT(m_Group->suspects(now()).empty());
+    submit(Poison);
+    finish(Poison.Id, FinishKind::Crashed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Group->quarantined().size());
+  }
+
+  void failingTarget_isEjectedAndProbedBack() {
+    configure(makeConfig(3, 1));
+    std::vector<RequestId> Running;
+    for (int I = 0; I < 3; ++I)
+      Running.push_back(submit(makeTicket(0)));
+    const auto Failing = findGrant(Running[0])->Target;
+    for (int I = 0; I < 3; ++I) {
+      finish(Running[0], FinishKind::Lost);
+      Running[0] = submit(makeTicket(0));
+      CPPUNIT_ASSERT_EQUAL(I < 2, findGrant(Running[0]) != nullptr);
+    }
+    tick(6s);
+    CPPUNIT_ASSERT(findGrant(Running[0]));
+    CPPUNIT_ASSERT(findGrant(Running[0])->Target == Failing);
+  }
+
+  void longPrefix_otherGroupIsHome_isGatheredThere() {
+    configure(makeConfig(2, 16));
+    GroupDigest Other;
+    Other.Group = GroupId{m_Id.Service, FailureDomain("b"), 0};
+    Other.FreeSequences = 100;
+    m_Group->updateDigest(Other, 3ms, now());
+    int Passed = 0;
+    for (std::uint64_t Prefix = 1; Prefix <= 20; ++Prefix) {
+      auto Request = makePrefixed(Prefix);
+      Passed += findSpill(submit(Request)) != nullptr;
+      Request.Id = makeTicket(0).Id;
+      Request.Hops = 1;
+      CPPUNIT_ASSERT(!findSpill(submit(Request)));
+    }
+    CPPUNIT_ASSERT(Passed >= 4 && Passed <= 16);
+  }
+
+  void commonPrefix_runningTwice_isChargedOnce() {
+    auto Config = makeConfig(1, 8);
+    Config.Targets[0].KvTokens = 7000;
+    configure(Config);
+    CPPUNIT_ASSERT(findGrant(submit(makePrefixed(1))));
+    CPPUNIT_ASSERT(findGrant(submit(makePrefixed(1))));
+    CPPUNIT_ASSERT(!findGrant(submit(makePrefixed(2))));
+  }
+
+  void ticket_answerCannotComeInTime_isExpiredAtOnce() {
+    configure(makeConfig(1, 1));
+    finish(submit(makeTicket(0)));
+    auto Late = makeTicket(0);
+    Late.Deadline = now() + 500ms;
+    const auto Id = submit(Late);
+    CPPUNIT_ASSERT(findRefusal(Id));
+    CPPUNIT_ASSERT(findRefusal(Id)->Reason == NotRunReason::Expired);
+  }
+
+private:
+  Ticket makePrefixed(std::uint64_t Prefix) {
+    auto Request = makeTicket(0);
+    Request.PromptTokens = 4196;
+    Request.TokensPerBlock = 1024;
+    for (std::uint64_t I = 0; I < 4; ++I)
+      Request.PrefixBlocks.push_back(Prefix * 10 + I);
+    return Request;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupTest);
