--- a/packages/process/src/group.h
+++ b/packages/process/src/group.h
@@ -68,6 +68,8 @@
   // Decision.
   void decide(TimePoint Now, Actions &Out);
   Step decideNext(TimePoint Now, Actions &Out);
+  Step decideTier(TierRank Rank, TimePoint Now, Actions &Out);
+  Duration mostAhead(TierRank Rank) const;
   bool grantHeld(TimePoint Now, Actions &Out);
   void hold(const WaitingTicket &Entry, TimePoint Now, Actions &Out);
   void releaseHold();
--- a/packages/process/src/groupdecision.cpp
+++ b/packages/process/src/groupdecision.cpp
@@ -4,6 +4,13 @@
 
 namespace mangodeck {
 
+namespace {
+
+/// Prefill that lower tiers may queue up at a target.
+constexpr Duration MostPrefillAhead = 500ms;
+
+} // namespace
+
 /// Grants waiting tickets targets until nothing may go. Each round takes one
 /// ticket out of dispatch order or ends the loop, and costs the logarithm of
 /// tickets and targets.
@@ -21,14 +28,19 @@
     return Step::Stop;
 
   // Step 2. Choose the tier: one whose reserve is due, else the highest.
-  auto Rank = m_Reserve.due(m_Queue);
-  if (!Rank)
-    Rank = m_Queue.highestReady();
-  if (!Rank)
-    return Step::Stop;
+  if (const auto Due = m_Reserve.due(m_Queue)) {
+    const auto Result = decideTier(*Due, Now, Out);
+    if (Result != Step::Stop)
+      return Result;
+  }
+  const auto Highest = m_Queue.highestReady();
+  return Highest ? decideTier(*Highest, Now, Out) : Step::Stop;
+}
 
+/// The decision for the next ticket of a tier.
+Group::Step Group::decideTier(TierRank Rank, TimePoint Now, Actions &Out) {
   // Step 3. Take the customer with the least service, its earliest deadline.
-  const WaitingTicket &Next = *m_Queue.front(*Rank);
+  const WaitingTicket &Next = *m_Queue.front(Rank);
   const RequestId Id = Next.Request.Id;
 
   // Step 4. Give up what could not be answered in time.
@@ -44,21 +56,34 @@
   }
 
   // Step 6. Choose the target with the least expected time to first token.
+  // Lower tiers wait here rather than queue up prefill at the targets, where
+  // the highest tier would wait behind it.
   const std::optional<TargetIndex> Held =
       m_Hold ? std::optional(m_Hold->Target) : std::nullopt;
-  const auto Chosen = m_Placement.choose(Next.Request, Held, Now);
+  const auto Chosen =
+      m_Placement.choose(Next.Request, Held, mostAhead(Rank), Now);
 
-  // Step 7. Keep a target free for a ticket that fits nowhere at present.
-  if (!Chosen) {
+  // Step 7. Wait for the targets' prefill, or keep a target free for a ticket
+  // that fits nowhere at present.
+  if (!Chosen.Best && Chosen.Deferred)
+    return Step::Stop;
+  if (!Chosen.Best) {
     hold(Next, Now, Out);
     return Step::Continue;
   }
 
   // Step 8. Grant.
-  grant(Id, *Chosen, Now, Out);
+  grant(Id, *Chosen.Best, Now, Out);
   return Step::Granted;
 }
 
+/// Prefill that a target may have to do when it is granted more.
+Duration Group::mostAhead(TierRank Rank) const {
+  const bool Highest = m_Config && !m_Config->Tiers.empty() &&
+                       Rank <= m_Config->Tiers.front().Rank;
+  return Highest ? Duration::max() : MostPrefillAhead;
+}
+
 /// Grants the ticket that a target is kept for, once it fits somewhere. Returns
 /// true if the queue changed.
 bool Group::grantHeld(TimePoint Now, Actions &Out) {
@@ -70,7 +95,9 @@
     releaseHold();
     return true;
   }
-  const auto Chosen = m_Placement.choose(Entry->Request, std::nullopt, Now);
+  const auto Chosen =
+      m_Placement.choose(Entry->Request, std::nullopt, Duration::max(), Now)
+          .Best;
   if (!Chosen)
     return false;
   const RequestId Id = m_Hold->Request;
--- a/packages/process/src/placement.cpp
+++ b/packages/process/src/placement.cpp
@@ -131,20 +131,26 @@
 /// Candidates are the targets with the least load and those that are believed
 /// to hold the prompt's prefix; the least expected time wins. Constant in the
 /// number of targets, but for the ordered set's logarithm.
-std::optional<Choice> Placement::choose(const Ticket &Request,
-                                        std::optional<TargetIndex> Held,
-                                        TimePoint Now) const {
+Selection Placement::choose(const Ticket &Request,
+                            std::optional<TargetIndex> Held, Duration MostAhead,
+                            TimePoint Now) const {
   const std::uint64_t Prefix = Request.PrefixBlocks.empty()
                                    ? Request.Id.Low
                                    : Request.PrefixBlocks.front();
   const auto Work = workOf(Request);
-  std::optional<Choice> Best;
+  Selection Result;
+  auto &Best = Result.Best;
   const auto Consider = [&](TargetIndex Index) {
     if (Held == Index)
       return;
     const auto Rated = rate(Index, Request, Work, Now);
     if (!Rated)
       return;
+    const bool Cached = Rated->Cached * 2 > Request.PromptTokens;
+    if (!Cached && m_Targets[Index].prefillAhead(Now) > MostAhead) {
+      Result.Deferred = true;
+      return;
+    }
     const bool Better = !Best || Rated->FirstToken < Best->FirstToken ||
                         (Rated->FirstToken == Best->FirstToken &&
                          mix(Prefix, Index) > mix(Prefix, Best->Target));
@@ -159,7 +165,7 @@
   for (auto It = m_Open.begin(); It != m_Open.end() && Seen < LoadCandidates;
        ++It, ++Seen)
     Consider(It->second);
-  return Best;
+  return Result;
 }
 
 std::optional<TargetIndex> Placement::chooseToHold(const GrantedWork &Work,
--- a/packages/process/src/placement.h
+++ b/packages/process/src/placement.h
@@ -22,6 +22,13 @@
   Duration FirstToken{0};
 };
 
+/// The outcome of a choice.
+struct Selection {
+  std::optional<Choice> Best;
+  /// Some target has room, but has too much prefill to do already.
+  bool Deferred = false;
+};
+
 /// The targets of a dispatch group and the choice among them. Targets with
 /// room are kept in order of their load, so that a choice looks at a few
 /// candidates only, however many targets there are.
@@ -39,10 +46,11 @@
   PrefixBelief &belief() { return m_Belief; }
 
   /// Chooses the target with the least expected time to the first token; none
-  /// if no target has room for the ticket. \p Held is left out.
-  std::optional<Choice> choose(const Ticket &Request,
-                               std::optional<TargetIndex> Held,
-                               TimePoint Now) const;
+  /// if no target has room for the ticket. \p Held is left out, and so are
+  /// targets with more than \p MostAhead of prefill to do, unless they hold
+  /// most of the prompt.
+  Selection choose(const Ticket &Request, std::optional<TargetIndex> Held,
+                   Duration MostAhead, TimePoint Now) const;
 
   /// The usable target that will soonest have room for \p Work; none if
   /// no target ever has. Linear in the targets; for rare large tickets.
--- a/packages/process/src/targetstate.cpp
+++ b/packages/process/src/targetstate.cpp
@@ -75,7 +75,7 @@
 }
 
 Duration TargetState::addGrant(const GrantedWork &Work, TimePoint Now) {
-  const Duration Ahead = std::max<Duration>(Duration(0), m_PrefillUntil - Now);
+  const Duration Ahead = prefillAhead(Now);
   m_PrefillUntil = Now + Ahead + Speed.prefillTime(Work.Prefill);
   m_LastGrant = Now;
   ++m_Sequences;
@@ -168,10 +168,13 @@
   m_BackOffUntil = std::max(m_BackOffUntil, Until);
 }
 
+Duration TargetState::prefillAhead(TimePoint Now) const {
+  return std::max<Duration>(Duration(0), m_PrefillUntil - Now);
+}
+
 Duration TargetState::expectedFirstToken(TokenCount Prefill,
                                          TimePoint Now) const {
-  const Duration Ahead = std::max<Duration>(Duration(0), m_PrefillUntil - Now);
-  return Ahead + Speed.timeToFirst(Prefill);
+  return prefillAhead(Now) + Speed.timeToFirst(Prefill);
 }
 
 double TargetState::load() const {
--- a/packages/process/src/targetstate.h
+++ b/packages/process/src/targetstate.h
@@ -64,6 +64,9 @@
   /// Ends the present life of the target; grants belong to a life.
   void endLife() { ++m_Life; }
 
+  /// Time that the prefill granted before is expected to take still.
+  Duration prefillAhead(TimePoint Now) const;
+
   /// Time until the first token of a request with \p Prefill tokens to fill.
   Duration expectedFirstToken(TokenCount Prefill, TimePoint Now) const;
 
