--- a/packages/process/src/placement.h
+++ b/packages/process/src/placement.h
@@ -22,6 +22,13 @@
   Duration FirstToken{0};
 };
 
+/// The outcome of a choice.
+struct Selection {
+  std::optional<Choice> Best;
+  /// Some target has room, but has too much prefill to do already.
+  bool Deferred = false;
+};
+
 /// The targets of a dispatch group and the choice among them. Targets with
 /// room are kept in order of their load, so that a choice looks at a few
 /// candidates only, however many targets there are.
@@ -39,14 +46,16 @@
   PrefixBelief &belief() { return m_Belief; }
 
   /// Chooses the target with the least expected time to the first token; none
-  /// if no target has room for the ticket. \p Held is left out.
-  std::optional<Choice> choose(const Ticket &Request,
-                               std::optional<TargetIndex> Held,
-                               TimePoint Now) const;
+  /// if no target has room for the ticket. \p Held is left out, and so are
+  /// targets with more than \p MostAhead of prefill to do, unless they hold
+  /// most of the prompt.
+  Selection choose(const Ticket &Request, std::optional<TargetIndex> Held,
+                   Duration MostAhead, TimePoint Now) const;
 
-  /// The usable target that will soonest have room for \p Kv tokens; none if
+  /// The usable target that will soonest have room for \p Work; none if
   /// no target ever has. Linear in the targets; for rare large tickets.
-  std::optional<TargetIndex> chooseToHold(TokenCount Kv, TimePoint Now) const;
+  std::optional<TargetIndex> chooseToHold(const GrantedWork &Work,
+                                          TimePoint Now) const;
 
   /// Call after any change of a target.
   void refresh(TargetIndex Index, TimePoint Now);
@@ -54,32 +63,38 @@
   /// Re-evaluates all targets.
   void refreshAll(TimePoint Now);
 
+  /// Lets the speeds of idle targets drift towards the median target's, so
+  /// that one that was slow is tried again. Linear in the targets.
+  void relaxIdle(TimePoint Now);
+
+  /// Books a failure of the target and ejects it if the cap allows.
+  void noteFailure(TargetIndex Index, TimePoint Now);
+
   bool hasRoom() const { return !m_Open.empty(); }
   bool hasUsable() const { return m_UsableCount > 0; }
   std::size_t usableCount() const { return m_UsableCount; }
   std::uint32_t freeSequences() const { return m_FreeSequences; }
 
-  /// Tokens of KV cache that a request takes when its answer is complete.
-  static TokenCount kvOf(const Ticket &Request) {
-    return Request.PromptTokens + Request.OutputTokens;
-  }
-
 private:
   struct Summary {
     bool Open = false;
     bool Usable = false;
+    bool Ejected = false;
     double Load = 0;
     std::uint32_t Free = 0;
   };
 
+  void setPrior(TargetIndex Index);
+
   std::optional<Choice> rate(TargetIndex Index, const Ticket &Request,
-                             TimePoint Now) const;
+                             const GrantedWork &Work, TimePoint Now) const;
 
   std::vector<TargetState> m_Targets;
   std::vector<Summary> m_Summaries;
   std::unordered_map<std::string, TargetIndex> m_ByName;
   std::set<std::pair<double, TargetIndex>> m_Open;
   std::size_t m_UsableCount = 0;
+  std::size_t m_EjectedCount = 0;
   std::uint32_t m_FreeSequences = 0;
   PrefixBelief m_Belief;
 };
