mangodeckd: store client, claims, target reports, metrics and time line

Change: the daemon uses the etcd client where settings name the store, records claims, watches the targets of its groups, and serves /metrics and /timeline. The configuration agent is now a thin layer over ConfigurationSync, which did the same.

--- a/apps/mangodeckd/daemon.cpp
+++ b/apps/mangodeckd/daemon.cpp
@@ -6,6 +6,8 @@
 #include "mangodeck/connection/callerserver.h"
 #include "mangodeck/connection/curltargetclient.h"
 #include "mangodeck/connection/datagramtransport.h"
+#include "mangodeck/connection/etcdstore.h"
+#include "mangodeck/connection/httptargetwatcher.h"
 #include "mangodeck/connection/loopthread.h"
 #include "mangodeck/connection/peertransport.h"
 #include "mangodeck/process/configagent.h"
@@ -13,7 +15,10 @@
 #include "mangodeck/process/entry.h"
 #include "mangodeck/process/memberagent.h"
 #include "mangodeck/process/messagehub.h"
+#include "mangodeck/process/metrics.h"
 #include "mangodeck/process/packetcodec.h"
+#include "mangodeck/process/storeclaimclient.h"
+#include "mangodeck/process/timelineformat.h"
 #include "mangodeck/version/memorystore.h"
 
 #include <asio/signal_set.hpp>
@@ -47,22 +52,22 @@
   RandomSource &m_Random;
 };
 
-/// Watches nothing.
-class NoWatcher : public TargetWatcher {
+/// Hands reports to the group host, which is made after the watcher.
+class ReportForwarder : public TargetReportHandler {
 public:
-  void watch(const TargetName &, const std::string &) override {}
-  void unwatch(const TargetName &) override {}
-};
+  void attach(TargetReportHandler &Handler) { m_Handler = &Handler; }
 
-/// Confirms no claim.
-class NoClaims : public ClaimClient {
-public:
-  void claim(const ClaimKey &, std::uint64_t, const RequestId &,
-             std::function<void(ClaimReply)> Done) override {
-    Done({});
+  void onLoad(const LoadReport &Report) override { m_Handler->onLoad(Report); }
+  void onCache(const CacheEvent &Report) override {
+    m_Handler->onCache(Report);
   }
-  void complete(const ClaimKey &, const RequestId &, StoredAnswer) override {}
-  void release(const ClaimKey &, const RequestId &) override {}
+  void onUp(const TargetName &Target, Incarnation Started) override {
+    m_Handler->onUp(Target, Started);
+  }
+  void onDown(const TargetName &Target) override { m_Handler->onDown(Target); }
+
+private:
+  TargetReportHandler *m_Handler = nullptr;
 };
 
 /// Encodes packets and hands them to the datagram transport.
@@ -81,12 +86,27 @@
   DatagramTransport &m_Transport;
 };
 
+/// Runs \p Work on \p Loop and waits for its end.
+template <typename Function> void runOn(Executor &Loop, Function Work) {
+  std::promise<void> Done;
+  Loop.post([&] {
+    Work();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+/// Adds \p Counts to \p Sums, element by element.
+void addTo(std::vector<std::uint32_t> &Sums,
+           const std::vector<std::uint32_t> &Counts) {
+  Sums.resize(std::max(Sums.size(), Counts.size()));
+  for (std::size_t I = 0; I < Counts.size(); ++I)
+    Sums[I] += Counts[I];
+}
+
 } // namespace
 
-class Daemon::Impl : public MemberObserver,
-                     public ConfigObserver,
-                     public EventSink,
-                     public EntryObserver {
+class Daemon::Impl : public MemberObserver, public ConfigObserver {
 public:
   Impl(Settings Options, std::optional<RecordSet> Records);
   ~Impl() { stopThreads(); }
@@ -102,7 +122,8 @@
     explicit ShardParts(std::uint64_t Seed) : Random(Seed) {}
   };
 
-  std::unique_ptr<Store> makeStore() const;
+  std::unique_ptr<Store> makeStore();
+  ClaimOptions claimOptions() const;
   EntryPorts portsOf(ShardParts &Parts);
   CallerServerOptions callerOptions() const;
   CallerServerOptions adminOptions() const;
@@ -115,6 +136,8 @@
   void updateDrain();
   void stopThreads();
   void addAdminFunctions();
+  MetricsSample sampleMetrics();
+  AdminAnswer timeline(std::string_view Query) const;
   AdminAnswer status() const;
   AdminAnswer takeRevisions(std::string_view Body);
 
@@ -127,22 +150,18 @@
   void onLeaveRequested() override { beginDrain("platform list"); }
   void onSnapshot(const SnapshotPtr &Config) override;
 
-  void record(Event Entry) override {}
-  void onAccepted(const Ticket &Request) override {}
-  void onDispatched(const Ticket &Request) override {}
-  void onGrantReturned(ReturnReason Reason) override {}
-  void onResumed() override {}
-  void onHangUp() override {}
-  void onEnded(const RequestSummary &Summary) override {}
-
   Settings m_Options;
   std::optional<RecordSet> m_Records;
   SystemClock m_Time;
   HybridClock m_Stamps{m_Time};
+  Timeline m_Timeline;
+  Metrics m_Metrics;
   DeviceRandom m_Device;
   SeededRandom m_ControlRandom{m_Device.next()};
   SeededRandom m_HostRandom{m_Device.next()};
   SeededRandom m_PeerRandom{m_Device.next()};
+  SeededRandom m_StoreRandom{m_Device.next()};
+  SeededRandom m_ClaimRandom{m_Device.next()};
   Incarnation m_Started = static_cast<Incarnation>(m_Time.wallNow());
 
   RcuPointer<Snapshot> m_Config{std::make_shared<const Snapshot>()};
@@ -153,14 +172,16 @@
   LoopThread m_ControlLoop;
   LoopThread m_HostLoop;
   std::unique_ptr<Store> m_Store;
+  EtcdStore *m_Etcd = nullptr; ///< The store, where it is a remote one.
   PeerTransport m_Peers;
   LocalRouter m_Router;
-  std::unique_ptr<ClaimClient> m_Claims;
+  StoreClaimClient m_Claims;
   std::vector<std::unique_ptr<ShardParts>> m_ShardParts;
   std::vector<std::unique_ptr<EntryShard>> m_Shards;
   std::unique_ptr<Entry> m_Entry;
   StandardGroupFactory m_Factory;
-  NoWatcher m_Watcher;
+  ReportForwarder m_Reports;
+  HttpTargetWatcher m_Watcher;
   PacketCodec m_Codec;
   std::unique_ptr<DatagramTransport> m_Datagrams;
   std::unique_ptr<DatagramSender> m_PacketSender;
@@ -180,11 +201,13 @@
 
 Daemon::Impl::Impl(Settings Options, std::optional<RecordSet> Records)
     : m_Options(std::move(Options)), m_Records(std::move(Records)),
+      m_Timeline(m_Options.TimelineEvents, m_Stamps),
       m_Bodies(m_Options.MaxWaitingBytes), m_Store(makeStore()),
       m_Peers(peerOptions(), m_Time, m_Stamps, m_PeerRandom),
-      m_Router(m_Options.Vm, m_Peers), m_Claims(std::make_unique<NoClaims>()),
-      m_Factory(m_Started, m_HostRandom), m_Codec(m_Options.PeerKeys),
-      m_Drain(m_Options.BalancerLag),
+      m_Router(m_Options.Vm, m_Peers),
+      m_Claims(claimOptions(), *m_Store, m_ClaimRandom, m_ControlLoop, m_Time),
+      m_Factory(m_Started, m_HostRandom), m_Watcher({}, m_Reports),
+      m_Codec(m_Options.PeerKeys), m_Drain(m_Options.BalancerLag),
       m_Signals(m_ControlLoop.context(), SIGTERM, SIGINT) {
   for (std::uint32_t I = 0; I < std::max(1U, m_Options.EntryThreads); ++I) {
     m_ShardParts.push_back(std::make_unique<ShardParts>(m_Device.next()));
@@ -194,17 +217,31 @@
   m_Entry = std::make_unique<Entry>(m_Options.Vm, m_Options.Domain, m_Time,
                                     m_Config, m_Shards);
   m_ConfigAgent = std::make_unique<ConfigAgent>(m_ControlLoop, m_Time, *m_Store,
-                                                m_Config, *this, *this);
+                                                m_Config, *this, m_Timeline);
 }
 
-std::unique_ptr<Store> Daemon::Impl::makeStore() const {
-  return std::make_unique<MemoryStore>(m_Time);
+std::unique_ptr<Store> Daemon::Impl::makeStore() {
+  if (m_Records || m_Options.StoreEndpoints.empty())
+    return std::make_unique<MemoryStore>(m_Time);
+  EtcdStoreOptions Options;
+  Options.Endpoints = m_Options.StoreEndpoints;
+  Options.CallsPerSecond = m_Options.StoreCallsPerSecond;
+  auto Remote = std::make_unique<EtcdStore>(std::move(Options), m_StoreRandom);
+  m_Etcd = Remote.get();
+  return Remote;
+}
+
+ClaimOptions Daemon::Impl::claimOptions() const {
+  ClaimOptions Options;
+  Options.Vm = m_Options.Vm;
+  Options.Started = m_Started;
+  return Options;
 }
 
 EntryPorts Daemon::Impl::portsOf(ShardParts &Parts) {
-  return {m_Options.Vm, Parts.Loop, m_Time,   Parts.Random,  m_Config,
-          m_Owners,     m_Marks,    m_Router, Parts.Targets, *m_Claims,
-          m_Bodies,     *this,      *this};
+  return {m_Options.Vm, Parts.Loop, m_Time,    Parts.Random,  m_Config,
+          m_Owners,     m_Marks,    m_Router,  Parts.Targets, m_Claims,
+          m_Bodies,     m_Metrics,  m_Timeline};
 }
 
 CallerServerOptions Daemon::Impl::callerOptions() const {
@@ -256,9 +293,10 @@
   m_PacketSender = std::make_unique<DatagramSender>(m_Codec, *m_Datagrams);
   m_Members = std::make_unique<MemberAgent>(
       membershipOptions(m_Datagrams->localAddress()), m_ControlLoop, m_Time,
-      m_ControlRandom, *m_PacketSender, m_Owners, m_Marks, *this, *this);
+      m_ControlRandom, *m_PacketSender, m_Owners, m_Marks, *this, m_Timeline);
   m_Host = std::make_unique<GroupHost>(m_HostLoop, m_Time, m_Router, m_Watcher,
-                                       m_Factory, *m_Members, *this);
+                                       m_Factory, *m_Members, m_Timeline);
+  m_Reports.attach(*m_Host);
   m_Hub = std::make_unique<MessageHub>(m_HostLoop, *m_Host, *m_Entry, m_Shards,
                                        *m_ConfigAgent);
   m_Router.attach(*m_Hub);
@@ -422,10 +460,61 @@
                        IsReady ? "ready\n" : "not ready\n"};
   });
   m_Admin.add("GET", "/status", [this](auto, auto) { return status(); });
+  m_Admin.add("GET", "/metrics", [this](auto, auto) {
+    return AdminAnswer{200, "text/plain; version=0.0.4",
+                       m_Metrics.serialize(sampleMetrics())};
+  });
+  m_Admin.add("GET", "/timeline",
+              [this](auto Query, auto) { return timeline(Query); });
   m_Admin.add("POST", "/revisions",
               [this](auto, auto Body) { return takeRevisions(Body); });
 }
 
+AdminAnswer Daemon::Impl::timeline(std::string_view Query) const {
+  const auto Parsed = parseTimelineQuery(Query);
+  if (!Parsed)
+    return {
+        400, "text/plain",
+        "query: allowed: after=MICROSECONDS.COUNTER, request=ID, limit=N\n"};
+  return {200, "application/json",
+          toJson(queryTimeline(m_Options.Vm, m_Timeline, *Parsed))};
+}
+
+/// Collects what other parts count themselves. What belongs to a loop is
+/// fetched there; this costs one turn of it.
+MetricsSample Daemon::Impl::sampleMetrics() {
+  MetricsSample Sample;
+  const auto Peers = m_Peers.totals();
+  Sample.PeersConnected = 0;
+  for (const auto &Peer : m_Peers.statistics())
+    Sample.PeersConnected += Peer.Connected ? 1 : 0;
+  Sample.PeerMessagesSent = Peers.MessagesSent;
+  Sample.PeerMessagesReceived = Peers.MessagesReceived;
+  Sample.PeerMessagesDropped = Peers.MessagesDropped;
+  Sample.PeerMessagesRejected = Peers.MessagesRejected;
+  Sample.PeerBytesSent = Peers.BytesSent;
+  Sample.PeerBytesReceived = Peers.BytesReceived;
+  Sample.PeerConnections = Peers.Connections;
+  for (const auto &Parts : m_ShardParts)
+    Sample.WrongAnswers += Parts->Targets.counters().WrongAnswers;
+  Sample.EventsOverwritten = m_Timeline.overwritten();
+  Sample.RevisionInForce = m_ConfigAgent->status().InForce;
+  Sample.StoreUp = !m_Etcd || m_Etcd->counts().IsReachable;
+  Sample.OpenRequests = m_Entry->open();
+  Sample.WaitingBodyBytes = m_Bodies.bytes();
+  runOn(m_HostLoop, [&] {
+    for (const auto &Digest : m_Host->digests())
+      addTo(Sample.WaitingPerTier, Digest.WaitingPerTier);
+  });
+  runOn(m_ControlLoop, [&] {
+    for (const auto &Item : m_Members->members())
+      ++Sample.Members[Item.State];
+    Sample.GossipPacketsSent = m_Members->counts().PacketsSent;
+    Sample.GossipBytesSent = m_Members->counts().BytesSent;
+  });
+  return Sample;
+}
+
 AdminAnswer Daemon::Impl::status() const {
   const auto Config = m_ConfigAgent->status();
   nlohmann::json Alarms = nlohmann::json::array();
--- a/packages/process/include/mangodeck/process/configagent.h
+++ b/packages/process/include/mangodeck/process/configagent.h
@@ -6,11 +6,9 @@
 #include "mangodeck/common/executor.h"
 #include "mangodeck/common/rcupointer.h"
 #include "mangodeck/process/messagehub.h"
-#include "mangodeck/version/configurationfollower.h"
+#include "mangodeck/version/configurationsync.h"
 #include "mangodeck/version/store.h"
 
-#include <functional>
-#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -32,16 +30,14 @@
   std::set<ConfigurationAlarm> Alarms;
 };
 
-/// Drives the configuration follower with the store, the peers and operators,
-/// and publishes snapshots to request threads. Its state belongs to one
+/// Follows the configuration by the store, the peers and operators, and
+/// publishes snapshots to request threads. Its state belongs to one
 /// executor; the message handlers and status() are safe from any thread.
-class ConfigAgent : public RevisionHandler {
+class ConfigAgent : public RevisionHandler, public ConfigurationOutput {
 public:
   ConfigAgent(Executor &Loop, const Clock &Time, Store &Source,
               RcuPointer<Snapshot> &Config, ConfigObserver &Observer,
               EventSink &Events);
-  ~ConfigAgent() override;
-
   /// Sets where fetches and offers are sent; call once before start().
   void attach(PeerSender &Router) { m_Router = &Router; }
 
@@ -58,25 +54,19 @@
 
   ConfigStatus status() const;
 
+  void putInForce(SnapshotPtr Config) override;
+  void fetchFromPeer(const VmName &Peer, RevisionNumber After) override;
+  void setAlarm(const SetAlarm &Alarm) override;
+
 private:
-  void perform(const ConfigurationFollower::Actions &Actions);
-  void openWatch();
-  void readLog(const ReadStoreLog &Request);
-  void readHead();
-  void readImage();
-  void readTail(std::optional<RecordImage> Image);
-  void putInForce(const SnapshotPtr &Config);
   void updateStatus();
 
   Executor &m_Loop;
-  const Clock &m_Time;
-  Store &m_Source;
   RcuPointer<Snapshot> &m_Config;
   ConfigObserver &m_Observer;
   EventSink &m_Events;
   PeerSender *m_Router = nullptr;
-  ConfigurationFollower m_Follower;
-  std::unique_ptr<StoreWatch> m_Watch;
+  ConfigurationSync m_Sync;
   mutable std::mutex m_StatusMutex;
   ConfigStatus m_Status;
 };
--- a/packages/process/src/entryshard.cpp
+++ b/packages/process/src/entryshard.cpp
@@ -21,9 +21,6 @@
 /// Header in which a target reports prompt tokens found in its prefix cache.
 constexpr std::string_view CachedTokensHeader = "X-Cached-Tokens";
 
-/// Longest answer that is kept with a claim.
-constexpr std::size_t MaxStoredAnswerBytes = 256 << 10;
-
 std::int64_t parseTokens(const std::string *Text) {
   std::int64_t Value = 0;
   if (Text)
@@ -335,6 +332,9 @@
     if (!Reply.Answer)
       return failUnknown(*Active, "an earlier request with this key was "
                                   "started and its end is not known");
+    if (Reply.Answer->Cut)
+      return failUnknown(*Active, "an earlier request with this key ran; its "
+                                  "answer was too long to keep");
     for (auto &Sink : Active->Sinks)
       Sink->respond(Reply.Answer->Status, Reply.Answer->ContentType,
                     Reply.Answer->Body);
@@ -432,7 +432,7 @@
     else
       Sink->respond(Active.Status, Active.ContentType, Active.Answer);
   }
-  if (Active.Life.holdsClaim() && Active.Answer.size() <= MaxStoredAnswerBytes)
+  if (Active.Life.holdsClaim())
     m_Ports.Claims.complete(
         Active.claimKey(), Active.id(),
         {Active.Status, Active.ContentType, std::move(Active.Answer)});
