--- a/apps/mangodeckd/daemon.cpp
+++ b/apps/mangodeckd/daemon.cpp
@@ -335,6 +335,9 @@
     return Error;
   if (const auto Error = m_AdminServer->start())
     return Error;
+  fmt::print("listening=127.0.0.1:{} admin={}\n", m_CallerServer->port(),
+             m_AdminServer->port());
+  std::fflush(stdout);
   logEvent("started", "vm={} failure_domain={} callers={} admin={} peers={}",
            m_Options.Vm.Text, m_Options.Domain.Text, m_Options.CallerAddress,
            m_Options.AdminAddress, m_Datagrams->localAddress());
