process: digests tell the demand of customers with limits

**Cause** Each group enforced a customer's whole allowance. **Change** GroupDigest::Demand, empty by default. **Measured** Builds. **Conclusion** No functional change.

--- a/packages/process/include/mangodeck/process/dispatchgroup.h
+++ b/packages/process/include/mangodeck/process/dispatchgroup.h
@@ -34,6 +34,12 @@
 
 using GroupAction = std::variant<GrantAction, RefuseAction, SpillAction>;
 
+/// How much a customer with limits asks of one group.
+struct CustomerDemand {
+  CustomerName Customer;
+  double RequestsPerSecond = 0;
+};
+
 /// What other groups of the service are told of a group. It ages.
 struct GroupDigest {
   GroupId Group;
@@ -43,6 +49,9 @@
   /// Lowest tier that is not shed at present; a larger rank is shed.
   TierRank LowestAdmitted = 255;
   Duration QueueDelay{0};
+  /// Customers with limits that called lately; the groups of a service divide
+  /// their allowance by it.
+  std::vector<CustomerDemand> Demand;
 };
 
 /// A request that was running when a target crashed, by its fingerprint and a
