--- a/packages/process/src/customerlimits.cpp
+++ b/packages/process/src/customerlimits.cpp
@@ -13,6 +13,14 @@
 constexpr double BurstSeconds = 2.0;
 constexpr Duration ConcurrencyRetry = 1s;
 constexpr Duration LongestRetry = 60s;
+/// By then any allowance is full again.
+constexpr Duration ForgetAfter = 600s;
+constexpr double DemandSmoothing = 0.3;
+/// Demand below this many requests a second counts as none.
+constexpr double LeastDemand = 0.001;
+/// A group keeps this part of an allowance while others use the rest, so that
+/// a customer that turns to it is not shut out until the next digest.
+constexpr double LeastShare = 0.1;
 
 /// Adds the allowance of \p Elapsed seconds; at least \p Least can be saved.
 double refill(double Left, double Rate, double Elapsed, double Least) {
@@ -33,6 +41,9 @@
   const double Elapsed = Use.Started ? toSeconds(Now - Use.Updated) : 3600.0;
   Use.Started = true;
   Use.Updated = Now;
+  Use.Limited = Record.RequestsPerSecond > 0 || Record.TokensPerSecond > 0 ||
+                Record.Concurrency > 0;
+  ++Use.Arrivals;
   Use.Requests = refill(Use.Requests, RequestRate, Elapsed, 1.0);
   Use.Tokens = refill(Use.Tokens, TokenRate, Elapsed, 1.0);
 
@@ -66,8 +77,36 @@
   --Use.InProgress;
 }
 
-void CustomerLimits::setShare(const CustomerName &Name, double Share) {
-  m_Usage[Name.Text].Share = Share;
+void CustomerLimits::update(TimePoint Now,
+                            const std::map<std::string, double> &Others) {
+  const double Elapsed = toSeconds(Now - m_Measured);
+  m_Measured = Now;
+  for (auto &[Name, Use] : m_Usage) {
+    const double Rate = Use.Arrivals / std::max(Elapsed, 0.1);
+    Use.Demand += DemandSmoothing * (Rate - Use.Demand);
+    Use.Arrivals = 0;
+    const auto Other = Others.find(Name);
+    const double All = Use.Demand + (Other == Others.end() ? 0 : Other->second);
+    Use.Share =
+        All > LeastDemand ? std::max(LeastShare, Use.Demand / All) : 1.0;
+  }
+  std::erase_if(m_Usage, [Now](const auto &Item) {
+    return Item.second.InProgress == 0 &&
+           Now - Item.second.Updated > ForgetAfter;
+  });
+}
+
+std::vector<CustomerDemand> CustomerLimits::demand() const {
+  std::vector<CustomerDemand> Result;
+  for (const auto &[Name, Use] : m_Usage)
+    if (Use.Limited && Use.Demand >= LeastDemand)
+      Result.push_back({CustomerName(Name), Use.Demand});
+  return Result;
+}
+
+double CustomerLimits::share(const CustomerName &Name) const {
+  const auto It = m_Usage.find(Name.Text);
+  return It == m_Usage.end() ? 1.0 : It->second.Share;
 }
 
 std::uint32_t CustomerLimits::concurrency(const CustomerName &Name) const {
--- a/packages/process/src/group.cpp
+++ b/packages/process/src/group.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::uint32_t DefaultQueueLimit = 1000;
 constexpr Duration PruneInterval = 10s;
-constexpr Duration RelaxInterval = 1s;
+constexpr Duration UpdateInterval = 1s;
 /// A grant whose end is not reported is forgotten so long after its deadline.
 constexpr Duration OverdueGrace = 60s;
 constexpr Duration NotDeliveredBackOff = 1s;
@@ -275,6 +275,7 @@
         m_Queue.countOf(static_cast<TierRank>(Rank)));
   if (Lowest && m_Queue.size() >= queueLimit())
     Result.LowestAdmitted = *Lowest > 0 ? *Lowest - 1 : 0;
+  Result.Demand = m_Limits.demand();
   Result.QueueDelay = m_Drain.timeFor(m_Queue.tokensThrough(255));
   return Result;
 }
@@ -283,9 +284,10 @@
   expire(Now, Out);
   dropOverdue(Now);
   m_Drain.update(Now, !m_Queue.empty());
-  if (Now - m_LastRelax >= RelaxInterval) {
-    m_LastRelax = Now;
+  if (Now - m_LastUpdate >= UpdateInterval) {
+    m_LastUpdate = Now;
     m_Placement.relaxIdle(Now);
+    m_Limits.update(Now, m_Spill.demand(Now));
   }
   m_Placement.refreshAll(Now);
   refuseWithoutTargets(Now, Out);
--- a/packages/process/src/group.h
+++ b/packages/process/src/group.h
@@ -131,7 +131,7 @@
   std::optional<Hold> m_Hold;
   std::optional<TimePoint> m_UnusableSince;
   TimePoint m_LastPrune{};
-  TimePoint m_LastRelax{};
+  TimePoint m_LastUpdate{};
 };
 
 } // namespace mangodeck
--- a/packages/process/src/spill.cpp
+++ b/packages/process/src/spill.cpp
@@ -83,6 +83,15 @@
   return Home->Digest.Group;
 }
 
+std::map<std::string, double> Spill::demand(TimePoint Now) const {
+  std::map<std::string, double> Sum;
+  for (const auto &[Id, Other] : m_Peers)
+    if (isFresh(Other, Now))
+      for (const auto &Item : Other.Digest.Demand)
+        Sum[Item.Customer.Text] += Item.RequestsPerSecond;
+  return Sum;
+}
+
 void Spill::onPassed(const GroupId &Group) {
   const auto It = m_Peers.find(Group);
   if (It != m_Peers.end() && It->second.Digest.FreeSequences > 0)
--- a/packages/process/src/spill.h
+++ b/packages/process/src/spill.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 
 namespace mangodeck {
 
@@ -27,6 +28,9 @@
   std::optional<GroupId> homeOf(std::uint64_t Prefix, const GroupId &Self,
                                 TimePoint Now) const;
 
+  /// Demand of customers with limits on the reachable groups.
+  std::map<std::string, double> demand(TimePoint Now) const;
+
   /// Books a ticket as passed to \p Group.
   void onPassed(const GroupId &Group);
 
--- a/packages/process/test/group_test.cpp
+++ b/packages/process/test/group_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(suspect_completed_isNoLongerIsolated);
   CPPUNIT_TEST(customer_overConcurrency_isRateLimited);
   CPPUNIT_TEST(customer_overRequestRate_toldWhenToRetry);
+  CPPUNIT_TEST(customer_callsOtherGroupsToo_getsItsShareHere);
   CPPUNIT_TEST(newOwner_adoptedRequests_countAgainstLimit);
   CPPUNIT_TEST(lostEntry_itsRequests_areForgotten);
   CPPUNIT_TEST(largeTicket_besideSmallOnes_isGrantedInTheEnd);
@@ -303,6 +304,32 @@
     CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
   }
 
+  void customer_callsOtherGroupsToo_getsItsShareHere() {
+    auto Config = makeConfig(1, 16);
+    Customer Record;
+    Record.Name = CustomerName("c");
+    Record.Concurrency = 8;
+    Config.Customers.push_back(Record);
+    configure(Config);
+    tick(1s);
+    finish(submit(makeTicket(0)));
+    finish(submit(makeTicket(0)));
+    tick(1s);
+    const auto Own = m_Group->digest(now()).Demand;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Own.size());
+    GroupDigest Other;
+    Other.Group = GroupId{m_Id.Service, FailureDomain("b"), 0};
+    Other.Demand = {{Record.Name, 3 * Own[0].RequestsPerSecond}};
+    m_Group->updateDigest(Other, 3ms, now());
+    tick(1s); // The own demand has fallen, so a little less than a quarter.
+    int Granted = 0;
+    for (int I = 0; I < 8; ++I)
+      Granted += findGrant(submit(makeTicket(0))) != nullptr;
+    CPPUNIT_ASSERT_EQUAL(1, Granted);
+    tick(4s); // The other group's digest is too old.
+    CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
+  }
+
   void newOwner_adoptedRequests_countAgainstLimit() {
     configure(makeConfig(1, 1));
     RunningRequest Running;
