process: a ticket that fits nowhere no longer parks the ones behind it

**Cause** While a target was kept for a large ticket, every other ticket that fitted nowhere at that moment was taken out of dispatch order until the large one had gone, whatever its tier; and the kept target was granted to a large suspect while another suspect ran. **Change** Only the first such ticket leaves the order; the next one blocks what is behind it, or takes the place over if it ranks higher.

--- a/packages/process/src/group.h
+++ b/packages/process/src/group.h
@@ -71,7 +71,7 @@
   Step decideTier(TierRank Rank, TimePoint Now, Actions &Out);
   Duration mostAhead(TierRank Rank) const;
   bool grantHeld(TimePoint Now, Actions &Out);
-  void hold(const WaitingTicket &Entry, TimePoint Now, Actions &Out);
+  Step hold(const WaitingTicket &Entry, TimePoint Now, Actions &Out);
   void releaseHold();
   void grant(const RequestId &Id, const Choice &Chosen, TimePoint Now,
              Actions &Out);
--- a/packages/process/src/groupdecision.cpp
+++ b/packages/process/src/groupdecision.cpp
@@ -67,10 +67,8 @@
   // that fits nowhere at present.
   if (!Chosen.Best && Chosen.Deferred)
     return Step::Stop;
-  if (!Chosen.Best) {
-    hold(Next, Now, Out);
-    return Step::Continue;
-  }
+  if (!Chosen.Best)
+    return hold(Next, Now, Out);
 
   // Step 8. Grant.
   grant(Id, *Chosen.Best, Now, Out);
@@ -95,6 +93,8 @@
     releaseHold();
     return true;
   }
+  if (m_RunningSuspect && m_Suspects.isSuspect(Entry->Request.Fingerprint))
+    return false;
   const auto Chosen =
       m_Placement.choose(Entry->Request, std::nullopt, Duration::max(), Now)
           .Best;
@@ -106,19 +106,28 @@
   return true;
 }
 
-/// Takes a ticket that fits nowhere out of dispatch order. The first one gets a
-/// target that takes no other work until it fits; without this a long request
-/// would never find room beside short ones.
-void Group::hold(const WaitingTicket &Entry, TimePoint Now, Actions &Out) {
+/// A ticket fits nowhere at present: it is taken out of dispatch order and gets
+/// a target that takes no other work until it fits; without this a long request
+/// would never find room beside short ones. While a target is kept already, the
+/// next such ticket blocks the ones behind it, unless it ranks higher and takes
+/// the place over.
+Group::Step Group::hold(const WaitingTicket &Entry, TimePoint Now,
+                        Actions &Out) {
   const RequestId Id = Entry.Request.Id;
   const auto Target = m_Placement.chooseToHold(workOf(Entry.Request), Now);
   if (!Target) {
     giveUp(Id, NotRunReason::NoTarget, Now, Out);
-    return;
+    return Step::Continue;
+  }
+  if (m_Hold) {
+    const auto *Other = m_Queue.find(m_Hold->Request);
+    if (Other && Other->Request.Tier <= Entry.Request.Tier)
+      return Step::Stop;
+    releaseHold();
   }
   m_Queue.park(Id);
-  if (!m_Hold)
-    m_Hold = Hold{Id, *Target};
+  m_Hold = Hold{Id, *Target};
+  return Step::Continue;
 }
 
 void Group::releaseHold() {
--- a/packages/process/test/group_test.cpp
+++ b/packages/process/test/group_test.cpp
@@ -24,12 +24,14 @@
   CPPUNIT_TEST(poison_secondCrash_isQuarantined);
   CPPUNIT_TEST(suspects_waitingTogether_runOneAtATime);
   CPPUNIT_TEST(suspect_completed_isNoLongerIsolated);
+  CPPUNIT_TEST(largeSuspect_otherSuspectRuns_waitsForIt);
   CPPUNIT_TEST(customer_overConcurrency_isRateLimited);
   CPPUNIT_TEST(customer_overRequestRate_toldWhenToRetry);
   CPPUNIT_TEST(customer_callsOtherGroupsToo_getsItsShareHere);
   CPPUNIT_TEST(newOwner_adoptedRequests_countAgainstLimit);
   CPPUNIT_TEST(lostEntry_itsRequests_areForgotten);
   CPPUNIT_TEST(largeTicket_besideSmallOnes_isGrantedInTheEnd);
+  CPPUNIT_TEST(smallTicket_whileLargeOneIsHeld_goesElsewhere);
   CPPUNIT_TEST(fullGroup_otherHasRoom_passesTicketOnce);
   CPPUNIT_TEST(fullGroup_passedTicket_isNotPassedAgain);
   CPPUNIT_TEST(staleReport_ownGrantsSince_areAdded);
@@ -273,6 +275,28 @@
     CPPUNIT_ASSERT(m_Group->quarantined().empty());
   }
 
+  void largeSuspect_otherSuspectRuns_waitsForIt() {
+    auto Config = makeConfig(2, 8);
+    Config.Targets[0].KvTokens = Config.Targets[1].KvTokens = 1000;
+    configure(Config);
+    std::vector<RequestId> Filling;
+    for (int I = 0; I < 12; ++I)
+      Filling.push_back(submit(makeTicket(0)));
+    auto Large = makeTicket(0);
+    Large.PromptTokens = 800;
+    const auto Small = makeTicket(0);
+    const CrashSuspect Told[] = {{Large.Fingerprint, 1},
+                                 {Small.Fingerprint, 2}};
+    m_Group->noteSuspects(Told, now(), m_Out);
+    submit(Large);
+    submit(Small);
+    for (const auto &Id : Filling)
+      finish(Id);
+    CPPUNIT_ASSERT(findGrant(Small.Id) && !findGrant(Large.Id));
+    finish(Small.Id);
+    CPPUNIT_ASSERT(findGrant(Large.Id));
+  }
+
   void customer_overConcurrency_isRateLimited() {
     auto Config = makeConfig(1, 4);
     Customer Record;
@@ -373,6 +397,23 @@
     CPPUNIT_ASSERT(findGrant(Large.Id));
   }
 
+  void smallTicket_whileLargeOneIsHeld_goesElsewhere() {
+    auto Config = makeConfig(2, 8);
+    Config.Targets[0].KvTokens = Config.Targets[1].KvTokens = 1000;
+    configure(Config);
+    std::vector<RequestId> Filling;
+    for (int I = 0; I < 12; ++I)
+      Filling.push_back(submit(makeTicket(0)));
+    auto Large = makeTicket(0);
+    Large.PromptTokens = 800;
+    submit(Large);
+    const auto Small = submit(makeTicket(0));
+    CPPUNIT_ASSERT(!findGrant(Small));
+    finish(Filling[0]);
+    finish(Filling[1]);
+    CPPUNIT_ASSERT(findGrant(Small) && !findGrant(Large.Id));
+  }
+
   void fullGroup_otherHasRoom_passesTicketOnce() {
     configure(makeConfig(1, 1));
     GroupDigest Other;
