--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -1,6 +1,7 @@
 #include "benchcommand.h"
 #include "command.h"
 #include "replaycommand.h"
+#include "timelinecommand.h"
 
 #include <utility>
 #include <vector>
@@ -11,6 +12,7 @@
 static std::vector<std::unique_ptr<Command>> makeCommands() {
   std::vector<std::unique_ptr<Command>> Commands;
   Commands.push_back(std::make_unique<ReplayCommand>());
+  Commands.push_back(std::make_unique<TimelineCommand>());
   Commands.push_back(std::make_unique<BenchCommand>());
   return Commands;
 }
