replay: bench fills its group before it measures

**Cause** mangodeck bench crashed: it took for granted that a submit to a free target is granted at once, which the bound on prefill ended; no test ran it. **Change** The group is filled with time going on, and each target ends one request a second.

--- a/packages/replay/src/decisionbench.cpp
+++ b/packages/replay/src/decisionbench.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <malloc.h>
 
+#include <cassert>
 #include <chrono>
 #include <deque>
 #include <unordered_map>
@@ -33,7 +34,9 @@
 public:
   LoadedGroup(std::size_t Targets, std::size_t Waiting)
       : m_Id{ServiceName("s"), FailureDomain("a"), 0},
-        m_Group(makeDispatchGroup(m_Id, 1, 1)) {
+        m_Group(makeDispatchGroup(m_Id, 1, 1)),
+        m_Sequences(Targets * Sequences),
+        m_BetweenFinishes(Duration(1s) / static_cast<std::int64_t>(Targets)) {
     auto Config = std::make_shared<Snapshot>();
     for (TierRank Rank = 0; Rank < Tiers; ++Rank) {
       Tier Entry;
@@ -66,7 +69,7 @@
     Request.Service = m_Id.Service;
     Request.Tier = Tier;
     Request.Arrival = m_Now;
-    Request.Deadline = m_Now + std::chrono::hours(1) +
+    Request.Deadline = m_Now + std::chrono::hours(24) +
                        std::chrono::milliseconds(m_Random.below(100000));
     Request.PromptTokens = 3000 + static_cast<TokenCount>(m_Random.below(1000));
     Request.OutputTokens = static_cast<TokenCount>(m_Random.below(500));
@@ -82,7 +85,17 @@
 
   void submitAny() { submit(static_cast<TierRank>(m_Random.below(Tiers))); }
 
+  /// Submits until all sequences of all targets are in use.
+  void fill() {
+    while (m_Running.size() < m_Sequences) {
+      submitAny();
+      tick();
+    }
+  }
+
+  /// Virtual time goes on so that each target ends one request in a second.
   void finishOldest() {
+    assert(!m_Running.empty() && "nothing runs");
     FinishReport Report;
     Report.Request = m_Running.front().first;
     Report.Target = m_Running.front().second;
@@ -91,7 +104,7 @@
     Report.FirstToken = 500ms;
     Report.Decode = 3s;
     m_Running.pop_front();
-    m_Now += 1ms;
+    m_Now += m_BetweenFinishes;
     m_Group->finish(Report, m_Now, m_Out);
     perform();
   }
@@ -118,6 +131,8 @@
 
   GroupId m_Id;
   std::unique_ptr<DispatchGroup> m_Group;
+  std::size_t m_Sequences;
+  Duration m_BetweenFinishes;
   SeededRandom m_Random{1};
   TimePoint m_Now{std::chrono::hours(1)};
   DispatchGroup::Actions m_Out;
@@ -143,8 +158,7 @@
   Cost.Waiting = Waiting;
   const auto Empty = heldBytes();
   LoadedGroup Group(Targets, Waiting);
-  for (std::size_t I = 0; I < Targets * Sequences; ++I)
-    Group.submitAny();
+  Group.fill();
   const auto Filled = heldBytes();
   for (std::size_t I = 0; I < Waiting; ++I)
     Group.submitAny();
--- a/packages/replay/test/replay_test.cpp
+++ b/packages/replay/test/replay_test.cpp
@@ -1,3 +1,4 @@
+#include "mangodeck/replay/decisionbench.h"
 #include "mangodeck/replay/deployment.h"
 #include "mangodeck/replay/report.h"
 #include "mangodeck/replay/runner.h"
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(replay_burstWithFaults_equalsGoldenFile);
   CPPUNIT_TEST(htmlReport_twoRecordSets_plotsBoth);
   CPPUNIT_TEST(percentiles_ofFewSamples_areNearestRanks);
+  CPPUNIT_TEST(bench_smallGroup_measuresEveryCost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +113,14 @@
     CPPUNIT_ASSERT_EQUAL(0.0, percentilesOf({}).P99);
   }
 
+  void bench_smallGroup_measuresEveryCost() {
+    const auto Cost = measureDecisions(2, 10);
+    CPPUNIT_ASSERT(Cost.DecisionNanoseconds > 0);
+    CPPUNIT_ASSERT(Cost.EvictionNanoseconds > 0);
+    CPPUNIT_ASSERT(Cost.TickNanoseconds > 0);
+    CPPUNIT_ASSERT(Cost.BytesPerTicket > 0);
+  }
+
 private:
   static constexpr const char *Sites[] = {"san-alonso", "vltavska"};
 
