--- a/packages/process/include/mangodeck/process/membership.h
+++ b/packages/process/include/mangodeck/process/membership.h
@@ -50,7 +50,8 @@
   Member After;
 };
 
-/// An entry of another member is new or has changed.
+/// An entry of another member is new or has changed; or, for a revision, it
+/// names another digest for the number that is held, and was not taken over.
 struct EntryChanged {
   GossipEntry Entry;
 };
--- a/packages/process/src/entrytable.cpp
+++ b/packages/process/src/entrytable.cpp
@@ -47,6 +47,14 @@
   return &Found;
 }
 
+bool EntryTable::contradicts(const GossipEntry &Entry) const {
+  if (Entry.Kind != EntryKind::Revision)
+    return false;
+  const auto It = m_Records.find(keyOf(Entry));
+  return It != m_Records.end() && It->second.Entry.Version == Entry.Version &&
+         It->second.Entry.Value != Entry.Value;
+}
+
 std::uint64_t EntryTable::nextVersion(EntryKind Kind, const VmName &Origin,
                                       std::string_view Subject) const {
   const auto It = m_Records.find(Key{Kind, Origin, std::string(Subject)});
--- a/packages/process/src/entrytable.h
+++ b/packages/process/src/entrytable.h
@@ -35,6 +35,9 @@
   /// Merges an entry. Returns its record if it was news, else null.
   Record *merge(const GossipEntry &Entry, TimePoint Now);
 
+  /// Whether \p Entry claims another digest for the revision that is held.
+  bool contradicts(const GossipEntry &Entry) const;
+
   /// Version for the next value of (\p Origin, \p Kind, \p Subject).
   std::uint64_t nextVersion(EntryKind Kind, const VmName &Origin,
                             std::string_view Subject) const;
--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -260,6 +260,8 @@
                            Actions &Out) {
   if (Entry.Origin == self().Vm && Entry.Started == self().Started)
     return;
+  if (m_Entries->contradicts(Entry))
+    Out.push_back(EntryChanged{Entry});
   auto *Found = m_Entries->merge(Entry, Now);
   if (!Found)
     return;
--- a/packages/process/test/storeclaimclient_test.cpp
+++ b/packages/process/test/storeclaimclient_test.cpp
@@ -51,7 +51,7 @@
 public:
   void client_resendAfterFinish_getsTheStoredAnswer() {
     CPPUNIT_ASSERT(claim(1).Result == ClaimResult::Won);
-    m_Client.complete(Key, {0, 1}, {200, "text/plain", "paid"});
+    m_Client.complete(m_Key, {0, 1}, {200, "text/plain", "paid"});
     settle(CallFate::Answered);
     const auto Reply = claim(2);
     CPPUNIT_ASSERT(Reply.Result == ClaimResult::Held && Reply.Answer);
@@ -65,7 +65,7 @@
 
   void client_storeDownAtFinish_storesTheAnswerLater() {
     claim(1);
-    m_Client.complete(Key, {0, 1}, {200, "text/plain", "paid"});
+    m_Client.complete(m_Key, {0, 1}, {200, "text/plain", "paid"});
     settle(CallFate::NeverSent);
     CPPUNIT_ASSERT(!claim(2).Answer);
     CPPUNIT_ASSERT(m_Loop.runLater());
@@ -75,7 +75,7 @@
 
   void client_storeDownAtClaim_releasesItLater() {
     claim(9);
-    m_Client.release(Key, {0, 9});
+    m_Client.release(m_Key, {0, 9});
     settle(CallFate::Answered);
     CPPUNIT_ASSERT(claim(1, CallFate::Delayed).Result ==
                    ClaimResult::Unreachable);
@@ -87,7 +87,7 @@
   }
 
 private:
-  const ClaimKey Key{CustomerName("coop"), "key"};
+  const ClaimKey m_Key{CustomerName("coop"), "key"};
 
   void settle(CallFate Fate) {
     m_Loop.run();
@@ -99,7 +99,7 @@
 
   ClaimReply claim(std::uint64_t Request, CallFate Fate = CallFate::Answered) {
     ClaimReply Last;
-    m_Client.claim(Key, 1, {0, Request},
+    m_Client.claim(m_Key, 1, {0, Request},
                    [&](ClaimReply Reply) { Last = std::move(Reply); });
     settle(Fate);
     return Last;
