members: entries for named receivers spare the budget and starve nobody

Cause: digests of groups that were sent to their audience in a fixed order until the budget was empty never reached the last receivers, and left nothing for urgent gossip.

Change: such entries leave half of the budget alone and begin with a random receiver; membershipmeasure digests shows bytes and age of digests.

--- a/packages/process/include/mangodeck/process/membership.h
+++ b/packages/process/include/mangodeck/process/membership.h
@@ -154,6 +154,8 @@
                  Actions &Out);
   void sendSync(std::string_view Address, const Member *Receiver, Actions &Out);
   void sendGossip(std::size_t Fanout, TimePoint Now, Actions &Out);
+  void sendDirect(const GossipEntry &Entry, std::span<const VmName> Audience,
+                  Actions &Out);
   void remind(const VmName &Vm, TimePoint Now, Actions &Out);
 
   MembershipOptions m_Options;
--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -506,10 +506,24 @@
     m_Gossip->spread(*Found);
     return;
   }
-  for (const auto &Vm : Audience) {
+  sendDirect(Entry, Audience, Out);
+}
+
+/// Sends an entry to its audience, beginning with a random one, as long as
+/// half of the budget is left for what is more urgent. Who is left out gets a
+/// later version: such entries are published again and again.
+void Membership::sendDirect(const GossipEntry &Entry,
+                            std::span<const VmName> Audience, Actions &Out) {
+  const auto Reserve =
+      static_cast<std::int64_t>(m_Options.GossipBytesPerSecond / 2);
+  const auto Start = m_Random.below(Audience.size());
+  for (std::size_t I = 0; I < Audience.size(); ++I) {
+    const auto &Vm = Audience[(Start + I) % Audience.size()];
     const auto *Receiver = find(Vm);
-    if (!Receiver || Vm == self().Vm || m_Gossip->budget() <= 0)
+    if (!Receiver || !Receiver->isLive() || Vm == self().Vm)
       continue;
+    if (m_Gossip->budget() <= Reserve)
+      return;
     Packet Message;
     Message.Kind = PacketKind::Gossip;
     Message.Entries.push_back(Entry);
--- a/packages/process/test/membership_test.cpp
+++ b/packages/process/test/membership_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(entry_revisionWithOtherDigest_isReportedAndNotTaken);
   CPPUNIT_TEST(entry_expired_isGoneAndNotSpread);
   CPPUNIT_TEST(entry_direct_reachesItsAudienceOnly);
+  CPPUNIT_TEST(entry_directAndScarceBudget_starvesNoReceiver);
   CPPUNIT_TEST(entry_ofDeadOrigin_reachesNewMember);
   CPPUNIT_TEST(gossip_scarceBudget_sendsUrgentFirst);
   CPPUNIT_TEST_SUITE_END();
@@ -178,6 +179,27 @@
     }
   }
 
+  void entry_directAndScarceBudget_starvesNoReceiver() {
+    auto Options = smallNetwork();
+    Options.GossipBytesPerSecond = 600;
+    VirtualNetwork Network(Options);
+    Network.settle(30s);
+    Network.runFor(30s);
+    std::vector<VmName> Audience;
+    for (std::size_t I = 1; I < Network.size(); ++I)
+      Audience.push_back(Network.nameOf(I));
+    for (int I = 0; I < 60; ++I) {
+      publish(Network, 0, CustomerUse{1, 2, 3}, "coop", Audience);
+      Network.runFor(500ms);
+    }
+    for (std::size_t I = 1; I < Network.size(); ++I) {
+      const auto Found =
+          Network.at(I).entries(EntryKind::CustomerUse, Network.now());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Found.size());
+      CPPUNIT_ASSERT(Found.front().Version > 20);
+    }
+  }
+
   void entry_ofDeadOrigin_reachesNewMember() {
     VirtualNetwork Network(smallNetwork());
     Network.settle(10s);
--- a/testing/measure/membershipmeasure.cpp
+++ b/testing/measure/membershipmeasure.cpp
@@ -4,10 +4,12 @@
 
 #include <fmt/format.h>
 
-#include <malloc.h>
-
+#include <algorithm>
+#include <cstdio>
 #include <cstdlib>
+#include <malloc.h>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mangodeck {
@@ -104,12 +106,114 @@
   return Result;
 }
 
+constexpr Duration DigestPeriod = 500ms;
+constexpr Duration DigestSpan = 30s;
+
+/// How old the digests of a service's groups are at the owners of its other
+/// groups, and what it costs to send them.
+struct DigestMeasurement {
+  double Bytes = 0; ///< Sent per member and second.
+  double MeanAgeSeconds = 0;
+  double OldestSeconds = 0;
+};
+
+GroupDigest makeDigest(std::size_t Group, std::size_t Domains) {
+  GroupDigest Digest;
+  Digest.Group.Service = ServiceName(fmt::format("model-{}", Group / Domains));
+  Digest.Group.Domain = FailureDomain(fmt::format("zone-{}", Group % Domains));
+  Digest.Epoch = 1'000'000;
+  Digest.FreeSequences = 20;
+  Digest.WaitingPerTier = {0, 3, 12, 0, 150};
+  Digest.LowestAdmitted = 4;
+  Digest.QueueDelay = 300ms;
+  return Digest;
+}
+
+/// Group g belongs to service g / Domains and is owned by member g % Members.
+DigestMeasurement measureDigests(std::size_t Members, std::size_t Domains,
+                                 std::size_t Services, bool ToOwnersOnly) {
+  NetworkOptions Options;
+  Options.Members = Members;
+  Options.Domains = Domains;
+  Options.Loss = 0.01;
+  Options.Warm = true;
+  VirtualNetwork Network(Options);
+  const auto Groups = Services * Domains;
+  std::uint64_t Round = 0;
+  const auto Publish = [&] {
+    ++Round;
+    for (std::size_t Group = 0; Group < Groups; ++Group) {
+      const auto Owner = Group % Members;
+      const auto First = Group / Domains * Domains;
+      std::vector<VmName> Audience;
+      for (std::size_t Peer = First; ToOwnersOnly && Peer < First + Domains;
+           ++Peer) {
+        if (Peer % Members != Owner)
+          Audience.push_back(Network.nameOf(Peer % Members));
+      }
+      const auto Digest = makeDigest(Group, Domains);
+      Membership::Actions Out;
+      Network.at(Owner).publish(Digest, toString(Digest.Group), 60s,
+                                Network.now(), Audience, Out);
+      Network.perform(Owner, Out);
+    }
+    Network.runFor(DigestPeriod);
+  };
+  const auto Rounds = DigestSpan / DigestPeriod;
+  for (std::int64_t I = 0; I < Rounds; ++I)
+    Publish();
+  Network.resetTraffic();
+  for (std::int64_t I = 0; I < Rounds; ++I)
+    Publish();
+
+  DigestMeasurement Result;
+  Result.Bytes = static_cast<double>(Network.traffic().Bytes) /
+                 toSeconds(DigestSpan) / static_cast<double>(Members);
+  std::size_t Count = 0;
+  for (std::size_t Group = 0; Group < Groups; ++Group) {
+    const auto Reader =
+        (Group % Domains == 0 ? Group + 1 : Group - 1) % Members;
+    const auto Subject = toString(makeDigest(Group, Domains).Group);
+    std::uint64_t Held = 0;
+    for (const auto &Entry :
+         Network.at(Reader).entries(EntryKind::GroupDigest, Network.now()))
+      Held = Entry.Subject == Subject ? Entry.Version : Held;
+    const auto Age =
+        toSeconds(DigestPeriod) * static_cast<double>(Round - Held + 1);
+    Result.MeanAgeSeconds += Age;
+    Result.OldestSeconds = std::max(Result.OldestSeconds, Age);
+    ++Count;
+  }
+  Result.MeanAgeSeconds /= static_cast<double>(Count);
+  return Result;
+}
+
+void printDigests(std::size_t Members, std::size_t Domains,
+                  std::size_t Services) {
+  for (const bool ToOwnersOnly : {false, true}) {
+    const auto Result =
+        measureDigests(Members, Domains, Services, ToOwnersOnly);
+    fmt::print("{} {} {} {:.0f} {:.1f} {:.1f}\n", Members, Services * Domains,
+               ToOwnersOnly ? "owners" : "all", Result.Bytes,
+               Result.MeanAgeSeconds, Result.OldestSeconds);
+  }
+}
+
 } // namespace
 
 } // namespace mangodeck
 
-/// Usage: membershipmeasure [LOSS [MEMBERS...]]
+/// Usage: membershipmeasure digests | [LOSS [MEMBERS...]]
 int main(int Argc, char **Argv) {
+  if (Argc > 1 && std::string_view(Argv[1]) == "digests") {
+    fmt::print("# digests every 500 ms; 1% loss\n"
+               "# members groups audience B/s mean_age_s oldest_s\n");
+    mangodeck::printDigests(8, 3, 2);
+    mangodeck::printDigests(50, 7, 10);
+    mangodeck::printDigests(360, 7, 38);
+    std::fflush(stdout);
+    return 0;
+  }
   const double Loss = Argc > 1 ? std::strtod(Argv[1], nullptr) : 0.01;
   fmt::print("# loss {:.0f}%; per member; sent bytes with IP and UDP headers\n",
              100 * Loss);
