--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -1,3 +1,4 @@
+#include "benchcommand.h"
 #include "command.h"
 #include "replaycommand.h"
 #include "timelinecommand.h"
@@ -12,6 +13,7 @@
   std::vector<std::unique_ptr<Command>> Commands;
   Commands.push_back(std::make_unique<ReplayCommand>());
   Commands.push_back(std::make_unique<TimelineCommand>());
+  Commands.push_back(std::make_unique<BenchCommand>());
   return Commands;
 }
 
--- a/packages/process/src/group.h
+++ b/packages/process/src/group.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_PROCESS_GROUP_H
 #define MANGODECK_PROCESS_GROUP_H
 
+#include "answertime.h"
 #include "crashsuspects.h"
 #include "customerlimits.h"
 #include "drainrate.h"
@@ -67,6 +68,8 @@
   // Decision.
   void decide(TimePoint Now, Actions &Out);
   Step decideNext(TimePoint Now, Actions &Out);
+  Step decideTier(TierRank Rank, TimePoint Now, Actions &Out);
+  Duration mostAhead(TierRank Rank) const;
   bool grantHeld(TimePoint Now, Actions &Out);
   void hold(const WaitingTicket &Entry, TimePoint Now, Actions &Out);
   void releaseHold();
@@ -76,6 +79,7 @@
 
   // Admission and giving up.
   bool makeRoom(const Ticket &Arriving, TimePoint Now, Actions &Out);
+  std::optional<GroupId> prefixHome(const Ticket &Request, TimePoint Now) const;
   void enqueue(Ticket Request, TimePoint Now);
   void refuse(const Ticket &Request, NotRunReason Reason, Duration RetryAfter,
               Actions &Out) const;
@@ -120,12 +124,14 @@
   CrashSuspects m_Suspects;
   CustomerLimits m_Limits;
   DrainRate m_Drain;
+  AnswerTime m_AnswerTime;
   Spill m_Spill;
   std::unordered_map<RequestId, GrantedRequest> m_Granted;
   std::optional<RequestId> m_RunningSuspect;
   std::optional<Hold> m_Hold;
   std::optional<TimePoint> m_UnusableSince;
   TimePoint m_LastPrune{};
+  TimePoint m_LastRelax{};
 };
 
 } // namespace mangodeck
--- a/packages/process/src/targetstate.h
+++ b/packages/process/src/targetstate.h
@@ -2,21 +2,31 @@
 #define MANGODECK_PROCESS_TARGETSTATE_H
 
 #include "enginespeed.h"
+#include "targethealth.h"
 #include "targetlimit.h"
 
 #include "mangodeck/request/targetreport.h"
+#include "mangodeck/request/ticket.h"
 #include "mangodeck/version/snapshot.h"
 
 #include <deque>
+#include <unordered_map>
 
 namespace mangodeck {
 
 /// Work that a grant puts on a target.
 struct GrantedWork {
   TokenCount Prefill = 0; ///< Prompt tokens that are not believed cached.
-  TokenCount Kv = 0;      ///< KV tokens when the answer is complete.
+  /// KV tokens when the answer is complete, without the common prefix.
+  TokenCount Kv = 0;
+  /// The common prefix, which running sequences share; 0 for none.
+  std::uint64_t Prefix = 0;
+  TokenCount PrefixKv = 0;
 };
 
+/// The KV tokens of a request, all of its prompt still to be filled.
+GrantedWork workOf(const Ticket &Request);
+
 /// What a dispatch group knows of one target.
 class TargetState {
 public:
@@ -30,10 +40,10 @@
 
   /// A usable target that has room for one more sequence.
   bool hasRoom(TimePoint Now) const;
-  bool fits(TokenCount Kv) const;
+  bool fits(const GrantedWork &Work) const;
 
-  /// Whether \p Kv tokens would ever fit, with nothing else running.
-  bool couldEverFit(TokenCount Kv) const;
+  /// Whether \p Work would ever fit, with nothing else running.
+  bool couldEverFit(const GrantedWork &Work) const;
 
   /// Books a grant. Returns the delay that the prefill of earlier grants is
   /// expected to cause.
@@ -54,6 +64,9 @@
   /// Ends the present life of the target; grants belong to a life.
   void endLife() { ++m_Life; }
 
+  /// Time that the prefill granted before is expected to take still.
+  Duration prefillAhead(TimePoint Now) const;
+
   /// Time until the first token of a request with \p Prefill tokens to fill.
   Duration expectedFirstToken(TokenCount Prefill, TimePoint Now) const;
 
@@ -74,8 +87,12 @@
   bool isDown() const { return m_Down; }
   bool isConfigured() const { return m_Configured; }
 
+  /// Nothing was granted for a while and nothing runs.
+  bool isIdle(TimePoint Now) const;
+
   EngineSpeed Speed;
   TargetLimit Limit;
+  TargetHealth Health;
 
 private:
   struct Change {
@@ -84,6 +101,11 @@
     TokenCount Kv;
   };
 
+  struct SharedPrefix {
+    std::uint32_t Users = 0;
+    TokenCount Kv = 0;
+  };
+
   void noteChange(TimePoint Now);
   Change ownAt(TimePoint Time) const;
 
@@ -98,11 +120,13 @@
   std::uint64_t m_Life = 1;
   std::uint32_t m_Sequences = 0;
   TokenCount m_Kv = 0;
+  TimePoint m_LastGrant{};
   TimePoint m_PrefillUntil{}; ///< When granted prefill is expected to end.
   std::uint32_t m_Foreign = 0;
   TokenCount m_ForeignKv = 0;
   TokenCount m_ReportedKvTotal = 0;
   std::deque<Change> m_Changes;
+  std::unordered_map<std::uint64_t, SharedPrefix> m_Prefixes;
 };
 
 } // namespace mangodeck
