members: no gossip to members that do not answer

Cause: after a cut of a failure domain from 360 members most of the byte budget went to suspect members, which do not receive it (trial count by kind of datagram; ruled out: the comparison of tables, and the number of repetitions, which made a leaving member known to all only after 4.5 s when halved).

Change: gossip and comparisons go to members that are not suspect; probes of suspect ones carry no gossip.

--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -155,7 +155,8 @@
   Message.Sender = self();
   if (Target.State != MemberState::Alive)
     Message.Members.push_back(compacted(Target));
-  m_Gossip->fill(Message, Now);
+  if (Target.State == MemberState::Alive)
+    m_Gossip->fill(Message, Now);
   send(Target.Address, std::move(Message), Out);
 }
 
@@ -382,7 +383,7 @@
     return;
   m_NextSync = Now + SyncInterval / 2 +
                fromSeconds(toSeconds(SyncInterval) * m_Random.uniform());
-  const auto Peers = m_Members->livePeers();
+  const auto Peers = m_Members->responsivePeers();
   if (Peers.empty())
     return;
   const auto *Peer = Peers[m_Random.below(Peers.size())];
@@ -428,7 +429,7 @@
 }
 
 void Membership::sendGossip(std::size_t Fanout, TimePoint Now, Actions &Out) {
-  auto Peers = m_Members->livePeers();
+  auto Peers = m_Members->responsivePeers();
   Fanout = std::min(Fanout, Peers.size());
   for (std::size_t I = 0; I < Fanout; ++I) {
     std::swap(Peers[I], Peers[I + m_Random.below(Peers.size() - I)]);
--- a/packages/process/src/membertable.cpp
+++ b/packages/process/src/membertable.cpp
@@ -135,6 +135,15 @@
   return Result;
 }
 
+std::vector<const Member *> MemberTable::responsivePeers() const {
+  auto Peers = livePeers();
+  if (m_LiveCount > m_SuspectCount + 1)
+    std::erase_if(Peers, [](const Member *Peer) {
+      return Peer->State == MemberState::Suspect;
+    });
+  return Peers;
+}
+
 void MemberTable::addTo(BucketHashes &Hashes) const {
   for (const auto &[Vm, Entry] : m_Records) {
     if (Entry.Known.isLive())
--- a/packages/process/src/membertable.h
+++ b/packages/process/src/membertable.h
@@ -51,6 +51,9 @@
 
   /// Live members other than this one.
   std::vector<const Member *> livePeers() const;
+  /// Those of the live peers that are not suspect; if all are, all of them.
+  /// What is sent to others is mostly lost.
+  std::vector<const Member *> responsivePeers() const;
   std::size_t liveCount() const { return m_LiveCount; }
   std::size_t suspectCount() const { return m_SuspectCount; }
 
