--- a/packages/process/include/mangodeck/process/membership.h
+++ b/packages/process/include/mangodeck/process/membership.h
@@ -50,7 +50,8 @@
   Member After;
 };
 
-/// An entry of another member is new or has changed.
+/// An entry of another member is new or has changed; or, for a revision, it
+/// names another digest for the number that is held, and was not taken over.
 struct EntryChanged {
   GossipEntry Entry;
 };
@@ -153,6 +154,8 @@
                  Actions &Out);
   void sendSync(std::string_view Address, const Member *Receiver, Actions &Out);
   void sendGossip(std::size_t Fanout, TimePoint Now, Actions &Out);
+  void sendDirect(const GossipEntry &Entry, std::span<const VmName> Audience,
+                  Actions &Out);
   void remind(const VmName &Vm, TimePoint Now, Actions &Out);
 
   MembershipOptions m_Options;
--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -155,7 +155,8 @@
   Message.Sender = self();
   if (Target.State != MemberState::Alive)
     Message.Members.push_back(compacted(Target));
-  m_Gossip->fill(Message, Now);
+  if (Target.State == MemberState::Alive)
+    m_Gossip->fill(Message, Now);
   send(Target.Address, std::move(Message), Out);
 }
 
@@ -260,6 +261,8 @@
                            Actions &Out) {
   if (Entry.Origin == self().Vm && Entry.Started == self().Started)
     return;
+  if (m_Entries->contradicts(Entry))
+    Out.push_back(EntryChanged{Entry});
   auto *Found = m_Entries->merge(Entry, Now);
   if (!Found)
     return;
@@ -380,7 +383,7 @@
     return;
   m_NextSync = Now + SyncInterval / 2 +
                fromSeconds(toSeconds(SyncInterval) * m_Random.uniform());
-  const auto Peers = m_Members->livePeers();
+  const auto Peers = m_Members->responsivePeers();
   if (Peers.empty())
     return;
   const auto *Peer = Peers[m_Random.below(Peers.size())];
@@ -426,7 +429,7 @@
 }
 
 void Membership::sendGossip(std::size_t Fanout, TimePoint Now, Actions &Out) {
-  auto Peers = m_Members->livePeers();
+  auto Peers = m_Members->responsivePeers();
   Fanout = std::min(Fanout, Peers.size());
   for (std::size_t I = 0; I < Fanout; ++I) {
     std::swap(Peers[I], Peers[I + m_Random.below(Peers.size() - I)]);
@@ -504,10 +507,24 @@
     m_Gossip->spread(*Found);
     return;
   }
-  for (const auto &Vm : Audience) {
+  sendDirect(Entry, Audience, Out);
+}
+
+/// Sends an entry to its audience, beginning with a random one, as long as
+/// half of the budget is left for what is more urgent. Who is left out gets a
+/// later version: such entries are published again and again.
+void Membership::sendDirect(const GossipEntry &Entry,
+                            std::span<const VmName> Audience, Actions &Out) {
+  const auto Reserve =
+      static_cast<std::int64_t>(m_Options.GossipBytesPerSecond / 2);
+  const auto Start = m_Random.below(Audience.size());
+  for (std::size_t I = 0; I < Audience.size(); ++I) {
+    const auto &Vm = Audience[(Start + I) % Audience.size()];
     const auto *Receiver = find(Vm);
-    if (!Receiver || Vm == self().Vm || m_Gossip->budget() <= 0)
+    if (!Receiver || !Receiver->isLive() || Vm == self().Vm)
       continue;
+    if (m_Gossip->budget() <= Reserve)
+      return;
     Packet Message;
     Message.Kind = PacketKind::Gossip;
     Message.Entries.push_back(Entry);
