connection: peer messages are deflated

Cause: at the two-year size a daemon sends a ticket, a grant and a finish report about 12 times a second, 309 bytes without frames, beside 3 KB/s of gossip; 7 KB/s is the bound for all control. Names come again in every message. A table of names of our own was put aside: zlib does it without a protocol of ours. Change: raw DEFLATE over each direction, flushed with each batch, window 4 KiB; offered in the handshake, used if both ends are for it; restored size bounded. Bytes of the handshake are counted now too.

--- a/packages/connection/include/mangodeck/connection/peertransport.h
+++ b/packages/connection/include/mangodeck/connection/peertransport.h
@@ -29,10 +29,11 @@
   std::size_t QueueMessages = 4096;      ///< Per peer.
   std::size_t QueueBytes = 8 << 20;      ///< Per peer.
   std::size_t MaxMessageBytes = 4 << 20; ///< Encoded.
-  Duration PingInterval = 2s;            ///< Of a connection at rest.
-  Duration SilenceTimeout = 5s;          ///< Without any byte received.
-  Duration ConnectTimeout = 2s;          ///< Until authenticated.
-  Duration MinRetryDelay = 100ms;        ///< Doubles for each failure.
+  bool Deflate = true;            ///< Compress messages if the peer does too.
+  Duration PingInterval = 2s;     ///< Of a connection at rest.
+  Duration SilenceTimeout = 5s;   ///< Without any byte received.
+  Duration ConnectTimeout = 2s;   ///< Until authenticated.
+  Duration MinRetryDelay = 100ms; ///< Doubles for each failure.
   Duration MaxRetryDelay = std::chrono::seconds(3);
 };
 
--- a/packages/connection/src/peerconnection.cpp
+++ b/packages/connection/src/peerconnection.cpp
@@ -3,6 +3,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace mangodeck {
 
@@ -23,6 +24,9 @@
           M - 1, NGHTTP2_NV_FLAG_NONE};
 }
 
+/// One DATA frame may restore to this many messages of the greatest length.
+constexpr std::size_t MaxRestoredMessages = 4;
+
 } // namespace
 
 PeerConnection::PeerConnection(asio::ip::tcp::socket Socket,
@@ -149,7 +153,7 @@
   if (Error)
     return close(Error);
   m_LastReceived = m_Clock.now();
-  m_Owner.onBytes(*this, 0, Size);
+  countBytes(0, Size);
   if (!receive({m_ReadBuffer.data(), Size}))
     return;
   write();
@@ -203,10 +207,56 @@
     appendFrame(m_Frames, *Answer);
   if (isAuthenticated() && !m_Owner.onAuthenticated(*this))
     return Errc::Conflict;
+  if (isAuthenticated()) {
+    countBytes(0, 0);
+    if (const auto Error = startDeflating())
+      return Error;
+  }
   nghttp2_session_resume_data(m_Session.get(), m_Stream);
   return {};
 }
 
+/// Tells the owner what was exchanged, once it knows with whom.
+void PeerConnection::countBytes(std::size_t Sent, std::size_t Received) {
+  m_UntoldSent += Sent;
+  m_UntoldReceived += Received;
+  if (isAuthenticated())
+    m_Owner.onBytes(*this, std::exchange(m_UntoldSent, 0),
+                    std::exchange(m_UntoldReceived, 0));
+}
+
+/// From here on both directions are deflated, if the ends agreed on it. What
+/// came right behind the handshake's last frame is deflated already.
+std::error_code PeerConnection::startDeflating() {
+  if (!m_Handshake.deflates())
+    return {};
+  m_Deflater = std::make_unique<StreamDeflater>();
+  m_Inflater = std::make_unique<StreamInflater>();
+  return takeData(m_Received.takeRest());
+}
+
+std::error_code PeerConnection::takeData(std::string_view Bytes) {
+  if (!m_Inflater) {
+    m_Received.append(Bytes);
+    return {};
+  }
+  std::string Restored;
+  if (const auto Error = m_Inflater->restore(
+          Bytes, MaxRestoredMessages * m_MaxMessageBytes, Restored))
+    return Error;
+  m_Received.append(Restored);
+  return {};
+}
+
+void PeerConnection::takeFrames() {
+  if (!m_Deflater)
+    return m_Owner.takeFrames(*this, m_Frames);
+  m_Plain.clear();
+  m_Owner.takeFrames(*this, m_Plain);
+  if (!m_Plain.empty())
+    m_Frames = m_Deflater->compress(m_Plain);
+}
+
 /// Gathers what the session has to send, messages included, into one write.
 /// Nothing is taken from the queue while a write is in progress, so a slow
 /// peer fills its queue and not this process's memory.
@@ -235,7 +285,7 @@
           return;
         if (Error)
           return Self->close(Error);
-        Self->m_Owner.onBytes(*Self, Size, 0);
+        Self->countBytes(Size, 0);
         Self->write();
       });
 }
@@ -258,8 +308,8 @@
   auto &Connection = *static_cast<PeerConnection *>(Self);
   if (Stream != Connection.m_Stream)
     return NGHTTP2_ERR_CALLBACK_FAILURE;
-  Connection.m_Received.append({reinterpret_cast<const char *>(Data), Size});
-  return 0;
+  const std::string_view Bytes(reinterpret_cast<const char *>(Data), Size);
+  return Connection.takeData(Bytes) ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
 }
 
 int PeerConnection::onStreamClosed(nghttp2_session *, std::int32_t,
@@ -278,7 +328,7 @@
     Self.m_Frames.clear();
     Self.m_FramesOffset = 0;
     if (Self.isAuthenticated())
-      Self.m_Owner.takeFrames(Self, Self.m_Frames);
+      Self.takeFrames();
   }
   if (Self.m_Frames.empty())
     return NGHTTP2_ERR_DEFERRED;
--- a/packages/connection/src/peerconnection.h
+++ b/packages/connection/src/peerconnection.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/clock.h"
 #include "peerframe.h"
 #include "peerhandshake.h"
+#include "streamdeflate.h"
 
 #include <asio/ip/tcp.hpp>
 #include <nghttp2/nghttp2.h>
@@ -89,6 +90,10 @@
   bool receive(std::string_view Bytes);
   bool takeReceivedFrames();
   std::error_code takeHandshakeFrame(std::string_view Frame);
+  std::error_code startDeflating();
+  void countBytes(std::size_t Sent, std::size_t Received);
+  std::error_code takeData(std::string_view Bytes);
+  void takeFrames();
   void write();
 
   static int onFrameReceived(nghttp2_session *, const nghttp2_frame *Frame,
@@ -115,9 +120,14 @@
   bool m_Closed = false;
   bool m_Writing = false;
   FrameReader m_Received;
+  std::unique_ptr<StreamDeflater> m_Deflater; ///< Null unless agreed on.
+  std::unique_ptr<StreamInflater> m_Inflater; ///< Likewise.
   std::string m_Frames; ///< Being sent, from m_FramesOffset.
   std::size_t m_FramesOffset = 0;
-  std::string m_Output; ///< Given to the socket while m_Writing.
+  std::string m_Plain;          ///< Frames that are about to be deflated.
+  std::string m_Output;         ///< Given to the socket while m_Writing.
+  std::size_t m_UntoldSent = 0; ///< Bytes before the other end was known.
+  std::size_t m_UntoldReceived = 0;
   TimePoint m_Created;
   TimePoint m_LastReceived;
   TimePoint m_LastPing;
--- a/packages/connection/src/peerframe.cpp
+++ b/packages/connection/src/peerframe.cpp
@@ -50,4 +50,11 @@
   return Rest.substr(Prefix, Size);
 }
 
+std::string FrameReader::takeRest() {
+  auto Rest = m_Buffer.substr(m_Offset);
+  m_Buffer.clear();
+  m_Offset = 0;
+  return Rest;
+}
+
 } // namespace mangodeck
--- a/packages/connection/src/peerframe.h
+++ b/packages/connection/src/peerframe.h
@@ -24,6 +24,9 @@
   /// is longer than \p MaxBytes.
   Expected<std::optional<std::string_view>> next(std::size_t MaxBytes);
 
+  /// Takes the bytes after the last frame that was read.
+  std::string takeRest();
+
 private:
   std::string m_Buffer;
   std::size_t m_Offset = 0;
--- a/packages/connection/src/peerhandshake.cpp
+++ b/packages/connection/src/peerhandshake.cpp
@@ -26,15 +26,18 @@
 } // namespace
 
 PeerHandshake::PeerHandshake(VmName Own, std::vector<std::string> Keys,
-                             PeerRole Role, VmName Expected, std::string Nonce)
+                             PeerRole Role, VmName Expected, std::string Nonce,
+                             bool Deflates)
     : m_Own(std::move(Own)), m_Keys(std::move(Keys)), m_Role(Role),
-      m_Peer(std::move(Expected)), m_Nonce(std::move(Nonce)) {}
+      m_Peer(std::move(Expected)), m_Nonce(std::move(Nonce)),
+      m_Deflates(Deflates) {}
 
 std::string PeerHandshake::start() const {
   proto::Hello Out;
   Out.set_from(m_Own.Text);
   Out.set_to(m_Peer.Text);
   Out.set_nonce(m_Nonce);
+  Out.set_deflate(m_Deflates);
   return Out.SerializeAsString();
 }
 
@@ -50,6 +53,7 @@
         In.nonce().size() != HandshakeNonceBytes)
       return unexpected(Errc::InvalidInput);
     m_PeerNonce = In.nonce();
+    m_Deflates = m_Deflates && In.deflate();
     Out.set_mac(sign(m_Keys.front(), PeerRole::Dialer));
   }
   const auto Signer =
@@ -70,7 +74,9 @@
     return unexpected(Errc::InvalidInput);
   m_Peer = VmName(In.from());
   m_PeerNonce = In.nonce();
+  m_Deflates = m_Deflates && In.deflate();
   proto::Hello Out;
+  Out.set_deflate(m_Deflates);
   Out.set_from(m_Own.Text);
   Out.set_to(m_Peer.Text);
   Out.set_nonce(m_Nonce);
--- a/packages/connection/src/peerhandshake.h
+++ b/packages/connection/src/peerhandshake.h
@@ -21,9 +21,9 @@
 class PeerHandshake {
 public:
   /// \p Expected is the peer that is dialed; empty for an acceptor. \p Nonce
-  /// must be fresh and random.
+  /// must be fresh and random. Messages are deflated if both ends are for it.
   PeerHandshake(VmName Own, std::vector<std::string> Keys, PeerRole Role,
-                VmName Expected, std::string Nonce);
+                VmName Expected, std::string Nonce, bool Deflates);
 
   /// The dialer's first frame.
   std::string start() const;
@@ -36,6 +36,9 @@
   /// The other end has proved that it knows a key.
   bool isDone() const { return m_Done; }
 
+  /// Whether messages are deflated; valid when isDone().
+  bool deflates() const { return m_Deflates; }
+
   PeerRole role() const { return m_Role; }
 
   /// Name of the other end; empty until it is known.
@@ -53,6 +56,7 @@
   VmName m_Peer;
   std::string m_Nonce;
   std::string m_PeerNonce;
+  bool m_Deflates;
   bool m_Done = false;
 };
 
--- a/packages/connection/src/peertable.cpp
+++ b/packages/connection/src/peertable.cpp
@@ -304,7 +304,7 @@
                                                    PeerRole Role,
                                                    const VmName &Expected) {
   PeerHandshake Handshake(m_Options.Vm, m_Options.Keys, Role, Expected,
-                          makeNonce());
+                          makeNonce(), m_Options.Deflate);
   PeerConnectionOwner &Owner = *this;
   auto Connection = std::make_shared<PeerConnection>(
       std::move(Socket), std::move(Handshake),
