--- a/packages/process/src/group.cpp
+++ b/packages/process/src/group.cpp
@@ -10,9 +10,8 @@
 namespace {
 
 constexpr std::uint32_t DefaultQueueLimit = 1000;
-/// Believed blocks of a target: as many as its KV cache holds, of this size.
-constexpr TokenCount BlockTokens = 64;
 constexpr Duration PruneInterval = 10s;
+constexpr Duration RelaxInterval = 1s;
 /// A grant whose end is not reported is forgotten so long after its deadline.
 constexpr Duration OverdueGrace = 60s;
 constexpr Duration NotDeliveredBackOff = 1s;
@@ -34,9 +33,8 @@
   m_Placement.configure(Records, Now);
   for (const auto *Record : Records)
     if (Record->KvTokens > 0)
-      m_Placement.belief().setCapacity(
-          *m_Placement.find(Record->Name),
-          static_cast<std::size_t>(Record->KvTokens / BlockTokens));
+      m_Placement.belief().setCapacity(*m_Placement.find(Record->Name),
+                                       Record->KvTokens);
   decide(Now, Out);
 }
 
@@ -62,6 +60,8 @@
     Target.markLeaving(Item->TargetIncarnation);
   if (Reason == ReturnReason::NotDelivered)
     Target.backOff(Now + NotDeliveredBackOff);
+  if (Reason == ReturnReason::NotDelivered)
+    m_Placement.noteFailure(Item->Target, Now);
   m_Placement.refresh(Item->Target, Now);
   if (Again) {
     m_Limits.adopt(Item->Request.Customer);
@@ -78,6 +78,8 @@
     learn(*Item, Report, Now);
     m_Suspects.clear(Item->Request.Fingerprint);
   }
+  if (Report.Kind == FinishKind::Lost)
+    m_Placement.noteFailure(Item->Target, Now);
   if (Report.Kind == FinishKind::Crashed)
     noteCrash(*Item, Now, Out);
   m_Placement.refresh(Item->Target, Now);
@@ -114,8 +116,11 @@
                            : Item.Work.Prefill;
   const Duration Own =
       std::max<Duration>(Duration(0), Report.FirstToken - Item.Ahead);
+  Target.Health.noteSuccess();
   Target.Speed.learn(Prefill, Own, Report.OutputTokens, Report.Decode);
 
+  m_AnswerTime.learn(Item.Request.OutputTokens, Report);
+
   const auto &Targets = tierOf(Item.Request.Tier);
   if (Report.OutputTokens > 1) {
     const double Gap =
@@ -165,7 +170,8 @@
     Item.Target = *Index;
     Item.TargetIncarnation = Entry.TargetIncarnation;
     Item.TargetLife = Target.life();
-    Item.Work.Kv = Placement::kvOf(Entry.Request);
+    Item.Work = workOf(Entry.Request);
+    Item.Work.Prefill = 0;
     Item.GrantedAt = Now - Entry.Running;
     Target.addGrant(Item.Work, Now);
     m_Placement.belief().place(*Index, Entry.Request);
@@ -277,6 +283,10 @@
   expire(Now, Out);
   dropOverdue(Now);
   m_Drain.update(Now, !m_Queue.empty());
+  if (Now - m_LastRelax >= RelaxInterval) {
+    m_LastRelax = Now;
+    m_Placement.relaxIdle(Now);
+  }
   m_Placement.refreshAll(Now);
   refuseWithoutTargets(Now, Out);
   decide(Now, Out);
