--- a/testing/standin/standinengine.cpp
+++ b/testing/standin/standinengine.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view RequestsPath = "/mangodeck/requests/";
 constexpr std::string_view OtherId = "ffffffffffffffffffffffffffffffff";
 constexpr int CrashExitCode = 134;
+constexpr auto AnswerKeepTime = 60s;
 
 std::uint64_t parseNumber(std::string_view Text, int Base = 10) {
   std::uint64_t Value = 0;
@@ -149,6 +150,7 @@
   auto Entry = std::make_shared<Stream>();
   Entry->Id = Id;
   m_Streams[Id] = Entry;
+  ++m_Running;
   const auto Fault = m_Faults.takeAnswerFault();
   if (m_Options.Plain)
     startPlainAnswer(Exchange, Entry);
@@ -208,18 +210,20 @@
 /// Makes the next frame exist, and comes back for the one after it. The first
 /// takes the prefill, an answer in one piece the time of all its tokens.
 void StandInEngine::produce(const StreamPtr &Entry) {
-  if (Entry->Cancelled)
-    return;
   const auto Slow = m_Faults.SlowFactor;
   auto Delay = Entry->Produced == 0 ? Entry->Prefill : m_Options.TokenDelay;
   if (!Entry->Streaming)
     Delay += m_Options.TokenDelay * Entry->AnswerTokens;
   callAfter(fromSeconds(toSeconds(Delay) * Slow), [this, Entry] {
+    if (Entry->Cancelled)
+      return;
     ++Entry->Produced;
     Entry->Finished = Entry->Produced == Entry->Frames.size();
     deliver(Entry);
     if (!Entry->Finished)
-      produce(Entry);
+      return produce(Entry);
+    --m_Running;
+    callAfter(AnswerKeepTime, [this, Entry] { m_Streams.erase(Entry->Id); });
   });
 }
 
@@ -326,6 +330,7 @@
   if (It == m_Streams.end()) {
     m_RefusedIds.insert(Id);
   } else {
+    m_Running -= It->second->Finished || It->second->Cancelled ? 0 : 1;
     It->second->Cancelled = true;
     if (It->second->Exchange)
       It->second->Exchange->abort();
@@ -366,13 +371,9 @@
 }
 
 void StandInEngine::publishLoad() {
-  const auto Running =
-      std::count_if(m_Streams.begin(), m_Streams.end(), [](const auto &Entry) {
-        return !Entry.second->Finished && !Entry.second->Cancelled;
-      });
   const Json Load = {{"incarnation", m_Options.Started},
                      {"age_ms", m_Options.ReportLag / 1ms},
-                     {"running", Running},
+                     {"running", m_Running},
                      {"waiting", 0},
                      {"kv_used", m_Cached.size() * TokensPerPrefixBlock},
                      {"kv_total", m_Options.CacheBlocks * TokensPerPrefixBlock},
--- a/testing/standin/standinengine.h
+++ b/testing/standin/standinengine.h
@@ -94,6 +94,7 @@
   std::FILE *m_Journal = nullptr;
 
   std::unordered_map<std::string, StreamPtr> m_Streams;
+  std::size_t m_Running = 0; ///< Answers in production.
   std::map<std::string, unsigned> m_Dispatches;
   std::uint64_t m_DispatchesWhileLeaving = 0;
   std::set<std::string> m_RefusedIds; ///< Never run, and never will be.
