--- a/packages/connection/include/mangodeck/connection/peertransport.h
+++ b/packages/connection/include/mangodeck/connection/peertransport.h
@@ -79,7 +79,8 @@
   void stop();
 
   /// Waits until all messages for connected peers are handed to the network,
-  /// at most \p Limit. Returns whether they are. Not from the handler.
+  /// at most \p Limit. Returns whether they are. Not from the handler, and not
+  /// while another thread calls stop().
   bool flush(Duration Limit);
 
   /// Sets the peers that messages may be sent to; connections to peers that
@@ -95,6 +96,10 @@
 
   std::vector<PeerStatistics> statistics() const;
 
+  /// Sums over all peers since the start, also those that are gone; Peer is
+  /// empty and Connected tells whether any is.
+  PeerStatistics totals() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
