connection: separate silence limits before and after the head; 503 before any configuration

Cause: a stalled target made callers wait 5 s for a resume in mid-stream, and a target that was stopped for 10 s lost its streams as unknown.

Change: a stream is resumed after 2 s of silence, 5 s before its head; up to 8 attempts in a row may bring nothing. readCallerInput() answers 503 with Retry-After while no configuration is in force.

--- a/packages/connection/include/mangodeck/connection/curltargetclient.h
+++ b/packages/connection/include/mangodeck/connection/curltargetclient.h
@@ -14,15 +14,17 @@
 struct TargetClientOptions {
   Duration ConnectTimeout = 2s;
   /// A streaming exchange that receives no byte for this long is resumed on a
-  /// new connection.
-  Duration StreamSilence = 5s;
+  /// new connection: before and after the head of its answer.
+  Duration HeadSilence = 5s;
+  Duration StreamSilence = 2s;
   /// An exchange that cannot be resumed and receives no byte for this long
   /// ends as Broken.
   Duration AnswerSilence = 600s;
   /// Resumes in a row that bring no byte before the exchange ends as Broken.
-  unsigned MaxFruitlessResumes = 3;
-  /// Wait before a resume; doubled after each fruitless one.
+  unsigned MaxFruitlessResumes = 8;
+  /// Wait before a resume; doubled after each fruitless one, up to the limit.
   Duration ResumeDelay = 100ms;
+  Duration MaxResumeDelay = 1s;
   /// An answer whose receiver holds more than this is read no further.
   std::size_t MaxPendingBytes = std::size_t{1} << 20;
   std::size_t MaxFrameBytes = std::size_t{1} << 20;
--- a/packages/connection/src/targetexchange.cpp
+++ b/packages/connection/src/targetexchange.cpp
@@ -273,7 +273,8 @@
     return probeAndEnd(Cause == Fault::WrongAnswer ? TargetEnd::WrongAnswer
                                                    : TargetEnd::Broken);
   }
-  const auto Delay = Options.ResumeDelay * (1 << m_FruitlessResumes);
+  const auto Delay = std::min<Duration>(
+      Options.ResumeDelay * (1 << m_FruitlessResumes), Options.MaxResumeDelay);
   ++m_FruitlessResumes;
   m_ResumeTimer =
       m_Loop.callAfter(Delay, [Self = shared_from_this()] { Self->resume(); });
@@ -294,12 +295,17 @@
   watchSilence();
 }
 
+Duration TargetExchange::silenceLimit() const {
+  const auto &Options = m_State.Options;
+  if (!m_Request.Streaming)
+    return Options.AnswerSilence;
+  return m_HeadGiven ? Options.StreamSilence : Options.HeadSilence;
+}
+
 void TargetExchange::watchSilence() {
   if (m_SilenceTimer)
     m_Loop.cancelTimer(*m_SilenceTimer);
-  const auto &Options = m_State.Options;
-  const auto Limit =
-      m_Request.Streaming ? Options.StreamSilence : Options.AnswerSilence;
+  const auto Limit = silenceLimit();
   const auto Silent = std::chrono::steady_clock::now() - m_LastByte;
   m_SilenceTimer =
       m_Loop.callAfter(std::max<Duration>(Limit - Silent, 1ms),
@@ -310,10 +316,7 @@
   m_SilenceTimer.reset();
   if (m_Over || m_Call == 0)
     return;
-  const auto &Options = m_State.Options;
-  const auto Limit =
-      m_Request.Streaming ? Options.StreamSilence : Options.AnswerSilence;
-  if (std::chrono::steady_clock::now() - m_LastByte < Limit)
+  if (std::chrono::steady_clock::now() - m_LastByte < silenceLimit())
     return watchSilence();
   recover(Fault::Broken);
 }
--- a/packages/connection/src/targetexchange.h
+++ b/packages/connection/src/targetexchange.h
@@ -59,6 +59,7 @@
 
   void recover(Fault Cause);
   void resume();
+  Duration silenceLimit() const;
   void watchSilence();
   void onSilenceTimer();
   void giveBody(std::string_view Bytes);
--- a/packages/connection/test/curltargetclient_test.cpp
+++ b/packages/connection/test/curltargetclient_test.cpp
@@ -38,12 +38,15 @@
   CPPUNIT_TEST(link_blocked_isNotDelivered);
   CPPUNIT_TEST(connection_closedByTarget_isNotUsedAgain);
   CPPUNIT_TEST(receiver_full_pausesTheTarget);
+  CPPUNIT_TEST(target_stoppedForAWhile_streamIsWhole);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void setUp() override {
     TargetClientOptions Options;
+    Options.HeadSilence = 300ms;
     Options.StreamSilence = 300ms;
+    Options.MaxFruitlessResumes = 5;
     Options.ResumeDelay = 10ms;
     m_Client = std::make_unique<CurlTargetClient>(Options);
   }
@@ -235,6 +238,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Handler.count());
   }
 
+  void target_stoppedForAWhile_streamIsWhole() {
+    startTarget(R"({"slow_factor":10})");
+    const auto Answer = dispatchStream();
+    CPPUNIT_ASSERT(Answer->awaitBody(1));
+    m_Target->send(SIGSTOP);
+    ::usleep(800'000);
+    m_Target->send(SIGCONT);
+    CPPUNIT_ASSERT(Answer->awaitEnd() == TargetEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(expectedStream(), Answer->Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), dispatchCount());
+  }
+
   void receiver_full_pausesTheTarget() {
     RecordingHandler Handler;
     CallerServer Target({}, Handler);
--- a/packages/request/src/callerinput.cpp
+++ b/packages/request/src/callerinput.cpp
@@ -26,6 +26,7 @@
 
 constexpr std::int64_t MaxDeadlineMilliseconds = 24LL * 3600 * 1000;
 constexpr std::size_t MaxKeyBytes = 255;
+constexpr auto NoConfigurationRetry = 1s;
 
 constexpr std::array<std::string_view, 6> PlainMethods{
     "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
@@ -57,6 +58,15 @@
   return Result;
 }
 
+/// A daemon that has no configuration yet knows no keys; a 401 would blame the
+/// caller.
+Problem describeNoConfiguration() {
+  auto Result =
+      makeProblem(503, "no-configuration", "This VM has no configuration yet.");
+  Result.RetryAfter = NoConfigurationRetry;
+  return Result;
+}
+
 std::string toLower(std::string_view Text) {
   std::string Result(Text);
   std::transform(Result.begin(), Result.end(), Result.begin(),
@@ -105,6 +115,8 @@
 };
 
 CallerInput InputReader::read() {
+  if (m_Config.Customers.empty())
+    return answer(describeNoConfiguration());
   if (auto Error = authenticate())
     return answer(*Error);
   if (m_Path == "/v1/models") {
--- a/packages/request/test/callerinput_test.cpp
+++ b/packages/request/test/callerinput_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(completion_valid_fillsTheTicket);
   CPPUNIT_TEST(chat_valid_readsMessagesAndStream);
   CPPUNIT_TEST(request_withoutOrWithUnknownKey_is401);
+  CPPUNIT_TEST(request_beforeAnyConfiguration_is503);
   CPPUNIT_TEST(request_toUnknownPathModelOrService_is404);
   CPPUNIT_TEST(request_withWrongMethod_is405);
   CPPUNIT_TEST(request_withOtherMediaType_is415);
@@ -101,6 +102,13 @@
     CPPUNIT_ASSERT_EQUAL(401, readStatus());
   }
 
+  void request_beforeAnyConfiguration_is503() {
+    m_Config = Snapshot();
+    CPPUNIT_ASSERT_EQUAL(503, readStatus());
+    const auto Answer = std::get<CallerAnswer>(read());
+    CPPUNIT_ASSERT(findHeader(Answer.Headers, "Retry-After"));
+  }
+
   void request_toUnknownPathModelOrService_is404() {
     m_Request.Body = R"({"model":"none","prompt":"a"})";
     CPPUNIT_ASSERT_EQUAL(404, readStatus());
--- a/testing/standin/standinengine.cpp
+++ b/testing/standin/standinengine.cpp
@@ -186,15 +186,16 @@
     Entry->Frames = {makeBody(Answer)};
 }
 
-/// Books a payment for POST /payments; answers anything else with what it
+/// Books a payment for each POST; answers anything else with what it
 /// understood of it.
 void StandInEngine::startPlainAnswer(const ExchangePtr &Exchange,
                                      const StreamPtr &Entry) {
   const auto &Request = Exchange->request();
-  if (Request.Method == "POST" && Request.Path.starts_with("/payments")) {
+  if (Request.Method == "POST") {
     const auto Body = nlohmann::json::parse(Request.Body, nullptr, false);
     const Json Payment = {{"payment", m_Payments.size() + 1},
                           {"request", Entry->Id},
+                          {"path", Request.Path},
                           {"body", Body.is_discarded() ? "" : Body.dump()}};
     m_Payments.push_back(Payment.dump());
     writeJournal(Payment.dump());
