connection: requests that ask for a protocol upgrade; request: withheld headers

Cause: some clients ask for HTTP/2 in each request. RESTinio reads nothing after such a request until it is answered, so that its caller's hang-up went unnoticed, and would hand the request over again on a kept connection. A plain service that got Accept-Encoding or Range from a caller answered in a form that the caller cannot tell, since only Content-Type goes back.

Change: the connection of an upgrade request is watched by a wait of its own and closed after the answer. Accept-Encoding, Range and If-Range are withheld from targets. The stand-in names cached tokens X-Cached-Tokens, as the entry reads it.

--- a/packages/connection/src/callerserver.cpp
+++ b/packages/connection/src/callerserver.cpp
@@ -197,10 +197,22 @@
     const auto Entry =
         std::make_shared<HttpExchange>(m_Loop, m_State, m_Registry, Incoming);
     m_Registry->add(Incoming.connection_id(), Entry);
+    if (asksForUpgrade(Incoming.header()))
+      watchUpgradeRequest(Entry, Incoming);
     m_Handler.handle(Entry);
     return restinio::request_accepted();
   }
 
+  static void watchUpgradeRequest(const std::shared_ptr<HttpExchange> &Entry,
+                                  restinio::request_t &Incoming) {
+    const std::weak_ptr<HttpExchange> Watched = Entry;
+    CallerSocket::watchHangUp(restinio::impl::access_req_connection(Incoming),
+                              [Watched] {
+                                if (const auto Live = Watched.lock())
+                                  Live->hangUpAndClose();
+                              });
+  }
+
   const CallerServerOptions m_Options;
   CallerHandler &m_Handler;
   LoopPtr m_Loop;
--- a/packages/connection/src/callersocket.h
+++ b/packages/connection/src/callersocket.h
@@ -7,8 +7,11 @@
 #include <restinio/all.hpp>
 
 #include <array>
+#include <cerrno>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <sys/socket.h>
 #include <utility>
 
 namespace mangodeck {
@@ -65,10 +68,31 @@
       Socket->m_RequestSeen = true;
   }
 
+  /// Calls \p HungUp if the caller closes the connection whose bytes are
+  /// handled now. Needed for requests that ask for a protocol upgrade: RESTinio
+  /// reads nothing after them until they are answered. \p Keep must keep the
+  /// connection alive.
+  template <typename Keep>
+  static void watchHangUp(Keep Alive, std::function<void()> HungUp) {
+    auto *Socket = context().Reading;
+    if (!Socket)
+      return;
+    Socket->Base::async_wait(
+        Base::wait_read,
+        asio::bind_executor(Socket->m_Strand,
+                            [Socket, Alive, HungUp = std::move(HungUp)](
+                                const asio::error_code &Error) {
+                              if (!Error && Socket->isClosedByCaller())
+                                HungUp();
+                            }));
+  }
+
   // NOLINTBEGIN(readability-identifier-naming): named by Asio.
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers &Target, Handler &&Done) {
     const auto Executor = asio::get_associated_executor(Done);
+    if (!m_Strand)
+      m_Strand = Executor;
     Base::async_read_some(
         Target, asio::bind_executor(Executor,
                                     [this, Done = std::forward<Handler>(Done)](
@@ -89,6 +113,13 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
+  bool isClosedByCaller() {
+    char Byte = 0;
+    const auto Count =
+        ::recv(Base::native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EINTR);
+  }
+
   void answerUnreadRequest() {
     const auto ParserError = std::exchange(context().ParserError, {});
     if (!m_Received || m_Ended || m_RequestSeen)
@@ -122,9 +153,10 @@
 
   static constexpr int MaxDrainReads = 64;
 
-  bool m_Received = false;    ///< Bytes of a request have arrived.
-  bool m_Ended = false;       ///< The caller closed, or reading failed.
-  bool m_RequestSeen = false; ///< A request was handed over.
+  asio::any_io_executor m_Strand; ///< Of the connection; set by its reads.
+  bool m_Received = false;        ///< Bytes of a request have arrived.
+  bool m_Ended = false;           ///< The caller closed, or reading failed.
+  bool m_RequestSeen = false;     ///< A request was handed over.
 };
 
 /// Keeps RESTinio's error texts for the socket; everything else is dropped.
--- a/packages/connection/src/httpexchange.h
+++ b/packages/connection/src/httpexchange.h
@@ -76,6 +76,14 @@
   return Head;
 }
 
+/// True for a request that RESTinio treats as an upgrade of the protocol.
+/// After its answer RESTinio would hand the request over again, so that its
+/// connection must be closed.
+inline bool asksForUpgrade(const restinio::http_request_header_t &Head) {
+  return Head.has_field(restinio::http_field::upgrade) ||
+         Head.method() == restinio::http_method_connect();
+}
+
 /// One request of one connection. RESTinio's builders of answers cannot end an
 /// answer early, so that the connection is written to directly.
 class HttpExchange : public CallerExchange,
@@ -88,7 +96,8 @@
         m_Connection(restinio::impl::access_req_connection(Incoming)),
         m_ConnectionId(Incoming.connection_id()),
         m_RequestId(Incoming.request_id()),
-        m_CallerKeepsAlive(Incoming.header().should_keep_alive()),
+        m_CallerKeepsAlive(Incoming.header().should_keep_alive() &&
+                           !asksForUpgrade(Incoming.header())),
         m_Pending(std::make_shared<std::atomic<std::size_t>>(0)) {
     const auto &Head = Incoming.header();
     m_Request.Method = Head.method().c_str();
@@ -190,6 +199,12 @@
       Callback();
   }
 
+  /// The caller closed the connection, and RESTinio does not know yet.
+  void hangUpAndClose() {
+    hangUp();
+    send({}, true, false);
+  }
+
 private:
   enum class Phase : std::uint8_t { Waiting, Streaming, Done };
 
--- a/packages/connection/test/callerserver_test.cpp
+++ b/packages/connection/test/callerserver_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(exchange_droppedUnanswered_closesConnection);
   CPPUNIT_TEST(caller_closesWhileWaiting_isNoticed);
   CPPUNIT_TEST(caller_closesWhileStreaming_isNoticed);
+  CPPUNIT_TEST(caller_asksForUpgrade_isAnsweredAndItsHangUpNoticed);
   CPPUNIT_TEST(caller_closesAfterKeepAliveAnswer_isNoticedForTheNextOnly);
   CPPUNIT_TEST(caller_closesItsSendingHalf_countsAsHungUp);
   CPPUNIT_TEST(caller_takesNoBytes_isCutOffAfterWriteTimeout);
@@ -123,6 +124,33 @@
     CPPUNIT_ASSERT_EQUAL(1, HungUp.count());
   }
 
+  /// Some clients ask for HTTP/2 in each request. RESTinio reads nothing after
+  /// such a request, so that its own hang-up detection is off.
+  void caller_asksForUpgrade_isAnsweredAndItsHangUpNoticed() {
+    const std::string Upgrade =
+        "POST / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, Upgrade\r\n"
+        "Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\nContent-Length: 1\r\n\r\n"
+        "a";
+    const RawCaller First(m_Server->port());
+    First.send(Upgrade);
+    const auto Answered = m_Handler.await(0);
+    CPPUNIT_ASSERT(Answered);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Answered->request().Body);
+    Answered->begin(200, {});
+    Answered->write("one\n");
+    Answered->finish();
+    CPPUNIT_ASSERT(First.readAll().ends_with("one\n\r\n0\r\n\r\n"));
+    RawCaller Second(m_Server->port());
+    Second.send(Upgrade);
+    const auto Waiting = m_Handler.await(1);
+    CPPUNIT_ASSERT(Waiting);
+    Signal HungUp;
+    Waiting->onHangUp([&HungUp] { HungUp.raise(); });
+    Second.close();
+    CPPUNIT_ASSERT(HungUp.await());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_Handler.count());
+  }
+
   void caller_closesAfterKeepAliveAnswer_isNoticedForTheNextOnly() {
     RawCaller Caller(m_Server->port());
     Caller.send(Get);
--- a/packages/request/src/callerinput.cpp
+++ b/packages/request/src/callerinput.cpp
@@ -32,22 +32,26 @@
     "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
 
 /// Headers that are not handed on to targets: those of the connection, the
-/// caller's key, and those that this module reads or sets.
-constexpr std::array<std::string_view, 14> WithheldHeaders{
+/// caller's key, those that this module reads or sets, and those that ask for
+/// an encoding or a part, which the caller could not tell from the answer.
+constexpr std::array<std::string_view, 17> WithheldHeaders{
+    "accept-encoding",
     "authorization",
     "connection",
     "content-length",
     "cookie",
     "expect",
     "host",
+    "if-range",
     "keep-alive",
+    "range",
     "te",
     "trailer",
     "upgrade",
-    "x-request-id",
-    "transfer-encoding",
     "proxy-authorization",
-    "proxy-connection"};
+    "proxy-connection",
+    "x-request-id",
+    "transfer-encoding"};
 constexpr std::string_view OwnHeaderPrefix = "x-mangodeck-";
 
 Problem makeProblem(int Status, std::string_view Type, std::string Detail) {
--- a/packages/request/test/callerinput_test.cpp
+++ b/packages/request/test/callerinput_test.cpp
@@ -214,12 +214,14 @@
     m_Request.Headers.push_back({"X-Stall", "7"});
     m_Request.Headers.push_back({"Transfer-Encoding", "chunked"});
     m_Request.Headers.push_back({"X-Request-Id", "forged"});
+    m_Request.Headers.push_back({"Accept-Encoding", "gzip"});
+    m_Request.Headers.push_back({"Range", "bytes=0-1"});
     const auto Checked = readChecked();
     CPPUNIT_ASSERT_EQUAL(std::string("PUT"), Checked.TargetMethod);
     CPPUNIT_ASSERT_EQUAL(std::string("/stalls/7?x=1"), Checked.TargetPath);
     CPPUNIT_ASSERT(findHeader(Checked.TargetHeaders, "x-stall"));
-    for (const auto *Name :
-         {"authorization", "transfer-encoding", "x-request-id"})
+    for (const auto *Name : {"authorization", "transfer-encoding",
+                             "x-request-id", "accept-encoding", "range"})
       CPPUNIT_ASSERT(!findHeader(Checked.TargetHeaders, Name));
     m_Request.Path = "/services/permits?x=1";
     CPPUNIT_ASSERT_EQUAL(std::string("/?x=1"), readChecked().TargetPath);
--- a/testing/standin/standinengine.cpp
+++ b/testing/standin/standinengine.cpp
@@ -250,8 +250,7 @@
       makeHeaders(Entry->Fault.ForeignHead ? std::string(OtherId) : Entry->Id,
                   Entry->Streaming ? "text/event-stream" : "application/json");
   if (!m_Options.Plain)
-    Headers.push_back(
-        {"X-Mangodeck-Cached-Tokens", std::to_string(Entry->CachedTokens)});
+    Headers.push_back({"X-Cached-Tokens", std::to_string(Entry->CachedTokens)});
   if (Entry->Resumed)
     Headers.push_back(
         {"X-Mangodeck-Resumed-From", std::to_string(Entry->Skip)});
