--- a/packages/process/src/targetstate.cpp
+++ b/packages/process/src/targetstate.cpp
@@ -11,9 +11,24 @@
 constexpr double KvFillShare = 0.95;
 /// How far back own grants are remembered to correct stale reports.
 constexpr Duration HistorySpan = 30s;
+constexpr Duration IdleAfter = 5s;
 
 } // namespace
 
+GrantedWork workOf(const Ticket &Request) {
+  GrantedWork Work;
+  Work.Prefill = Request.PromptTokens;
+  Work.Kv = Request.PromptTokens + Request.OutputTokens;
+  const auto Common = static_cast<TokenCount>(Request.PrefixBlocks.size()) *
+                      Request.TokensPerBlock;
+  if (Common > 0 && Common <= Request.PromptTokens) {
+    Work.Prefix = Request.PrefixBlocks.back();
+    Work.PrefixKv = Common;
+    Work.Kv -= Common;
+  }
+  return Work;
+}
+
 TargetState::TargetState(const Target &Record)
     : Limit(Record.MaxSequences), m_Record(Record) {}
 
@@ -28,7 +43,8 @@
 }
 
 bool TargetState::isUsable(TimePoint Now) const {
-  return m_Configured && !m_Down && !isLeaving() && Now >= m_BackOffUntil;
+  return m_Configured && !m_Down && !isLeaving() && Now >= m_BackOffUntil &&
+         Health.state() != TargetHealth::State::Ejected;
 }
 
 bool TargetState::hasRoom(TimePoint Now) const {
@@ -37,7 +53,9 @@
 
 std::uint32_t TargetState::freeSequences() const {
   const auto Used = runningSequences();
-  return Limit.sequences() > Used ? Limit.sequences() - Used : 0;
+  const bool Probing = Health.state() == TargetHealth::State::Probing;
+  const auto Most = Probing ? 1 : Limit.sequences();
+  return Most > Used ? Most - Used : 0;
 }
 
 TokenCount TargetState::kvLimit() const {
@@ -46,19 +64,28 @@
   return static_cast<TokenCount>(KvFillShare * static_cast<double>(Total));
 }
 
-bool TargetState::fits(TokenCount Kv) const {
-  return kvLimit() == 0 || m_Kv + m_ForeignKv + Kv <= kvLimit();
+bool TargetState::fits(const GrantedWork &Work) const {
+  const bool Shared = Work.Prefix != 0 && m_Prefixes.contains(Work.Prefix);
+  const auto Added = Work.Kv + (Shared ? 0 : Work.PrefixKv);
+  return kvLimit() == 0 || m_Kv + m_ForeignKv + Added <= kvLimit();
 }
 
-bool TargetState::couldEverFit(TokenCount Kv) const {
-  return kvLimit() == 0 || Kv <= kvLimit();
+bool TargetState::couldEverFit(const GrantedWork &Work) const {
+  return kvLimit() == 0 || Work.Kv + Work.PrefixKv <= kvLimit();
 }
 
 Duration TargetState::addGrant(const GrantedWork &Work, TimePoint Now) {
-  const Duration Ahead = std::max<Duration>(Duration(0), m_PrefillUntil - Now);
+  const Duration Ahead = prefillAhead(Now);
   m_PrefillUntil = Now + Ahead + Speed.prefillTime(Work.Prefill);
+  m_LastGrant = Now;
   ++m_Sequences;
   m_Kv += Work.Kv;
+  if (Work.Prefix != 0) {
+    auto &Shared = m_Prefixes[Work.Prefix];
+    if (Shared.Users++ == 0)
+      Shared.Kv = Work.PrefixKv;
+    m_Kv += Shared.Users == 1 ? Shared.Kv : 0;
+  }
   noteChange(Now);
   return Ahead;
 }
@@ -67,6 +94,11 @@
   assert(m_Sequences > 0 && "grant removed twice");
   --m_Sequences;
   m_Kv -= Work.Kv;
+  const auto Shared = m_Prefixes.find(Work.Prefix);
+  if (Shared != m_Prefixes.end() && --Shared->second.Users == 0) {
+    m_Kv -= Shared->second.Kv;
+    m_Prefixes.erase(Shared);
+  }
   noteChange(Now);
 }
 
@@ -98,7 +130,8 @@
   if (m_Leaving && m_LeavingThrough == 0)
     m_LeavingThrough = Report.Started;
   if (Report.Started > m_Incarnation && m_Incarnation != 0) {
-    Speed.reset();
+    Speed.restart();
+    Health.noteSuccess();
     endLife();
   }
   m_Incarnation = Report.Started;
@@ -127,14 +160,21 @@
   m_ForeignKv = 0;
 }
 
+bool TargetState::isIdle(TimePoint Now) const {
+  return m_Sequences == 0 && Now - m_LastGrant >= IdleAfter;
+}
+
 void TargetState::backOff(TimePoint Until) {
   m_BackOffUntil = std::max(m_BackOffUntil, Until);
 }
 
+Duration TargetState::prefillAhead(TimePoint Now) const {
+  return std::max<Duration>(Duration(0), m_PrefillUntil - Now);
+}
+
 Duration TargetState::expectedFirstToken(TokenCount Prefill,
                                          TimePoint Now) const {
-  const Duration Ahead = std::max<Duration>(Duration(0), m_PrefillUntil - Now);
-  return Ahead + Speed.timeToFirst(Prefill);
+  return prefillAhead(Now) + Speed.timeToFirst(Prefill);
 }
 
 double TargetState::load() const {
