--- a/packages/request/src/callerinput.cpp
+++ b/packages/request/src/callerinput.cpp
@@ -26,27 +26,32 @@
 
 constexpr std::int64_t MaxDeadlineMilliseconds = 24LL * 3600 * 1000;
 constexpr std::size_t MaxKeyBytes = 255;
+constexpr auto NoConfigurationRetry = 1s;
 
 constexpr std::array<std::string_view, 6> PlainMethods{
     "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
 
 /// Headers that are not handed on to targets: those of the connection, the
-/// caller's key, and those that this module reads or sets.
-constexpr std::array<std::string_view, 14> WithheldHeaders{
+/// caller's key, those that this module reads or sets, and those that ask for
+/// an encoding or a part, which the caller could not tell from the answer.
+constexpr std::array<std::string_view, 17> WithheldHeaders{
+    "accept-encoding",
     "authorization",
     "connection",
     "content-length",
     "cookie",
     "expect",
     "host",
+    "if-range",
     "keep-alive",
+    "range",
     "te",
     "trailer",
     "upgrade",
-    "x-request-id",
-    "transfer-encoding",
     "proxy-authorization",
-    "proxy-connection"};
+    "proxy-connection",
+    "x-request-id",
+    "transfer-encoding"};
 constexpr std::string_view OwnHeaderPrefix = "x-mangodeck-";
 
 Problem makeProblem(int Status, std::string_view Type, std::string Detail) {
@@ -57,6 +62,15 @@
   return Result;
 }
 
+/// A daemon that has no configuration yet knows no keys; a 401 would blame the
+/// caller.
+Problem describeNoConfiguration() {
+  auto Result =
+      makeProblem(503, "no-configuration", "This VM has no configuration yet.");
+  Result.RetryAfter = NoConfigurationRetry;
+  return Result;
+}
+
 std::string toLower(std::string_view Text) {
   std::string Result(Text);
   std::transform(Result.begin(), Result.end(), Result.begin(),
@@ -105,6 +119,8 @@
 };
 
 CallerInput InputReader::read() {
+  if (m_Config.Customers.empty())
+    return answer(describeNoConfiguration());
   if (auto Error = authenticate())
     return answer(*Error);
   if (m_Path == "/v1/models") {
--- a/packages/request/test/callerinput_test.cpp
+++ b/packages/request/test/callerinput_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(completion_valid_fillsTheTicket);
   CPPUNIT_TEST(chat_valid_readsMessagesAndStream);
   CPPUNIT_TEST(request_withoutOrWithUnknownKey_is401);
+  CPPUNIT_TEST(request_beforeAnyConfiguration_is503);
   CPPUNIT_TEST(request_toUnknownPathModelOrService_is404);
   CPPUNIT_TEST(request_withWrongMethod_is405);
   CPPUNIT_TEST(request_withOtherMediaType_is415);
@@ -101,6 +102,13 @@
     CPPUNIT_ASSERT_EQUAL(401, readStatus());
   }
 
+  void request_beforeAnyConfiguration_is503() {
+    m_Config = Snapshot();
+    CPPUNIT_ASSERT_EQUAL(503, readStatus());
+    const auto Answer = std::get<CallerAnswer>(read());
+    CPPUNIT_ASSERT(findHeader(Answer.Headers, "Retry-After"));
+  }
+
   void request_toUnknownPathModelOrService_is404() {
     m_Request.Body = R"({"model":"none","prompt":"a"})";
     CPPUNIT_ASSERT_EQUAL(404, readStatus());
@@ -206,12 +214,14 @@
     m_Request.Headers.push_back({"X-Stall", "7"});
     m_Request.Headers.push_back({"Transfer-Encoding", "chunked"});
     m_Request.Headers.push_back({"X-Request-Id", "forged"});
+    m_Request.Headers.push_back({"Accept-Encoding", "gzip"});
+    m_Request.Headers.push_back({"Range", "bytes=0-1"});
     const auto Checked = readChecked();
     CPPUNIT_ASSERT_EQUAL(std::string("PUT"), Checked.TargetMethod);
     CPPUNIT_ASSERT_EQUAL(std::string("/stalls/7?x=1"), Checked.TargetPath);
     CPPUNIT_ASSERT(findHeader(Checked.TargetHeaders, "x-stall"));
-    for (const auto *Name :
-         {"authorization", "transfer-encoding", "x-request-id"})
+    for (const auto *Name : {"authorization", "transfer-encoding",
+                             "x-request-id", "accept-encoding", "range"})
       CPPUNIT_ASSERT(!findHeader(Checked.TargetHeaders, Name));
     m_Request.Path = "/services/permits?x=1";
     CPPUNIT_ASSERT_EQUAL(std::string("/?x=1"), readChecked().TargetPath);
