--- a/packages/connection/src/etcdclient.cpp
+++ b/packages/connection/src/etcdclient.cpp
@@ -124,7 +124,9 @@
   if (m_Waiting.empty() || m_HasTimer)
     return;
   m_HasTimer = true;
-  m_Loop.callAfter(m_Bucket.timeToNext(Now), [this] {
+  const auto Delay = std::min<Duration>(m_Bucket.timeToNext(Now),
+                                        m_Waiting.front().Deadline - Now);
+  m_Loop.callAfter(Delay, [this] {
     m_HasTimer = false;
     sendWaiting();
   });
