mangodeck: check, diff, apply, log, status, drain, adopt

Cause: operators steer only through records and defend each change. New exit code 6: the store did not say. No test of the commands yet.

--- /dev/null
+++ b/apps/mangodeck/checkcommand.h
@@ -0,0 +1,20 @@
+#ifndef MANGODECK_APPS_MANGODECK_CHECKCOMMAND_H
+#define MANGODECK_APPS_MANGODECK_CHECKCOMMAND_H
+
+#include "changerunner.h"
+
+namespace mangodeck {
+
+/// "mangodeck check": reads records and prints every fault.
+class CheckCommand : public Command {
+public:
+  CLI::App *declare(CLI::App &Parent) override;
+  int run() override;
+
+private:
+  std::string m_Directory;
+};
+
+} // namespace mangodeck
+
+#endif
--- a/apps/mangodeck/command.h
+++ b/apps/mangodeck/command.h
@@ -15,6 +15,7 @@
   ExitConflict = 3,    ///< Another operator's change was accepted first.
   ExitRefused = 4,     ///< The store refused or is older than the fleet.
   ExitUnconfirmed = 5, ///< Accepted, but not seen in force everywhere in time.
+  ExitUnknown = 6,     ///< The store did not say whether the change was taken.
 };
 
 /// One subcommand of the operators' program.
--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -1,6 +1,13 @@
+#include "adoptcommand.h"
+#include "applycommand.h"
 #include "benchcommand.h"
+#include "checkcommand.h"
 #include "command.h"
+#include "diffcommand.h"
+#include "draincommand.h"
+#include "logcommand.h"
 #include "replaycommand.h"
+#include "statuscommand.h"
 #include "timelinecommand.h"
 
 #include <utility>
@@ -11,6 +18,13 @@
 /// Makes every subcommand, in the order in which --help lists them.
 static std::vector<std::unique_ptr<Command>> makeCommands() {
   std::vector<std::unique_ptr<Command>> Commands;
+  Commands.push_back(std::make_unique<CheckCommand>());
+  Commands.push_back(std::make_unique<DiffCommand>());
+  Commands.push_back(std::make_unique<ApplyCommand>());
+  Commands.push_back(std::make_unique<LogCommand>());
+  Commands.push_back(std::make_unique<StatusCommand>());
+  Commands.push_back(std::make_unique<DrainCommand>());
+  Commands.push_back(std::make_unique<AdoptCommand>());
   Commands.push_back(std::make_unique<ReplayCommand>());
   Commands.push_back(std::make_unique<TimelineCommand>());
   Commands.push_back(std::make_unique<BenchCommand>());
--- /dev/null
+++ b/apps/mangodeck/statuscommand.h
@@ -0,0 +1,21 @@
+#ifndef MANGODECK_APPS_MANGODECK_STATUSCOMMAND_H
+#define MANGODECK_APPS_MANGODECK_STATUSCOMMAND_H
+
+#include "changerunner.h"
+
+namespace mangodeck {
+
+/// "mangodeck status": the revision in force in each daemon.
+class StatusCommand : public Command {
+public:
+  CLI::App *declare(CLI::App &Parent) override;
+  int run() override;
+
+private:
+  std::vector<std::string> m_Daemons;
+  bool m_Json = false;
+};
+
+} // namespace mangodeck
+
+#endif
