connection: a crashed target is told from a live one also while it dies or restarts

Cause: target_crashesOnBody_isBrokenAndGone failed once in a run beside other work: the probe opened a connection that the dying process still took. A target that was started again at once also counted as alive.

Change: the probe asks for the target's events and takes its answer as proof of life; a connection that ends without an answer is tried again, and another incarnation shows that the process is gone, also when the request's own was learned from a resume. connection_closedByTarget_isNotUsedAgain now counts POSTs, and everything else must be a GET, since the probe is a request too.

Conclusion: Gone no longer depends on the moment of the probe.

--- a/packages/connection/src/curlloop.cpp
+++ b/packages/connection/src/curlloop.cpp
@@ -353,10 +353,6 @@
   curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
                    toMilliseconds(Call.ConnectTimeout));
   curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, toMilliseconds(Call.TotalTimeout));
-  if (Call.ConnectOnly) {
-    curl_easy_setopt(Easy, CURLOPT_CONNECT_ONLY, 1L);
-    return;
-  }
   if (Call.Method == "HEAD") {
     curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
   } else if (!Call.Body.empty() || Call.Method == "POST") {
--- a/packages/connection/src/curlloop.h
+++ b/packages/connection/src/curlloop.h
@@ -27,7 +27,6 @@
   std::string Body;
   Duration ConnectTimeout = 2s;
   Duration TotalTimeout{0}; ///< 0 for none.
-  bool ConnectOnly = false; ///< Opens the connection and sends nothing.
 };
 
 /// How the transport ended a call.
--- a/packages/connection/src/targetexchange.cpp
+++ b/packages/connection/src/targetexchange.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view EndOfStream = "[DONE]";
 constexpr auto CancelTimeout = 5s;
 constexpr auto ProbeTimeout = 1s;
+constexpr auto ProbeDelay = 50ms;
+constexpr unsigned MaxProbes = 5;
 constexpr auto PausePollPeriod = 10ms;
 
 std::optional<std::uint64_t> parseNumber(std::string_view Text) {
@@ -56,15 +58,24 @@
   void onDone(const HttpCallEnd &) override {}
 };
 
-/// Tells whether a new connection to the target was refused.
+/// Tells what a new connection to the target shows: its answer's headers, or
+/// how the connection ended without an answer.
 class ProbeHandler : public IgnoringHandler {
 public:
-  explicit ProbeHandler(std::function<void(bool)> Done)
-      : m_Done(std::move(Done)) {}
-  void onDone(const HttpCallEnd &End) override { m_Done(End.Refused); }
+  using Answered = std::function<void(std::span<const Header>)>;
+  using Failed = std::function<void(const HttpCallEnd &)>;
+
+  ProbeHandler(Answered OnAnswer, Failed OnFailure)
+      : m_OnAnswer(std::move(OnAnswer)), m_OnFailure(std::move(OnFailure)) {}
+
+  void onHead(int, std::vector<Header> Headers) override {
+    m_OnAnswer(Headers);
+  }
+  void onDone(const HttpCallEnd &End) override { m_OnFailure(End); }
 
 private:
-  std::function<void(bool)> m_Done;
+  Answered m_OnAnswer;
+  Failed m_OnFailure;
 };
 
 } // namespace
@@ -128,6 +139,8 @@
   const auto *From = findHeader(Headers, ResumedFromHeader);
   if (From && parseNumber(*From) == m_Offset) {
     ++m_State.Resumed;
+    if (Answering)
+      m_DispatchIncarnation = Answering; // It has the request.
     m_Answer->onResumed();
     return acceptHead(Status, std::move(Headers));
   }
@@ -335,19 +348,44 @@
 }
 
 /// Ends the exchange after a new connection has shown whether the target's
-/// process is gone; another incarnation at the address shows it as well.
+/// process is gone: the connection is refused, or another incarnation answers.
 void TargetExchange::probeAndEnd(TargetEnd End) {
   dropCall();
   if (m_OtherIncarnation)
     return end(End, true);
-  auto Call = makeCall("GET", "/");
-  Call.ConnectOnly = true;
+  m_ProbesLeft = MaxProbes;
+  probe(End);
+}
+
+/// A process that is dying may still take a connection and close it without an
+/// answer; that is asked again.
+void TargetExchange::probe(TargetEnd End) {
+  if (m_Over)
+    return;
+  --m_ProbesLeft;
+  m_Resuming = true;
+  auto Call = makeCall("GET", "/mangodeck/events");
   Call.ConnectTimeout = ProbeTimeout;
-  m_Loop.start(std::move(Call),
-               std::make_shared<ProbeHandler>(
-                   [Self = shared_from_this(), End](bool Refused) {
-                     Self->end(End, Refused);
-                   }));
+  Call.TotalTimeout = ProbeTimeout;
+  const auto Self = shared_from_this();
+  m_Call = m_Loop.start(std::move(Call),
+                        std::make_shared<ProbeHandler>(
+                            [Self, End](std::span<const Header> Headers) {
+                              Self->noteIncarnation(Headers);
+                              Self->end(End, Self->m_OtherIncarnation);
+                            },
+                            [Self, End](const HttpCallEnd &Failure) {
+                              Self->onProbeFailed(End, Failure);
+                            }));
+}
+
+void TargetExchange::onProbeFailed(TargetEnd End, const HttpCallEnd &Failure) {
+  m_Call = 0;
+  const bool Silent = Failure.Code == CURLE_OPERATION_TIMEDOUT;
+  if (Failure.Refused || Silent || m_ProbesLeft == 0)
+    return end(End, Failure.Refused);
+  m_ResumeTimer = m_Loop.callAfter(
+      ProbeDelay, [Self = shared_from_this(), End] { Self->probe(End); });
 }
 
 void TargetExchange::end(TargetEnd End, bool Gone) {
--- a/packages/connection/src/targetexchange.h
+++ b/packages/connection/src/targetexchange.h
@@ -66,6 +66,8 @@
   void watchReceiver();
   void dropCall();
   void probeAndEnd(TargetEnd End);
+  void probe(TargetEnd End);
+  void onProbeFailed(TargetEnd End, const HttpCallEnd &Failure);
   void end(TargetEnd End, bool Gone);
   HttpCall makeCall(std::string Method, std::string Path) const;
   std::string streamPath() const;
@@ -79,14 +81,15 @@
 
   CurlLoop::CallId m_Call = 0;
   std::optional<CurlLoop::TimerId> m_SilenceTimer;
-  std::optional<CurlLoop::TimerId> m_ResumeTimer;
-  std::optional<CurlLoop::TimerId> m_PauseTimer; ///< Set while paused.
+  std::optional<CurlLoop::TimerId> m_ResumeTimer; ///< Or of the next probe.
+  std::optional<CurlLoop::TimerId> m_PauseTimer;  ///< Set while paused.
   TimePoint m_LastByte;
 
   /// Incarnation that answered at the address before the dispatch.
   std::optional<Incarnation> m_DispatchIncarnation;
   Fault m_LastFault = Fault::Broken;
   unsigned m_FruitlessResumes = 0;
+  unsigned m_ProbesLeft = 0;
   bool m_Resuming = false;
   bool m_HeadGiven = false;
   bool m_EventStream = false;
--- a/packages/connection/test/recordinghandler.h
+++ b/packages/connection/test/recordinghandler.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/request/callerexchange.h"
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -34,6 +35,14 @@
     return m_Exchanges.size();
   }
 
+  std::size_t countOf(const std::string &Method) {
+    const std::lock_guard Lock(m_Mutex);
+    return static_cast<std::size_t>(std::count_if(
+        m_Exchanges.begin(), m_Exchanges.end(), [&Method](const auto &Entry) {
+          return Entry->request().Method == Method;
+        }));
+  }
+
 private:
   std::mutex m_Mutex;
   std::condition_variable m_Changed;
