--- a/testing/session/test/fleet.cpp
+++ b/testing/session/test/fleet.cpp
@@ -194,12 +194,20 @@
   return true;
 }
 
+bool Fleet::owns(std::size_t Daemon, const std::string &Service) {
+  const auto Status = status(Daemon);
+  if (!Status.is_object())
+    return false;
+  for (const auto &Owned : Status.value("groups", nlohmann::json::array()))
+    if (Owned == Service + "/domain-a/0")
+      return true;
+  return false;
+}
+
 std::size_t Fleet::ownerOf(const std::string &Service) {
-  const auto Group = Service + "/domain-a/0";
   for (std::size_t I = 0; I < m_Daemons.size(); ++I)
-    for (const auto &Owned : status(I).value("groups", nlohmann::json::array()))
-      if (Owned == Group)
-        return I;
+    if (owns(I, Service))
+      return I;
   return m_Daemons.size();
 }
 
--- a/testing/session/test/fleet.h
+++ b/testing/session/test/fleet.h
@@ -43,6 +43,9 @@
   std::string adminUrl(std::size_t Index) const;
   std::string storeUrl() const { return "http://" + m_Store->address(); }
 
+  /// Whether a daemon takes itself for the owner of \p Service's group.
+  bool owns(std::size_t Daemon, const std::string &Service);
+
   /// Index of the daemon that owns the dispatch group of \p Service.
   std::size_t ownerOf(const std::string &Service);
 
@@ -60,7 +63,7 @@
   nlohmann::json dispatches(std::size_t Target);
   void setFaults(std::size_t Target, const std::string &Json);
 
-  /// Sum of requests in progress at the targets that still run.
+  /// A metric's value as text; empty if there is none of that name.
   std::string metric(std::size_t Daemon, const std::string &Name);
 
 private:
