version: an empty YAML document no longer hides those after it

Cause: fuzz-records ran out of memory on a small input (libFuzzer left no artifact). Looking for the reason, YAML::LoadAll was seen to stop without an error at the first empty document, so later records were silently left out. Change: documents are split at lines of "---" and read one by one; "..." is a fault. Test: text_emptyDocument_doesNotHideThoseAfterIt.

--- a/packages/version/src/recordloader.cpp
+++ b/packages/version/src/recordloader.cpp
@@ -37,12 +37,13 @@
   return Value;
 }
 
-void readDocument(const YAML::Node &Document, std::string_view File,
-                  SchemaNumber MaxSchema, DecodedRecords &Out) {
+void readDocument(const YAML::Node &Document, int LinesBefore,
+                  std::string_view File, SchemaNumber MaxSchema,
+                  DecodedRecords &Out) {
   if (Document.IsNull())
     return;
   RawRecord Raw;
-  Raw.Place = {std::string(File), lineOf(Document)};
+  Raw.Place = {std::string(File), LinesBefore + lineOf(Document)};
   if (!Document.IsMap()) {
     Out.Faults.push_back({Raw.Place, "", "a document that is no mapping",
                           "one record: a mapping of fields to values"});
@@ -51,25 +52,55 @@
   for (const auto &Pair : Document) {
     const auto Name = Pair.first.IsScalar() ? Pair.first.Scalar() : "?";
     RawValue Value = readValue(Pair.second);
-    Value.Line = lineOf(Pair.first);
+    Value.Line = LinesBefore + lineOf(Pair.first);
     Raw.Fields.push_back({Name, std::move(Value)});
   }
   decodeRecord(Raw, MaxSchema, Out);
 }
 
-/// Reads all documents of a text. yaml-cpp throws on a syntax error; it is
-/// caught here and becomes a diagnostic.
-void readText(const std::string &Text, std::string_view File,
-              SchemaNumber MaxSchema, DecodedRecords &Out) {
+/// Reads one document, which starts after line \p LinesBefore of its file.
+/// yaml-cpp throws on a syntax error; it is caught here and becomes a
+/// diagnostic.
+void readChunk(const std::string &Text, int LinesBefore, std::string_view File,
+               SchemaNumber MaxSchema, DecodedRecords &Out) {
   try {
-    for (const auto &Document : YAML::LoadAll(Text))
-      readDocument(Document, File, MaxSchema, Out);
+    readDocument(YAML::Load(Text), LinesBefore, File, MaxSchema, Out);
   } catch (const YAML::Exception &Error) {
-    Out.Faults.push_back({{std::string(File), Error.mark.line + 1},
-                          "",
-                          "a syntax error (" + Error.msg + ")",
-                          "YAML documents of one record each"});
+    Out.Faults.push_back(
+        {{std::string(File), LinesBefore + Error.mark.line + 1},
+         "",
+         "a syntax error (" + Error.msg + ")",
+         "YAML documents of one record each"});
+  }
+}
+
+/// Reads all documents of a text. They are split here, at lines of "---":
+/// YAML::LoadAll ends without an error at the first empty document.
+void readText(const std::string &Text, std::string_view File,
+              SchemaNumber MaxSchema, DecodedRecords &Out) {
+  std::istringstream In(Text);
+  std::string Line;
+  std::string Chunk;
+  int LineNumber = 0;
+  int LinesBefore = 0;
+  while (std::getline(In, Line)) {
+    ++LineNumber;
+    if (Line.starts_with("...")) {
+      Out.Faults.push_back({{std::string(File), LineNumber},
+                            "",
+                            "a line of \"...\"",
+                            "\"---\" between documents"});
+      Line.clear();
+    }
+    if (!Line.starts_with("---")) {
+      Chunk += Line + "\n";
+      continue;
+    }
+    readChunk(Chunk, LinesBefore, File, MaxSchema, Out);
+    Chunk = Line.substr(3) + "\n";
+    LinesBefore = LineNumber - 1;
   }
+  readChunk(Chunk, LinesBefore, File, MaxSchema, Out);
 }
 
 void readFile(const std::filesystem::path &Path, SchemaNumber MaxSchema,
--- a/packages/version/test/recordloader_test.cpp
+++ b/packages/version/test/recordloader_test.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(record_reference_mustExist);
   CPPUNIT_TEST(record_sameKeyTwice_isRefused);
   CPPUNIT_TEST(text_syntaxError_isReportedWithLine);
+  CPPUNIT_TEST(text_emptyDocument_doesNotHideThoseAfterIt);
   CPPUNIT_TEST(schemas_sideBySideWithoutAdoption_olderIsInForce);
   CPPUNIT_TEST(schemas_adopted_newerIsInForce);
   CPPUNIT_TEST(adoption_ofMissingSchema_isRefused);
@@ -131,6 +132,16 @@
     CPPUNIT_ASSERT(Faults[0].Place.Line >= 2);
   }
 
+  void text_emptyDocument_doesNotHideThoseAfterIt() {
+    const auto Records = parseRecords(
+        "---\n---\n# nothing\n---\nkind: tier\nschema: 1\nname: gold\n"
+        "rank: 0\n",
+        "r.yaml");
+    CPPUNIT_ASSERT(Records);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Records->size());
+    CPPUNIT_ASSERT_EQUAL(5, Records->begin()->second.Place.Line);
+  }
+
   void schemas_sideBySideWithoutAdoption_olderIsInForce() {
     const auto Config = compileText(withBase(Newer));
     CPPUNIT_ASSERT(!Config->findTarget(TargetName("t1"))->ChecksFencing);
