--- a/packages/process/test/group_test.cpp
+++ b/packages/process/test/group_test.cpp
@@ -24,11 +24,14 @@
   CPPUNIT_TEST(poison_secondCrash_isQuarantined);
   CPPUNIT_TEST(suspects_waitingTogether_runOneAtATime);
   CPPUNIT_TEST(suspect_completed_isNoLongerIsolated);
+  CPPUNIT_TEST(largeSuspect_otherSuspectRuns_waitsForIt);
   CPPUNIT_TEST(customer_overConcurrency_isRateLimited);
   CPPUNIT_TEST(customer_overRequestRate_toldWhenToRetry);
+  CPPUNIT_TEST(customer_callsOtherGroupsToo_getsItsShareHere);
   CPPUNIT_TEST(newOwner_adoptedRequests_countAgainstLimit);
   CPPUNIT_TEST(lostEntry_itsRequests_areForgotten);
   CPPUNIT_TEST(largeTicket_besideSmallOnes_isGrantedInTheEnd);
+  CPPUNIT_TEST(smallTicket_whileLargeOneIsHeld_goesElsewhere);
   CPPUNIT_TEST(fullGroup_otherHasRoom_passesTicketOnce);
   CPPUNIT_TEST(fullGroup_passedTicket_isNotPassedAgain);
   CPPUNIT_TEST(staleReport_ownGrantsSince_areAdded);
@@ -272,6 +275,28 @@
     CPPUNIT_ASSERT(m_Group->quarantined().empty());
   }
 
+  void largeSuspect_otherSuspectRuns_waitsForIt() {
+    auto Config = makeConfig(2, 8);
+    Config.Targets[0].KvTokens = Config.Targets[1].KvTokens = 1000;
+    configure(Config);
+    std::vector<RequestId> Filling;
+    for (int I = 0; I < 12; ++I)
+      Filling.push_back(submit(makeTicket(0)));
+    auto Large = makeTicket(0);
+    Large.PromptTokens = 800;
+    const auto Small = makeTicket(0);
+    const CrashSuspect Told[] = {{Large.Fingerprint, 1},
+                                 {Small.Fingerprint, 2}};
+    m_Group->noteSuspects(Told, now(), m_Out);
+    submit(Large);
+    submit(Small);
+    for (const auto &Id : Filling)
+      finish(Id);
+    CPPUNIT_ASSERT(findGrant(Small.Id) && !findGrant(Large.Id));
+    finish(Small.Id);
+    CPPUNIT_ASSERT(findGrant(Large.Id));
+  }
+
   void customer_overConcurrency_isRateLimited() {
     auto Config = makeConfig(1, 4);
     Customer Record;
@@ -303,6 +328,32 @@
     CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
   }
 
+  void customer_callsOtherGroupsToo_getsItsShareHere() {
+    auto Config = makeConfig(1, 16);
+    Customer Record;
+    Record.Name = CustomerName("c");
+    Record.Concurrency = 8;
+    Config.Customers.push_back(Record);
+    configure(Config);
+    tick(1s);
+    finish(submit(makeTicket(0)));
+    finish(submit(makeTicket(0)));
+    tick(1s);
+    const auto Own = m_Group->digest(now()).Demand;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Own.size());
+    GroupDigest Other;
+    Other.Group = GroupId{m_Id.Service, FailureDomain("b"), 0};
+    Other.Demand = {{Record.Name, 3 * Own[0].RequestsPerSecond}};
+    m_Group->updateDigest(Other, 3ms, now());
+    tick(1s); // The own demand has fallen, so a little less than a quarter.
+    int Granted = 0;
+    for (int I = 0; I < 8; ++I)
+      Granted += findGrant(submit(makeTicket(0))) != nullptr;
+    CPPUNIT_ASSERT_EQUAL(1, Granted);
+    tick(4s); // The other group's digest is too old.
+    CPPUNIT_ASSERT(findGrant(submit(makeTicket(0))));
+  }
+
   void newOwner_adoptedRequests_countAgainstLimit() {
     configure(makeConfig(1, 1));
     RunningRequest Running;
@@ -346,6 +397,23 @@
     CPPUNIT_ASSERT(findGrant(Large.Id));
   }
 
+  void smallTicket_whileLargeOneIsHeld_goesElsewhere() {
+    auto Config = makeConfig(2, 8);
+    Config.Targets[0].KvTokens = Config.Targets[1].KvTokens = 1000;
+    configure(Config);
+    std::vector<RequestId> Filling;
+    for (int I = 0; I < 12; ++I)
+      Filling.push_back(submit(makeTicket(0)));
+    auto Large = makeTicket(0);
+    Large.PromptTokens = 800;
+    submit(Large);
+    const auto Small = submit(makeTicket(0));
+    CPPUNIT_ASSERT(!findGrant(Small));
+    finish(Filling[0]);
+    finish(Filling[1]);
+    CPPUNIT_ASSERT(findGrant(Small) && !findGrant(Large.Id));
+  }
+
   void fullGroup_otherHasRoom_passesTicketOnce() {
     configure(makeConfig(1, 1));
     GroupDigest Other;
