version: comment of the record loader says what was shown

Change: the comment. No functional change. Conclusion: the test stays as a check of empty documents; the exact input that exhausted memory was not captured.

--- a/packages/version/src/recordloader.cpp
+++ b/packages/version/src/recordloader.cpp
@@ -74,8 +74,9 @@
   }
 }
 
-/// Reads all documents of a text. They are split here, at lines of "---":
-/// YAML::LoadAll ends without an error at the first empty document.
+/// Reads all documents of a text. They are split here, at lines of "---",
+/// which bounds their number: YAML::LoadAll takes memory without end on some
+/// malformed texts.
 void readText(const std::string &Text, std::string_view File,
               SchemaNumber MaxSchema, DecodedRecords &Out) {
   std::istringstream In(Text);
