--- a/testing/session/test/sessionfailure_test.cpp
+++ b/testing/session/test/sessionfailure_test.cpp
@@ -102,8 +102,7 @@
     const auto Other = 1 - Owner;
     auto Replies = fill(Cluster, Other, 12, 20);
     Cluster.daemon(Owner).send(SIGSTOP);
-    CPPUNIT_ASSERT(
-        waitUntil([&] { return Cluster.ownerOf("assistant") == Other; }));
+    CPPUNIT_ASSERT(waitUntil([&] { return Cluster.owns(Other, "assistant"); }));
     Cluster.daemon(Owner).send(SIGCONT);
     for (auto &Reply : Replies)
       CPPUNIT_ASSERT(isWholeStream(Reply.get()));
