--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -28,7 +28,7 @@
   done
 }
 
-measure membership "$bin/membershipmeasure" 0.01 8 50 360
+measure membership "$bin/membershipmeasure" 0.01 8 50 100 200 360
 measure digests "$bin/membershipmeasure" digests
 measure peers "$bin/peermeasure"
 measure timeline "$bin/timelinemeasure"
