capacity: read the daemon's addresses from their own lines

**Cause** The daemon now prints its admin address on a line of its own. The script then had an empty address and ended without saying why (exit 7).

**Change** It waits for both lines and ends with a message if the daemon does not get ready.

With the wrong address: "the daemon does not get ready", exit 1.

--- a/scripts/capacity-daemon.sh
+++ b/scripts/capacity-daemon.sh
@@ -85,12 +85,20 @@
 peer_keys: [a-key-for-measuring]
 YAML
 launch daemon "$bin/mangodeckd" --settings "$work/settings.yaml" --records "$work/records"
-callers=$(sed -nE 's/^listening=(\S+) admin=.*/\1/p' "$work/daemon.out")
-admin=127.0.0.1:$(sed -nE 's/.* admin=([0-9]+)$/\1/p' "$work/daemon.out")
+for _ in $(seq 200); do
+  grep -q "^admin=" "$work/daemon.out" && break
+  sleep 0.05
+done
+callers=$(sed -n "s/^listening=//p" "$work/daemon.out")
+admin=$(sed -n "s/^admin=//p" "$work/daemon.out")
 for _ in $(seq 200); do
   curl -sf -o /dev/null "http://$admin/readyz" && break
   sleep 0.05
 done
+curl -sSf -o /dev/null "http://$admin/readyz" || {
+  echo "capacity-daemon: the daemon does not get ready" >&2
+  exit 1
+}
 
 metric() { curl -sf "http://$admin/metrics" | awk -v name="$1" '$1 == name { print $2 }'; }
 completed() { curl -sf "http://$admin/metrics" | awk '/^mangodeck_goodput_requests_total/ { sum += $2 } END { print sum + 0 }'; }
