--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: help setup build test run stop bench capacity format format-check lint docs-check generate clean
+.PHONY: help setup build test run stop fuzz bench capacity format format-check lint docs-check generate clean
 
 help:
 	@echo "make setup         install the Debian packages in packages.txt"
@@ -13,6 +13,7 @@
 	@echo "make test          set up, build and run all tests"
 	@echo "make run           set up, start the system with stand-ins, serve two requests"
 	@echo "make stop          stop what make run started"
+	@echo "make fuzz          build and run the fuzz targets, a fixed number of runs"
 	@echo "make bench         measure speeds (not part of the tests)"
 	@echo "make capacity      measure the slopes quoted in docs/CAPACITY.md"
 	@echo "make format        format the sources in place"
@@ -41,6 +42,14 @@
 stop:
 	@scripts/stop.sh
 
+fuzz: setup
+	cmake -S . -B build-fuzz -G Ninja -DMANGODECK_FUZZ=ON \
+	  -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_C_COMPILER=clang \
+	  -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
+	cmake --build build-fuzz -j $(JOBS) --target fuzz-records fuzz-revisions \
+	  fuzz-storeanswers fuzz-settings fuzz-peermessages
+	@scripts/fuzz.sh build-fuzz
+
 bench: setup build
 	@scripts/bench.sh $(BUILD)
 
--- a/apps/mangodeckd/daemon.cpp
+++ b/apps/mangodeckd/daemon.cpp
@@ -109,7 +109,7 @@
 class Daemon::Impl : public MemberObserver, public ConfigObserver {
 public:
   Impl(Settings Options, std::optional<RecordSet> Records);
-  ~Impl() { stopThreads(); }
+  ~Impl() override { stopThreads(); }
 
   std::error_code start();
   void runUntilDrained();
@@ -171,8 +171,8 @@
 
   LoopThread m_ControlLoop;
   LoopThread m_HostLoop;
+  EtcdStore *m_Etcd = nullptr; ///< Set by makeStore() for a remote store.
   std::unique_ptr<Store> m_Store;
-  EtcdStore *m_Etcd = nullptr; ///< The store, where it is a remote one.
   PeerTransport m_Peers;
   LocalRouter m_Router;
   StoreClaimClient m_Claims;
