process: crash suspects, demand and digests reach the owners that use them

Demand and crash suspects stayed in one group, so a poison request crashed one target for each failure domain.

Change: a digest goes directly to the owners of the service's other groups and carries demand and suspects. A slow caller holds its target back (TargetAnswer::pendingBytes).

--- a/packages/process/include/mangodeck/process/dispatchgroup.h
+++ b/packages/process/include/mangodeck/process/dispatchgroup.h
@@ -40,6 +40,14 @@
   double RequestsPerSecond = 0;
 };
 
+/// A request that was running when a target crashed, by its fingerprint and a
+/// number that names the crash. The same fingerprint in two different crashes
+/// is quarantined.
+struct CrashSuspect {
+  std::uint64_t Fingerprint = 0;
+  std::uint64_t Crash = 0;
+};
+
 /// What other groups of the service are told of a group. It ages.
 struct GroupDigest {
   GroupId Group;
@@ -52,14 +60,8 @@
   /// Customers with limits that called lately; the groups of a service divide
   /// their allowance by it.
   std::vector<CustomerDemand> Demand;
-};
-
-/// A request that was running when a target crashed, by its fingerprint and a
-/// number that names the crash. The same fingerprint in two different crashes
-/// is quarantined.
-struct CrashSuspect {
-  std::uint64_t Fingerprint = 0;
-  std::uint64_t Crash = 0;
+  /// Recent crash suspects; filled in by the group's host.
+  std::vector<CrashSuspect> Suspects;
 };
 
 /// Order, placement, shedding and limits for the targets of one group. Does no
--- a/packages/process/include/mangodeck/process/memberagent.h
+++ b/packages/process/include/mangodeck/process/memberagent.h
@@ -77,6 +77,7 @@
   void quarantine(std::uint64_t Fingerprint);
   void replaceMarks(TargetMarks Next);
   void rebuildOwners();
+  std::vector<VmName> ownersBeside(const GroupId &Group) const;
 
   Executor &m_Loop;
   const Clock &m_Time;
--- a/packages/process/src/activerequest.h
+++ b/packages/process/src/activerequest.h
@@ -31,6 +31,7 @@
   VmName Owner; ///< Where the ticket waits.
   std::string Key;
   TargetRequest Outgoing;
+  std::shared_ptr<CallerExchange> Exchange; ///< Of the first caller.
   std::vector<std::unique_ptr<AnswerSink>> Sinks;
   std::uint64_t BudgetedBytes = 0;
 
--- a/packages/process/src/entryshard.cpp
+++ b/packages/process/src/entryshard.cpp
@@ -49,7 +49,9 @@
 /// Carries a target's answer from the target client's thread to the shard.
 class EntryShard::Relay : public TargetAnswer {
 public:
-  Relay(EntryShard &Shard, const RequestId &Id) : m_Shard(Shard), m_Id(Id) {}
+  Relay(EntryShard &Shard, const RequestId &Id,
+        std::shared_ptr<CallerExchange> Exchange)
+      : m_Shard(Shard), m_Id(Id), m_Exchange(std::move(Exchange)) {}
 
   void onHead(int Status, std::span<const Header> Headers) override {
     const auto *Type = findHeader(Headers, "Content-Type");
@@ -62,12 +64,21 @@
   }
 
   void onBody(std::string_view Bytes) override {
+    m_Queued.fetch_add(Bytes.size(), std::memory_order_relaxed);
     m_Shard.m_Ports.Loop.post(
         [this, Self = m_Self, Copy = std::string(Bytes)]() mutable {
+          m_Queued.fetch_sub(Copy.size(), std::memory_order_relaxed);
           m_Shard.onBody(m_Id, std::move(Copy));
         });
   }
 
+  /// A caller that reads slowly holds the target back instead of filling this
+  /// process's memory.
+  std::size_t pendingBytes() const override {
+    return m_Queued.load(std::memory_order_relaxed) +
+           m_Exchange->pendingBytes();
+  }
+
   void onEnd(TargetEnd End, bool Gone) override {
     m_Shard.m_Ports.Loop.post([this, Self = std::move(m_Self), End, Gone] {
       m_Shard.onEnd(m_Id, End, Gone);
@@ -85,6 +96,8 @@
 private:
   EntryShard &m_Shard;
   RequestId m_Id;
+  std::shared_ptr<CallerExchange> m_Exchange;
+  std::atomic<std::size_t> m_Queued = 0;
   std::shared_ptr<Relay> m_Self;
 };
 
@@ -147,6 +160,7 @@
   auto Owned = std::make_unique<ActiveRequest>(std::move(Accepted), NeedsClaim);
   auto &Active = *Owned;
   m_Requests.emplace(Id, std::move(Owned));
+  Active.Exchange = Exchange;
   Active.Sinks.push_back(std::make_unique<CallerSink>(Exchange, Id));
   if (Active.isKeyed())
     m_ByKey[Active.keyIndex()] = Id;
@@ -361,7 +375,7 @@
   m_Ports.Observer.onDispatched(Active.Facts);
   m_Ports.Events.record({EventKind::RequestDispatched, Active.id(),
                          Outgoing.Target.Text, Outgoing.Address});
-  auto Answer = std::make_shared<Relay>(*this, Active.id());
+  auto Answer = std::make_shared<Relay>(*this, Active.id(), Active.Exchange);
   Answer->keepAlive(Answer);
   m_Ports.Targets.dispatch(std::move(Outgoing), Answer);
 }
--- a/packages/process/src/gossipvalue.cpp
+++ b/packages/process/src/gossipvalue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace mangodeck {
 
@@ -12,6 +13,14 @@
 constexpr int MaxTiers = 32;
 constexpr double MilliPerUnit = 1000.0;
 
+/// Bounds that keep a digest within one datagram.
+constexpr std::size_t MaxDemands = 16;
+constexpr std::size_t MaxSuspects = 16;
+
+std::uint32_t toMilli(double Value) {
+  return static_cast<std::uint32_t>(std::lround(Value * MilliPerUnit));
+}
+
 std::string encode(const LeavingTarget &Value) {
   gossipwire::LeavingTargetValue Wire;
   Wire.set_started(Value.Started);
@@ -42,13 +51,26 @@
     Wire.add_waiting_per_tier(Waiting);
   Wire.set_lowest_admitted(Value.LowestAdmitted);
   Wire.set_queue_delay_ms(static_cast<std::uint32_t>(Value.QueueDelay / 1ms));
+  for (const auto &Entry :
+       std::span(Value.Demand)
+           .first(std::min(Value.Demand.size(), MaxDemands))) {
+    auto &Demand = *Wire.add_demand();
+    Demand.set_customer(Entry.Customer.Text);
+    Demand.set_requests_per_second_milli(toMilli(Entry.RequestsPerSecond));
+  }
+  for (const auto &Entry :
+       std::span(Value.Suspects)
+           .last(std::min(Value.Suspects.size(), MaxSuspects))) {
+    auto &Suspect = *Wire.add_suspects();
+    Suspect.set_fingerprint(Entry.Fingerprint);
+    Suspect.set_crash(Entry.Crash);
+  }
   return Wire.SerializeAsString();
 }
 
 std::string encode(const CustomerUse &Value) {
   gossipwire::CustomerUseValue Wire;
-  Wire.set_requests_per_second_milli(static_cast<std::uint32_t>(
-      std::lround(Value.RequestsPerSecond * MilliPerUnit)));
+  Wire.set_requests_per_second_milli(toMilli(Value.RequestsPerSecond));
   Wire.set_tokens_per_second(
       static_cast<std::uint64_t>(std::llround(Value.TokensPerSecond)));
   Wire.set_concurrency(Value.Concurrency);
@@ -80,6 +102,11 @@
   Value.LowestAdmitted = static_cast<TierRank>(
       std::min<std::uint32_t>(Wire.lowest_admitted(), 255));
   Value.QueueDelay = Wire.queue_delay_ms() * 1ms;
+  for (const auto &Entry : Wire.demand())
+    Value.Demand.push_back({CustomerName(Entry.customer()),
+                            Entry.requests_per_second_milli() / MilliPerUnit});
+  for (const auto &Entry : Wire.suspects())
+    Value.Suspects.push_back({Entry.fingerprint(), Entry.crash()});
   return Value;
 }
 
--- a/packages/process/src/grouphost.cpp
+++ b/packages/process/src/grouphost.cpp
@@ -132,9 +132,14 @@
 }
 
 void GroupHost::onDigest(const GroupDigest &Digest, Duration LinkDelay) {
-  for (auto &[Id, Entry] : m_Groups)
-    if (Id.Service == Digest.Group.Service && !(Id == Digest.Group))
-      Entry.Group->updateDigest(Digest, LinkDelay, m_Time.now());
+  for (auto &[Id, Entry] : m_Groups) {
+    if (Id.Service != Digest.Group.Service || Id == Digest.Group)
+      continue;
+    DispatchGroup::Actions Out;
+    Entry.Group->updateDigest(Digest, LinkDelay, m_Time.now());
+    Entry.Group->noteSuspects(Digest.Suspects, m_Time.now(), Out);
+    perform(Id, Out);
+  }
 }
 
 void GroupHost::onMarks(const TargetMarks &Marks) {
@@ -165,8 +170,10 @@
 
 std::vector<GroupDigest> GroupHost::digests() const {
   std::vector<GroupDigest> Result;
-  for (const auto &[Id, Entry] : m_Groups)
+  for (const auto &[Id, Entry] : m_Groups) {
     Result.push_back(Entry.Group->digest(m_Time.now()));
+    Result.back().Suspects = Entry.Group->suspects(m_Time.now());
+  }
   return Result;
 }
 
--- a/packages/process/src/memberagent.cpp
+++ b/packages/process/src/memberagent.cpp
@@ -3,6 +3,8 @@
 #include "mangodeck/common/log.h"
 #include "mangodeck/common/overload.h"
 
+#include <set>
+
 namespace mangodeck {
 
 namespace {
@@ -133,11 +135,31 @@
   m_Observer.onMarksChanged(*m_Marks.share());
 }
 
+/// Members that own the other groups of \p Group's service.
+std::vector<VmName> MemberAgent::ownersBeside(const GroupId &Group) const {
+  std::set<VmName> Owners;
+  const auto Table = m_Owners.share();
+  for (const auto &Other : m_Groups) {
+    if (Other.Service != Group.Service || Other == Group)
+      continue;
+    const auto *Owner = Table->ownerOf(Other);
+    if (Owner && !(*Owner == m_Vm))
+      Owners.insert(*Owner);
+  }
+  return {Owners.begin(), Owners.end()};
+}
+
+/// Sends digests to those who use them only: at hundreds of members, gossip to
+/// all would take the whole byte budget and come late.
 void MemberAgent::publishDigests(std::span<const GroupDigest> Digests) {
   Membership::Actions Out;
-  for (const auto &Digest : Digests)
-    m_Membership.publish(Digest, toString(Digest.Group), DigestTimeToLive,
-                         m_Time.now(), {}, Out);
+  for (const auto &Digest : Digests) {
+    m_Observer.onDigest(Digest);
+    const auto Audience = ownersBeside(Digest.Group);
+    if (!Audience.empty())
+      m_Membership.publish(Digest, toString(Digest.Group), DigestTimeToLive,
+                           m_Time.now(), Audience, Out);
+  }
   perform(Out);
 }
 
