--- a/apps/mangodeckd/daemon.cpp
+++ b/apps/mangodeckd/daemon.cpp
@@ -374,6 +374,8 @@
   if (m_Phase.load() != DrainPhase::Serving)
     return;
   logEvent("drain_started", "cause=\"{}\" open={}", Cause, m_Entry->open());
+  m_Timeline.record(
+      {EventKind::DrainStarted, {}, m_Options.Vm.Text, std::string(Cause)});
   m_Drain.begin(m_Time.now());
   m_Phase.store(DrainPhase::Leaving);
   m_Members->setLeaving();
@@ -390,6 +392,7 @@
     m_CallerServer->stopAccepting();
     m_Entry->stopAdmitting();
   } else if (Now == DrainPhase::Done) {
+    m_Timeline.record({EventKind::DrainFinished, {}, m_Options.Vm.Text, ""});
     m_Members->leave();
     m_Drained.set_value();
   }
