--- a/testing/session/test/sessionfailure_test.cpp
+++ b/testing/session/test/sessionfailure_test.cpp
@@ -5,6 +5,19 @@
 
 namespace mangodeck::testing {
 
+namespace {
+
+/// Requests that wait or run when an owner fails.
+constexpr std::size_t WaitingRequests = 12;
+
+/// One target that runs two requests at a time.
+const FleetOptions TwoDaemonsOneTarget{.Daemons = 2,
+                                       .Models = 1,
+                                       .MaxSequences = 2,
+                                       .TargetFlags = {"--token-delay", "20"}};
+
+} // namespace
+
 /// Whole sessions under failure, with real processes.
 class SessionFailureTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionFailureTest);
@@ -33,6 +46,18 @@
            Reply.Body.ends_with("data: [DONE]\n\n");
   }
 
+  /// Checks that all requests of owner tests were answered whole, after one
+  /// dispatch each.
+  static void
+  assertAllServedOnce(Fleet &Cluster,
+                      std::vector<std::future<HttpReply>> &Replies) {
+    for (auto &Reply : Replies)
+      CPPUNIT_ASSERT(isWholeStream(Reply.get()));
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(WaitingRequests),
+                         Cluster.dispatches(0).value("total", 0));
+    assertDispatchedOnce(Cluster, 1);
+  }
+
   /// Sends completions through \p Daemon and waits until some of them run and
   /// the others wait.
   static std::vector<std::future<HttpReply>>
@@ -77,37 +102,26 @@
   }
 
   void owner_killedWithTicketsWaiting_allAreServedOnce() {
-    Fleet Cluster({.Daemons = 2,
-                   .Models = 1,
-                   .MaxSequences = 2,
-                   .TargetFlags = {"--token-delay", "20"}});
+    Fleet Cluster(TwoDaemonsOneTarget);
     CPPUNIT_ASSERT(Cluster.waitUntilReady());
     const auto Owner = Cluster.ownerOf("assistant");
     const auto Other = 1 - Owner;
-    auto Replies = fill(Cluster, Other, 12, 20);
+    auto Replies = fill(Cluster, Other, WaitingRequests, 20);
     Cluster.daemon(Owner).kill(SIGKILL);
-    for (auto &Reply : Replies)
-      CPPUNIT_ASSERT(isWholeStream(Reply.get()));
-    CPPUNIT_ASSERT_EQUAL(12, Cluster.dispatches(0).value("total", 0));
-    assertDispatchedOnce(Cluster, 1);
+    assertAllServedOnce(Cluster, Replies);
   }
 
   void owner_stoppedAndContinued_allAreServedOnce() {
-    Fleet Cluster({.Daemons = 2,
-                   .Models = 1,
-                   .MaxSequences = 2,
-                   .TargetFlags = {"--token-delay", "20"}});
+    Fleet Cluster(TwoDaemonsOneTarget);
     CPPUNIT_ASSERT(Cluster.waitUntilReady());
     const auto Owner = Cluster.ownerOf("assistant");
     const auto Other = 1 - Owner;
-    auto Replies = fill(Cluster, Other, 12, 20);
+    auto Replies = fill(Cluster, Other, WaitingRequests, 20);
     Cluster.daemon(Owner).send(SIGSTOP);
     CPPUNIT_ASSERT(waitUntil([&] { return Cluster.owns(Other, "assistant"); }));
     Cluster.daemon(Owner).send(SIGCONT);
-    for (auto &Reply : Replies)
-      CPPUNIT_ASSERT(isWholeStream(Reply.get()));
+    assertAllServedOnce(Cluster, Replies);
     CPPUNIT_ASSERT(Cluster.waitUntilReady());
-    CPPUNIT_ASSERT_EQUAL(12, Cluster.dispatches(0).value("total", 0));
     assertDispatchedOnce(Cluster, 1);
   }
 
