process: a full body budget sheds the lowest tier of the whole process

Cause: found by reading: a shard gave up only a body of its own, so when the lowest tier waited in another shard nothing was freed, and the budget was overrun by each arrival.

Change: the entry decides before it hands a request to a shard, and asks every shard to give up one request of the lowest tier.

--- a/apps/mangodeckd/daemon.cpp
+++ b/apps/mangodeckd/daemon.cpp
@@ -215,7 +215,7 @@
         std::make_unique<EntryShard>(portsOf(*m_ShardParts.back())));
   }
   m_Entry = std::make_unique<Entry>(m_Options.Vm, m_Options.Domain, m_Time,
-                                    m_Config, m_Shards);
+                                    m_Config, m_Bodies, m_Shards);
   m_ConfigAgent = std::make_unique<ConfigAgent>(m_ControlLoop, m_Time, *m_Store,
                                                 m_Config, *this, m_Timeline);
 }
--- a/packages/process/include/mangodeck/process/entry.h
+++ b/packages/process/include/mangodeck/process/entry.h
@@ -17,7 +17,7 @@
 public:
   /// All references outlive the entry; \p Shards is not empty.
   Entry(VmName Vm, FailureDomain Domain, const Clock &Time,
-        const RcuPointer<Snapshot> &Config,
+        const RcuPointer<Snapshot> &Config, const BodyBudget &Bodies,
         std::span<const std::unique_ptr<EntryShard>> Shards);
 
   void handle(std::shared_ptr<CallerExchange> Exchange) override;
@@ -32,6 +32,7 @@
   std::size_t open() const;
 
 private:
+  bool admitBody(TierRank Tier) const;
   AcceptedRequest makeAccepted(CheckedRequest Checked,
                                std::shared_ptr<CallerExchange> Exchange) const;
 
@@ -39,6 +40,7 @@
   FailureDomain m_Domain;
   const Clock &m_Time;
   const RcuPointer<Snapshot> &m_Config;
+  const BodyBudget &m_Bodies;
   std::span<const std::unique_ptr<EntryShard>> m_Shards;
   std::atomic<bool> m_Admitting = true;
 };
--- a/packages/process/include/mangodeck/process/entryshard.h
+++ b/packages/process/include/mangodeck/process/entryshard.h
@@ -84,7 +84,6 @@
   class Relay;
 
   void start(AcceptedRequest Accepted);
-  bool admitBody(const AcceptedRequest &Accepted);
   bool joinKeyed(AcceptedRequest &Accepted);
   void submit(ActiveRequest &Active);
   void withdraw(ActiveRequest &Active);
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -13,6 +13,9 @@
 /// behind the balancer takes the request at once.
 constexpr Duration DrainingRetryDelay = 1s;
 
+/// Wait told to callers whose body this process has no memory for.
+constexpr Duration MemoryRetryDelay = 2s;
+
 /// Random numbers for request ids; each thread has its own generator.
 RandomSource &threadRandom() {
   thread_local SeededRandom Source = [] {
@@ -57,10 +60,10 @@
 }
 
 Entry::Entry(VmName Vm, FailureDomain Domain, const Clock &Time,
-             const RcuPointer<Snapshot> &Config,
+             const RcuPointer<Snapshot> &Config, const BodyBudget &Bodies,
              std::span<const std::unique_ptr<EntryShard>> Shards)
     : m_Vm(std::move(Vm)), m_Domain(std::move(Domain)), m_Time(Time),
-      m_Config(Config), m_Shards(Shards) {
+      m_Config(Config), m_Bodies(Bodies), m_Shards(Shards) {
   assert(!m_Shards.empty() && "an entry needs at least one shard");
 }
 
@@ -98,11 +101,32 @@
     Accepted.Group = chooseGroup(*Config, m_Domain, Accepted.Request);
   }
 
-  // Step 3. Hand it to its shard.
+  // Step 3. Refuse at once what this process cannot hold.
+  if (!admitBody(Accepted.Request.Tier)) {
+    respondWith(*Accepted.Exchange,
+                describeRefusal({NotRunReason::MemoryFull, MemoryRetryDelay}));
+    return;
+  }
+
+  // Step 4. Hand it to its shard.
   auto &Shard = shardOf(Accepted.Request.Id);
   Shard.accept(std::move(Accepted));
 }
 
+/// Makes room for a new body by tier. Over the limit, the lowest tier that
+/// waits anywhere in the process gives up one request in each shard; when no
+/// lower tier waits, the arriving request itself is refused.
+bool Entry::admitBody(TierRank Tier) const {
+  if (!m_Bodies.isExceeded())
+    return true;
+  const auto Lowest = m_Bodies.lowestWaiting();
+  if (!Lowest || *Lowest <= Tier)
+    return false;
+  for (const auto &Shard : m_Shards)
+    Shard->evictOne(*Lowest);
+  return true;
+}
+
 /// Draws the request's id. The lower half of the id selects the shard, and
 /// requests with the same key must meet in one shard, so theirs is set by the
 /// key.
--- a/packages/process/src/entryshard.cpp
+++ b/packages/process/src/entryshard.cpp
@@ -115,19 +115,6 @@
   });
 }
 
-/// Makes room for a new body by tier: over the limit, the lowest tier that
-/// waits anywhere in the process gives up one request, or the arriving request
-/// itself is refused when no lower tier waits.
-bool EntryShard::admitBody(const AcceptedRequest &Accepted) {
-  if (!m_Ports.Bodies.isExceeded())
-    return true;
-  const auto Lowest = m_Ports.Bodies.lowestWaiting();
-  if (!Lowest || *Lowest <= Accepted.Request.Tier)
-    return false;
-  evictOne(*Lowest);
-  return true;
-}
-
 void EntryShard::start(AcceptedRequest Accepted) {
   // Step 1. Join a request with the same key that is in progress here.
   const auto Id = Accepted.Request.Id;
@@ -139,7 +126,6 @@
 
   // Step 2. Register the request with its caller.
   const bool NeedsClaim = !Accepted.Request.Idempotent && !Accepted.Key.empty();
-  const bool HasRoom = admitBody(Accepted);
   const auto Exchange = std::move(Accepted.Exchange);
   auto Owned = std::make_unique<ActiveRequest>(std::move(Accepted), NeedsClaim);
   auto &Active = *Owned;
@@ -151,14 +137,7 @@
   Active.BudgetedBytes = Active.Outgoing.Body.size();
   m_Ports.Bodies.add(Active.Facts.Tier, Active.BudgetedBytes);
 
-  // Step 3. Refuse at once what this process cannot hold.
-  if (!HasRoom) {
-    Active.Life.onRefusal();
-    refuse(Active, {NotRunReason::MemoryFull, retryDelay()});
-    return;
-  }
-
-  // Step 4. Wait for a grant, the deadline or the caller's hang-up.
+  // Step 3. Wait for a grant, the deadline or the caller's hang-up.
   Exchange->onHangUp(
       [this, Id] { m_Ports.Loop.post([this, Id] { onHangUp(Id); }); });
   scheduleExpiry(Active);
--- a/testing/session/test/fleet.cpp
+++ b/testing/session/test/fleet.cpp
@@ -148,6 +148,7 @@
   if (m_Store)
     Out << fmt::format("store:\n  endpoints: [{}]\n", storeUrl());
   Out << "peer_keys: [a-key-for-session-tests]\n";
+  Out << fmt::format("limits:\n  waiting_bytes: {}\n", m_Options.WaitingBytes);
   Out << fmt::format("drain:\n  balancer_lag: {}\n", m_Options.BalancerLag);
 }
 
@@ -226,12 +227,12 @@
 
 std::future<HttpReply> Fleet::completeAsync(std::size_t Daemon,
                                             std::string Prompt, unsigned Tokens,
-                                            bool Streaming) {
-  return std::async(
-      std::launch::async,
-      [this, Daemon, Prompt = std::move(Prompt), Tokens, Streaming] {
-        return complete(Daemon, Prompt, Tokens, Streaming);
-      });
+                                            std::vector<std::string> Headers) {
+  return std::async(std::launch::async,
+                    [this, Daemon, Prompt = std::move(Prompt), Tokens,
+                     Headers = std::move(Headers)] {
+                      return complete(Daemon, Prompt, Tokens, true, Headers);
+                    });
 }
 
 HttpReply Fleet::pay(std::size_t Daemon, const std::string &Key,
--- a/testing/session/test/fleet.h
+++ b/testing/session/test/fleet.h
@@ -23,6 +23,7 @@
   unsigned QueueLimit = 1000;
   std::vector<std::string> TargetFlags;
   std::string BalancerLag = "200ms";
+  std::uint64_t WaitingBytes = 64 << 20; ///< Of bodies, in each daemon.
   bool HasStore = false; ///< A stand-in store instead of one in each daemon.
 };
 
@@ -54,7 +55,8 @@
                      unsigned Tokens, bool Streaming = true,
                      std::vector<std::string> Headers = {});
   std::future<HttpReply> completeAsync(std::size_t Daemon, std::string Prompt,
-                                       unsigned Tokens, bool Streaming = true);
+                                       unsigned Tokens,
+                                       std::vector<std::string> Headers = {});
   HttpReply pay(std::size_t Daemon, const std::string &Key,
                 const std::string &Body = R"({"permit":17})");
 
--- a/testing/session/test/sessionfailure_test.cpp
+++ b/testing/session/test/sessionfailure_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(poison_sentAgain_crashesAtMostTwoTargets);
   CPPUNIT_TEST(caller_hangsUpWhileWaiting_ticketIsWithdrawn);
   CPPUNIT_TEST(leavingTarget_getsNoNewWork);
+  CPPUNIT_TEST(memory_fullOfLowerTier_higherTierIsAdmitted);
   CPPUNIT_TEST_SUITE_END();
 
   /// Checks that no target of the fleet saw a request twice.
@@ -207,6 +208,38 @@
           Cluster.complete(I % 2, fmt::format("prompt {}", I), 2)));
     CPPUNIT_ASSERT_EQUAL(Before, Cluster.dispatches(0).value("total", 0));
   }
+
+  /// Both shards hold bodies of the lower tier, or one of them all: the higher
+  /// tier is admitted either way.
+  void memory_fullOfLowerTier_higherTierIsAdmitted() {
+    Fleet Cluster({.Models = 1,
+                   .MaxSequences = 1,
+                   .TargetFlags = {"--token-delay", "20"},
+                   .WaitingBytes = 65536});
+    CPPUNIT_ASSERT(Cluster.waitUntilReady());
+    const std::string Large(30000, 'x');
+    std::vector<std::future<HttpReply>> Lower;
+    for (int I = 0; I < 5; ++I)
+      Lower.push_back(Cluster.completeAsync(0, Large + std::to_string(I), 40,
+                                            {"X-Mangodeck-Tier: normal"}));
+    CPPUNIT_ASSERT(waitUntil([&] {
+      const auto Bytes = Cluster.metric(0, "mangodeck_waiting_body_bytes");
+      return !Bytes.empty() && std::stod(Bytes) > 65536;
+    }));
+    CPPUNIT_ASSERT(isWholeStream(Cluster.complete(0, Large, 2)));
+    int Refused = 0;
+    for (auto &Reply : Lower) {
+      const auto Seen = Reply.get();
+      if (isWholeStream(Seen))
+        continue;
+      ++Refused;
+      CPPUNIT_ASSERT_EQUAL(503, Seen.Status);
+      CPPUNIT_ASSERT_EQUAL(std::string("no"), Seen.header("X-Mangodeck-Run"));
+      CPPUNIT_ASSERT(!Seen.header("Retry-After").empty());
+    }
+    CPPUNIT_ASSERT(Refused >= 1);
+    CPPUNIT_ASSERT_EQUAL(6 - Refused, Cluster.dispatches(0).value("total", 0));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionFailureTest);
