process, version: no scan of all targets for a request, no rebuild for a suspicion

Cause: found by reading: chooseGroup() walked all targets and built a set for each request, although the domains of a service change only with a revision. The owner table was rebuilt, and readers waited for, at each suspicion and refutation, which change no owner. EntryShard declared a function that nothing defined.

No functional change.

--- a/packages/process/include/mangodeck/process/entryshard.h
+++ b/packages/process/include/mangodeck/process/entryshard.h
@@ -90,7 +90,6 @@
   void scheduleExpiry(const ActiveRequest &Active);
   void onExpiry(const RequestId &Id);
   void onHangUp(const RequestId &Id);
-  void onFollowerHangUp(const RequestId &Id, const RequestId &Follower);
   void onGrant(const VmName &Owner, const Grant &Offered);
   void onRefusal(const RequestId &Id, const Refusal &Reason);
   void onMove(const RequestId &Id, const GroupId &To);
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 #include <functional>
-#include <set>
 
 namespace mangodeck {
 
@@ -25,26 +24,17 @@
   return Source;
 }
 
-std::set<FailureDomain> domainsOf(const Snapshot &Config,
-                                  const ServiceName &Service) {
-  std::set<FailureDomain> Domains;
-  for (const auto &Item : Config.Targets)
-    if (Item.Service == Service)
-      Domains.insert(Item.Domain);
-  return Domains;
-}
-
 } // namespace
 
 GroupId chooseGroup(const Snapshot &Config, const FailureDomain &Domain,
                     const Ticket &Request) {
   const auto Hash = Request.PrefixBlocks.empty() ? Request.Id.High
                                                  : Request.PrefixBlocks.front();
-  const auto Domains = domainsOf(Config, Request.Service);
+  const auto Domains = Config.domainsOf(Request.Service);
   GroupId Group{Request.Service, Domain, 0};
-  if (!Domains.empty() && !Domains.contains(Domain))
-    Group.Domain = *std::next(
-        Domains.begin(), static_cast<std::ptrdiff_t>(Hash % Domains.size()));
+  if (!Domains.empty() &&
+      !std::binary_search(Domains.begin(), Domains.end(), Domain))
+    Group.Domain = Domains[Hash % Domains.size()];
   if (const auto *Found = Config.findService(Request.Service))
     Group.Slice = static_cast<std::uint32_t>(Hash % Found->SlicesPerDomain);
   return Group;
@@ -53,7 +43,7 @@
 std::vector<GroupId> groupsOf(const Snapshot &Config) {
   std::vector<GroupId> Groups;
   for (const auto &Item : Config.Services)
-    for (const auto &Domain : domainsOf(Config, Item.Name))
+    for (const auto &Domain : Config.domainsOf(Item.Name))
       for (std::uint32_t Slice = 0; Slice < Item.SlicesPerDomain; ++Slice)
         Groups.push_back({Item.Name, Domain, Slice});
   return Groups;
--- a/packages/process/src/memberagent.cpp
+++ b/packages/process/src/memberagent.cpp
@@ -26,6 +26,13 @@
   return EventKind::MemberDead;
 }
 
+/// Whether owners or peers' addresses may differ. A suspicion or its refutation
+/// changes neither, and is the most frequent change on a lossy link.
+bool changesOwners(const Member &Before, const Member &After) {
+  return Before.isLive() != After.isLive() || Before.Leaving != After.Leaving ||
+         Before.Address != After.Address || !(Before.Domain == After.Domain);
+}
+
 } // namespace
 
 MemberAgent::MemberAgent(MembershipOptions Options, Executor &Loop,
@@ -84,7 +91,8 @@
   if (!IsSameState)
     logEvent("member_changed", "vm={} state={} leaving={}", After.Vm.Text,
              toString(After.State), After.Leaving);
-  rebuildOwners();
+  if (!Change.Before || changesOwners(*Change.Before, After))
+    rebuildOwners();
   if (!After.isLive())
     m_Observer.onMemberGone(After);
 }
--- a/packages/version/include/mangodeck/version/snapshot.h
+++ b/packages/version/include/mangodeck/version/snapshot.h
@@ -95,6 +95,9 @@
   const Target *findTarget(const TargetName &Name) const;
   const Tier *findTier(std::string_view Name) const;
 
+  /// Failure domains that have targets of \p Service, by name.
+  std::span<const FailureDomain> domainsOf(const ServiceName &Service) const;
+
   /// Targets of \p Group, in the order of their names.
   std::vector<const Target *> targetsOf(const GroupId &Group) const;
 
@@ -104,6 +107,8 @@
   std::unordered_map<std::string, std::size_t> m_ServiceByName;
   std::unordered_map<std::string, std::size_t> m_ServiceByModel;
   std::unordered_map<std::string, std::size_t> m_TargetByName;
+  std::unordered_map<ServiceName, std::vector<FailureDomain>>
+      m_DomainsByService;
 };
 
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
--- a/packages/version/src/snapshot.cpp
+++ b/packages/version/src/snapshot.cpp
@@ -31,8 +31,14 @@
     if (Services[I].Kind == ServiceKind::Model)
       m_ServiceByModel[Services[I].Model] = I;
   }
-  for (std::size_t I = 0; I < Targets.size(); ++I)
+  for (std::size_t I = 0; I < Targets.size(); ++I) {
     m_TargetByName[Targets[I].Name.Text] = I;
+    m_DomainsByService[Targets[I].Service].push_back(Targets[I].Domain);
+  }
+  for (auto &[Name, Domains] : m_DomainsByService) {
+    std::sort(Domains.begin(), Domains.end());
+    Domains.erase(std::unique(Domains.begin(), Domains.end()), Domains.end());
+  }
 }
 
 const Customer *
@@ -64,6 +70,14 @@
   return It == Tiers.end() ? nullptr : &*It;
 }
 
+std::span<const FailureDomain>
+Snapshot::domainsOf(const ServiceName &Service) const {
+  const auto It = m_DomainsByService.find(Service);
+  if (It == m_DomainsByService.end())
+    return {};
+  return It->second;
+}
+
 std::vector<const Target *> Snapshot::targetsOf(const GroupId &Group) const {
   const auto *Owner = findService(Group.Service);
   const std::uint32_t Slices = Owner ? Owner->SlicesPerDomain : 1;
