--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -0,0 +1,54 @@
+#ifndef MANGODECK_GATEWAY_CHOOSETARGET_H
+#define MANGODECK_GATEWAY_CHOOSETARGET_H
+
+#include "mangodeck/gateway/targetbook.h"
+
+#include <span>
+
+namespace mangodeck {
+
+/// What a choice of a target goes by.
+struct ChoiceInput {
+  RequestWork Work;
+  FailureDomain Home;         ///< This daemon's failure domain.
+  Duration TimeToTarget{0};   ///< Until the latency target passes; may be < 0.
+  Duration GapTarget{0};      ///< Longest pause between events; 0: none.
+  std::span<const TargetPtr> Excluded; ///< Targets that were tried already.
+};
+
+/// A chosen target and what is expected of it.
+struct ChosenTarget {
+  TargetPtr Target;
+  Duration FirstEvent{0}; ///< Expected time to the first event.
+  bool InTime = false;    ///< It is within the latency target.
+};
+
+/// Chooses a target for a request, or none if no usable target has a free
+/// slot. Answers the load of bursts on engines of unlike speed that know no
+/// priorities: a slot is given only where the request starts at once, so that
+/// waiting requests stay in the daemons, where they can be ordered.
+///
+/// Targets of the own failure domain go first, since bytes between failure
+/// domains cost; another one's are taken when no target at home makes the
+/// latency target. Among targets that make it, the fastest is taken: a step
+/// takes nearly the same time for one request as for a full batch, so that a
+/// fast engine's free slot is the cheapest place there is. Linear in the
+/// service's targets.
+std::optional<ChosenTarget> chooseTarget(std::span<const TargetPtr> Targets,
+                                         const ChoiceInput &Input,
+                                         TimePoint Now);
+
+/// Expected time to the first event of \p Work on \p Target.
+Duration expectedFirstEvent(const TargetState &Target, const RequestWork &Work);
+
+/// Usable targets of a service and the slots that are free on them.
+struct Room {
+  std::uint32_t UsableTargets = 0;
+  std::uint32_t Slots = 0;
+  std::uint32_t FreeSlots = 0;
+};
+Room roomOf(std::span<const TargetPtr> Targets, TimePoint Now);
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -0,0 +1,169 @@
+#ifndef MANGODECK_GATEWAY_EXCHANGE_H
+#define MANGODECK_GATEWAY_EXCHANGE_H
+
+#include "mangodeck/gateway/choosetarget.h"
+#include "mangodeck/gateway/dispatchqueue.h"
+#include "mangodeck/gateway/eventframes.h"
+#include "mangodeck/gateway/eventlog.h"
+#include "mangodeck/gateway/gatewaymetrics.h"
+#include "mangodeck/gateway/requestfacts.h"
+#include "mangodeck/gateway/retrybudget.h"
+#include "mangodeck/gateway/targetpool.h"
+#include "mangodeck/http/callerconnection.h"
+#include "mangodeck/http/targetconnection.h"
+#include "mangodeck/version/routeplan.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangodeck {
+
+class Exchange;
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+/// What an exchange asks of the process.
+class ExchangeControl {
+public:
+  virtual ~ExchangeControl() = default;
+  /// Queues the exchange until a slot is free.
+  virtual void waitForSlot(const ExchangePtr &Waiting) = 0;
+  /// A request of the service ended at a target.
+  virtual void onSlotFreed(const ServiceName &Service) = 0;
+  /// The exchange is over. \p Ran is false if no target began to work on it.
+  virtual void onExchangeOver(Exchange &Ended, bool Ran) = 0;
+  /// A request broke off at \p Target without a whole answer.
+  virtual void onBrokenOff(const TargetPtr &Target,
+                           std::uint64_t Fingerprint) = 0;
+  /// When a refused caller should come back.
+  virtual Duration comeBackAfter(const Exchange &Refused) = 0;
+};
+
+/// Parts of the process that exchanges share.
+struct ExchangeParts {
+  TargetPool &Pool;
+  RetryBudget &Budget;
+  EventLog &Log;
+  GatewayMetrics &Metrics;
+  const HeaderNames &Names;
+  ExchangeControl &Control;
+};
+
+/// One attempt of a caller, from its request to the end of its answer: sends
+/// it to a target, relays the answer, and decides what follows a failure. A
+/// request that may have run is sent again only if its route allows it.
+class Exchange : public std::enable_shared_from_this<Exchange>,
+                 private http::AnswerHandler {
+public:
+  Exchange(ExchangeParts Parts, TicketNumber Number,
+           std::shared_ptr<http::CallerConnection> Caller,
+           http::Request Message, RequestFacts Facts, RoutePlanPtr Plan,
+           const Route &Matched, const PlannedCustomer *Customer,
+           ServiceName Service, TimePoint Arrival);
+
+  /// Sends the request to the target that was chosen for it.
+  void dispatch(const ChosenTarget &Chosen, TimePoint Now);
+  /// Answers a request that has not run and never will. \p Status is 429 or
+  /// 503.
+  void refuse(int Status, std::string_view Reason, Duration ComeBack);
+  /// The caller is gone: stops the work on its request.
+  void callerLeft();
+  /// Enforces time limits; called some times a second.
+  void check(TimePoint Now);
+  /// The daemon stops: ends what still runs.
+  void cutOff();
+
+  TicketNumber number() const { return m_Number; }
+  const Route &route() const { return m_Route; }
+  const RoutePlanPtr &plan() const { return m_Plan; }
+  const ServiceName &service() const { return m_Service; }
+  const RequestFacts &facts() const { return m_Facts; }
+  const PlannedCustomer *customer() const { return m_Customer; }
+  const RequestWork &work() const { return m_Work; }
+  std::span<const TargetPtr> triedTargets() const { return m_Tried; }
+  TierRank rank() const;
+  TimePoint arrival() const { return m_Arrival; }
+  TimePoint deadline() const { return m_Deadline; }
+  /// Latest time of the first event or answer that meets the objective.
+  TimePoint latencyDeadline() const;
+  /// Latest useful start.
+  TimePoint giveUpTime() const;
+  /// Events of this request reached the caller already.
+  bool hasStreamed() const { return m_HeadSent; }
+  bool isWaiting() const { return m_Phase == Phase::Waiting; }
+  void setWaiting() { m_Phase = Phase::Waiting; }
+  bool isOver() const { return m_Phase == Phase::Over; }
+  const TargetPtr &target() const { return m_Target; }
+
+private:
+  enum class Phase : std::uint8_t { Waiting, Connecting, Sent, Over };
+  /// What is known about a failed send.
+  enum class Doubt : std::uint8_t {
+    NotSent,  ///< No byte reached the target.
+    Rejected, ///< The target says that it ran nothing.
+    MayHaveRun,
+  };
+
+  void onAnswerHead(const http::ResponseHead &Head) override;
+  void onAnswerBody(std::string_view Bytes) override;
+  void onAnswerEnd() override;
+  void onExchangeFailed(const http::ExchangeFailure &Failure) override;
+
+  void onConnected(std::error_code Error, TargetPool::Connection Ready);
+  std::string serializeFor(const TargetState &Target, TimePoint Now) const;
+  void relayEvents();
+  bool relayEvent(std::string_view Event, TimePoint Now);
+  void sendHead();
+  void deliver();
+  void sendFailed(Doubt Kind, std::string_view Reason);
+  bool mayGoOn(Doubt Kind) const;
+  void giveUp(Doubt Kind, std::string_view Reason);
+  void releaseTarget(bool Reuse);
+  void answerOwn(int Status, std::string_view Reason,
+                 std::optional<Duration> ComeBack);
+  void end(std::string_view Outcome, std::string_view Reason, int Status);
+  void logStep(std::string_view Event, std::string_view Reason);
+  bool isSilent(TimePoint Now) const;
+
+  ExchangeParts m_Parts;
+  TicketNumber m_Number;
+  std::shared_ptr<http::CallerConnection> m_Caller;
+  http::Request m_Message;
+  RequestFacts m_Facts;
+  RoutePlanPtr m_Plan; ///< Keeps the route and customer alive.
+  const Route &m_Route;
+  const PlannedCustomer *m_Customer;
+  ServiceName m_Service;
+  RequestWork m_Work;
+  TimePoint m_Arrival;
+  TimePoint m_Deadline;
+  Phase m_Phase = Phase::Waiting;
+
+  TargetPtr m_Target;
+  TargetPool::Connection m_Connection;
+  std::vector<TargetPtr> m_Tried;
+  std::uint32_t m_Sends = 0;
+  std::uint32_t m_RunsPossible = 0; ///< Sends that may have run.
+  TokenCount m_PrefillBooked = 0;
+  std::uint64_t m_Epoch = 0; ///< Of the send; late callbacks are ignored.
+
+  http::ResponseHead m_Answer;
+  std::string m_Body;
+  bool m_IsStream = false;
+  bool m_Rejected = false;
+  bool m_BadAnswer = false;
+  bool m_HeadSent = false;
+  EventFrames m_Frames;
+  std::optional<std::int64_t> m_LastEvent;
+  std::uint32_t m_EventsHere = 0; ///< Of the present send.
+  Duration m_LowGap{0};
+  TimePoint m_SentAt{};
+  TimePoint m_LastByte{};
+  TimePoint m_FirstEventAt{};
+  Duration m_ExpectedFirst{0};
+  Duration m_WorstGap{0};
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -0,0 +1,76 @@
+#ifndef MANGODECK_GATEWAY_KEYFOLLOWER_H
+#define MANGODECK_GATEWAY_KEYFOLLOWER_H
+
+#include "mangodeck/gateway/eventlog.h"
+#include "mangodeck/gateway/keyfeed.h"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace mangodeck {
+
+/// Receives the state of the store's keys.
+class KeyObserver {
+public:
+  virtual ~KeyObserver() = default;
+  virtual void onKey(const KeyChange &Change) = 0;
+  /// \p Change names a key that is gone. \p AfterOutage: the store was out of
+  /// reach within the last seconds, so that its lease may have lapsed while
+  /// its writer lives.
+  virtual void onKeyRemoved(const KeyChange &Change, bool AfterOutage) = 0;
+  /// A whole listing has been delivered.
+  virtual void onListed() = 0;
+};
+
+/// Keeps an observer up to date with the store: lists all keys, then waits for
+/// changes from the listing's revision on, and lists again when the history
+/// is gone or an answer was lost. A key's state never goes back to an older
+/// revision within one listing.
+class KeyFollower {
+public:
+  KeyFollower(asio::any_io_executor Executor, KeyFeed &Feed,
+              KeyObserver &Observer, EventLog &Log);
+
+  void start();
+  /// The process stood still: what is known may be old. Lists again.
+  void refresh();
+
+  bool isInTouch() const { return m_InTouch; }
+  /// When the store last answered.
+  TimePoint lastAnswer() const { return m_LastAnswer; }
+
+private:
+  void list();
+  void listFrom(std::string After);
+  void onPage(Expected<KeyPage> Page);
+  void finishListing();
+  void watch();
+  void onChanges(Expected<KeyChanges> Answer);
+  void apply(const KeyChange &Change);
+  void retry(bool ListAgain);
+  void noteAnswer();
+  void noteFailure(std::error_code Error);
+  bool isAfterOutage(TimePoint Now) const;
+
+  KeyFeed &m_Feed;
+  KeyObserver &m_Observer;
+  EventLog &m_Log;
+  asio::steady_timer m_Timer;
+  std::unordered_map<std::string, std::int64_t> m_Known; ///< By key: revision.
+  std::unordered_map<std::string, std::int64_t> m_Listed;
+  std::int64_t m_Revision = 0;
+  std::int64_t m_ListingRevision = 0;
+  std::uint64_t m_Generation = 0; ///< Answers to older calls are ignored.
+  bool m_InTouch = false;
+  bool m_EverInTouch = false;
+  unsigned m_Failures = 0;
+  TimePoint m_LastAnswer{};
+  TimePoint m_OutageEnded{};
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/peertable.h
@@ -0,0 +1,81 @@
+#ifndef MANGODECK_GATEWAY_PEERTABLE_H
+#define MANGODECK_GATEWAY_PEERTABLE_H
+
+#include "mangodeck/common/ids.h"
+#include "mangodeck/common/units.h"
+#include "mangodeck/gateway/crashguard.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace mangodeck {
+
+/// Work of one daemon on one target.
+struct PeerLoad {
+  std::uint64_t Target = 0; ///< TargetState::Hash.
+  std::uint32_t Running = 0;
+  TokenCount Prefill = 0;
+};
+
+/// What a daemon tells the others several times a second.
+struct PeerReport {
+  std::string Vm;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0;
+  bool Stopping = false;
+  std::vector<PeerLoad> Loads;
+  std::map<std::string, double> Demand; ///< By customer, units per second.
+  std::vector<CrashMark> Crashes;
+  std::vector<std::uint64_t> Leaving; ///< Targets that leave or are gone.
+};
+
+/// Encodes a report as MessagePack.
+std::string encodeReport(const PeerReport &Report);
+/// std::nullopt for bytes that are no report.
+std::optional<PeerReport> decodeReport(std::string_view Bytes);
+
+/// Where a daemon receives reports.
+struct PeerAddress {
+  std::string Ip;
+  std::uint16_t Port = 0;
+  bool operator==(const PeerAddress &) const = default;
+};
+
+/// The other daemons: where they are, and what they told last.
+class PeerTable {
+public:
+  /// The store lists a daemon.
+  void add(const std::string &Vm, const PeerAddress &Address);
+  /// The store lists it no longer. It counts for a while, since it may live
+  /// on behind a cut.
+  void remove(const std::string &Vm, TimePoint Now);
+  /// Takes a report over; false if it is older than what is known.
+  bool accept(PeerReport Report, TimePoint Now);
+
+  /// Daemons to send reports to.
+  std::vector<PeerAddress> addresses() const;
+  /// Daemons that may be serving, this one included.
+  std::size_t daemonCount(TimePoint Now) const;
+  /// Work of the daemons heard lately, by target.
+  std::unordered_map<std::uint64_t, PeerLoad> loads(TimePoint Now) const;
+  std::size_t heardCount(TimePoint Now) const;
+
+private:
+  struct Peer {
+    std::optional<PeerAddress> Address;
+    std::optional<TimePoint> Removed;
+    PeerReport Last;
+    TimePoint Heard{};
+    bool Stopped = false;
+  };
+  std::map<std::string, Peer> m_Peers;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -0,0 +1,35 @@
+#ifndef MANGODECK_GATEWAY_REQUESTFACTS_H
+#define MANGODECK_GATEWAY_REQUESTFACTS_H
+
+#include "mangodeck/gateway/headernames.h"
+#include "mangodeck/gateway/targetbook.h"
+#include "mangodeck/http/message.h"
+#include "mangodeck/version/routeplan.h"
+
+#include <optional>
+#include <string>
+
+namespace mangodeck {
+
+/// What a daemon reads from a request before it decides on it.
+struct RequestFacts {
+  std::string AttemptId;
+  std::optional<Duration> TimeLeft; ///< How long the caller will wait.
+  std::string Key;                  ///< Empty if there is none.
+  TokenCount Prompt = 0;
+  TokenCount MaxOutput = 0;
+  std::optional<TokenCount> OutputHint;
+  std::uint64_t Fingerprint = 0; ///< Of path, key and body.
+};
+
+RequestFacts readFacts(const http::Request &Message, const HeaderNames &Names);
+
+/// The work that a request is expected to be.
+RequestWork workOf(const RequestFacts &Facts, const PlannedService *Service);
+
+/// Units that a request counts against its customer's limit.
+double costOf(const RequestFacts &Facts, const PlannedCustomer &Customer);
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/targetbook.h
@@ -0,0 +1,105 @@
+#ifndef MANGODECK_GATEWAY_TARGETBOOK_H
+#define MANGODECK_GATEWAY_TARGETBOOK_H
+
+#include "mangodeck/common/ids.h"
+#include "mangodeck/common/units.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mangodeck {
+
+/// A target as its registration describes it.
+struct TargetEntry {
+  TargetName Id;
+  ServiceName Service;
+  FailureDomain Domain;
+  std::string Ip;
+  std::uint16_t Port = 0;
+  std::uint32_t Slots = 1;
+  bool Draining = false;
+  std::int64_t Started = 0; ///< Unix milliseconds; 0 if unknown.
+};
+
+/// Work that a request puts on a target.
+struct RequestWork {
+  bool IsEngine = false;
+  TokenCount Prompt = 0;
+  TokenCount Output = 0; ///< Expected, not the maximum.
+};
+
+/// What a daemon knows of one target.
+class TargetState {
+public:
+  explicit TargetState(TargetEntry Entry);
+
+  TargetEntry Entry;
+  std::uint64_t Hash = 0; ///< Of the id and start; names it among daemons.
+
+  /// Requests and prompt tokens without a first token, sent from here.
+  std::uint32_t OwnRunning = 0;
+  TokenCount OwnPrefill = 0;
+  /// The same, as the other daemons told.
+  std::uint32_t PeerRunning = 0;
+  TokenCount PeerPrefill = 0;
+
+  /// Time that it takes for work, relative to the nominal engine.
+  double Slowness = 1.0;
+  bool SlownessKnown = false;
+
+  /// Not used before this; set by failures.
+  TimePoint AvoidUntil{};
+  std::uint32_t FailuresInRow = 0;
+  /// Crashed, or its address answers for another target: unusable until its
+  /// registration changes or it was seen well.
+  bool Lost = false;
+  /// Last byte that it sent on any connection.
+  TimePoint LastByte{};
+
+  std::uint32_t running() const { return OwnRunning + PeerRunning; }
+  TokenCount prefill() const { return OwnPrefill + PeerPrefill; }
+  bool isUsable(TimePoint Now) const {
+    return !Entry.Draining && !Lost && AvoidUntil <= Now;
+  }
+  /// Learns from the mean pause between two events of \p Tokens tokens each.
+  void learnPace(Duration Gap, std::uint32_t Tokens);
+  void noteSuccess(TimePoint Now);
+  /// A failure that may be the target's fault; avoids it for a while, longer
+  /// each time.
+  void noteFailure(TimePoint Now);
+};
+
+using TargetPtr = std::shared_ptr<TargetState>;
+
+/// All targets by service.
+class TargetBook {
+public:
+  /// Takes a registration over. Returns its state; a target that started
+  /// anew, or moved, gets a new one.
+  TargetPtr update(const TargetEntry &Entry);
+  /// The registration is gone. Returns the state that was dropped.
+  TargetPtr remove(const TargetName &Id);
+  TargetPtr find(const TargetName &Id) const;
+  TargetPtr findByHash(std::uint64_t Hash) const;
+  std::span<const TargetPtr> of(const ServiceName &Service) const;
+  const std::map<std::string, std::vector<TargetPtr>> &services() const {
+    return m_ByService;
+  }
+  std::size_t size() const { return m_ById.size(); }
+
+private:
+  void unlink(const TargetPtr &State);
+  std::unordered_map<std::string, TargetPtr> m_ById;
+  std::unordered_map<std::uint64_t, TargetPtr> m_ByHash;
+  std::map<std::string, std::vector<TargetPtr>> m_ByService;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/choosetarget.cpp
@@ -0,0 +1,94 @@
+#include "mangodeck/gateway/choosetarget.h"
+
+#include "mangodeck/gateway/enginepace.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mangodeck {
+
+namespace {
+
+/// Part of the gap target that reading prompts may take of the time between
+/// two events of the requests that run beside.
+constexpr double PrefillPartOfGap = 0.6;
+/// Nominal time for a request of a plain service.
+constexpr Duration PlainTime = 20ms;
+
+bool isExcluded(const TargetState &Target,
+                std::span<const TargetPtr> Excluded) {
+  return std::any_of(Excluded.begin(), Excluded.end(),
+                     [&](const TargetPtr &Other) {
+                       return Other.get() == &Target ||
+                              Other->Entry.Id == Target.Entry.Id;
+                     });
+}
+
+/// Whether reading the prompt, with those that are being read, would hold up
+/// the events of the requests beside it for longer than the gap target.
+bool stallsOthers(const TargetState &Target, const ChoiceInput &Input) {
+  if (Input.GapTarget <= Duration{0} || Target.running() == 0)
+    return false;
+  const auto Reading = toSeconds(prefillTime(Target.prefill())) +
+                       toSeconds(prefillTime(Input.Work.Prompt));
+  return Reading * Target.Slowness >
+         PrefillPartOfGap * toSeconds(Input.GapTarget);
+}
+
+} // namespace
+
+Duration expectedFirstEvent(const TargetState &Target,
+                            const RequestWork &Work) {
+  if (!Work.IsEngine)
+    return PlainTime * (1 + Target.running());
+  const auto Nominal = toSeconds(firstTokenTime()) +
+                       toSeconds(prefillTime(Work.Prompt)) +
+                       toSeconds(prefillTime(Target.prefill()));
+  return fromSeconds(Nominal * Target.Slowness);
+}
+
+std::optional<ChosenTarget> chooseTarget(std::span<const TargetPtr> Targets,
+                                         const ChoiceInput &Input,
+                                         TimePoint Now) {
+  using Rank = std::tuple<bool, bool, bool, double>;
+  std::optional<ChosenTarget> Best;
+  Rank BestRank{};
+  for (const auto &Target : Targets) {
+    // Step 1. Leave out targets that must not be used or have no free slot.
+    if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
+        Target->running() >= Target->Entry.Slots)
+      continue;
+
+    // Step 2. Rate it: in time, no harm to others, at home, then by speed.
+    const auto First = expectedFirstEvent(*Target, Input.Work);
+    const bool InTime = First <= Input.TimeToTarget;
+    const bool Stalls = Input.Work.IsEngine && stallsOthers(*Target, Input);
+    const bool Away = Target->Entry.Domain != Input.Home;
+    const double Cost =
+        Input.Work.IsEngine
+            ? toSeconds(First) + Target->Slowness * 0.2
+            : static_cast<double>(Target->running()) /
+                  static_cast<double>(std::max(1u, Target->Entry.Slots));
+    const Rank This{!InTime, Stalls, Away, Cost};
+    if (!Best || This < BestRank) {
+      BestRank = This;
+      Best = ChosenTarget{Target, First, InTime};
+    }
+  }
+  return Best;
+}
+
+Room roomOf(std::span<const TargetPtr> Targets, TimePoint Now) {
+  Room Result;
+  for (const auto &Target : Targets) {
+    if (!Target->isUsable(Now))
+      continue;
+    ++Result.UsableTargets;
+    Result.Slots += Target->Entry.Slots;
+    if (Target->running() < Target->Entry.Slots)
+      Result.FreeSlots += Target->Entry.Slots - Target->running();
+  }
+  return Result;
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/gateway/src/dispatchqueue.cpp
@@ -0,0 +1,70 @@
+#include "mangodeck/gateway/dispatchqueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace mangodeck {
+
+namespace {
+
+/// Time constant of the service rate: long against the gaps between requests,
+/// short against a burst.
+constexpr double RateSeconds = 1.0;
+
+auto orderOf(const QueuedTicket &Ticket, TimePoint Now) {
+  const bool Late = Ticket.StartBy < Now;
+  return std::tuple(Late, Ticket.Rank, Late ? Ticket.GiveUp : Ticket.StartBy,
+                    Ticket.Number);
+}
+
+} // namespace
+
+void DispatchQueue::push(const QueuedTicket &Ticket) {
+  m_Tickets[Ticket.Number] = Ticket;
+}
+
+void DispatchQueue::remove(TicketNumber Number) { m_Tickets.erase(Number); }
+
+std::optional<QueuedTicket>
+DispatchQueue::next(TimePoint Now, const std::set<TicketNumber> &Skipped) {
+  const QueuedTicket *Best = nullptr;
+  for (const auto &[Number, Ticket] : m_Tickets)
+    if (!Skipped.contains(Number) &&
+        (!Best || orderOf(Ticket, Now) < orderOf(*Best, Now)))
+      Best = &Ticket;
+  if (!Best)
+    return std::nullopt;
+  return *Best;
+}
+
+std::vector<QueuedTicket> DispatchQueue::takeExpired(TimePoint Now) {
+  std::vector<QueuedTicket> Expired;
+  for (const auto &[Number, Ticket] : m_Tickets)
+    if (Ticket.GiveUp <= Now)
+      Expired.push_back(Ticket);
+  for (const auto &Ticket : Expired)
+    m_Tickets.erase(Ticket.Number);
+  return Expired;
+}
+
+std::size_t DispatchQueue::countAhead(TierRank Rank, TimePoint Now) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_Tickets.begin(), m_Tickets.end(), [&](const auto &Entry) {
+        return Entry.second.StartBy >= Now && Entry.second.Rank <= Rank;
+      }));
+}
+
+void ServiceRate::note(TimePoint Now) {
+  const double Seconds = toSeconds(Now - m_Last);
+  m_Rate = m_Rate * std::exp(-std::max(0.0, Seconds) / RateSeconds) +
+           1.0 / RateSeconds;
+  m_Last = Now;
+}
+
+double ServiceRate::perSecond(TimePoint Now) const {
+  return m_Rate * std::exp(-std::max(0.0, toSeconds(Now - m_Last)) /
+                           RateSeconds);
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/gateway/src/gateway.cpp
@@ -0,0 +1,690 @@
+#include "mangodeck/gateway/gateway.h"
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+namespace mangodeck {
+
+namespace {
+
+/// Period of time limit checks; a tenth of the shortest pause that matters.
+constexpr Duration TickPeriod = 25ms;
+/// Period of reports to the other daemons, for a few daemons; it grows with
+/// their number, so that what a daemon sends and receives does not.
+constexpr Duration ReportPeriod = 100ms;
+constexpr std::size_t DaemonsAtFullRate = 10;
+/// Period of everything that is not urgent.
+constexpr Duration SlowPeriod = 250ms;
+/// How long a leaving target is told to the other daemons.
+constexpr Duration LeavingMemory = 5s;
+/// A registration that lapsed with the store is kept this long before its
+/// target counts as gone; within the bound for targets that leave.
+constexpr Duration LapseWait = 1700ms;
+/// After SIGTERM connections are still accepted this long: the balancer needs
+/// two failed checks, a second apart, to turn elsewhere.
+constexpr Duration BalancerLag = 3500ms;
+/// Time before the kill at which what still runs is cut off.
+constexpr Duration StopMargin = 250ms;
+/// Part of the memory that bodies of requests may take.
+constexpr double BodyPart = 0.25;
+/// Bounds of the time after which a refused caller is asked to come back.
+constexpr Duration LeastComeBack = 300ms;
+constexpr Duration MostComeBack = 4s;
+/// Part of the remaining time that callers wait at most.
+constexpr double ComeBackPart = 0.3;
+/// Bytes waiting at the listener.
+constexpr int ListenBacklog = 512;
+
+TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+Gateway::Gateway(asio::io_context &Loop, GatewaySettings Settings,
+                 const HeaderNames &Names, EventLog &Log,
+                 GatewayMetrics &Metrics, RandomSource &Random)
+    : m_Loop(Loop), m_Settings(std::move(Settings)), m_Names(Names),
+      m_Log(Log), m_Metrics(Metrics), m_Random(Random), m_Acceptor(Loop),
+      m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
+      m_Timer(Loop), m_Pool(Loop.get_executor()),
+      m_Budget(m_Settings.Retry) {}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::listen(asio::ip::tcp::acceptor &Acceptor, std::uint16_t Port,
+                     std::error_code &Error) {
+  const auto Address = asio::ip::make_address(m_Settings.Ip, Error);
+  if (!Error)
+    Acceptor.open(asio::ip::tcp::v4(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind({Address, Port}, Error);
+  if (!Error)
+    Acceptor.listen(ListenBacklog, Error);
+  if (Error)
+    m_Log.write("listen_failed", {{"port", Port}, {"error", Error.message()}});
+  return !Error;
+}
+
+std::error_code Gateway::start() {
+  std::error_code Error;
+  if (!listen(m_Acceptor, m_Settings.CallerPort, Error) ||
+      !listen(m_ReadyAcceptor, m_Settings.ReadyPort, Error))
+    return Error;
+  if (m_Settings.MetricsPort != 0 &&
+      listen(m_MetricsAcceptor, m_Settings.MetricsPort, Error))
+    acceptReady(m_MetricsAcceptor);
+  const auto Address = asio::ip::make_address(m_Settings.Ip, Error);
+  m_PeerSocket.open(asio::ip::udp::v4(), Error);
+  if (!Error)
+    m_PeerSocket.bind({Address, m_Settings.PeerPort}, Error);
+  if (Error)
+    return Error;
+  m_PeerSocket.non_blocking(true, Error);
+  accept();
+  acceptReady(m_ReadyAcceptor);
+  receiveReport();
+  tick();
+  m_Log.write("start", {{"domain", m_Settings.Domain.Text},
+                        {"callers", m_Settings.CallerPort},
+                        {"peers", m_Settings.PeerPort},
+                        {"grace_ms", ageMs(TimePoint{}, TimePoint{} +
+                                                            m_Settings.Grace)}});
+  return {};
+}
+
+bool Gateway::isReady() const {
+  return m_Complete && m_Plan && !m_Stopping && m_Targets.size() > 0;
+}
+
+void Gateway::accept() {
+  m_Acceptor.async_accept([this](std::error_code Error,
+                                 asio::ip::tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    if (!Error) {
+      http::CallerBounds Bounds;
+      if (m_Plan) {
+        const auto &Limits = m_Plan->Limits;
+        Bounds.MaxHeadBytes = Limits.MaxHeadBytes;
+        Bounds.MaxBodyBytes = Limits.MaxBodyBytes;
+        Bounds.HeadTimeout = Limits.HeadTimeout;
+        Bounds.IdleTimeout = Limits.IdleTimeout;
+      }
+      auto New = std::make_shared<http::CallerConnection>(
+          std::move(Socket), static_cast<http::CallerHandler &>(*this), Bounds);
+      m_Callers.emplace(New.get(), New);
+      New->start();
+    }
+    accept();
+  });
+}
+
+void Gateway::acceptReady(asio::ip::tcp::acceptor &Acceptor) {
+  Acceptor.async_accept(
+      [this, &Acceptor](std::error_code Error, asio::ip::tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (!Error)
+          serveReady(
+              std::make_shared<asio::ip::tcp::socket>(std::move(Socket)));
+        acceptReady(Acceptor);
+      });
+}
+
+void Gateway::serveReady(std::shared_ptr<asio::ip::tcp::socket> Socket) {
+  struct Head : http::MessageSink {
+    void onHead() override {}
+    void onBody(std::string_view) override {}
+  };
+  struct Session {
+    Head Sink;
+    http::RequestParser Parser{Sink, 8192, 0};
+    std::array<char, 2048> Buffer;
+    std::string Reply;
+  };
+  auto State = std::make_shared<Session>();
+  // The handler hands itself on to the next read.
+  auto Read = std::make_shared<std::function<void()>>();
+  *Read = [this, Socket, State, Weak = std::weak_ptr(Read)] {
+    const auto Self = Weak.lock();
+    Socket->async_read_some(
+        asio::buffer(State->Buffer),
+        [this, Socket, State, Self](std::error_code Error, std::size_t Size) {
+          if (Error)
+            return;
+          State->Parser.feed({State->Buffer.data(), Size});
+          if (State->Parser.fault() != http::ParseFault::None)
+            return;
+          if (!State->Parser.isComplete())
+            return (*Self)();
+          const auto &Target = State->Parser.head().Target;
+          const bool Metrics = Target == m_Settings.MetricsPath;
+          const bool Known = Metrics || Target == m_Settings.ReadyPath;
+          const auto Body = Metrics ? m_Metrics.serialize() : std::string();
+          http::ResponseHead Answer;
+          Answer.Status = !Known                 ? 404
+                          : Metrics || isReady() ? 200
+                                                 : 503;
+          if (Metrics)
+            Answer.Fields.add("Content-Type", "text/plain; version=0.0.4");
+          Answer.Fields.add("Content-Length", std::to_string(Body.size()));
+          State->Reply = http::serialize(Answer) + Body;
+          State->Parser.reset();
+          asio::async_write(
+              *Socket, asio::buffer(State->Reply),
+              [Socket, State, Self](std::error_code Failure, std::size_t) {
+                if (!Failure)
+                  (*Self)();
+              });
+        });
+  };
+  (*Read)();
+}
+
+void Gateway::answer(http::CallerConnection &Connection, int Status,
+                     std::string_view Reason,
+                     std::optional<Duration> ComeBack) {
+  http::HeaderList Fields;
+  if (ComeBack)
+    Fields.add(m_Names.RetryAfter, fmt::format("{:.2f}", toSeconds(*ComeBack)));
+  Fields.add("Content-Type", "text/plain");
+  Connection.sendAnswer(Status, std::move(Fields), Reason);
+  m_Metrics.countRequest("none", std::to_string(Status));
+}
+
+ServiceName Gateway::pickService(const Route &Matched) {
+  double Total = 0;
+  for (const auto &Share : Matched.Shares)
+    Total += Share.Weight;
+  double Drawn = m_Random.uniform() * Total;
+  for (const auto &Share : Matched.Shares) {
+    Drawn -= Share.Weight;
+    if (Drawn < 0)
+      return Share.Service;
+  }
+  return Matched.Shares.empty() ? ServiceName()
+                                : Matched.Shares.back().Service;
+}
+
+void Gateway::onRequest(http::CallerConnection &Connection,
+                        http::Request &&Message, TimePoint FirstByte) {
+  const auto Now = steadyNow();
+  const auto Facts = readFacts(Message, m_Names);
+  const auto Refuse = [&](int Status, std::string_view Reason,
+                          std::optional<Duration> ComeBack) {
+    m_Log.write("refused", {{"id", Facts.AttemptId},
+                            {"status", Status},
+                            {"reason", Reason},
+                            {"path", Message.Head.Target},
+                            {"plan", m_Plan ? m_Plan->Version : 0}});
+    answer(Connection, Status, Reason, ComeBack);
+  };
+  // Step 1. Without a plan nothing is known to be wrong with a request.
+  if (!m_Plan)
+    return Refuse(503, "no configuration yet", 1s);
+
+  // Step 2. Find its route.
+  const auto *Matched = m_Plan->findRoute(Message.Head.Fields.get("Host"),
+                                          Message.Head.Target);
+  if (!Matched)
+    return Refuse(404, "no such route", std::nullopt);
+
+  // Step 3. Find its customer.
+  const PlannedCustomer *Customer = nullptr;
+  if (!m_Plan->Customers.empty() && !Matched->OpenToAll) {
+    Customer = m_Plan->findCustomerByKey(Facts.Key);
+    if (!Customer)
+      return Refuse(401, "unknown key", std::nullopt);
+  }
+
+  // Step 4. Refuse what crashes the targets that run it.
+  if (m_Crashes.isRefused(Facts.Fingerprint, Now))
+    return Refuse(503, "crashes targets", MostComeBack);
+
+  // Step 5. Book it against its customer's limit.
+  if (Customer) {
+    const auto Wait =
+        m_Quotas.take(Customer->Name, costOf(Facts, *Customer), Now);
+    if (Wait)
+      return Refuse(429, "over the customer's limit",
+                    std::clamp<Duration>(*Wait, LeastComeBack, MostComeBack));
+  }
+
+  // Step 6. Admit it to its service.
+  const auto Service = pickService(*Matched);
+  m_Budget.noteRequest(Service, Now);
+  auto Caller = m_Callers.at(&Connection);
+  ExchangeParts Parts{m_Pool, m_Budget, m_Log, m_Metrics, m_Names, *this};
+  m_BufferedBytes += Message.Body.size();
+  auto New = std::make_shared<Exchange>(
+      Parts, m_NextNumber++, std::move(Caller), std::move(Message), Facts,
+      m_Plan, *Matched, Customer, Service, FirstByte);
+  m_Active[&Connection] = New;
+  m_ByNumber[New->number()] = New;
+  admit(New, Now);
+}
+
+void Gateway::admit(const ExchangePtr &New, TimePoint Now) {
+  auto &State = m_Services[New->service().Text];
+  // Step 1. Start it at once if nothing waits that goes before it.
+  if (State.Queue.countAhead(New->rank(), Now) == 0 && tryDispatch(New, Now))
+    return;
+
+  // Step 2. Refuse it at once if its turn would come too late.
+  const auto Ahead = State.Queue.countAhead(New->rank(), Now) + 1;
+  const auto Rate = std::max(0.5, State.Rate.perSecond(Now));
+  const auto Wait = fromSeconds(static_cast<double>(Ahead) / Rate);
+  const auto Patience = New->latencyDeadline() - Now;
+  if (Wait > Patience)
+    return New->refuse(503, "no slot within the latency target",
+                       comeBackAfter(*New));
+  waitForSlot(New);
+}
+
+void Gateway::waitForSlot(const ExchangePtr &Waiting) {
+  const auto Now = steadyNow();
+  Waiting->setWaiting();
+  QueuedTicket Ticket;
+  Ticket.Number = Waiting->number();
+  Ticket.Rank = Waiting->hasStreamed() ? 0 : Waiting->rank();
+  Ticket.StartBy = Waiting->latencyDeadline();
+  Ticket.GiveUp = Waiting->giveUpTime();
+  if (Ticket.StartBy < Now && Waiting->hasStreamed())
+    Ticket.StartBy = Ticket.GiveUp;
+  m_Services[Waiting->service().Text].Queue.push(Ticket);
+  m_ToPump.push_back(Waiting->service());
+  if (m_ToPump.size() == 1)
+    asio::post(m_Loop, [this] {
+      auto Services = std::move(m_ToPump);
+      m_ToPump.clear();
+      for (const auto &Service : Services)
+        pump(Service);
+    });
+}
+
+bool Gateway::tryDispatch(const ExchangePtr &Waiting, TimePoint Now) {
+  ChoiceInput Input;
+  Input.Work = Waiting->work();
+  Input.Home = m_Settings.Domain;
+  Input.TimeToTarget = Waiting->latencyDeadline() - Now;
+  Input.GapTarget = Waiting->route().GapTarget;
+  Input.Excluded = Waiting->triedTargets();
+  const auto Chosen =
+      chooseTarget(m_Targets.of(Waiting->service()), Input, Now);
+  if (!Chosen)
+    return false;
+  m_Services[Waiting->service().Text].Rate.note(Now);
+  m_Metrics.observeWait(Waiting->route().Name, Now - Waiting->arrival());
+  Waiting->dispatch(*Chosen, Now);
+  return true;
+}
+
+void Gateway::pump(const ServiceName &Service) {
+  const auto Now = steadyNow();
+  auto &State = m_Services[Service.Text];
+  // Step 1. Give up what waited too long.
+  for (const auto &Ticket : State.Queue.takeExpired(Now)) {
+    const auto Found = m_ByNumber.find(Ticket.Number);
+    if (Found == m_ByNumber.end())
+      continue;
+    const auto Expired = Found->second;
+    if (Expired->hasStreamed())
+      Expired->cutOff();
+    else
+      Expired->refuse(503, "no slot in time", comeBackAfter(*Expired));
+  }
+
+  // Step 2. Start what can start, in order; one that fits nowhere does not
+  // hold up the others.
+  std::set<TicketNumber> Skipped;
+  while (const auto Next = State.Queue.next(Now, Skipped)) {
+    const auto Found = m_ByNumber.find(Next->Number);
+    if (Found == m_ByNumber.end()) {
+      State.Queue.remove(Next->Number);
+      continue;
+    }
+    const auto Waiting = Found->second;
+    if (roomOf(m_Targets.of(Service), Now).FreeSlots == 0)
+      return;
+    State.Queue.remove(Next->Number);
+    if (!tryDispatch(Waiting, Now)) {
+      State.Queue.push(*Next);
+      Skipped.insert(Next->Number);
+    }
+  }
+}
+
+void Gateway::onSlotFreed(const ServiceName &Service) {
+  const auto Found = m_Services.find(Service.Text);
+  if (Found == m_Services.end() || Found->second.Queue.empty())
+    return;
+  m_ToPump.push_back(Service);
+  if (m_ToPump.size() == 1)
+    asio::post(m_Loop, [this] {
+      auto Services = std::move(m_ToPump);
+      m_ToPump.clear();
+      for (const auto &Each : Services)
+        pump(Each);
+    });
+}
+
+Duration Gateway::comeBackAfter(const Exchange &Refused) {
+  const auto Now = steadyNow();
+  const auto &State = m_Services[Refused.service().Text];
+  // The queue's length says when a slot is likely; the draw spreads callers
+  // that were refused together.
+  const auto Rate = std::max(1.0, State.Rate.perSecond(Now));
+  const auto Backlog =
+      fromSeconds(static_cast<double>(State.Queue.size()) / Rate);
+  const auto Base = std::max<Duration>(Backlog, LeastComeBack);
+  const auto Spread = fromSeconds(toSeconds(MostComeBack) * m_Random.uniform());
+  const auto Left = fromSeconds(
+      ComeBackPart * std::max(0.0, toSeconds(Refused.deadline() - Now)));
+  return std::max<Duration>(Duration{10ms},
+                            std::min({Base + Spread, MostComeBack, Left}));
+}
+
+void Gateway::onExchangeOver(Exchange &Ended, bool Ran) {
+  if (!Ran && Ended.customer())
+    m_Quotas.giveBack(Ended.customer()->Name,
+                      costOf(Ended.facts(), *Ended.customer()));
+  m_Services[Ended.service().Text].Queue.remove(Ended.number());
+  const auto Found = m_ByNumber.find(Ended.number());
+  if (Found == m_ByNumber.end())
+    return;
+  // Its own call stack still uses it.
+  asio::post(m_Loop, [Kept = Found->second] {});
+  std::erase_if(m_Active, [&](const auto &Entry) {
+    return Entry.second == Found->second;
+  });
+  m_ByNumber.erase(Found);
+}
+
+void Gateway::onBrokenOff(const TargetPtr &Target, std::uint64_t Fingerprint) {
+  // A target that still listens has lost one answer; one that does not has
+  // crashed with all that it ran.
+  m_Pool.probe(Target, [this, Target, Fingerprint](bool Listens) {
+    if (Listens)
+      return;
+    const auto Now = steadyNow();
+    Target->noteFailure(Now);
+    if (m_Crashes.note({Fingerprint, Target->Hash}, Now))
+      m_Log.write("crash_mark", {{"target", Target->Entry.Id.Text},
+                                 {"fingerprint", Fingerprint},
+                                 {"refused",
+                                  m_Crashes.isRefused(Fingerprint, Now)}});
+  });
+}
+
+void Gateway::onCallerLeft(http::CallerConnection &Connection) {
+  const auto Found = m_Active.find(&Connection);
+  if (Found == m_Active.end())
+    return;
+  const auto Gone = Found->second;
+  Gone->callerLeft();
+}
+
+void Gateway::onRejected(int Status) {
+  m_Log.write("caller_rejected", {{"status", Status}});
+  m_Metrics.countRequest("none", std::to_string(Status));
+}
+
+void Gateway::onClosed(http::CallerConnection &Connection) {
+  const auto Found = m_Callers.find(&Connection);
+  if (Found == m_Callers.end())
+    return;
+  asio::post(m_Loop, [Kept = Found->second] {});
+  m_Callers.erase(Found);
+}
+
+bool Gateway::mayBuffer(std::size_t Bytes) const {
+  return static_cast<double>(m_BufferedBytes + Bytes) <
+         BodyPart * static_cast<double>(m_Settings.MemoryBytes);
+}
+
+void Gateway::onPlan(RoutePlanPtr Plan) {
+  if (m_Plan && Plan->Version <= m_Plan->Version)
+    return;
+  m_Log.write("plan_in_force",
+              {{"version", Plan->Version},
+               {"before", m_Plan ? m_Plan->Version : 0},
+               {"routes", Plan->Routes.size()},
+               {"customers", Plan->Customers.size()}});
+  m_Plan = std::move(Plan);
+  m_Quotas.configure(*m_Plan, steadyNow());
+}
+
+void Gateway::onTarget(const TargetEntry &Entry) {
+  const auto Before = m_Targets.find(Entry.Id);
+  const bool WasDraining = Before && Before->Entry.Draining;
+  std::erase_if(m_Lapsed,
+                [&](const auto &Lapsed) { return Lapsed.Id == Entry.Id; });
+  const auto State = m_Targets.update(Entry);
+  if (State == Before && WasDraining == Entry.Draining)
+    return;
+  m_Log.write(Entry.Draining ? "target_draining" : "target_ready",
+              {{"target", Entry.Id.Text},
+               {"service", Entry.Service.Text},
+               {"domain", Entry.Domain.Text},
+               {"slots", Entry.Slots}});
+  if (Entry.Draining)
+    m_Leaving[State->Hash] = steadyNow();
+  else
+    onSlotFreed(Entry.Service);
+}
+
+void Gateway::onTargetGone(const TargetName &Id, bool AfterOutage) {
+  const auto Known = m_Targets.find(Id);
+  if (!Known)
+    return;
+  m_Log.write("target_gone",
+              {{"target", Id.Text}, {"after_outage", AfterOutage}});
+  if (AfterOutage && !Known->Entry.Draining) {
+    m_Lapsed.push_back({Id, steadyNow() + LapseWait});
+    return;
+  }
+  m_Leaving[Known->Hash] = steadyNow();
+  m_Targets.remove(Id);
+}
+
+void Gateway::onPeer(const std::string &Vm, const PeerAddress &Address) {
+  if (Vm == m_Settings.Vm)
+    return;
+  m_Peers.add(Vm, Address);
+  m_Log.write("peer_listed", {{"peer", Vm}, {"ip", Address.Ip}});
+}
+
+void Gateway::onPeerGone(const std::string &Vm) {
+  if (Vm == m_Settings.Vm)
+    return;
+  m_Peers.remove(Vm, steadyNow());
+  m_Log.write("peer_unlisted", {{"peer", Vm}});
+}
+
+void Gateway::onDirectoryComplete() {
+  if (!m_Complete)
+    m_Log.write("directory_complete", {{"targets", m_Targets.size()}});
+  m_Complete = true;
+}
+
+void Gateway::receiveReport() {
+  m_PeerSocket.async_receive_from(
+      asio::buffer(m_ReportBuffer), m_ReportSender,
+      [this](std::error_code Error, std::size_t Size) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        const auto Now = steadyNow();
+        auto Report = Error ? std::nullopt
+                            : decodeReport({m_ReportBuffer.data(), Size});
+        if (Report && Report->Vm != m_Settings.Vm) {
+          for (const auto &Mark : Report->Crashes)
+            m_Crashes.note(Mark, Now);
+          for (const auto Hash : Report->Leaving)
+            if (const auto Target = m_Targets.findByHash(Hash);
+                Target && !Target->Entry.Draining) {
+              m_Log.write("target_draining", {{"target", Target->Entry.Id.Text},
+                                              {"told_by", Report->Vm}});
+              Target->Entry.Draining = true;
+            }
+          const auto Vm = Report->Vm;
+          const bool Stopping = Report->Stopping;
+          auto Demand = Report->Demand;
+          if (m_Peers.accept(std::move(*Report), Now)) {
+            if (Stopping)
+              m_Quotas.forgetPeer(Vm);
+            else
+              m_Quotas.setPeerDemand(Vm, std::move(Demand), Now);
+          }
+        }
+        receiveReport();
+      });
+}
+
+void Gateway::sendReports(TimePoint Now) {
+  const auto Peers = m_Peers.addresses();
+  const auto Scale = std::max<std::size_t>(
+      1, (Peers.size() + DaemonsAtFullRate - 1) / DaemonsAtFullRate);
+  if (Now - m_LastReport < ReportPeriod * Scale)
+    return;
+  m_LastReport = Now;
+  PeerReport Report;
+  Report.Vm = m_Settings.Vm;
+  Report.Incarnation = m_Settings.Incarnation;
+  Report.Sequence = ++m_ReportSequence;
+  Report.Stopping = m_Stopping;
+  for (const auto &[Name, Targets] : m_Targets.services())
+    for (const auto &Target : Targets)
+      if (Target->OwnRunning > 0)
+        Report.Loads.push_back(
+            {Target->Hash, Target->OwnRunning, Target->OwnPrefill});
+  Report.Demand = m_Quotas.demand(Now);
+  Report.Crashes = m_Crashes.recent(Now);
+  std::erase_if(m_Leaving, [&](const auto &Entry) {
+    return Now - Entry.second > LeavingMemory;
+  });
+  for (const auto &[Hash, Since] : m_Leaving)
+    Report.Leaving.push_back(Hash);
+  const auto Bytes = encodeReport(Report);
+  for (const auto &Peer : Peers) {
+    std::error_code Error;
+    const auto Address = asio::ip::make_address(Peer.Ip, Error);
+    // A report that cannot be sent is made up for by the next.
+    if (!Error)
+      m_PeerSocket.send_to(asio::buffer(Bytes), {Address, Peer.Port}, 0, Error);
+  }
+}
+
+void Gateway::refreshLoads(TimePoint Now) {
+  const auto Loads = m_Peers.loads(Now);
+  for (const auto &[Name, Targets] : m_Targets.services())
+    for (const auto &Target : Targets) {
+      const auto Found = Loads.find(Target->Hash);
+      Target->PeerRunning = Found == Loads.end() ? 0 : Found->second.Running;
+      Target->PeerPrefill = Found == Loads.end() ? 0 : Found->second.Prefill;
+    }
+}
+
+void Gateway::tick() {
+  const auto Now = steadyNow();
+  if (const auto Still = m_Wake.check(); Still > Duration{0}) {
+    m_Log.write("woken", {{"stood_still_ms",
+                           ageMs(TimePoint{}, TimePoint{} + Still)}});
+    m_Pool.closeIdle();
+    if (OnWoken)
+      OnWoken();
+  }
+  sendReports(Now);
+  refreshLoads(Now);
+  std::vector<ExchangePtr> Running;
+  Running.reserve(m_ByNumber.size());
+  for (const auto &[Number, Each] : m_ByNumber)
+    Running.push_back(Each);
+  for (const auto &Each : Running)
+    Each->check(Now);
+  for (auto &[Name, State] : m_Services)
+    if (!State.Queue.empty())
+      pump(ServiceName(Name));
+  for (const auto &Lapsed : std::vector<LapsedTarget>(m_Lapsed))
+    if (Lapsed.Until <= Now) {
+      m_Log.write("target_dropped", {{"target", Lapsed.Id.Text},
+                                     {"reason", "lapsed"}});
+      m_Targets.remove(Lapsed.Id);
+    }
+  std::erase_if(m_Lapsed, [&](const auto &L) { return L.Until <= Now; });
+  if (Now - m_LastSlowTick >= SlowPeriod) {
+    m_LastSlowTick = Now;
+    const auto Daemons = m_Peers.daemonCount(Now);
+    m_Budget.setDaemons(Daemons);
+    m_Quotas.setDaemons(Daemons);
+    std::vector<std::shared_ptr<http::CallerConnection>> Callers;
+    for (const auto &[Key, Caller] : m_Callers)
+      Callers.push_back(Caller);
+    for (const auto &Caller : Callers)
+      Caller->checkTimeouts(Now);
+    m_Pool.prune(Now);
+    m_Metrics.setGauge("daemons", static_cast<double>(Daemons));
+    m_Metrics.setGauge("in_flight", static_cast<double>(m_ByNumber.size()));
+    m_Metrics.setGauge("log_dropped",
+                       static_cast<double>(m_Log.droppedLines()));
+    m_Log.flush();
+  }
+  if (m_Stopping)
+    stopStep(Now);
+  m_Timer.expires_after(TickPeriod);
+  m_Timer.async_wait([this](std::error_code Error) {
+    if (!Error)
+      tick();
+  });
+}
+
+void Gateway::stop() {
+  if (m_Stopping)
+    return;
+  m_Stopping = true;
+  m_StopSince = steadyNow();
+  m_LastReport = TimePoint{};
+  m_Log.write("stop", {{"running", m_ByNumber.size()},
+                       {"connections", m_Callers.size()}});
+  m_Log.flush();
+}
+
+void Gateway::stopStep(TimePoint Now) {
+  const auto Passed = Now - m_StopSince;
+  // Step 1. Until the balancer has turned elsewhere, serve as before.
+  if (Passed < BalancerLag)
+    return;
+
+  // Step 2. Take no new connections, and close those without a request.
+  if (!m_IdleClosed) {
+    m_IdleClosed = true;
+    std::error_code Ignored; // The listener goes with the process.
+    m_Acceptor.close(Ignored);
+  }
+  std::vector<std::shared_ptr<http::CallerConnection>> Callers;
+  for (const auto &[Key, Caller] : m_Callers)
+    Callers.push_back(Caller);
+  for (const auto &Caller : Callers)
+    Caller->closeIfIdle();
+
+  // Step 3. At the end of the grace, cut off what still runs.
+  if (Passed > m_Settings.Grace - StopMargin) {
+    std::vector<ExchangePtr> Running;
+    for (const auto &[Number, Each] : m_ByNumber)
+      Running.push_back(Each);
+    for (const auto &Each : Running)
+      Each->cutOff();
+  }
+
+  // Step 4. Leave when nothing is left to do.
+  if (m_ByNumber.empty() &&
+      (m_Callers.empty() || Passed > m_Settings.Grace - StopMargin)) {
+    m_Log.write("stopped", {{"after_ms", ageMs(m_StopSince, Now)}});
+    m_Log.flush();
+    m_Loop.stop();
+  }
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -0,0 +1,89 @@
+#include "mangodeck/gateway/gatewaymetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace mangodeck {
+
+namespace {
+
+/// Seconds; from an answer of a plain service to a long stream.
+const prometheus::Histogram::BucketBoundaries LatencyBounds = {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
+
+prometheus::Family<prometheus::Histogram> &
+latencies(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildHistogram().Name(Name).Help(Help).Register(Registry);
+}
+
+prometheus::Family<prometheus::Counter> &
+counters(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry);
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : m_Registry(std::make_shared<prometheus::Registry>()),
+      m_Requests(counters(*m_Registry, "mangodeck_requests_total",
+                          "Requests by route and outcome.")),
+      m_Sends(counters(*m_Registry, "mangodeck_sends_total",
+                       "Requests sent to targets, by reason.")),
+      m_Store(counters(*m_Registry, "mangodeck_store_calls_total",
+                       "Calls to the store by outcome.")),
+      m_First(latencies(*m_Registry, "mangodeck_first_event_seconds",
+                        "From the first byte of a request to the first event "
+                        "or the answer.")),
+      m_Whole(latencies(*m_Registry, "mangodeck_request_seconds",
+                        "From the first byte of a request to its end.")),
+      m_Wait(latencies(*m_Registry, "mangodeck_wait_seconds",
+                       "Time that a request waited for a slot.")),
+      m_Gauges(prometheus::BuildGauge()
+                   .Name("mangodeck_state")
+                   .Help("State of the daemon, by name.")
+                   .Register(*m_Registry)) {}
+
+void GatewayMetrics::countRequest(std::string_view Route,
+                                  std::string_view Outcome) {
+  m_Requests
+      .Add({{"route", std::string(Route)}, {"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
+prometheus::Histogram &
+GatewayMetrics::histogram(prometheus::Family<prometheus::Histogram> &F,
+                          std::string_view Route) {
+  return F.Add({{"route", std::string(Route)}}, LatencyBounds);
+}
+
+void GatewayMetrics::observeFirst(std::string_view Route, Duration Span) {
+  histogram(m_First, Route).Observe(toSeconds(Span));
+}
+
+void GatewayMetrics::observeWhole(std::string_view Route, Duration Span) {
+  histogram(m_Whole, Route).Observe(toSeconds(Span));
+}
+
+void GatewayMetrics::observeWait(std::string_view Route, Duration Span) {
+  histogram(m_Wait, Route).Observe(toSeconds(Span));
+}
+
+void GatewayMetrics::countSend(std::string_view Service, std::string_view Why) {
+  m_Sends.Add({{"service", std::string(Service)}, {"why", std::string(Why)}})
+      .Increment();
+}
+
+void GatewayMetrics::countStore(std::string_view Call,
+                                std::string_view Outcome) {
+  m_Store.Add({{"call", std::string(Call)}, {"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
+void GatewayMetrics::setGauge(std::string_view Name, double Value) {
+  m_Gauges.Add({{"name", std::string(Name)}}).Set(Value);
+}
+
+std::string GatewayMetrics::serialize() const {
+  return prometheus::TextSerializer().Serialize(m_Registry->Collect());
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/gateway/src/requestfacts.cpp
@@ -0,0 +1,71 @@
+#include "mangodeck/gateway/requestfacts.h"
+
+#include <algorithm>
+#include <charconv>
+#include <xxhash.h>
+
+namespace mangodeck {
+
+namespace {
+
+/// Output expected of a request without a hint, as a part of its maximum.
+constexpr double OutputPartOfMaximum = 0.5;
+
+std::optional<std::int64_t> parseNumber(std::string_view Text) {
+  std::int64_t Value = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto [At, Error] = std::from_chars(Text.data(), End, Value);
+  if (Error != std::errc() || At != End || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace
+
+RequestFacts readFacts(const http::Request &Message, const HeaderNames &Names) {
+  RequestFacts Facts;
+  const auto &Fields = Message.Head.Fields;
+  Facts.AttemptId = Fields.get(Names.AttemptId);
+  if (const auto Left = parseNumber(Fields.get(Names.TimeLeft)))
+    Facts.TimeLeft = std::chrono::milliseconds(*Left);
+  const auto Authorization = Fields.get(Names.Authorization);
+  const auto Space = Authorization.find(' ');
+  if (Space != Authorization.npos &&
+      http::equalsIgnoreCase(Authorization.substr(0, Space), Names.KeyScheme))
+    Facts.Key = Authorization.substr(Space + 1);
+  const auto Counts = Fields.get(Names.TokenCounts);
+  const auto Comma = Counts.find(',');
+  if (Comma != Counts.npos) {
+    Facts.Prompt = parseNumber(Counts.substr(0, Comma)).value_or(0);
+    Facts.MaxOutput = parseNumber(Counts.substr(Comma + 1)).value_or(0);
+  }
+  Facts.OutputHint = parseNumber(Fields.get(Names.OutputHint));
+
+  for (const std::string_view Part :
+       {std::string_view(Message.Head.Target), std::string_view(Facts.Key),
+        std::string_view(Message.Body)})
+    Facts.Fingerprint =
+        XXH3_64bits_withSeed(Part.data(), Part.size(), Facts.Fingerprint);
+  return Facts;
+}
+
+RequestWork workOf(const RequestFacts &Facts, const PlannedService *Service) {
+  RequestWork Work;
+  Work.IsEngine = Service && Service->IsEngine;
+  Work.Prompt = Facts.Prompt;
+  Work.Output = Facts.OutputHint.value_or(static_cast<TokenCount>(
+      OutputPartOfMaximum * static_cast<double>(Facts.MaxOutput)));
+  if (Facts.MaxOutput > 0)
+    Work.Output = std::min(Work.Output, Facts.MaxOutput);
+  return Work;
+}
+
+double costOf(const RequestFacts &Facts, const PlannedCustomer &Customer) {
+  if (!Customer.CountsTokens)
+    return 1;
+  if (Facts.Prompt == 0 && Facts.MaxOutput == 0)
+    return Customer.PlainTokens;
+  return static_cast<double>(Facts.Prompt + Facts.MaxOutput);
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/http/include/mangodeck/http/client.h
@@ -0,0 +1,56 @@
+#ifndef MANGODECK_HTTP_CLIENT_H
+#define MANGODECK_HTTP_CLIENT_H
+
+#include "mangodeck/common/error.h"
+#include "mangodeck/http/targetconnection.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangodeck::http {
+
+/// The answer to a call.
+struct CallAnswer {
+  int Status = 0;
+  HeaderList Fields;
+  std::string Body;
+};
+
+/// Makes small calls to one server on kept connections. A call is sent once
+/// and never repeated.
+class Client {
+public:
+  using Done = std::function<void(Expected<CallAnswer>)>;
+
+  Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote);
+  ~Client();
+  Client(const Client &) = delete;
+  Client &operator=(const Client &) = delete;
+
+  /// Sends a request with a JSON body, or none if \p Body is empty.
+  /// Errc::Timeout if no whole answer came within \p Timeout.
+  void call(std::string_view Method, std::string_view Target,
+            std::string_view Body, Duration Timeout, Done Callback);
+  /// Closes all connections, also those of calls in progress, which fail with
+  /// Errc::Closed. For use after the process stood still.
+  void reset();
+
+private:
+  struct Call;
+  void start(std::shared_ptr<Call> Pending);
+  void finish(const std::shared_ptr<Call> &Pending,
+              Expected<CallAnswer> Result);
+
+  asio::any_io_executor m_Executor;
+  asio::ip::tcp::endpoint m_Remote;
+  std::vector<std::shared_ptr<TargetConnection>> m_Idle;
+  std::vector<std::shared_ptr<Call>> m_Calls;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace mangodeck::http
+
+#endif
--- /dev/null
+++ b/packages/http/include/mangodeck/http/message.h
@@ -0,0 +1,78 @@
+#ifndef MANGODECK_HTTP_MESSAGE_H
+#define MANGODECK_HTTP_MESSAGE_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangodeck::http {
+
+/// Compares header names, which do not depend on case (RFC 9110, 5.1).
+bool equalsIgnoreCase(std::string_view A, std::string_view B);
+
+/// One header field as it was received.
+struct HeaderField {
+  std::string Name;
+  std::string Value;
+};
+
+/// The header fields of a message, in the order in which they came.
+class HeaderList {
+public:
+  void add(std::string_view Name, std::string_view Value);
+  /// Replaces every field \p Name by one with \p Value.
+  void set(std::string_view Name, std::string_view Value);
+  void remove(std::string_view Name);
+  /// Value of the first field \p Name; null if there is none.
+  const std::string *find(std::string_view Name) const;
+  /// Value of the first field \p Name; empty if there is none.
+  std::string_view get(std::string_view Name) const;
+  std::size_t count(std::string_view Name) const;
+  const std::vector<HeaderField> &fields() const { return m_Fields; }
+  std::vector<HeaderField> &fields() { return m_Fields; }
+  void clear() { m_Fields.clear(); }
+
+private:
+  std::vector<HeaderField> m_Fields;
+};
+
+/// Removes the fields that concern one connection only, also those that a
+/// Connection field names (RFC 9110, 7.6.1).
+void removeConnectionFields(HeaderList &Fields);
+
+struct RequestHead {
+  std::string Method;
+  std::string Target; ///< Path and query, as sent.
+  HeaderList Fields;
+  bool KeepAlive = true;
+  bool ExpectsContinue = false;
+};
+
+struct Request {
+  RequestHead Head;
+  std::string Body;
+};
+
+struct ResponseHead {
+  int Status = 0;
+  std::string Reason;
+  HeaderList Fields;
+  bool KeepAlive = false;
+  /// The body ends with the connection: no length, not chunked.
+  bool EndsWithConnection = false;
+};
+
+/// The reason phrase of a status (RFC 9110, 15).
+std::string_view reasonOf(int Status);
+
+/// Serializes a head of a request; \p Fields must hold the framing.
+std::string serialize(const RequestHead &Head);
+/// Serializes a head of a response; \p Fields must hold the framing.
+std::string serialize(const ResponseHead &Head);
+/// Appends \p Data as one chunk of a chunked body.
+void appendChunk(std::string &Out, std::string_view Data);
+inline constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+} // namespace mangodeck::http
+
+#endif
--- /dev/null
+++ b/packages/http/src/client.cpp
@@ -0,0 +1,139 @@
+#include "mangodeck/http/client.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+namespace mangodeck::http {
+
+namespace {
+
+/// Idle connections kept; one for a waiting watch and one for other calls.
+constexpr std::size_t MaxIdle = 2;
+/// How long connecting may take: some round trips within a region.
+constexpr Duration ConnectTimeout = 800ms;
+/// Idle connections are not used after this time: a path that forgot them
+/// would cost the next call its whole timeout.
+constexpr Duration MaxIdleTime = 5s;
+
+} // namespace
+
+struct Client::Call : AnswerHandler {
+  Call(Client &Owner, asio::any_io_executor Executor)
+      : Owner(Owner), Timer(Executor) {}
+
+  void onAnswerHead(const ResponseHead &Head) override {
+    Answer.Status = Head.Status;
+    Answer.Fields = Head.Fields;
+  }
+  void onAnswerBody(std::string_view Bytes) override {
+    Answer.Body.append(Bytes);
+  }
+  void onAnswerEnd() override {
+    Owner.finish(Self.lock(), std::move(Answer));
+  }
+  void onExchangeFailed(const ExchangeFailure &Failure) override {
+    Owner.finish(Self.lock(), unexpected(Failure.Error));
+  }
+
+  Client &Owner;
+  std::weak_ptr<Call> Self;
+  asio::steady_timer Timer;
+  std::shared_ptr<TargetConnection> Connection;
+  std::string Bytes;
+  CallAnswer Answer;
+  Done Callback;
+};
+
+Client::Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote)
+    : m_Executor(std::move(Executor)), m_Remote(std::move(Remote)) {}
+
+Client::~Client() {
+  *m_Alive = false;
+  for (auto &Pending : m_Calls) {
+    Pending->Timer.cancel();
+    if (Pending->Connection)
+      Pending->Connection->close();
+  }
+}
+
+void Client::call(std::string_view Method, std::string_view Target,
+                  std::string_view Body, Duration Timeout, Done Callback) {
+  auto Pending = std::make_shared<Call>(*this, m_Executor);
+  Pending->Self = Pending;
+  Pending->Callback = std::move(Callback);
+  RequestHead Head;
+  Head.Method = Method;
+  Head.Target = Target;
+  Head.Fields.add("Host", fmt::format("{}:{}", m_Remote.address().to_string(),
+                                      m_Remote.port()));
+  if (!Body.empty())
+    Head.Fields.add("Content-Type", "application/json");
+  if (!Body.empty() || Method != "GET")
+    Head.Fields.add("Content-Length", std::to_string(Body.size()));
+  Pending->Bytes = serialize(Head).append(Body);
+  m_Calls.push_back(Pending);
+  Pending->Timer.expires_after(Timeout);
+  Pending->Timer.async_wait(
+      [this, Alive = m_Alive, Pending](std::error_code Error) {
+        if (!Error && *Alive)
+          finish(Pending, unexpected(make_error_code(Errc::Timeout)));
+      });
+  start(std::move(Pending));
+}
+
+void Client::start(std::shared_ptr<Call> Pending) {
+  const auto Now = std::chrono::steady_clock::now();
+  while (!m_Idle.empty()) {
+    auto Connection = std::move(m_Idle.back());
+    m_Idle.pop_back();
+    if (!Connection->isReusable(Now) || Connection->idleFor(Now) > MaxIdleTime) {
+      Connection->close();
+      continue;
+    }
+    Pending->Connection = std::move(Connection);
+    Pending->Connection->exchange(std::move(Pending->Bytes), false, *Pending);
+    return;
+  }
+  Pending->Connection = std::make_shared<TargetConnection>(m_Executor);
+  Pending->Connection->connect(
+      m_Remote, ConnectTimeout,
+      [this, Alive = m_Alive, Pending](std::error_code Error) {
+        if (!*Alive || !Pending->Callback)
+          return; // Timed out meanwhile.
+        if (Error)
+          return finish(Pending, unexpected(Error));
+        Pending->Connection->exchange(std::move(Pending->Bytes), false,
+                                      *Pending);
+      });
+}
+
+void Client::finish(const std::shared_ptr<Call> &Pending,
+                    Expected<CallAnswer> Result) {
+  if (!Pending || !Pending->Callback)
+    return;
+  Pending->Timer.cancel();
+  auto Callback = std::move(Pending->Callback);
+  Pending->Callback = nullptr;
+  std::erase(m_Calls, Pending);
+  if (auto Connection = std::move(Pending->Connection)) {
+    // After a failure the next call starts on a new connection.
+    if (Result && Connection->isOpen() && !Connection->isBusy() &&
+        m_Idle.size() < MaxIdle)
+      m_Idle.push_back(std::move(Connection));
+    else
+      Connection->close();
+  }
+  Callback(std::move(Result));
+}
+
+void Client::reset() {
+  for (auto &Connection : m_Idle)
+    Connection->close();
+  m_Idle.clear();
+  const auto Calls = m_Calls;
+  for (const auto &Pending : Calls)
+    finish(Pending, unexpected(make_error_code(Errc::Closed)));
+}
+
+} // namespace mangodeck::http
--- /dev/null
+++ b/packages/http/src/parser.cpp
@@ -0,0 +1,368 @@
+#include "mangodeck/http/parser.h"
+
+#include <algorithm>
+#include <http_parser.h>
+
+namespace mangodeck::http {
+
+namespace {
+
+bool isTokenChar(unsigned char C) {
+  static constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
+         (C >= 'A' && C <= 'Z') || Others.find(char(C)) != Others.npos;
+}
+
+bool isToken(std::string_view Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), [](char C) {
+    return isTokenChar(static_cast<unsigned char>(C));
+  });
+}
+
+bool isStrictRequestLine(std::string_view Line) {
+  const auto First = Line.find(' ');
+  const auto Last = Line.rfind(' ');
+  if (First == Line.npos || First == Last)
+    return false;
+  const auto Target = Line.substr(First + 1, Last - First - 1);
+  return isToken(Line.substr(0, First)) && !Target.empty() &&
+         std::all_of(Target.begin(), Target.end(),
+                     [](char C) { return C > 0x20 && C < 0x7f; }) &&
+         (Line.substr(Last + 1) == "HTTP/1.1" ||
+          Line.substr(Last + 1) == "HTTP/1.0");
+}
+
+bool isStrictField(std::string_view Line) {
+  const auto Colon = Line.find(':');
+  if (Colon == Line.npos || !isToken(Line.substr(0, Colon)))
+    return false;
+  const auto Value = Line.substr(Colon + 1);
+  return std::all_of(Value.begin(), Value.end(), [](char C) {
+    const auto Byte = static_cast<unsigned char>(C);
+    return Byte == '\t' || (Byte >= 0x20 && Byte != 0x7f);
+  });
+}
+
+bool isDigits(std::string_view Text) {
+  return !Text.empty() && Text.size() < 18 &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C >= '0' && C <= '9'; });
+}
+
+/// A field whose name and value may come in pieces.
+class FieldCollector {
+public:
+  explicit FieldCollector(HeaderList &Fields) : m_Fields(Fields) {}
+
+  void name(std::string_view Bytes) {
+    if (m_InValue)
+      flush();
+    m_Name.append(Bytes);
+  }
+  void value(std::string_view Bytes) {
+    m_InValue = true;
+    m_Value.append(Bytes);
+  }
+  void flush() {
+    if (!m_Name.empty())
+      m_Fields.add(m_Name, m_Value);
+    m_Name.clear();
+    m_Value.clear();
+    m_InValue = false;
+  }
+
+private:
+  HeaderList &m_Fields;
+  std::string m_Name;
+  std::string m_Value;
+  bool m_InValue = false;
+};
+
+} // namespace
+
+bool isStrictHead(std::string_view Head) {
+  bool First = true;
+  std::size_t Lengths = 0;
+  std::size_t Codings = 0;
+  std::size_t Hosts = 0;
+  while (!Head.empty()) {
+    // Step 1. Take a line; it ends with CRLF and holds no other CR or LF.
+    const auto End = Head.find("\r\n");
+    if (End == Head.npos)
+      return false;
+    const auto Line = Head.substr(0, End);
+    Head.remove_prefix(End + 2);
+    if (Line.find_first_of("\r\n") != Line.npos)
+      return false;
+    if (Line.empty())
+      return Head.empty() && Hosts == 1 && Lengths + Codings <= 1;
+
+    // Step 2. Check its form.
+    if (First ? !isStrictRequestLine(Line) : !isStrictField(Line))
+      return false;
+    if (First) {
+      First = false;
+      continue;
+    }
+
+    // Step 3. Check the fields that frame or route the message.
+    const auto Colon = Line.find(':');
+    const auto Name = Line.substr(0, Colon);
+    auto Value = Line.substr(Colon + 1);
+    while (!Value.empty() && (Value.front() == ' ' || Value.front() == '\t'))
+      Value.remove_prefix(1);
+    while (!Value.empty() && (Value.back() == ' ' || Value.back() == '\t'))
+      Value.remove_suffix(1);
+    if (equalsIgnoreCase(Name, "content-length")) {
+      ++Lengths;
+      if (!isDigits(Value))
+        return false;
+    } else if (equalsIgnoreCase(Name, "transfer-encoding")) {
+      ++Codings;
+      if (!equalsIgnoreCase(Value, "chunked"))
+        return false;
+    } else if (equalsIgnoreCase(Name, "host")) {
+      ++Hosts;
+    }
+  }
+  return false;
+}
+
+struct RequestParser::Impl {
+  explicit Impl(RequestParser &Owner)
+      : Owner(Owner), Fields(Owner.m_Head.Fields) {
+    http_parser_settings_init(&Settings);
+    Settings.on_url = [](http_parser *P, const char *At, std::size_t Size) {
+      self(P).Owner.m_Head.Target.append(At, Size);
+      return 0;
+    };
+    Settings.on_header_field = [](http_parser *P, const char *At,
+                                  std::size_t Size) {
+      auto &Self = self(P);
+      if (!Self.Owner.m_HasHead) // Trailer fields are dropped.
+        Self.Fields.name({At, Size});
+      return 0;
+    };
+    Settings.on_header_value = [](http_parser *P, const char *At,
+                                  std::size_t Size) {
+      auto &Self = self(P);
+      if (!Self.Owner.m_HasHead)
+        Self.Fields.value({At, Size});
+      return 0;
+    };
+    Settings.on_headers_complete = [](http_parser *P) {
+      auto &Self = self(P);
+      Self.Fields.flush();
+      auto &Head = Self.Owner.m_Head;
+      Head.Method = http_method_str(static_cast<http_method>(P->method));
+      Head.KeepAlive = http_should_keep_alive(P) != 0;
+      Head.ExpectsContinue =
+          equalsIgnoreCase(Head.Fields.get("expect"), "100-continue");
+      Self.Owner.m_HasHead = true;
+      Self.Owner.m_Sink.onHead();
+      return 0;
+    };
+    Settings.on_body = [](http_parser *P, const char *At, std::size_t Size) {
+      auto &Owner = self(P).Owner;
+      Owner.m_BodyBytes += Size;
+      if (Owner.m_BodyBytes > Owner.m_MaxBodyBytes) {
+        Owner.m_Fault = ParseFault::BodyTooLarge;
+        return 1;
+      }
+      Owner.m_Sink.onBody({At, Size});
+      return 0;
+    };
+    Settings.on_message_complete = [](http_parser *P) {
+      self(P).Owner.m_Complete = true;
+      http_parser_pause(P, 1);
+      return 0;
+    };
+  }
+
+  static Impl &self(http_parser *P) { return *static_cast<Impl *>(P->data); }
+
+  RequestParser &Owner;
+  FieldCollector Fields;
+  http_parser Parser{};
+  http_parser_settings Settings{};
+};
+
+RequestParser::RequestParser(MessageSink &Sink, std::size_t MaxHeadBytes,
+                             std::size_t MaxBodyBytes)
+    : m_Sink(Sink), m_MaxHeadBytes(MaxHeadBytes), m_MaxBodyBytes(MaxBodyBytes),
+      m_Impl(std::make_unique<Impl>(*this)) {
+  reset();
+}
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::reset() {
+  http_parser_init(&m_Impl->Parser, HTTP_REQUEST);
+  m_Impl->Parser.data = m_Impl.get();
+  m_HeadBytes.clear();
+  m_Head = RequestHead();
+  m_BodyBytes = 0;
+  m_Started = m_HasHead = m_Complete = false;
+  m_Fault = ParseFault::None;
+}
+
+std::size_t RequestParser::feed(std::string_view Bytes) {
+  std::size_t Used = 0;
+  if (!m_HasHead)
+    Used = collectHead(Bytes);
+  if (m_HasHead && !m_Complete && m_Fault == ParseFault::None)
+    Used += execute(Bytes.substr(Used));
+  return Used;
+}
+
+std::size_t RequestParser::collectHead(std::string_view Bytes) {
+  std::size_t Skipped = 0;
+  // A robust server ignores empty lines before the request line (RFC 9112,
+  // 2.2).
+  if (!m_Started)
+    while (Skipped + 1 < Bytes.size() && Bytes[Skipped] == '\r' &&
+           Bytes[Skipped + 1] == '\n')
+      Skipped += 2;
+  Bytes.remove_prefix(Skipped);
+  if (Bytes.empty())
+    return Skipped;
+  m_Started = true;
+  const auto Known = m_HeadBytes.size();
+  m_HeadBytes.append(Bytes);
+  const auto End = m_HeadBytes.find("\r\n\r\n", Known < 3 ? 0 : Known - 3);
+  const auto Size = End == m_HeadBytes.npos ? m_HeadBytes.size() : End + 4;
+  if (Size > m_MaxHeadBytes) {
+    m_Fault = ParseFault::HeadTooLarge;
+    return Skipped + Bytes.size();
+  }
+  if (End == m_HeadBytes.npos) {
+    // A bare LF cannot become valid; do not wait for the rest.
+    const auto Line = m_HeadBytes.find('\n', Known);
+    if (Line != m_HeadBytes.npos &&
+        (Line == 0 || m_HeadBytes[Line - 1] != '\r'))
+      m_Fault = ParseFault::Malformed;
+    return Skipped + Bytes.size();
+  }
+  m_HeadBytes.resize(Size);
+  if (!isStrictHead(m_HeadBytes))
+    m_Fault = ParseFault::Malformed;
+  else
+    execute(m_HeadBytes);
+  return Skipped + (Size - Known);
+}
+
+std::size_t RequestParser::execute(std::string_view Bytes) {
+  const auto Used = http_parser_execute(&m_Impl->Parser, &m_Impl->Settings,
+                                        Bytes.data(), Bytes.size());
+  const auto Error = HTTP_PARSER_ERRNO(&m_Impl->Parser);
+  if (Error != HPE_OK && Error != HPE_PAUSED && m_Fault == ParseFault::None)
+    m_Fault = ParseFault::Malformed;
+  if (m_Impl->Parser.upgrade && m_Fault == ParseFault::None)
+    m_Fault = ParseFault::Malformed;
+  return Used;
+}
+
+struct ResponseParser::Impl {
+  explicit Impl(ResponseParser &Owner)
+      : Owner(Owner), Fields(Owner.m_Head.Fields) {
+    http_parser_settings_init(&Settings);
+    Settings.on_status = [](http_parser *P, const char *At, std::size_t Size) {
+      self(P).Owner.m_Head.Reason.append(At, Size);
+      return 0;
+    };
+    Settings.on_header_field = [](http_parser *P, const char *At,
+                                  std::size_t Size) {
+      auto &Self = self(P);
+      if (!Self.Owner.m_HasHead)
+        Self.Fields.name({At, Size});
+      return 0;
+    };
+    Settings.on_header_value = [](http_parser *P, const char *At,
+                                  std::size_t Size) {
+      auto &Self = self(P);
+      if (!Self.Owner.m_HasHead)
+        Self.Fields.value({At, Size});
+      return 0;
+    };
+    Settings.on_headers_complete = [](http_parser *P) {
+      auto &Self = self(P);
+      auto &Head = Self.Owner.m_Head;
+      Self.Fields.flush();
+      if (P->status_code / 100 == 1) {
+        Self.Interim = true;
+        return 1;
+      }
+      Head.Status = static_cast<int>(P->status_code);
+      const bool Bare = Self.Owner.m_ToHead || Head.Status == 204 ||
+                        Head.Status == 304;
+      Head.EndsWithConnection = !Bare && !Head.Fields.find("content-length") &&
+                                (P->flags & F_CHUNKED) == 0;
+      Head.KeepAlive =
+          !Head.EndsWithConnection && http_should_keep_alive(P) != 0;
+      Self.Owner.m_HasHead = true;
+      Self.Owner.m_Sink.onHead();
+      return Self.Owner.m_ToHead ? 1 : 0;
+    };
+    Settings.on_body = [](http_parser *P, const char *At, std::size_t Size) {
+      self(P).Owner.m_Sink.onBody({At, Size});
+      return 0;
+    };
+    Settings.on_message_complete = [](http_parser *P) {
+      auto &Self = self(P);
+      if (Self.Interim) {
+        Self.Interim = false;
+        Self.Owner.m_Head = ResponseHead();
+        return 0;
+      }
+      Self.Owner.m_Complete = true;
+      http_parser_pause(P, 1);
+      return 0;
+    };
+  }
+
+  static Impl &self(http_parser *P) { return *static_cast<Impl *>(P->data); }
+
+  ResponseParser &Owner;
+  FieldCollector Fields;
+  bool Interim = false;
+  http_parser Parser{};
+  http_parser_settings Settings{};
+};
+
+ResponseParser::ResponseParser(MessageSink &Sink)
+    : m_Sink(Sink), m_Impl(std::make_unique<Impl>(*this)) {
+  reset(false);
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::reset(bool ToHead) {
+  http_parser_init(&m_Impl->Parser, HTTP_RESPONSE);
+  m_Impl->Parser.data = m_Impl.get();
+  m_Impl->Interim = false;
+  m_Head = ResponseHead();
+  m_ToHead = ToHead;
+  m_Started = m_HasHead = m_Complete = m_Malformed = false;
+}
+
+std::size_t ResponseParser::feed(std::string_view Bytes) {
+  if (m_Complete || m_Malformed || Bytes.empty())
+    return 0;
+  m_Started = true;
+  const auto Used = http_parser_execute(&m_Impl->Parser, &m_Impl->Settings,
+                                        Bytes.data(), Bytes.size());
+  const auto Error = HTTP_PARSER_ERRNO(&m_Impl->Parser);
+  if (Error != HPE_OK && Error != HPE_PAUSED)
+    m_Malformed = true;
+  if (m_Impl->Parser.upgrade && !m_Complete)
+    m_Malformed = true;
+  return Used;
+}
+
+void ResponseParser::finish() {
+  if (m_Complete || m_Malformed || !m_HasHead)
+    return;
+  http_parser_execute(&m_Impl->Parser, &m_Impl->Settings, nullptr, 0);
+}
+
+} // namespace mangodeck::http
