gateway: one bucket of a customer's limit in every daemon, fed by reports

A request costs 2,000 to 40,000 tokens, a daemon's eighth of a burst of 97,391 holds one. Ruled out: uneven demand alone (shares followed it already, shares of 0.05 to 0.56 were refused alike). Twelve heads that came without their body were answered 400: the library takes an empty input for the end of the connection.

Change: QuotaLedger: every daemon holds the whole bucket and charges it with what the others tell that they admitted; daemons out of contact are taken to use their part. No empty input to the parser. A stopping daemon closes idle connections after 2.5 s and refuses what comes later, with 20 ms to come back.

--- a/packages/gateway/include/mangodeck/gateway/eventlog.h
+++ b/packages/gateway/include/mangodeck/gateway/eventlog.h
@@ -10,6 +10,9 @@
 
 namespace mangodeck {
 
+/// A span in whole milliseconds, as it is logged.
+std::int64_t toMs(Duration Span);
+
 /// Milliseconds from \p Then to \p Now; -1 if \p Then is unset.
 std::int64_t ageMs(TimePoint Then, TimePoint Now);
 
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -6,7 +6,7 @@
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peertable.h"
-#include "mangodeck/gateway/quotashares.h"
+#include "mangodeck/gateway/quotaledger.h"
 #include "mangodeck/gateway/wakeguard.h"
 
 #include <asio/io_context.hpp>
@@ -94,7 +94,7 @@
   void onRequest(http::CallerConnection &Connection, http::Request &&Message,
                  TimePoint FirstByte) override;
   void onCallerLeft(http::CallerConnection &Connection) override;
-  void onRejected(int Status) override;
+  void onRejected(int Status, std::string_view Start) override;
   void onClosed(http::CallerConnection &Connection) override;
   bool isLeaving() const override { return m_Stopping; }
   bool mayBuffer(std::size_t Bytes) const override;
@@ -141,7 +141,7 @@
   TargetBook m_Targets;
   TargetPool m_Pool;
   RetryBudget m_Budget;
-  QuotaShares m_Quotas;
+  QuotaLedger m_Quotas;
   CrashGuard m_Crashes;
   PeerTable m_Peers;
   WakeGuard m_Wake;
--- a/packages/gateway/include/mangodeck/gateway/peertable.h
+++ b/packages/gateway/include/mangodeck/gateway/peertable.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
 #include "mangodeck/gateway/crashguard.h"
+#include "mangodeck/gateway/quotaledger.h"
 
 #include <cstdint>
 #include <map>
@@ -29,7 +30,7 @@
   std::uint64_t Sequence = 0;
   bool Stopping = false;
   std::vector<PeerLoad> Loads;
-  std::map<std::string, double> Demand; ///< By customer, units per second.
+  std::map<std::string, CustomerUse> Use; ///< By customer.
   std::vector<CrashMark> Crashes;
   std::vector<std::uint64_t> Leaving; ///< Targets that leave or are gone.
 };
--- a/packages/gateway/src/eventlog.cpp
+++ b/packages/gateway/src/eventlog.cpp
@@ -17,11 +17,12 @@
 
 } // namespace
 
+std::int64_t toMs(Duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
 std::int64_t ageMs(TimePoint Then, TimePoint Now) {
-  if (Then == TimePoint{})
-    return -1;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Now - Then)
-      .count();
+  return Then == TimePoint{} ? -1 : toMs(Now - Then);
 }
 
 EventLog::EventLog(int Descriptor, std::string Daemon, std::string Incarnation,
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -471,7 +471,7 @@
        {"plan", m_Plan->Version},
        {"whole_ms", ageMs(m_Arrival, Now)},
        {"prompt", m_Facts.Prompt},
-       {"worst_gap_ms", duration_cast<milliseconds>(m_WorstGap).count()},
+       {"worst_gap_ms", toMs(m_WorstGap)},
        {"last_event", m_LastEvent.value_or(-1)},
        {"left_ms", ageMs(Now, m_Deadline)}},
       Good ? LogWeight::Ordinary : LogWeight::Important);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -24,7 +24,10 @@
 constexpr Duration LapseWait = 1700ms;
 /// After SIGTERM connections are still accepted this long: the balancer needs
 /// two failed checks, a second apart, to turn elsewhere.
-constexpr Duration BalancerLag = 3500ms;
+constexpr Duration BalancerLag = 2500ms;
+/// When a request that comes on a kept connection while the daemon stops is
+/// asked to come back: at once, by way of another daemon.
+constexpr Duration ComeBackElsewhere = 20ms;
 /// Time before the kill at which what still runs is cut off.
 constexpr Duration StopMargin = 250ms;
 /// Part of the memory that bodies of requests may take.
@@ -34,7 +37,10 @@
 constexpr Duration MostComeBack = 4s;
 /// Part of the remaining time that callers wait at most.
 constexpr double ComeBackPart = 0.3;
-/// Bytes waiting at the listener.
+/// Bytes of a rejected request's first line that are logged; the fields may
+/// hold keys.
+constexpr std::size_t MaxLoggedLine = 120;
+/// Connections waiting at the listener.
 constexpr int ListenBacklog = 512;
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
@@ -90,8 +96,7 @@
   m_Log.write("start", {{"domain", m_Settings.Domain.Text},
                         {"callers", m_Settings.CallerPort},
                         {"peers", m_Settings.PeerPort},
-                        {"grace_ms", ageMs(TimePoint{}, TimePoint{} +
-                                                            m_Settings.Grace)}});
+                        {"grace_ms", toMs(m_Settings.Grace)}});
   return {};
 }
 
@@ -240,20 +245,32 @@
       return Refuse(401, "unknown key", std::nullopt);
   }
 
-  // Step 4. Refuse what crashes the targets that run it.
+  // Step 4. A request that comes while the daemon leaves might be cut off.
+  if (m_Stopping && Now - m_StopSince > BalancerLag)
+    return Refuse(503, "stopping", ComeBackElsewhere);
+
+  // Step 5. Refuse what crashes the targets that run it.
   if (m_Crashes.isRefused(Facts.Fingerprint, Now))
     return Refuse(503, "crashes targets", MostComeBack);
 
-  // Step 5. Book it against its customer's limit.
+  // Step 6. Book it against its customer's limit.
   if (Customer) {
     const auto Wait =
         m_Quotas.take(Customer->Name, costOf(Facts, *Customer), Now);
-    if (Wait)
+    if (Wait) {
+      m_Log.write("over_limit",
+                  {{"id", Facts.AttemptId},
+                   {"customer", Customer->Name.Text},
+                   {"cost", costOf(Facts, *Customer)},
+                   {"limit_per_s", Customer->PerSecond},
+                   {"reach", m_Quotas.reach(Customer->Name, Now)},
+                   {"wait_ms", toMs(*Wait)}});
       return Refuse(429, "over the customer's limit",
                     std::clamp<Duration>(*Wait, LeastComeBack, MostComeBack));
+    }
   }
 
-  // Step 6. Admit it to its service.
+  // Step 7. Admit it to its service.
   const auto Service = pickService(*Matched);
   m_Budget.noteRequest(Service, Now);
   auto Caller = m_Callers.at(&Connection);
@@ -427,8 +444,11 @@
   Gone->callerLeft();
 }
 
-void Gateway::onRejected(int Status) {
-  m_Log.write("caller_rejected", {{"status", Status}});
+void Gateway::onRejected(int Status, std::string_view Start) {
+  m_Log.write("caller_rejected",
+              {{"status", Status},
+               {"line", std::string(Start.substr(
+                            0, std::min(Start.find('\r'), MaxLoggedLine)))}});
   m_Metrics.countRequest("none", std::to_string(Status));
 }
 
@@ -531,12 +551,13 @@
             }
           const auto Vm = Report->Vm;
           const bool Stopping = Report->Stopping;
-          auto Demand = Report->Demand;
+          const auto Incarnation = Report->Incarnation;
+          const auto Use = Report->Use;
           if (m_Peers.accept(std::move(*Report), Now)) {
             if (Stopping)
               m_Quotas.forgetPeer(Vm);
             else
-              m_Quotas.setPeerDemand(Vm, std::move(Demand), Now);
+              m_Quotas.onPeerUse(Vm, Incarnation, Use, Now);
           }
         }
         receiveReport();
@@ -560,7 +581,7 @@
       if (Target->OwnRunning > 0)
         Report.Loads.push_back(
             {Target->Hash, Target->OwnRunning, Target->OwnPrefill});
-  Report.Demand = m_Quotas.demand(Now);
+  Report.Use = m_Quotas.use(Now);
   Report.Crashes = m_Crashes.recent(Now);
   std::erase_if(m_Leaving, [&](const auto &Entry) {
     return Now - Entry.second > LeavingMemory;
@@ -591,7 +612,7 @@
   const auto Now = steadyNow();
   if (const auto Still = m_Wake.check(); Still > Duration{0}) {
     m_Log.write("woken", {{"stood_still_ms",
-                           ageMs(TimePoint{}, TimePoint{} + Still)}});
+                           toMs(Still)}});
     m_Pool.closeIdle();
     if (OnWoken)
       OnWoken();
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peertable.cpp
@@ -25,8 +25,9 @@
   auto &Loads = Message["t"] = nlohmann::json::array();
   for (const auto &Load : Report.Loads)
     Loads.push_back({Load.Target, Load.Running, Load.Prefill});
-  for (const auto &[Name, Demand] : Report.Demand)
-    Message["q"][Name] = static_cast<std::int64_t>(Demand);
+  for (const auto &[Name, Use] : Report.Use)
+    Message["q"][Name] = {static_cast<std::int64_t>(Use.Admitted),
+                          static_cast<std::int64_t>(Use.Demand)};
   for (const auto &Mark : Report.Crashes)
     Message["c"].push_back({Mark.Fingerprint, Mark.Crash});
   for (const auto Target : Report.Leaving)
@@ -52,7 +53,8 @@
                               Load.at(1).get<std::uint32_t>(),
                               Load.at(2).get<TokenCount>()});
     if (Message.contains("q"))
-      Report.Demand = Message["q"].get<std::map<std::string, double>>();
+      for (const auto &[Name, Use] : Message["q"].items())
+        Report.Use[Name] = {Use.at(0).get<double>(), Use.at(1).get<double>()};
     if (Message.contains("c"))
       for (const auto &Mark : Message["c"])
         Report.Crashes.push_back({Mark.at(0).get<std::uint64_t>(),
--- /dev/null
+++ b/packages/gateway/src/quotaledger.cpp
@@ -0,0 +1,163 @@
+#include "mangodeck/gateway/quotaledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangodeck {
+
+namespace {
+
+/// Part of a limit that is divided evenly while daemons are out of contact,
+/// whatever their demand was.
+constexpr double EvenPart = 0.3;
+/// Time constant of the mean of demand, short against the windows over which
+/// limits are judged.
+constexpr double DemandSeconds = 1.5;
+/// A daemon that told nothing for this long is out of contact: several
+/// reports were lost.
+constexpr Duration ContactTime = 1500ms;
+/// Time after which a silent daemon counts no longer. Longer than a cut during
+/// which both sides go on serving is likely to last.
+constexpr Duration PeerMemory = 15s;
+/// Part of the burst that a new account starts with: the former life of this
+/// daemon may have used the burst just before.
+constexpr double InitialLevel = 0.5;
+/// A request larger than the bucket goes through at this part of a full one.
+constexpr double LargeRequestLevel = 0.9;
+
+} // namespace
+
+void QuotaLedger::configure(const RoutePlan &Plan, TimePoint Now) {
+  for (const auto &Customer : Plan.Customers) {
+    auto [At, New] = m_Accounts.try_emplace(Customer.Name.Text);
+    auto &State = At->second;
+    if (!New)
+      advance(At->first, State, Now);
+    State.PerSecond = Customer.PerSecond;
+    State.Burst = Customer.Burst;
+    if (New) {
+      State.Updated = Now;
+      State.Level = InitialLevel * State.Burst;
+    }
+  }
+  std::erase_if(m_Accounts, [&](const auto &Entry) {
+    return std::none_of(
+        Plan.Customers.begin(), Plan.Customers.end(),
+        [&](const auto &C) { return C.Name.Text == Entry.first; });
+  });
+}
+
+void QuotaLedger::onPeerUse(const std::string &Peer, std::uint64_t Incarnation,
+                            const std::map<std::string, CustomerUse> &Use,
+                            TimePoint Now) {
+  auto [At, New] = m_Peers.try_emplace(Peer);
+  auto &State = At->second;
+  // After a silence the peer's part was held back already, so that what it
+  // admitted meanwhile is not charged again. A peer that started anew had
+  // nothing to tell before.
+  const bool InContact = !New && Now - State.Heard <= ContactTime;
+  const bool Restarted = !New && Incarnation != State.Incarnation;
+  if (InContact || Restarted)
+    for (const auto &[Name, Told] : Use) {
+      const auto Account = m_Accounts.find(Name);
+      if (Account == m_Accounts.end())
+        continue;
+      advance(Name, Account->second, Now);
+      const auto Before = State.Use.find(Name);
+      const double Base = Restarted || Before == State.Use.end()
+                              ? 0
+                              : Before->second.Admitted;
+      Account->second.Level -= Told.Admitted - Base;
+    }
+  State.Incarnation = Incarnation;
+  State.Use = Use;
+  State.Heard = Now;
+}
+
+void QuotaLedger::forgetPeer(const std::string &Peer) { m_Peers.erase(Peer); }
+
+void QuotaLedger::setDaemons(std::size_t Count) {
+  m_Daemons = std::max<std::size_t>(1, Count);
+}
+
+double QuotaLedger::reachOf(const std::string &Name, double OwnDemand,
+                            TimePoint Now) const {
+  double All = OwnDemand;
+  double Reached = OwnDemand;
+  std::size_t Contacts = 1;
+  for (const auto &[Id, Peer] : m_Peers) {
+    if (Now - Peer.Heard > PeerMemory)
+      continue;
+    const auto Found = Peer.Use.find(Name);
+    const double Demand = Found == Peer.Use.end() ? 0 : Found->second.Demand;
+    All += Demand;
+    if (Now - Peer.Heard <= ContactTime) {
+      Reached += Demand;
+      ++Contacts;
+    }
+  }
+  const double Even = std::min(
+      1.0, static_cast<double>(Contacts) / static_cast<double>(m_Daemons));
+  if (Even >= 1 || All <= 0)
+    return Even;
+  return EvenPart * Even + (1 - EvenPart) * Reached / All;
+}
+
+void QuotaLedger::advance(const std::string &Name, Account &State,
+                          TimePoint Now) {
+  const double Seconds = std::max(0.0, toSeconds(Now - State.Updated));
+  State.Updated = Now;
+  State.Own.Demand *= std::exp(-Seconds / DemandSeconds);
+  const double Reach = reachOf(Name, State.Own.Demand, Now);
+  State.Level = std::min(State.Level + Seconds * State.PerSecond * Reach,
+                         State.Burst * Reach);
+}
+
+std::optional<Duration> QuotaLedger::take(const CustomerName &Customer,
+                                          double Cost, TimePoint Now) {
+  const auto Found = m_Accounts.find(Customer.Text);
+  if (Found == m_Accounts.end())
+    return std::nullopt;
+  auto &State = Found->second;
+  advance(Found->first, State, Now);
+  State.Own.Demand += Cost / DemandSeconds;
+  if (State.PerSecond <= 0)
+    return std::nullopt;
+  const double Reach = reachOf(Found->first, State.Own.Demand, Now);
+  const double Needed =
+      std::min(Cost, LargeRequestLevel * State.Burst * Reach);
+  if (State.Level >= Needed) {
+    State.Level -= Cost;
+    State.Own.Admitted += Cost;
+    return std::nullopt;
+  }
+  return fromSeconds((Needed - State.Level) /
+                     std::max(1.0, State.PerSecond * Reach));
+}
+
+void QuotaLedger::giveBack(const CustomerName &Customer, double Cost) {
+  const auto Found = m_Accounts.find(Customer.Text);
+  if (Found == m_Accounts.end())
+    return;
+  Found->second.Level += Cost;
+  Found->second.Own.Admitted -= Cost;
+}
+
+std::map<std::string, CustomerUse> QuotaLedger::use(TimePoint Now) {
+  std::map<std::string, CustomerUse> Result;
+  for (auto &[Name, State] : m_Accounts) {
+    advance(Name, State, Now);
+    if (State.Own.Admitted != 0 || State.Own.Demand >= 1)
+      Result[Name] = State.Own;
+  }
+  return Result;
+}
+
+double QuotaLedger::reach(const CustomerName &Customer, TimePoint Now) const {
+  const auto Found = m_Accounts.find(Customer.Text);
+  return Found == m_Accounts.end()
+             ? 1.0
+             : reachOf(Found->first, Found->second.Own.Demand, Now);
+}
+
+} // namespace mangodeck
--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -35,7 +35,8 @@
   /// The caller closed the connection before its answer was complete.
   virtual void onCallerLeft(CallerConnection &Connection) = 0;
   /// A request was answered here already, e.g. 400 for a malformed one.
-  virtual void onRejected(int Status) = 0;
+  /// \p Start is the start of what was read.
+  virtual void onRejected(int Status, std::string_view Start) = 0;
   /// The connection is gone; it must not be used any longer.
   virtual void onClosed(CallerConnection &Connection) = 0;
   /// Whether the next answer is to end the connection.
--- a/packages/http/include/mangodeck/http/parser.h
+++ b/packages/http/include/mangodeck/http/parser.h
@@ -51,6 +51,8 @@
   bool hasHead() const { return m_HasHead; }
   ParseFault fault() const { return m_Fault; }
   RequestHead &head() { return m_Head; }
+  /// The bytes of the head that were read.
+  std::string_view headBytes() const { return m_HeadBytes; }
 
 private:
   struct Impl;
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -103,7 +103,7 @@
   const int Status = Fault == ParseFault::HeadTooLarge   ? 431
                      : Fault == ParseFault::BodyTooLarge ? 413
                                                          : 400;
-  m_Handler.onRejected(Status);
+  m_Handler.onRejected(Status, m_Parser.headBytes());
   m_Phase = Phase::Answering;
   m_CloseAfter = true;
   sendAnswer(Status, HeaderList(), reasonOf(Status));
@@ -253,7 +253,7 @@
       const bool BodyLate =
           m_Parser.hasHead() && Now - m_LastActive > m_Bounds.BodyTimeout;
       if (HeadLate || BodyLate) {
-        m_Handler.onRejected(408);
+        m_Handler.onRejected(408, m_Parser.headBytes());
         m_Phase = Phase::Answering;
         m_CloseAfter = true;
         sendAnswer(408, HeaderList(), reasonOf(408));
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -210,7 +210,9 @@
   std::size_t Used = 0;
   if (!m_HasHead)
     Used = collectHead(Bytes);
-  if (m_HasHead && !m_Complete && m_Fault == ParseFault::None)
+  // The library takes an empty input for the end of the connection.
+  if (m_HasHead && !m_Complete && m_Fault == ParseFault::None &&
+      Used < Bytes.size())
     Used += execute(Bytes.substr(Used));
   return Used;
 }
