gateway: stopping daemons hear of others' use, new ones adopt their level

A daemon that stops was sent no reports, so that its copy of the bucket was charged with its own use only, for as long as it served on. Ruled out, by tests of the ledger: the delay of reports alone (flood over eight daemons), restarts in turn, peers that are forgotten when they stop (the charges on their own side keep the sum).

Change: reports go to stopping daemons too, and these stay charged. A daemon that starts takes over the lowest level told. Watches of the store are at least 250 ms apart and wait 4 s.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -50,7 +50,8 @@
   void watch();
   void onChanges(Expected<KeyChanges> Answer);
   void apply(const KeyChange &Change);
-  void retry(bool ListAgain);
+  void retry();
+  void later(Duration Delay, void (KeyFollower::*Step)());
   void noteAnswer();
   void noteFailure(std::error_code Error);
   bool isAfterOutage(TimePoint Now) const;
@@ -67,6 +68,7 @@
   bool m_InTouch = false;
   bool m_EverInTouch = false;
   unsigned m_Failures = 0;
+  TimePoint m_WatchSince{};
   TimePoint m_LastAnswer{};
   TimePoint m_OutageEnded{};
 };
--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -14,6 +14,7 @@
 struct CustomerUse {
   double Admitted = 0; ///< Units admitted since the daemon's start.
   double Demand = 0;   ///< Units asked for per second, decaying mean.
+  double Level = 0;    ///< Units left in its copy of the bucket.
 };
 
 /// The customers' limits, as one daemon enforces them. Answers the load of
@@ -29,11 +30,11 @@
 public:
   /// Takes over the limits of a plan.
   void configure(const RoutePlan &Plan, TimePoint Now);
-  /// What another daemon told. \p Incarnation tells its starts apart.
+  /// What another daemon told. \p Incarnation tells its starts apart; a
+  /// daemon that is \p Stopping no longer counts once it is silent.
   void onPeerUse(const std::string &Peer, std::uint64_t Incarnation,
-                 const std::map<std::string, CustomerUse> &Use, TimePoint Now);
-  /// The peer said that it stops.
-  void forgetPeer(const std::string &Peer);
+                 bool Stopping, const std::map<std::string, CustomerUse> &Use,
+                 TimePoint Now);
   /// Daemons that may be serving, this one included.
   void setDaemons(std::size_t Count);
 
@@ -58,6 +59,7 @@
   };
   struct Peer {
     std::uint64_t Incarnation = 0;
+    bool Stopping = false;
     std::map<std::string, CustomerUse> Use;
     TimePoint Heard{};
   };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -553,12 +553,8 @@
           const bool Stopping = Report->Stopping;
           const auto Incarnation = Report->Incarnation;
           const auto Use = Report->Use;
-          if (m_Peers.accept(std::move(*Report), Now)) {
-            if (Stopping)
-              m_Quotas.forgetPeer(Vm);
-            else
-              m_Quotas.onPeerUse(Vm, Incarnation, Use, Now);
-          }
+          if (m_Peers.accept(std::move(*Report), Now))
+            m_Quotas.onPeerUse(Vm, Incarnation, Stopping, Use, Now);
         }
         receiveReport();
       });
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -6,10 +6,13 @@
 
 namespace {
 
-/// How long one watch waits. A connection that went silent is noticed after
-/// this and the call's margin; a change must be in force 2 s after such a
-/// break has ended its 3 s of grace.
-constexpr Duration WatchWait = 2s;
+/// How long one watch waits. Keep-alive probes notice a silent connection
+/// sooner.
+constexpr Duration WatchWait = 4s;
+/// Least time from one watch to the next: changes that come in series are
+/// taken together, as each call has its price. Short against the bounds for
+/// changes to be in force.
+constexpr Duration WatchPause = 250ms;
 /// Delay before a failed call is made again: short for the first failure, as
 /// one cut connection says nothing about the store, then longer, as refused
 /// calls count against the store's rate.
@@ -52,7 +55,7 @@
 void KeyFollower::onPage(Expected<KeyPage> Page) {
   if (!Page) {
     noteFailure(Page.error());
-    return retry(true);
+    return retry();
   }
   noteAnswer();
   // Changes after the first page was read may be missing from any page, so
@@ -82,6 +85,7 @@
 }
 
 void KeyFollower::watch() {
+  m_WatchSince = steadyNow();
   m_Feed.watch(m_Revision, WatchWait,
                [this, Generation = m_Generation](Expected<KeyChanges> Answer) {
                  if (Generation == m_Generation)
@@ -98,13 +102,25 @@
       noteFailure(Answer.error());
     // A cut watch may have missed what it was about to say; the watch from the
     // same revision says it, but a store that drops history may say nothing.
-    return HistoryGone ? list() : retry(true);
+    return HistoryGone ? list() : retry();
   }
   noteAnswer();
   for (const auto &Change : Answer->Changes)
     apply(Change);
   m_Revision = std::max(m_Revision, Answer->StoreRevision);
-  watch();
+  const auto Passed = steadyNow() - m_WatchSince;
+  if (Passed >= WatchPause)
+    return watch();
+  later(WatchPause - Passed, &KeyFollower::watch);
+}
+
+void KeyFollower::later(Duration Delay, void (KeyFollower::*Step)()) {
+  m_Timer.expires_after(Delay);
+  m_Timer.async_wait(
+      [this, Step, Generation = m_Generation](std::error_code Error) {
+        if (!Error && Generation == m_Generation)
+          (this->*Step)();
+      });
 }
 
 void KeyFollower::apply(const KeyChange &Change) {
@@ -120,17 +136,8 @@
   }
 }
 
-void KeyFollower::retry(bool ListAgain) {
-  m_Timer.expires_after(m_Failures <= 1 ? FirstRetry : LaterRetry);
-  m_Timer.async_wait(
-      [this, ListAgain, Generation = m_Generation](std::error_code Error) {
-        if (Error || Generation != m_Generation)
-          return;
-        if (ListAgain)
-          list();
-        else
-          watch();
-      });
+void KeyFollower::retry() {
+  later(m_Failures <= 1 ? FirstRetry : LaterRetry, &KeyFollower::list);
 }
 
 void KeyFollower::noteAnswer() {
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peertable.cpp
@@ -27,7 +27,8 @@
     Loads.push_back({Load.Target, Load.Running, Load.Prefill});
   for (const auto &[Name, Use] : Report.Use)
     Message["q"][Name] = {static_cast<std::int64_t>(Use.Admitted),
-                          static_cast<std::int64_t>(Use.Demand)};
+                          static_cast<std::int64_t>(Use.Demand),
+                          static_cast<std::int64_t>(Use.Level)};
   for (const auto &Mark : Report.Crashes)
     Message["c"].push_back({Mark.Fingerprint, Mark.Crash});
   for (const auto Target : Report.Leaving)
@@ -54,7 +55,8 @@
                               Load.at(2).get<TokenCount>()});
     if (Message.contains("q"))
       for (const auto &[Name, Use] : Message["q"].items())
-        Report.Use[Name] = {Use.at(0).get<double>(), Use.at(1).get<double>()};
+        Report.Use[Name] = {Use.at(0).get<double>(), Use.at(1).get<double>(),
+                             Use.at(2).get<double>()};
     if (Message.contains("c"))
       for (const auto &Mark : Message["c"])
         Report.Crashes.push_back({Mark.at(0).get<std::uint64_t>(),
@@ -95,7 +97,7 @@
 std::vector<PeerAddress> PeerTable::addresses() const {
   std::vector<PeerAddress> Result;
   for (const auto &[Vm, Peer] : m_Peers)
-    if (Peer.Address && !Peer.Stopped)
+    if (Peer.Address)
       Result.push_back(*Peer.Address);
   return Result;
 }
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -48,6 +48,7 @@
 }
 
 void QuotaLedger::onPeerUse(const std::string &Peer, std::uint64_t Incarnation,
+                            bool Stopping,
                             const std::map<std::string, CustomerUse> &Use,
                             TimePoint Now) {
   auto [At, New] = m_Peers.try_emplace(Peer);
@@ -57,25 +58,29 @@
   // nothing to tell before.
   const bool InContact = !New && Now - State.Heard <= ContactTime;
   const bool Restarted = !New && Incarnation != State.Incarnation;
-  if (InContact || Restarted)
-    for (const auto &[Name, Told] : Use) {
-      const auto Account = m_Accounts.find(Name);
-      if (Account == m_Accounts.end())
-        continue;
-      advance(Name, Account->second, Now);
+  for (const auto &[Name, Told] : Use) {
+    const auto Account = m_Accounts.find(Name);
+    if (Account == m_Accounts.end())
+      continue;
+    advance(Name, Account->second, Now);
+    if (InContact || Restarted) {
       const auto Before = State.Use.find(Name);
       const double Base = Restarted || Before == State.Use.end()
                               ? 0
                               : Before->second.Admitted;
       Account->second.Level -= Told.Admitted - Base;
+    } else {
+      // This daemon or the contact is new: the peer may know of use that was
+      // never told here.
+      Account->second.Level = std::min(Account->second.Level, Told.Level);
     }
+  }
   State.Incarnation = Incarnation;
+  State.Stopping = Stopping;
   State.Use = Use;
   State.Heard = Now;
 }
 
-void QuotaLedger::forgetPeer(const std::string &Peer) { m_Peers.erase(Peer); }
-
 void QuotaLedger::setDaemons(std::size_t Count) {
   m_Daemons = std::max<std::size_t>(1, Count);
 }
@@ -86,7 +91,7 @@
   double Reached = OwnDemand;
   std::size_t Contacts = 1;
   for (const auto &[Id, Peer] : m_Peers) {
-    if (Now - Peer.Heard > PeerMemory)
+    if (Now - Peer.Heard > (Peer.Stopping ? ContactTime : PeerMemory))
       continue;
     const auto Found = Peer.Use.find(Name);
     const double Demand = Found == Peer.Use.end() ? 0 : Found->second.Demand;
@@ -147,7 +152,8 @@
   std::map<std::string, CustomerUse> Result;
   for (auto &[Name, State] : m_Accounts) {
     advance(Name, State, Now);
-    if (State.Own.Admitted != 0 || State.Own.Demand >= 1)
+    State.Own.Level = State.Level;
+    if (State.PerSecond > 0)
       Result[Name] = State.Own;
   }
   return Result;
