gateway: routes' ranks order requests of customers of one rank

Change: requests are ordered by the customer's rank, then the route's. One request beyond its slots is sent to an engine, as daemons learn of a free slot some hundred milliseconds late.

--- a/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
+++ b/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -14,10 +15,18 @@
 
 using TicketNumber = std::uint64_t;
 
+/// The order in which requests are served under load: by the customer's rank,
+/// and among equal ones by the route's; 0 is the highest.
+struct RequestRank {
+  TierRank Customer = 0;
+  TierRank Route = 0;
+  auto operator<=>(const RequestRank &) const = default;
+};
+
 /// A request that waits for a slot.
 struct QueuedTicket {
   TicketNumber Number = 0;
-  TierRank Rank = 0;
+  RequestRank Rank;
   /// Latest start that still meets the latency target.
   TimePoint StartBy{};
   /// Latest start that is worth anything: the caller leaves, or its time
@@ -45,7 +54,7 @@
   /// Takes out the tickets whose last useful start has passed.
   std::vector<QueuedTicket> takeExpired(TimePoint Now);
   /// Tickets that go before a new one of \p Rank that can meet its target.
-  std::size_t countAhead(TierRank Rank, TimePoint Now) const;
+  std::size_t countAhead(const RequestRank &Rank, TimePoint Now) const;
 
 private:
   std::unordered_map<TicketNumber, QueuedTicket> m_Tickets;
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -81,7 +81,7 @@
   const PlannedCustomer *customer() const { return m_Customer; }
   const RequestWork &work() const { return m_Work; }
   std::span<const TargetPtr> triedTargets() const { return m_Tried; }
-  TierRank rank() const;
+  RequestRank rank() const;
   TimePoint arrival() const { return m_Arrival; }
   TimePoint deadline() const { return m_Deadline; }
   /// Latest time of the first event or answer that meets the objective.
@@ -159,7 +159,9 @@
   Duration m_LowGap{0};
   TimePoint m_SentAt{};
   TimePoint m_LastByte{};
-  TimePoint m_FirstEventAt{};
+  TimePoint m_LastEventAt{};
+  TimePoint m_FirstSentAt{};
+  TimePoint m_FirstByteAt{};
   Duration m_ExpectedFirst{0};
   Duration m_WorstGap{0};
 };
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -12,6 +12,9 @@
 /// Part of the gap target that reading prompts may take of the time between
 /// two events of the requests that run beside.
 constexpr double PrefillPartOfGap = 0.6;
+/// Requests beyond its slots that an engine is sent: they start the moment a
+/// slot is free, while the daemons learn of it some hundred milliseconds later.
+constexpr std::uint32_t QueueAhead = 1;
 /// Nominal time for a request of a plain service.
 constexpr Duration PlainTime = 20ms;
 
@@ -35,6 +38,11 @@
          PrefillPartOfGap * toSeconds(Input.GapTarget);
 }
 
+/// Requests that a target is sent at once.
+std::uint32_t placesOf(const TargetState &Target) {
+  return Target.Entry.Slots + QueueAhead;
+}
+
 } // namespace
 
 Duration expectedFirstEvent(const TargetState &Target,
@@ -56,7 +64,7 @@
   for (const auto &Target : Targets) {
     // Step 1. Leave out targets that must not be used or have no free slot.
     if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
-        Target->running() >= Target->Entry.Slots)
+        Target->running() >= placesOf(*Target))
       continue;
 
     // Step 2. Rate it: in time, no harm to others, at home, then by speed.
@@ -84,9 +92,10 @@
     if (!Target->isUsable(Now))
       continue;
     ++Result.UsableTargets;
-    Result.Slots += Target->Entry.Slots;
-    if (Target->running() < Target->Entry.Slots)
-      Result.FreeSlots += Target->Entry.Slots - Target->running();
+    const auto Places = placesOf(*Target);
+    Result.Slots += Places;
+    if (Target->running() < Places)
+      Result.FreeSlots += Places - Target->running();
   }
   return Result;
 }
--- a/packages/gateway/src/dispatchqueue.cpp
+++ b/packages/gateway/src/dispatchqueue.cpp
@@ -48,7 +48,8 @@
   return Expired;
 }
 
-std::size_t DispatchQueue::countAhead(TierRank Rank, TimePoint Now) const {
+std::size_t DispatchQueue::countAhead(const RequestRank &Rank,
+                                      TimePoint Now) const {
   return static_cast<std::size_t>(std::count_if(
       m_Tickets.begin(), m_Tickets.end(), [&](const auto &Entry) {
         return Entry.second.StartBy >= Now && Entry.second.Rank <= Rank;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -56,8 +56,10 @@
   m_Deadline = Arrival + Limit;
 }
 
-TierRank Exchange::rank() const {
-  return m_Customer && m_Customer->Rank ? *m_Customer->Rank : m_Route.Rank;
+RequestRank Exchange::rank() const {
+  const auto Customer =
+      m_Customer && m_Customer->Rank ? *m_Customer->Rank : m_Route.Rank;
+  return {Customer, m_Route.Rank};
 }
 
 TimePoint Exchange::latencyDeadline() const {
@@ -119,6 +121,8 @@
   m_Phase = Phase::Sent;
   m_Connection = std::move(Ready);
   m_SentAt = m_LastByte = Now;
+  if (m_FirstSentAt == TimePoint{})
+    m_FirstSentAt = Now;
   ++m_Sends;
   ++m_RunsPossible;
   m_Parts.Metrics.countSend(m_Service.view(),
@@ -218,7 +222,7 @@
 
   // Step 3. Measure the target's pace by the shorter gaps, which hold no
   // prefill of others.
-  const auto Gap = Now - m_FirstEventAt;
+  const auto Gap = Now - m_LastEventAt;
   if (m_EventsHere > 0) {
     m_WorstGap = std::max<Duration>(m_WorstGap, Gap);
     const auto Weight = Gap < m_LowGap ? 0.25 : 0.05;
@@ -227,7 +231,7 @@
                    : m_LowGap + duration_cast<Duration>(Weight *
                                                         (Gap - m_LowGap));
   }
-  m_FirstEventAt = Now;
+  m_LastEventAt = Now;
   ++m_EventsHere;
 
   // Step 4. Pass it on.
@@ -242,6 +246,7 @@
 void Exchange::sendHead() {
   m_HeadSent = true;
   const auto Now = std::chrono::steady_clock::now();
+  m_FirstByteAt = Now;
   m_Parts.Metrics.observeFirst(m_Route.Name, Now - m_Arrival);
   auto Fields = m_Answer.Fields;
   http::removeConnectionFields(Fields);
@@ -465,12 +470,16 @@
        {"outcome", Outcome},
        {"status", Status},
        {"reason", Reason},
-       {"rank", rank()},
+       {"rank", rank().Customer},
        {"sends", m_Sends},
        {"target", m_Target ? m_Target->Entry.Id.Text : std::string()},
        {"plan", m_Plan->Version},
+       {"wait_ms", ageMs(m_Arrival, m_FirstSentAt)},
+       {"first_ms", ageMs(m_Arrival, m_FirstByteAt)},
        {"whole_ms", ageMs(m_Arrival, Now)},
        {"prompt", m_Facts.Prompt},
+       {"output", m_Work.Output},
+       {"slowness", m_Target ? std::round(m_Target->Slowness * 100) / 100 : 0},
        {"worst_gap_ms", toMs(m_WorstGap)},
        {"last_event", m_LastEvent.value_or(-1)},
        {"left_ms", ageMs(Now, m_Deadline)}},
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -306,7 +306,7 @@
   Waiting->setWaiting();
   QueuedTicket Ticket;
   Ticket.Number = Waiting->number();
-  Ticket.Rank = Waiting->hasStreamed() ? 0 : Waiting->rank();
+  Ticket.Rank = Waiting->hasStreamed() ? RequestRank() : Waiting->rank();
   Ticket.StartBy = Waiting->latencyDeadline();
   Ticket.GiveUp = Waiting->giveUpTime();
   if (Ticket.StartBy < Now && Waiting->hasStreamed())
