http: an idle connection is closed without reading any further

Ruled out: the timing of the close (any time may be crossed).

Change: closing an idle connection reads nothing any more, so that the caller learns that its request was not read and sends it again.

Measured: the new test fails with the former close.

--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -235,12 +235,11 @@
 
 void CallerConnection::closeIfIdle() {
   if (m_Phase != Phase::Reading || m_Parser.hasStarted() ||
-      !m_Unparsed.empty())
+      !m_Unparsed.empty() || m_WritePending)
     return;
-  m_Phase = Phase::Lingering;
-  m_LingerSince = steadyNow();
-  if (!m_WritePending)
-    linger();
+  // Nothing is read any longer: a request that crosses the close must not
+  // have been read, so that its caller may send it again.
+  close();
 }
 
 void CallerConnection::checkTimeouts(TimePoint Now) {
--- /dev/null
+++ b/packages/http/test/callerconnection_test.cpp
@@ -0,0 +1,185 @@
+#include "mangodeck/http/callerconnection.h"
+
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+
+namespace mangodeck::http {
+
+namespace {
+
+/// Answers every request with its path, or keeps it until told.
+struct EchoHandler : CallerHandler {
+  void onRequest(CallerConnection &Connection, Request &&Message,
+                 TimePoint) override {
+    Paths.push_back(Message.Head.Target);
+    Bodies.push_back(Message.Body);
+    if (Answers)
+      Connection.sendAnswer(200, HeaderList(), Message.Head.Target);
+  }
+  void onCallerLeft(CallerConnection &) override { ++Left; }
+  void onRejected(int Status, std::string_view) override {
+    Rejected = Status;
+  }
+  void onClosed(CallerConnection &) override { ++Closed; }
+  bool isLeaving() const override { return Leaving; }
+  bool mayBuffer(std::size_t) const override { return true; }
+
+  std::vector<std::string> Paths;
+  std::vector<std::string> Bodies;
+  bool Answers = true;
+  bool Leaving = false;
+  int Left = 0;
+  int Closed = 0;
+  int Rejected = 0;
+};
+
+} // namespace
+
+/// A connection over loopback on one loop. Every wait is bounded by a number
+/// of turns of the loop.
+class CallerConnectionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallerConnectionTest);
+  CPPUNIT_TEST(caller_twoRequestsInOneWrite_areAnsweredInOrder);
+  CPPUNIT_TEST(caller_malformedHead_gets400AndClose);
+  CPPUNIT_TEST(caller_headInPieces_isRead);
+  CPPUNIT_TEST(caller_closesWhileWaiting_handlerIsTold);
+  CPPUNIT_TEST(caller_streamAborted_doesNotLookComplete);
+  CPPUNIT_TEST(caller_idleClosed_requestThatCrossesIsNotRead);
+  CPPUNIT_TEST(caller_daemonLeaving_answerSaysClose);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    m_Loop.emplace();
+    m_Handler = EchoHandler();
+    asio::ip::tcp::acceptor Acceptor(
+        *m_Loop, {asio::ip::make_address("127.0.0.1"), 0});
+    m_Client.emplace(*m_Loop);
+    m_Client->connect(Acceptor.local_endpoint());
+    m_Server = std::make_shared<CallerConnection>(Acceptor.accept(), m_Handler,
+                                                  CallerBounds());
+    m_Server->start();
+  }
+
+  void tearDown() override {
+    m_Server.reset();
+    m_Client.reset();
+    m_Loop.reset();
+  }
+
+  void caller_twoRequestsInOneWrite_areAnsweredInOrder() {
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\nGET /2/ HTTP/1.1\r\nHost: x\r\n"
+         "\r\n");
+    const auto Answer = receiveUntil("/2/");
+    CPPUNIT_ASSERT(Answer.find("/1/") < Answer.find("/2/"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Handler.Paths.size());
+  }
+
+  void caller_malformedHead_gets400AndClose() {
+    send("GET /1/ HTTP/1.1\r\nHost : x\r\n\r\n");
+    const auto Answer = receiveUntil("");
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 400 "));
+    CPPUNIT_ASSERT(Answer.find("Connection: close") != Answer.npos);
+    CPPUNIT_ASSERT_EQUAL(400, m_Handler.Rejected);
+    CPPUNIT_ASSERT(m_Handler.Paths.empty());
+  }
+
+  void caller_headInPieces_isRead() {
+    for (const std::string_view Piece :
+         {"POST /1/ HTTP/1.1\r\nHost: x\r\nContent-Le", "ngth: 2\r\n\r\n",
+          "o", "k"}) {
+      send(Piece);
+      turn();
+    }
+    receiveUntil("/1/");
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), m_Handler.Bodies.at(0));
+  }
+
+  void caller_closesWhileWaiting_handlerIsTold() {
+    m_Handler.Answers = false;
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    turn();
+    CPPUNIT_ASSERT(m_Server->isAnswering());
+    m_Client->close();
+    turn();
+    CPPUNIT_ASSERT_EQUAL(1, m_Handler.Left);
+    CPPUNIT_ASSERT_EQUAL(1, m_Handler.Closed);
+  }
+
+  void caller_streamAborted_doesNotLookComplete() {
+    m_Handler.Answers = false;
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    turn();
+    m_Server->startStream(200, "OK", HeaderList());
+    m_Server->sendChunk("data: 1\n\n");
+    turn();
+    m_Server->abort();
+    const auto Answer = receiveUntil("");
+    CPPUNIT_ASSERT(Answer.find(LastChunk) == Answer.npos);
+    CPPUNIT_ASSERT(m_ReadError == asio::error::connection_reset);
+  }
+
+  void caller_idleClosed_requestThatCrossesIsNotRead() {
+    turn();
+    m_Server->closeIfIdle();
+    std::error_code Ignored; // The server may have reset the connection.
+    asio::write(*m_Client,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")),
+                Ignored);
+    turn();
+    CPPUNIT_ASSERT_EQUAL(1, m_Handler.Closed);
+    CPPUNIT_ASSERT(m_Handler.Paths.empty());
+  }
+
+  void caller_daemonLeaving_answerSaysClose() {
+    m_Handler.Leaving = true;
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto Answer = receiveUntil("/1/");
+    CPPUNIT_ASSERT(Answer.find("Connection: close") != Answer.npos);
+  }
+
+private:
+  void send(std::string_view Bytes) {
+    asio::write(*m_Client, asio::buffer(Bytes.data(), Bytes.size()));
+  }
+
+  /// Runs the loop until nothing has been ready for a short while.
+  void turn() {
+    m_Loop->restart();
+    while (m_Loop->run_one_for(std::chrono::milliseconds(20)) > 0)
+      ;
+  }
+
+  /// Reads until \p End came or, if it is empty, until the connection ends.
+  std::string receiveUntil(std::string_view End) {
+    std::string Bytes;
+    m_Client->non_blocking(true);
+    for (int Turn = 0; Turn < 200; ++Turn) {
+      turn();
+      std::array<char, 4096> Buffer;
+      m_ReadError.clear();
+      const auto Size =
+          m_Client->read_some(asio::buffer(Buffer), m_ReadError);
+      Bytes.append(Buffer.data(), Size);
+      if (m_ReadError && m_ReadError != asio::error::would_block)
+        return Bytes;
+      if (!End.empty() && Bytes.find(End) != Bytes.npos)
+        return Bytes;
+    }
+    return Bytes;
+  }
+
+  std::optional<asio::io_context> m_Loop;
+  std::optional<asio::ip::tcp::socket> m_Client;
+  EchoHandler m_Handler;
+  std::shared_ptr<CallerConnection> m_Server;
+  std::error_code m_ReadError;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTest);
+
+} // namespace mangodeck::http
