gateway: a target must be able to end an answer in time

Cause: long answers were sent to engines that cannot make them within the caller's time limit; they held a slot for 12 s and were cut off at the limit.

Change: a choice is in time only if the expected end is, too.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -12,6 +12,7 @@
   RequestWork Work;
   FailureDomain Home;         ///< This daemon's failure domain.
   Duration TimeToTarget{0};   ///< Until the latency target passes; may be < 0.
+  Duration TimeToEnd{0};      ///< Until the whole answer is worth nothing.
   Duration GapTarget{0};      ///< Longest pause between events; 0: none.
   std::span<const TargetPtr> Excluded; ///< Targets that were tried already.
 };
@@ -41,6 +42,9 @@
 /// Expected time to the first event of \p Work on \p Target.
 Duration expectedFirstEvent(const TargetState &Target, const RequestWork &Work);
 
+/// Expected time to the end of \p Work on \p Target.
+Duration expectedWhole(const TargetState &Target, const RequestWork &Work);
+
 /// Usable targets of a service and the slots that are free on them.
 struct Room {
   std::uint32_t UsableTargets = 0;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -55,6 +55,12 @@
   return fromSeconds(Nominal * Target.Slowness);
 }
 
+Duration expectedWhole(const TargetState &Target, const RequestWork &Work) {
+  const auto Decode = toSeconds(stepTime(Target.running())) *
+                      static_cast<double>(Work.Output) * Target.Slowness;
+  return expectedFirstEvent(Target, Work) + fromSeconds(Decode);
+}
+
 std::optional<ChosenTarget> chooseTarget(std::span<const TargetPtr> Targets,
                                          const ChoiceInput &Input,
                                          TimePoint Now) {
@@ -69,7 +75,10 @@
 
     // Step 2. Rate it: in time, no harm to others, at home, then by speed.
     const auto First = expectedFirstEvent(*Target, Input.Work);
-    const bool InTime = First <= Input.TimeToTarget;
+    const bool Ends =
+        !Input.Work.IsEngine ||
+        expectedWhole(*Target, Input.Work) <= Input.TimeToEnd;
+    const bool InTime = First <= Input.TimeToTarget && Ends;
     const bool Stalls = Input.Work.IsEngine && stallsOthers(*Target, Input);
     const bool Away = Target->Entry.Domain != Input.Home;
     const double Cost =
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -327,6 +327,7 @@
   Input.Work = Waiting->work();
   Input.Home = m_Settings.Domain;
   Input.TimeToTarget = Waiting->latencyDeadline() - Now;
+  Input.TimeToEnd = Waiting->deadline() - Now;
   Input.GapTarget = Waiting->route().GapTarget;
   Input.Excluded = Waiting->triedTargets();
   const auto Chosen =
