gateway: latest start leaves time for the first event; load told by answers

Change: the latest start is the objective less twice the nominal time to the first event. What an answer tells of its target's load counts as requests of other daemons, which serves daemons that hear no reports.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -42,6 +42,9 @@
 /// Expected time to the first event of \p Work on \p Target.
 Duration expectedFirstEvent(const TargetState &Target, const RequestWork &Work);
 
+/// Time to the first event of \p Work on an idle nominal target.
+Duration nominalFirstEvent(const RequestWork &Work);
+
 /// Expected time to the end of \p Work on \p Target.
 Duration expectedWhole(const TargetState &Target, const RequestWork &Work);
 
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -86,6 +86,8 @@
   TimePoint deadline() const { return m_Deadline; }
   /// Latest time of the first event or answer that meets the objective.
   TimePoint latencyDeadline() const;
+  /// Latest start that is likely to meet the objective.
+  TimePoint latestStart() const;
   /// Latest useful start.
   TimePoint giveUpTime() const;
   /// Events of this request reached the caller already.
@@ -163,6 +165,7 @@
   TimePoint m_FirstSentAt{};
   TimePoint m_FirstByteAt{};
   Duration m_ExpectedFirst{0};
+  std::uint32_t m_RunningAtSend = 0;
   Duration m_WorstGap{0};
 };
 
--- a/packages/gateway/include/mangodeck/gateway/headernames.h
+++ b/packages/gateway/include/mangodeck/gateway/headernames.h
@@ -19,6 +19,7 @@
   std::string ExpectTarget;  ///< Set by the daemon: id of the target meant.
   std::string NotExecuted;   ///< A target's promise that it ran nothing.
   std::string Receipt;       ///< A target's proof that an answer is its own.
+  std::string TargetLoad;    ///< "RUNNING,WAITING,SLOTS" of a target.
   std::string RetryAfter;    ///< Seconds until a caller should come back.
   /// Fields that only the daemon may set; removed from callers' requests.
   std::vector<std::string> Reserved;
--- a/packages/gateway/include/mangodeck/gateway/requestfacts.h
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -24,6 +24,10 @@
 
 RequestFacts readFacts(const http::Request &Message, const HeaderNames &Names);
 
+/// Requests that run or wait at a target, from the field that tells its load;
+/// std::nullopt if it cannot be read.
+std::optional<std::uint32_t> parseLoad(std::string_view Field);
+
 /// The work that a request is expected to be.
 RequestWork workOf(const RequestFacts &Facts, const PlannedService *Service);
 
--- a/packages/gateway/include/mangodeck/gateway/targetbook.h
+++ b/packages/gateway/include/mangodeck/gateway/targetbook.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -49,6 +50,10 @@
   std::uint32_t PeerRunning = 0;
   TokenCount PeerPrefill = 0;
 
+  /// Requests of other daemons as its last answer told; 0 when that is old.
+  std::uint32_t ForeignSeen = 0;
+  TimePoint ForeignSeenAt{};
+
   /// Time that it takes for work, relative to the nominal engine.
   double Slowness = 1.0;
   bool SlownessKnown = false;
@@ -62,7 +67,15 @@
   /// Last byte that it sent on any connection.
   TimePoint LastByte{};
 
-  std::uint32_t running() const { return OwnRunning + PeerRunning; }
+  /// Requests at the target, own ones and those of other daemons.
+  std::uint32_t running() const {
+    return OwnRunning + std::max(PeerRunning, ForeignSeen);
+  }
+  /// Takes over what an answer said of the target's load: \p Total requests
+  /// run or wait there.
+  void noteLoad(std::uint32_t Total, TimePoint Now);
+  /// Drops what the last answers said once it is old.
+  void ageLoad(TimePoint Now);
   TokenCount prefill() const { return OwnPrefill + PeerPrefill; }
   bool isUsable(TimePoint Now) const {
     return !Entry.Draining && !Lost && AvoidUntil <= Now;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -55,6 +55,11 @@
   return fromSeconds(Nominal * Target.Slowness);
 }
 
+Duration nominalFirstEvent(const RequestWork &Work) {
+  return Work.IsEngine ? firstTokenTime() + prefillTime(Work.Prompt)
+                       : PlainTime;
+}
+
 Duration expectedWhole(const TargetState &Target, const RequestWork &Work) {
   const auto Decode = toSeconds(stepTime(Target.running())) *
                       static_cast<double>(Work.Output) * Target.Slowness;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -30,6 +30,9 @@
 constexpr Duration LeastStreamPatience = 2s;
 constexpr int LatencyPatience = 4;
 constexpr int GapPatience = 8;
+/// Multiple of the nominal time to the first event that is left for it: on a
+/// busy engine other prompts are read in between.
+constexpr int FirstEventMargin = 2;
 /// Events that a stream needs to tell a target's pace.
 constexpr std::uint32_t EventsForPace = 4;
 
@@ -62,6 +65,10 @@
   return {Customer, m_Route.Rank};
 }
 
+TimePoint Exchange::latestStart() const {
+  return latencyDeadline() - nominalFirstEvent(m_Work) * FirstEventMargin;
+}
+
 TimePoint Exchange::latencyDeadline() const {
   if (m_Route.LatencyTarget <= Duration{0})
     return m_Deadline;
@@ -82,6 +89,7 @@
   m_Phase = Phase::Connecting;
   m_Target = Chosen.Target;
   m_ExpectedFirst = Chosen.FirstEvent;
+  m_RunningAtSend = m_Target->running();
   m_Target->OwnRunning += 1;
   m_PrefillBooked = m_Work.Prompt;
   m_Target->OwnPrefill += m_PrefillBooked;
@@ -163,6 +171,8 @@
   m_LastByte = m_Target->LastByte = Now;
   m_Answer = Head;
   const auto &Names = m_Parts.Names;
+  if (const auto Load = parseLoad(Head.Fields.get(Names.TargetLoad)))
+    m_Target->noteLoad(*Load, Now);
   const auto *Echo = Head.Fields.find(Names.AttemptId);
   // Answers to other requests, also such as come late on this connection, are
   // told by the id that they repeat.
@@ -475,6 +485,8 @@
        {"target", m_Target ? m_Target->Entry.Id.Text : std::string()},
        {"plan", m_Plan->Version},
        {"wait_ms", ageMs(m_Arrival, m_FirstSentAt)},
+       {"expected_first_ms", toMs(m_ExpectedFirst)},
+       {"running_at_send", m_RunningAtSend},
        {"first_ms", ageMs(m_Arrival, m_FirstByteAt)},
        {"whole_ms", ageMs(m_Arrival, Now)},
        {"prompt", m_Facts.Prompt},
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -294,7 +294,7 @@
   const auto Ahead = State.Queue.countAhead(New->rank(), Now) + 1;
   const auto Rate = std::max(0.5, State.Rate.perSecond(Now));
   const auto Wait = fromSeconds(static_cast<double>(Ahead) / Rate);
-  const auto Patience = New->latencyDeadline() - Now;
+  const auto Patience = New->latestStart() - Now;
   if (Wait > Patience)
     return New->refuse(503, "no slot within the latency target",
                        comeBackAfter(*New));
@@ -307,7 +307,7 @@
   QueuedTicket Ticket;
   Ticket.Number = Waiting->number();
   Ticket.Rank = Waiting->hasStreamed() ? RequestRank() : Waiting->rank();
-  Ticket.StartBy = Waiting->latencyDeadline();
+  Ticket.StartBy = Waiting->latestStart();
   Ticket.GiveUp = Waiting->giveUpTime();
   if (Ticket.StartBy < Now && Waiting->hasStreamed())
     Ticket.StartBy = Ticket.GiveUp;
@@ -600,6 +600,7 @@
   for (const auto &[Name, Targets] : m_Targets.services())
     for (const auto &Target : Targets) {
       const auto Found = Loads.find(Target->Hash);
+      Target->ageLoad(Now);
       Target->PeerRunning = Found == Loads.end() ? 0 : Found->second.Running;
       Target->PeerPrefill = Found == Loads.end() ? 0 : Found->second.Prefill;
     }
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -49,6 +49,19 @@
   return Facts;
 }
 
+std::optional<std::uint32_t> parseLoad(std::string_view Field) {
+  const auto First = Field.find(',');
+  const auto Second = First == Field.npos ? First : Field.find(',', First + 1);
+  if (Second == Field.npos)
+    return std::nullopt;
+  const auto Running = parseNumber(Field.substr(0, First));
+  const auto Waiting =
+      parseNumber(Field.substr(First + 1, Second - First - 1));
+  if (!Running || !Waiting)
+    return std::nullopt;
+  return static_cast<std::uint32_t>(*Running + *Waiting);
+}
+
 RequestWork workOf(const RequestFacts &Facts, const PlannedService *Service) {
   RequestWork Work;
   Work.IsEngine = Service && Service->IsEngine;
--- a/packages/gateway/src/targetbook.cpp
+++ b/packages/gateway/src/targetbook.cpp
@@ -16,6 +16,9 @@
 constexpr Duration LongestAvoidance = 2s;
 /// Failures in a row before a target is avoided: single answers get lost.
 constexpr std::uint32_t FailuresToAvoid = 2;
+/// How long the load that an answer told counts: about as long as a request
+/// of others runs.
+constexpr Duration LoadLifetime = 400ms;
 /// Weight of a new sample of the pace.
 constexpr double PaceWeight = 0.3;
 /// Range of believable slowness; engines differ by five times.
@@ -40,6 +43,16 @@
   SlownessKnown = true;
 }
 
+void TargetState::noteLoad(std::uint32_t Total, TimePoint Now) {
+  ForeignSeen = Total > OwnRunning ? Total - OwnRunning : 0;
+  ForeignSeenAt = Now;
+}
+
+void TargetState::ageLoad(TimePoint Now) {
+  if (Now - ForeignSeenAt > LoadLifetime)
+    ForeignSeen = 0;
+}
+
 void TargetState::noteSuccess(TimePoint Now) {
   FailuresInRow = 0;
   AvoidUntil = TimePoint{};
