gateway: requests wait for a slot as long as their latency target

Requests that can no longer meet their objective are rarely reached while others can.

Change: a request waits for its latency target at most, then is refused with a time to come back.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -88,6 +88,8 @@
   TimePoint latencyDeadline() const;
   /// Latest start that is likely to meet the objective.
   TimePoint latestStart() const;
+  /// When a request that waits for a slot is refused.
+  TimePoint latestWait() const;
   /// Latest useful start.
   TimePoint giveUpTime() const;
   /// Events of this request reached the caller already.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -30,6 +30,9 @@
 constexpr Duration LeastStreamPatience = 2s;
 constexpr int LatencyPatience = 4;
 constexpr int GapPatience = 8;
+/// Multiple of its latency target that a request waits for a slot. Longer
+/// waits end with a caller that has left; one that is refused comes back.
+constexpr int WaitPatience = 1;
 /// Multiple of the nominal time to the first event that is left for it: on a
 /// busy engine other prompts are read in between.
 constexpr int FirstEventMargin = 2;
@@ -75,6 +78,13 @@
   return m_Arrival + m_Route.LatencyTarget;
 }
 
+TimePoint Exchange::latestWait() const {
+  if (m_HeadSent || m_Route.LatencyTarget <= Duration{0})
+    return giveUpTime();
+  return std::min(giveUpTime() - nominalFirstEvent(m_Work),
+                  m_Arrival + m_Route.LatencyTarget * WaitPatience);
+}
+
 TimePoint Exchange::giveUpTime() const {
   if (m_Route.Kind != RouteKind::Stream)
     return m_Deadline;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -308,7 +308,7 @@
   Ticket.Number = Waiting->number();
   Ticket.Rank = Waiting->hasStreamed() ? RequestRank() : Waiting->rank();
   Ticket.StartBy = Waiting->latestStart();
-  Ticket.GiveUp = Waiting->giveUpTime();
+  Ticket.GiveUp = Waiting->latestWait();
   if (Ticket.StartBy < Now && Waiting->hasStreamed())
     Ticket.StartBy = Ticket.GiveUp;
   m_Services[Waiting->service().Text].Queue.push(Ticket);
