gateway: one digest a failure domain in place of reports to all daemons

Ruled out: shares of the limit by daemon (a request is larger than a share).

Change: daemons report within their failure domain; the first by name of those heard sends a digest of the domain to two daemons of each other domain, and the digests that come are passed on at home.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -110,6 +111,8 @@
   void acceptReady(asio::ip::tcp::acceptor &Acceptor);
   void serveReady(std::shared_ptr<asio::ip::tcp::socket> Socket);
   void receiveReport();
+  void acceptReport(PeerReport Report, TimePoint Now);
+  void sendTo(std::span<const PeerAddress> Peers, std::string_view Bytes);
   void sendReports(TimePoint Now);
   void refreshLoads(TimePoint Now);
   void answer(http::CallerConnection &Connection, int Status,
--- a/packages/gateway/include/mangodeck/gateway/peertable.h
+++ b/packages/gateway/include/mangodeck/gateway/peertable.h
@@ -23,9 +23,16 @@
   TokenCount Prefill = 0;
 };
 
-/// What a daemon tells the others several times a second.
+/// What a daemon tells the others of its failure domain several times a
+/// second. A digest is the same of all daemons of a failure domain together,
+/// made by one of them for the other domains: so the messages of a daemon grow
+/// with the size of its own domain only, and few cross between domains.
 struct PeerReport {
-  std::string Vm;
+  std::string Vm; ///< Of the daemon, or the one that made the digest.
+  FailureDomain Domain;
+  std::uint32_t Daemons = 1; ///< Daemons that it speaks of.
+  bool IsDigest = false;
+  bool Forwarded = false; ///< A digest, passed on within the domain.
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
   bool Stopping = false;
@@ -44,12 +51,15 @@
 struct PeerAddress {
   std::string Ip;
   std::uint16_t Port = 0;
+  FailureDomain Domain;
   bool operator==(const PeerAddress &) const = default;
 };
 
 /// The other daemons: where they are, and what they told last.
 class PeerTable {
 public:
+  PeerTable(std::string OwnVm, FailureDomain Home);
+
   /// The store lists a daemon.
   void add(const std::string &Vm, const PeerAddress &Address);
   /// The store lists it no longer. It counts for a while, since it may live
@@ -58,8 +68,16 @@
   /// Takes a report over; false if it is older than what is known.
   bool accept(PeerReport Report, TimePoint Now);
 
-  /// Daemons to send reports to.
-  std::vector<PeerAddress> addresses() const;
+  /// Daemons of the own failure domain, to send reports to.
+  std::vector<PeerAddress> homeAddresses() const;
+  /// Some daemons of each other failure domain, to send digests to.
+  std::vector<PeerAddress> awayAddresses() const;
+  /// Whether this daemon makes the digests of its failure domain: the first by
+  /// name of those that are heard.
+  bool isDelegate(TimePoint Now) const;
+  /// All daemons of the own failure domain in one report; \p Own is this
+  /// daemon's.
+  PeerReport digest(const PeerReport &Own, TimePoint Now) const;
   /// Daemons that may be serving, this one included.
   std::size_t daemonCount(TimePoint Now) const;
   /// Work of the daemons heard lately, by target.
@@ -74,7 +92,10 @@
     TimePoint Heard{};
     bool Stopped = false;
   };
-  std::map<std::string, Peer> m_Peers;
+  std::string m_OwnVm;
+  FailureDomain m_Home;
+  std::map<std::string, Peer> m_Peers; ///< By name.
+  std::map<std::string, Peer> m_Domains; ///< Digests by failure domain.
 };
 
 } // namespace mangodeck
--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -17,6 +17,16 @@
   double Level = 0;    ///< Units left in its copy of the bucket.
 };
 
+/// The use that a daemon, or the daemons of a failure domain, told.
+struct PeerUse {
+  std::string Peer;              ///< Names the daemon or failure domain.
+  std::uint64_t Incarnation = 0; ///< Tells starts of the teller apart.
+  std::uint32_t Daemons = 1;     ///< That it speaks of.
+  bool IsDigest = false;         ///< Of a failure domain.
+  bool Stopping = false;         ///< No longer counts once it is silent.
+  std::map<std::string, CustomerUse> Use; ///< By customer.
+};
+
 /// The customers' limits, as one daemon enforces them. Answers the load of
 /// requests that are large against a limit's burst: a daemon's part of the
 /// burst would not hold one. So every daemon keeps a copy of the whole token
@@ -30,11 +40,9 @@
 public:
   /// Takes over the limits of a plan.
   void configure(const RoutePlan &Plan, TimePoint Now);
-  /// What another daemon told. \p Incarnation tells its starts apart; a
-  /// daemon that is \p Stopping no longer counts once it is silent.
-  void onPeerUse(const std::string &Peer, std::uint64_t Incarnation,
-                 bool Stopping, const std::map<std::string, CustomerUse> &Use,
-                 TimePoint Now);
+  /// What another daemon told, or the daemons of another failure domain
+  /// together.
+  void onPeerUse(const PeerUse &Told, TimePoint Now);
   /// Daemons that may be serving, this one included.
   void setDaemons(std::size_t Count);
 
@@ -44,8 +52,10 @@
                                TimePoint Now);
   /// Returns what was booked for a request that never ran.
   void giveBack(const CustomerName &Customer, double Cost);
-  /// Own use by customer, for the other daemons.
+  /// Own use by customer, for the daemons of this failure domain.
   std::map<std::string, CustomerUse> use(TimePoint Now);
+  /// Use of this failure domain by customer, for the others.
+  std::map<std::string, CustomerUse> domainUse(TimePoint Now);
   /// The part of the limit that this daemon and those heard may use, 0 to 1.
   double reach(const CustomerName &Customer, TimePoint Now) const;
 
@@ -55,12 +65,11 @@
     double Burst = 0;
     double Level = 0;
     CustomerUse Own;
+    double DomainAdmitted = 0; ///< By daemons of this failure domain.
     TimePoint Updated{};
   };
   struct Peer {
-    std::uint64_t Incarnation = 0;
-    bool Stopping = false;
-    std::map<std::string, CustomerUse> Use;
+    PeerUse Last;
     TimePoint Heard{};
   };
   void advance(const std::string &Name, Account &State, TimePoint Now);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -53,8 +53,8 @@
     : m_Loop(Loop), m_Settings(std::move(Settings)), m_Names(Names),
       m_Log(Log), m_Metrics(Metrics), m_Random(Random), m_Acceptor(Loop),
       m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
-      m_Timer(Loop), m_Pool(Loop.get_executor()),
-      m_Budget(m_Settings.Retry) {}
+      m_Timer(Loop), m_Pool(Loop.get_executor()), m_Budget(m_Settings.Retry),
+      m_Peers(m_Settings.Vm, m_Settings.Domain) {}
 
 Gateway::~Gateway() = default;
 
@@ -550,19 +550,47 @@
                                               {"told_by", Report->Vm}});
               Target->Entry.Draining = true;
             }
-          const auto Vm = Report->Vm;
-          const bool Stopping = Report->Stopping;
-          const auto Incarnation = Report->Incarnation;
-          const auto Use = Report->Use;
-          if (m_Peers.accept(std::move(*Report), Now))
-            m_Quotas.onPeerUse(Vm, Incarnation, Stopping, Use, Now);
+          acceptReport(std::move(*Report), Now);
         }
         receiveReport();
       });
 }
 
+void Gateway::acceptReport(PeerReport Report, TimePoint Now) {
+  // Digests of this domain come back only if a daemon was moved.
+  if (Report.IsDigest && Report.Domain == m_Settings.Domain)
+    return;
+  PeerUse Told;
+  Told.Peer = Report.IsDigest ? Report.Domain.Text : Report.Vm;
+  Told.Incarnation = Report.Incarnation;
+  Told.Daemons = Report.Daemons;
+  Told.IsDigest = Report.IsDigest;
+  Told.Stopping = Report.Stopping;
+  Told.Use = Report.Use;
+  auto Copy = Report;
+  if (!m_Peers.accept(std::move(Report), Now))
+    return;
+  m_Quotas.onPeerUse(Told, Now);
+  if (Copy.IsDigest && !Copy.Forwarded && m_Peers.isDelegate(Now)) {
+    Copy.Forwarded = true;
+    sendTo(m_Peers.homeAddresses(), encodeReport(Copy));
+  }
+}
+
+void Gateway::sendTo(std::span<const PeerAddress> Peers,
+                     std::string_view Bytes) {
+  for (const auto &Peer : Peers) {
+    std::error_code Error;
+    const auto Address = asio::ip::make_address(Peer.Ip, Error);
+    // A report that cannot be sent is made up for by the next.
+    if (!Error)
+      m_PeerSocket.send_to(asio::buffer(Bytes.data(), Bytes.size()),
+                           {Address, Peer.Port}, 0, Error);
+  }
+}
+
 void Gateway::sendReports(TimePoint Now) {
-  const auto Peers = m_Peers.addresses();
+  const auto Peers = m_Peers.homeAddresses();
   const auto Scale = std::max<std::size_t>(
       1, (Peers.size() + DaemonsAtFullRate - 1) / DaemonsAtFullRate);
   if (Now - m_LastReport < ReportPeriod * Scale)
@@ -570,6 +598,7 @@
   m_LastReport = Now;
   PeerReport Report;
   Report.Vm = m_Settings.Vm;
+  Report.Domain = m_Settings.Domain;
   Report.Incarnation = m_Settings.Incarnation;
   Report.Sequence = ++m_ReportSequence;
   Report.Stopping = m_Stopping;
@@ -585,14 +614,14 @@
   });
   for (const auto &[Hash, Since] : m_Leaving)
     Report.Leaving.push_back(Hash);
-  const auto Bytes = encodeReport(Report);
-  for (const auto &Peer : Peers) {
-    std::error_code Error;
-    const auto Address = asio::ip::make_address(Peer.Ip, Error);
-    // A report that cannot be sent is made up for by the next.
-    if (!Error)
-      m_PeerSocket.send_to(asio::buffer(Bytes), {Address, Peer.Port}, 0, Error);
-  }
+  sendTo(Peers, encodeReport(Report));
+  if (!m_Peers.isDelegate(Now))
+    return;
+  auto Digest = m_Peers.digest(Report, Now);
+  Digest.Use = m_Quotas.domainUse(Now);
+  // A domain does not stop with the daemon that speaks for it.
+  Digest.Stopping = false;
+  sendTo(m_Peers.awayAddresses(), encodeReport(Digest));
 }
 
 void Gateway::refreshLoads(TimePoint Now) {
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peertable.cpp
@@ -1,6 +1,8 @@
 #include "mangodeck/gateway/peertable.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace mangodeck {
 
@@ -12,12 +14,24 @@
 /// A daemon that the store no longer lists counts this long among those that
 /// share limits: it may serve behind a cut.
 constexpr Duration ShareLifetime = 15s;
+/// A daemon is heard if its last report is not older; several were lost else.
+constexpr Duration HeardTime = 1s;
+/// Daemons of another failure domain that a digest is sent to: one of them
+/// may be down without the store knowing yet.
+constexpr std::size_t DigestReceivers = 2;
+/// Digests of another daemon are taken over after this silence.
+constexpr Duration DelegateSilence = 500ms;
 
 } // namespace
 
 std::string encodeReport(const PeerReport &Report) {
   nlohmann::json Message;
   Message["v"] = Report.Vm;
+  Message["d"] = Report.Domain.Text;
+  if (Report.IsDigest) {
+    Message["n"] = Report.Daemons;
+    Message["f"] = Report.Forwarded;
+  }
   Message["i"] = Report.Incarnation;
   Message["s"] = Report.Sequence;
   if (Report.Stopping)
@@ -46,6 +60,10 @@
   try {
     PeerReport Report;
     Report.Vm = Message.at("v").get<std::string>();
+    Report.Domain = FailureDomain(Message.at("d").get<std::string>());
+    Report.IsDigest = Message.contains("n");
+    Report.Daemons = Message.value("n", 1u);
+    Report.Forwarded = Message.value("f", false);
     Report.Incarnation = Message.at("i").get<std::uint64_t>();
     Report.Sequence = Message.at("s").get<std::uint64_t>();
     Report.Stopping = Message.value("x", false);
@@ -69,6 +87,9 @@
   }
 }
 
+PeerTable::PeerTable(std::string OwnVm, FailureDomain Home)
+    : m_OwnVm(std::move(OwnVm)), m_Home(std::move(Home)) {}
+
 void PeerTable::add(const std::string &Vm, const PeerAddress &Address) {
   auto &Peer = m_Peers[Vm];
   Peer.Address = Address;
@@ -83,10 +104,14 @@
 }
 
 bool PeerTable::accept(PeerReport Report, TimePoint Now) {
-  auto &Peer = m_Peers[Report.Vm];
-  if (Report.Incarnation < Peer.Last.Incarnation ||
+  auto &Peer =
+      Report.IsDigest ? m_Domains[Report.Domain.Text] : m_Peers[Report.Vm];
+  const bool OtherDelegate = Report.IsDigest && Report.Vm != Peer.Last.Vm;
+  if (OtherDelegate && Now - Peer.Heard < DelegateSilence)
+    return false;
+  if (!OtherDelegate && (Report.Incarnation < Peer.Last.Incarnation ||
       (Report.Incarnation == Peer.Last.Incarnation &&
-       Report.Sequence <= Peer.Last.Sequence))
+       Report.Sequence <= Peer.Last.Sequence)))
     return false;
   Peer.Heard = Now;
   Peer.Stopped = Report.Stopping;
@@ -94,14 +119,65 @@
   return true;
 }
 
-std::vector<PeerAddress> PeerTable::addresses() const {
+std::vector<PeerAddress> PeerTable::homeAddresses() const {
   std::vector<PeerAddress> Result;
   for (const auto &[Vm, Peer] : m_Peers)
-    if (Peer.Address)
+    if (Peer.Address && Peer.Address->Domain == m_Home)
       Result.push_back(*Peer.Address);
   return Result;
 }
 
+std::vector<PeerAddress> PeerTable::awayAddresses() const {
+  std::vector<PeerAddress> Result;
+  std::map<std::string, std::size_t> Chosen;
+  for (const auto &[Vm, Peer] : m_Peers)
+    if (Peer.Address && !Peer.Removed && Peer.Address->Domain != m_Home &&
+        Chosen[Peer.Address->Domain.Text]++ < DigestReceivers)
+      Result.push_back(*Peer.Address);
+  return Result;
+}
+
+bool PeerTable::isDelegate(TimePoint Now) const {
+  return std::none_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
+    return Entry.first < m_OwnVm && Entry.second.Last.Domain == m_Home &&
+           !Entry.second.Stopped && Now - Entry.second.Heard < HeardTime;
+  });
+}
+
+PeerReport PeerTable::digest(const PeerReport &Own, TimePoint Now) const {
+  PeerReport Sum = Own;
+  Sum.IsDigest = true;
+  std::map<std::uint64_t, PeerLoad> Loads;
+  for (const auto &Load : Own.Loads)
+    Loads[Load.Target] = Load;
+  std::set<std::pair<std::uint64_t, std::uint64_t>> Marks;
+  for (const auto &Mark : Own.Crashes)
+    Marks.insert({Mark.Fingerprint, Mark.Crash});
+  std::set<std::uint64_t> Leaving(Own.Leaving.begin(), Own.Leaving.end());
+  for (const auto &[Vm, Peer] : m_Peers) {
+    if (Peer.Last.Domain != m_Home || Now - Peer.Heard > HeardTime)
+      continue;
+    ++Sum.Daemons;
+    for (const auto &Load : Peer.Last.Loads) {
+      auto &Entry = Loads[Load.Target];
+      Entry.Target = Load.Target;
+      Entry.Running += Load.Running;
+      Entry.Prefill += Load.Prefill;
+    }
+    for (const auto &Mark : Peer.Last.Crashes)
+      Marks.insert({Mark.Fingerprint, Mark.Crash});
+    Leaving.insert(Peer.Last.Leaving.begin(), Peer.Last.Leaving.end());
+  }
+  Sum.Loads.clear();
+  for (const auto &[Target, Load] : Loads)
+    Sum.Loads.push_back(Load);
+  Sum.Crashes.clear();
+  for (const auto &[Fingerprint, Crash] : Marks)
+    Sum.Crashes.push_back({Fingerprint, Crash});
+  Sum.Leaving.assign(Leaving.begin(), Leaving.end());
+  return Sum;
+}
+
 std::size_t PeerTable::daemonCount(TimePoint Now) const {
   std::size_t Count = 1;
   for (const auto &[Vm, Peer] : m_Peers) {
@@ -118,16 +194,17 @@
 std::unordered_map<std::uint64_t, PeerLoad>
 PeerTable::loads(TimePoint Now) const {
   std::unordered_map<std::uint64_t, PeerLoad> Sum;
-  for (const auto &[Vm, Peer] : m_Peers) {
-    if (Now - Peer.Heard > LoadLifetime)
-      continue;
-    for (const auto &Load : Peer.Last.Loads) {
-      auto &Entry = Sum[Load.Target];
-      Entry.Target = Load.Target;
-      Entry.Running += Load.Running;
-      Entry.Prefill += Load.Prefill;
+  for (const auto *Table : {&m_Peers, &m_Domains})
+    for (const auto &[Name, Peer] : *Table) {
+      if (Now - Peer.Heard > LoadLifetime)
+        continue;
+      for (const auto &Load : Peer.Last.Loads) {
+        auto &Entry = Sum[Load.Target];
+        Entry.Target = Load.Target;
+        Entry.Running += Load.Running;
+        Entry.Prefill += Load.Prefill;
+      }
     }
-  }
   return Sum;
 }
 
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -47,37 +47,37 @@
   });
 }
 
-void QuotaLedger::onPeerUse(const std::string &Peer, std::uint64_t Incarnation,
-                            bool Stopping,
-                            const std::map<std::string, CustomerUse> &Use,
-                            TimePoint Now) {
-  auto [At, New] = m_Peers.try_emplace(Peer);
+void QuotaLedger::onPeerUse(const PeerUse &Told, TimePoint Now) {
+  auto [At, New] = m_Peers.try_emplace(Told.Peer);
   auto &State = At->second;
+  const bool Same = !New && Told.Incarnation == State.Last.Incarnation;
   // After a silence the peer's part was held back already, so that what it
-  // admitted meanwhile is not charged again. A peer that started anew had
-  // nothing to tell before.
-  const bool InContact = !New && Now - State.Heard <= ContactTime;
-  const bool Restarted = !New && Incarnation != State.Incarnation;
-  for (const auto &[Name, Told] : Use) {
+  // admitted meanwhile is not charged again. A daemon that started anew had
+  // nothing to tell before; a digest that another daemon makes goes on from
+  // counts of its own.
+  const bool InContact = Same && Now - State.Heard <= ContactTime;
+  const bool Restarted = !New && !Same && !Told.IsDigest;
+  for (const auto &[Name, Use] : Told.Use) {
     const auto Account = m_Accounts.find(Name);
     if (Account == m_Accounts.end())
       continue;
-    advance(Name, Account->second, Now);
+    auto &Entry = Account->second;
+    advance(Name, Entry, Now);
     if (InContact || Restarted) {
-      const auto Before = State.Use.find(Name);
-      const double Base = Restarted || Before == State.Use.end()
+      const auto Before = State.Last.Use.find(Name);
+      const double Base = Restarted || Before == State.Last.Use.end()
                               ? 0
                               : Before->second.Admitted;
-      Account->second.Level -= Told.Admitted - Base;
+      Entry.Level -= Use.Admitted - Base;
+      if (!Told.IsDigest)
+        Entry.DomainAdmitted += Use.Admitted - Base;
     } else {
       // This daemon or the contact is new: the peer may know of use that was
       // never told here.
-      Account->second.Level = std::min(Account->second.Level, Told.Level);
+      Entry.Level = std::min(Entry.Level, Use.Level);
     }
   }
-  State.Incarnation = Incarnation;
-  State.Stopping = Stopping;
-  State.Use = Use;
+  State.Last = Told;
   State.Heard = Now;
 }
 
@@ -91,14 +91,15 @@
   double Reached = OwnDemand;
   std::size_t Contacts = 1;
   for (const auto &[Id, Peer] : m_Peers) {
-    if (Now - Peer.Heard > (Peer.Stopping ? ContactTime : PeerMemory))
+    if (Now - Peer.Heard > (Peer.Last.Stopping ? ContactTime : PeerMemory))
       continue;
-    const auto Found = Peer.Use.find(Name);
-    const double Demand = Found == Peer.Use.end() ? 0 : Found->second.Demand;
+    const auto Found = Peer.Last.Use.find(Name);
+    const double Demand =
+        Found == Peer.Last.Use.end() ? 0 : Found->second.Demand;
     All += Demand;
     if (Now - Peer.Heard <= ContactTime) {
       Reached += Demand;
-      ++Contacts;
+      Contacts += Peer.Last.Daemons;
     }
   }
   const double Even = std::min(
@@ -134,6 +135,7 @@
   if (State.Level >= Needed) {
     State.Level -= Cost;
     State.Own.Admitted += Cost;
+    State.DomainAdmitted += Cost;
     return std::nullopt;
   }
   return fromSeconds((Needed - State.Level) /
@@ -146,6 +148,22 @@
     return;
   Found->second.Level += Cost;
   Found->second.Own.Admitted -= Cost;
+  Found->second.DomainAdmitted -= Cost;
+}
+
+std::map<std::string, CustomerUse> QuotaLedger::domainUse(TimePoint Now) {
+  auto Result = use(Now);
+  for (auto &[Name, Use] : Result) {
+    Use.Admitted = m_Accounts.at(Name).DomainAdmitted;
+    for (const auto &[Id, Peer] : m_Peers) {
+      if (Peer.Last.IsDigest || Now - Peer.Heard > ContactTime)
+        continue;
+      const auto Found = Peer.Last.Use.find(Name);
+      if (Found != Peer.Last.Use.end())
+        Use.Demand += Found->second.Demand;
+    }
+  }
+  return Result;
 }
 
 std::map<std::string, CustomerUse> QuotaLedger::use(TimePoint Now) {
--- a/packages/gateway/test/peertable_test.cpp
+++ b/packages/gateway/test/peertable_test.cpp
@@ -10,6 +10,9 @@
   CPPUNIT_TEST(report_foreignBytes_areNoReport);
   CPPUNIT_TEST(addresses_stoppingPeer_isStillToldOfUse);
   CPPUNIT_TEST(daemonCount_peerUnlisted_countsUntilCutsHaveEnded);
+  CPPUNIT_TEST(digest_homeDaemons_areSummedAndOthersLeftOut);
+  CPPUNIT_TEST(delegate_firstByNameOfThoseHeard_andNextWhenSilent);
+  CPPUNIT_TEST(accept_digestOfOtherDelegate_onlyAfterSilence);
   CPPUNIT_TEST(accept_olderReport_isIgnored);
   CPPUNIT_TEST(loads_silentPeer_countNoLonger);
   CPPUNIT_TEST_SUITE_END();
@@ -18,6 +21,7 @@
                              std::uint64_t Sequence) {
     PeerReport Report;
     Report.Vm = Vm;
+    Report.Domain = FailureDomain("x");
     Report.Incarnation = Incarnation;
     Report.Sequence = Sequence;
     Report.Loads.push_back({7, 3, 500});
@@ -52,25 +56,62 @@
   }
 
   void addresses_stoppingPeer_isStillToldOfUse() {
-    PeerTable Table;
-    Table.add("a", {"10.0.0.1", 7000});
+    PeerTable Table("m", FailureDomain("x"));
+    Table.add("a", {"10.0.0.1", 7000, FailureDomain("x")});
     auto Report = reportOf("a", 5, 9);
     Report.Stopping = true;
     CPPUNIT_ASSERT(Table.accept(Report, m_Now));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Table.addresses().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Table.homeAddresses().size());
   }
 
   void daemonCount_peerUnlisted_countsUntilCutsHaveEnded() {
-    PeerTable Table;
-    Table.add("a", {"10.0.0.1", 7000});
+    PeerTable Table("m", FailureDomain("x"));
+    Table.add("a", {"10.0.0.1", 7000, FailureDomain("x")});
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Table.daemonCount(m_Now));
     Table.remove("a", m_Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Table.daemonCount(m_Now + 5s));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Table.daemonCount(m_Now + 20s));
   }
 
+  void digest_homeDaemons_areSummedAndOthersLeftOut() {
+    PeerTable Table("m", FailureDomain("x"));
+    Table.accept(reportOf("n", 5, 9), m_Now);
+    auto Away = reportOf("z", 5, 9);
+    Away.Domain = FailureDomain("y");
+    Away.IsDigest = true;
+    Away.Daemons = 4;
+    Table.accept(Away, m_Now);
+    const auto Sum = Table.digest(reportOf("m", 1, 1), m_Now);
+    CPPUNIT_ASSERT(Sum.IsDigest);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), Sum.Daemons);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), Sum.Loads.at(0).Running);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), Table.loads(m_Now).at(7).Running);
+  }
+
+  void delegate_firstByNameOfThoseHeard_andNextWhenSilent() {
+    PeerTable Table("m", FailureDomain("x"));
+    CPPUNIT_ASSERT(Table.isDelegate(m_Now));
+    Table.accept(reportOf("a", 5, 9), m_Now);
+    CPPUNIT_ASSERT(!Table.isDelegate(m_Now));
+    CPPUNIT_ASSERT(Table.isDelegate(m_Now + 2s));
+  }
+
+  void accept_digestOfOtherDelegate_onlyAfterSilence() {
+    PeerTable Table("m", FailureDomain("x"));
+    auto First = reportOf("z1", 9, 50);
+    First.Domain = FailureDomain("y");
+    First.IsDigest = true;
+    auto Second = First;
+    Second.Vm = "z2";
+    Second.Incarnation = 3;
+    Second.Sequence = 1;
+    CPPUNIT_ASSERT(Table.accept(First, m_Now));
+    CPPUNIT_ASSERT(!Table.accept(Second, m_Now + 100ms));
+    CPPUNIT_ASSERT(Table.accept(Second, m_Now + 700ms));
+  }
+
   void accept_olderReport_isIgnored() {
-    PeerTable Table;
+    PeerTable Table("m", FailureDomain("x"));
     CPPUNIT_ASSERT(Table.accept(reportOf("a", 5, 9), m_Now));
     CPPUNIT_ASSERT(!Table.accept(reportOf("a", 5, 9), m_Now));
     CPPUNIT_ASSERT(!Table.accept(reportOf("a", 4, 20), m_Now));
@@ -78,7 +119,7 @@
   }
 
   void loads_silentPeer_countNoLonger() {
-    PeerTable Table;
+    PeerTable Table("m", FailureDomain("x"));
     Table.accept(reportOf("a", 5, 9), m_Now);
     Table.accept(reportOf("b", 5, 9), m_Now);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), Table.loads(m_Now).at(7).Running);
--- a/packages/gateway/test/quotaledger_test.cpp
+++ b/packages/gateway/test/quotaledger_test.cpp
@@ -90,8 +90,9 @@
       const auto Use = m_Ledgers[From].use(m_Now);
       for (std::size_t To = 0; To < m_Ledgers.size(); ++To)
         if (To != From && m_Cut[To] == m_Cut[From])
-          m_Ledgers[To].onPeerUse("vm" + std::to_string(From),
-                                  m_Incarnation[From], m_Stopping[From], Use,
+          m_Ledgers[To].onPeerUse({"vm" + std::to_string(From),
+                                   m_Incarnation[From], 1, false,
+                                   m_Stopping[From], Use},
                                   m_Now);
     }
   }
