gateway: each daemon takes its part of the free slots it sees

Ruled out: prefill of long prompts (the expected figure holds it).

Change: at each report period a daemon draws its part of a target's free slots; a slot that its own request frees is its own to fill.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -48,6 +48,12 @@
 /// Expected time to the end of \p Work on \p Target.
 Duration expectedWhole(const TargetState &Target, const RequestWork &Work);
 
+/// The part of a target's free slots that one of \p Rivals daemons takes;
+/// \p Draw in [0, 1) rounds it up or down by chance. Answers bursts at many
+/// daemons: without it, all of them fill the slots that they see free.
+std::uint32_t drawAllowance(const TargetState &Target, std::size_t Rivals,
+                            double Draw);
+
 /// Usable targets of a service and the slots that are free on them.
 struct Room {
   std::uint32_t UsableTargets = 0;
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -113,6 +113,7 @@
   void receiveReport();
   void acceptReport(PeerReport Report, TimePoint Now);
   void sendTo(std::span<const PeerAddress> Peers, std::string_view Bytes);
+  Duration reportPeriod() const;
   void sendReports(TimePoint Now);
   void refreshLoads(TimePoint Now);
   void answer(http::CallerConnection &Connection, int Status,
@@ -165,6 +166,7 @@
   bool m_IdleClosed = false;
   TimePoint m_StopSince{};
   TimePoint m_LastReport{};
+  TimePoint m_LastRefresh{};
   TimePoint m_LastSlowTick{};
 };
 
--- a/packages/gateway/include/mangodeck/gateway/peertable.h
+++ b/packages/gateway/include/mangodeck/gateway/peertable.h
@@ -82,7 +82,8 @@
   std::size_t daemonCount(TimePoint Now) const;
   /// Work of the daemons heard lately, by target.
   std::unordered_map<std::uint64_t, PeerLoad> loads(TimePoint Now) const;
-  std::size_t heardCount(TimePoint Now) const;
+  /// Daemons of the own failure domain that were heard lately.
+  std::size_t heardAtHome(TimePoint Now) const;
 
 private:
   struct Peer {
--- a/packages/gateway/include/mangodeck/gateway/targetbook.h
+++ b/packages/gateway/include/mangodeck/gateway/targetbook.h
@@ -54,6 +54,11 @@
   std::uint32_t ForeignSeen = 0;
   TimePoint ForeignSeenAt{};
 
+  /// Requests that this daemon may still send before it hears again what the
+  /// others sent. All daemons see the same free slots; each takes its part of
+  /// them, and the slots that its own requests free.
+  std::uint32_t Allowance = 1;
+
   /// Time that it takes for work, relative to the nominal engine.
   double Slowness = 1.0;
   bool SlownessKnown = false;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -75,7 +75,8 @@
   for (const auto &Target : Targets) {
     // Step 1. Leave out targets that must not be used or have no free slot.
     if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
-        Target->running() >= placesOf(*Target))
+        Target->running() >= placesOf(*Target) ||
+        (Input.Work.IsEngine && Target->Allowance == 0))
       continue;
 
     // Step 2. Rate it: in time, no harm to others, at home, then by speed.
@@ -100,6 +101,14 @@
   return Best;
 }
 
+std::uint32_t drawAllowance(const TargetState &Target, std::size_t Rivals,
+                            double Draw) {
+  const auto Places = placesOf(Target);
+  const auto Free = Places > Target.running() ? Places - Target.running() : 0;
+  return static_cast<std::uint32_t>(
+      static_cast<double>(Free) / static_cast<double>(Rivals) + Draw);
+}
+
 Room roomOf(std::span<const TargetPtr> Targets, TimePoint Now) {
   Room Result;
   for (const auto &Target : Targets) {
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -101,6 +101,8 @@
   m_ExpectedFirst = Chosen.FirstEvent;
   m_RunningAtSend = m_Target->running();
   m_Target->OwnRunning += 1;
+  if (m_Target->Allowance > 0)
+    m_Target->Allowance -= 1;
   m_PrefillBooked = m_Work.Prompt;
   m_Target->OwnPrefill += m_PrefillBooked;
   m_SentAt = Now;
@@ -469,6 +471,7 @@
     return;
   m_Phase = Phase::Waiting;
   m_Target->OwnRunning -= 1;
+  m_Target->Allowance += 1;
   m_Target->OwnPrefill -= m_PrefillBooked;
   m_PrefillBooked = 0;
   m_Parts.Control.onSlotFreed(m_Service);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -589,11 +589,15 @@
   }
 }
 
+Duration Gateway::reportPeriod() const {
+  const auto Peers = m_Peers.homeAddresses().size();
+  return ReportPeriod * std::max<std::size_t>(1, (Peers + DaemonsAtFullRate - 1) /
+                                                     DaemonsAtFullRate);
+}
+
 void Gateway::sendReports(TimePoint Now) {
   const auto Peers = m_Peers.homeAddresses();
-  const auto Scale = std::max<std::size_t>(
-      1, (Peers.size() + DaemonsAtFullRate - 1) / DaemonsAtFullRate);
-  if (Now - m_LastReport < ReportPeriod * Scale)
+  if (Now - m_LastReport < reportPeriod())
     return;
   m_LastReport = Now;
   PeerReport Report;
@@ -625,12 +629,20 @@
 }
 
 void Gateway::refreshLoads(TimePoint Now) {
+  if (Now - m_LastRefresh < reportPeriod())
+    return;
+  m_LastRefresh = Now;
   const auto Loads = m_Peers.loads(Now);
+  const auto AtHome = m_Peers.heardAtHome(Now) + 1;
+  const auto All = std::max(AtHome, m_Peers.daemonCount(Now));
   for (const auto &[Name, Targets] : m_Targets.services())
     for (const auto &Target : Targets) {
       const auto Found = Loads.find(Target->Hash);
       Target->ageLoad(Now);
       Target->PeerRunning = Found == Loads.end() ? 0 : Found->second.Running;
+      const bool Home = Target->Entry.Domain == m_Settings.Domain;
+      Target->Allowance =
+          drawAllowance(*Target, Home ? AtHome : All, m_Random.uniform());
       Target->PeerPrefill = Found == Loads.end() ? 0 : Found->second.Prefill;
     }
 }
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peertable.cpp
@@ -208,10 +208,10 @@
   return Sum;
 }
 
-std::size_t PeerTable::heardCount(TimePoint Now) const {
+std::size_t PeerTable::heardAtHome(TimePoint Now) const {
   std::size_t Count = 0;
   for (const auto &[Vm, Peer] : m_Peers)
-    if (Now - Peer.Heard < LoadLifetime)
+    if (Peer.Last.Domain == m_Home && Now - Peer.Heard < LoadLifetime)
       ++Count;
   return Count;
 }
