--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -10,10 +10,10 @@
 /// What a choice of a target goes by.
 struct ChoiceInput {
   RequestWork Work;
-  FailureDomain Home;         ///< This daemon's failure domain.
-  Duration TimeToTarget{0};   ///< Until the latency target passes; may be < 0.
-  Duration TimeToEnd{0};      ///< Until the whole answer is worth nothing.
-  Duration GapTarget{0};      ///< Longest pause between events; 0: none.
+  FailureDomain Home;       ///< This daemon's failure domain.
+  Duration TimeToTarget{0}; ///< Until the latency target passes; may be < 0.
+  Duration TimeToEnd{0};    ///< Until the whole answer is worth nothing.
+  Duration GapTarget{0};    ///< Longest pause between events; 0: none.
   std::span<const TargetPtr> Excluded; ///< Targets that were tried already.
 };
 
--- a/packages/gateway/include/mangodeck/gateway/crashguard.h
+++ b/packages/gateway/include/mangodeck/gateway/crashguard.h
@@ -15,7 +15,8 @@
 /// A request that was running when a target crashed.
 struct CrashMark {
   std::uint64_t Fingerprint = 0;
-  std::uint64_t Crash = 0; ///< Names the crash: a hash of target and incarnation.
+  std::uint64_t Crash =
+      0; ///< Names the crash: a hash of target and incarnation.
   bool operator==(const CrashMark &) const = default;
 };
 
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -29,9 +29,9 @@
   FailureDomain Domain;
   std::string Ip;
   std::uint16_t CallerPort = 0;
-  std::uint16_t ReadyPort = 0; ///< Of the readiness check and the metrics.
+  std::uint16_t ReadyPort = 0;   ///< Of the readiness check and the metrics.
   std::uint16_t MetricsPort = 0; ///< 0: served on the readiness port only.
-  std::uint16_t PeerPort = 0;  ///< UDP, for reports of other daemons.
+  std::uint16_t PeerPort = 0;    ///< UDP, for reports of other daemons.
   std::string ReadyPath;
   std::string MetricsPath = "/metrics";
   Duration Grace = 8s; ///< From SIGTERM until the process is killed.
--- a/packages/gateway/include/mangodeck/gateway/peertable.h
+++ b/packages/gateway/include/mangodeck/gateway/peertable.h
@@ -95,7 +95,7 @@
   };
   std::string m_OwnVm;
   FailureDomain m_Home;
-  std::map<std::string, Peer> m_Peers; ///< By name.
+  std::map<std::string, Peer> m_Peers;   ///< By name.
   std::map<std::string, Peer> m_Domains; ///< Digests by failure domain.
 };
 
--- a/packages/gateway/include/mangodeck/gateway/retrybudget.h
+++ b/packages/gateway/include/mangodeck/gateway/retrybudget.h
@@ -12,9 +12,9 @@
 
 /// Bounds of the retry budget over all daemons.
 struct RetryBudgetLimits {
-  double Ratio = 0.2;     ///< Repeats per request.
-  double Slack = 56;      ///< Repeats allowed beyond the ratio in a window.
-  Duration Window = 10s;  ///< Any span of this length counts.
+  double Ratio = 0.2;    ///< Repeats per request.
+  double Slack = 56;     ///< Repeats allowed beyond the ratio in a window.
+  Duration Window = 10s; ///< Any span of this length counts.
 };
 
 /// This daemon's part of the retry budget of each service. The parts of all
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -20,11 +20,10 @@
 
 bool isExcluded(const TargetState &Target,
                 std::span<const TargetPtr> Excluded) {
-  return std::any_of(Excluded.begin(), Excluded.end(),
-                     [&](const TargetPtr &Other) {
-                       return Other.get() == &Target ||
-                              Other->Entry.Id == Target.Entry.Id;
-                     });
+  return std::any_of(
+      Excluded.begin(), Excluded.end(), [&](const TargetPtr &Other) {
+        return Other.get() == &Target || Other->Entry.Id == Target.Entry.Id;
+      });
 }
 
 /// Whether reading the prompt, with those that are being read, would hold up
@@ -81,9 +80,8 @@
 
     // Step 2. Rate it: in time, no harm to others, at home, then by speed.
     const auto First = expectedFirstEvent(*Target, Input.Work);
-    const bool Ends =
-        !Input.Work.IsEngine ||
-        expectedWhole(*Target, Input.Work) <= Input.TimeToEnd;
+    const bool Ends = !Input.Work.IsEngine ||
+                      expectedWhole(*Target, Input.Work) <= Input.TimeToEnd;
     const bool InTime = First <= Input.TimeToTarget && Ends;
     const bool Stalls = Input.Work.IsEngine && stallsOthers(*Target, Input);
     const bool Away = Target->Entry.Domain != Input.Home;
--- a/packages/gateway/src/dispatchqueue.cpp
+++ b/packages/gateway/src/dispatchqueue.cpp
@@ -50,8 +50,8 @@
 
 std::size_t DispatchQueue::countAhead(const RequestRank &Rank,
                                       TimePoint Now) const {
-  return static_cast<std::size_t>(std::count_if(
-      m_Tickets.begin(), m_Tickets.end(), [&](const auto &Entry) {
+  return static_cast<std::size_t>(
+      std::count_if(m_Tickets.begin(), m_Tickets.end(), [&](const auto &Entry) {
         return Entry.second.StartBy >= Now && Entry.second.Rank <= Rank;
       }));
 }
@@ -64,8 +64,8 @@
 }
 
 double ServiceRate::perSecond(TimePoint Now) const {
-  return m_Rate * std::exp(-std::max(0.0, toSeconds(Now - m_Last)) /
-                           RateSeconds);
+  return m_Rate *
+         std::exp(-std::max(0.0, toSeconds(Now - m_Last)) / RateSeconds);
 }
 
 } // namespace mangodeck
--- a/packages/gateway/src/enginepace.cpp
+++ b/packages/gateway/src/enginepace.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr double StepMs = 3.82;            ///< Step of one request.
+constexpr double StepMs = 3.82;             ///< Step of one request.
 constexpr double StepMsPerRequest = 0.0227; ///< For each request more.
 constexpr double PrefillTokensPerMs = 68.2;
 constexpr double PairMsPerMillion = 0.242; ///< Per million pairs of tokens.
--- a/packages/gateway/src/eventlog.cpp
+++ b/packages/gateway/src/eventlog.cpp
@@ -48,8 +48,8 @@
   Line["inc"] = m_Incarnation;
   Line["event"] = Event;
   Line.update(Fields);
-  m_Buffer.append(Line.dump(-1, ' ', false,
-                            nlohmann::json::error_handler_t::replace));
+  m_Buffer.append(
+      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   m_Buffer.push_back('\n');
 }
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -115,8 +115,8 @@
   const auto Epoch = ++m_Epoch;
   m_Parts.Pool.acquire(
       m_Target, !m_Route.mayRepeat(),
-      [Self = shared_from_this(), Epoch, Target = m_Target](
-          std::error_code Error, TargetPool::Connection Ready) {
+      [Self = shared_from_this(), Epoch,
+       Target = m_Target](std::error_code Error, TargetPool::Connection Ready) {
         if (Self->m_Epoch == Epoch && Self->m_Phase == Phase::Connecting)
           Self->onConnected(Error, std::move(Ready));
         else // The request ended while it was being connected.
@@ -145,8 +145,7 @@
     m_FirstSentAt = Now;
   ++m_Sends;
   ++m_RunsPossible;
-  m_Parts.Metrics.countSend(m_Service.view(),
-                            m_Sends == 1 ? "first" : "again");
+  m_Parts.Metrics.countSend(m_Service.view(), m_Sends == 1 ? "first" : "again");
   m_Connection->exchange(serializeFor(*m_Target, Now),
                          m_Message.Head.Method == "HEAD", *this);
 }
@@ -248,10 +247,10 @@
   if (m_EventsHere > 0) {
     m_WorstGap = std::max<Duration>(m_WorstGap, Gap);
     const auto Weight = Gap < m_LowGap ? 0.25 : 0.05;
-    m_LowGap = m_EventsHere == 1
-                   ? Duration(Gap)
-                   : m_LowGap + duration_cast<Duration>(Weight *
-                                                        (Gap - m_LowGap));
+    m_LowGap =
+        m_EventsHere == 1
+            ? Duration(Gap)
+            : m_LowGap + duration_cast<Duration>(Weight * (Gap - m_LowGap));
   }
   m_LastEventAt = Now;
   ++m_EventsHere;
@@ -316,7 +315,8 @@
   if (m_HeadSent) { // A resumed stream was answered with a failure.
     releaseTarget(false);
     m_Caller->abort();
-    return end("broken_off", fmt::format("status {} on resume", Status), Status);
+    return end("broken_off", fmt::format("status {} on resume", Status),
+               Status);
   }
   // These statuses promise that the request has not run; this one has.
   if (isPromise(Status))
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -50,11 +50,11 @@
 Gateway::Gateway(asio::io_context &Loop, GatewaySettings Settings,
                  const HeaderNames &Names, EventLog &Log,
                  GatewayMetrics &Metrics, RandomSource &Random)
-    : m_Loop(Loop), m_Settings(std::move(Settings)), m_Names(Names),
-      m_Log(Log), m_Metrics(Metrics), m_Random(Random), m_Acceptor(Loop),
+    : m_Loop(Loop), m_Settings(std::move(Settings)), m_Names(Names), m_Log(Log),
+      m_Metrics(Metrics), m_Random(Random), m_Acceptor(Loop),
       m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
       m_Timer(Loop), m_Pool(Loop.get_executor()), m_Budget(m_Settings.Retry),
-      m_Quotas(Random),       m_Peers(m_Settings.Vm, m_Settings.Domain) {}
+      m_Quotas(Random), m_Peers(m_Settings.Vm, m_Settings.Domain) {}
 
 Gateway::~Gateway() = default;
 
@@ -128,15 +128,14 @@
 }
 
 void Gateway::acceptReady(asio::ip::tcp::acceptor &Acceptor) {
-  Acceptor.async_accept(
-      [this, &Acceptor](std::error_code Error, asio::ip::tcp::socket Socket) {
-        if (Error == asio::error::operation_aborted)
-          return;
-        if (!Error)
-          serveReady(
-              std::make_shared<asio::ip::tcp::socket>(std::move(Socket)));
-        acceptReady(Acceptor);
-      });
+  Acceptor.async_accept([this, &Acceptor](std::error_code Error,
+                                          asio::ip::tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    if (!Error)
+      serveReady(std::make_shared<asio::ip::tcp::socket>(std::move(Socket)));
+    acceptReady(Acceptor);
+  });
 }
 
 void Gateway::serveReady(std::shared_ptr<asio::ip::tcp::socket> Socket) {
@@ -170,9 +169,7 @@
           const bool Known = Metrics || Target == m_Settings.ReadyPath;
           const auto Body = Metrics ? m_Metrics.serialize() : std::string();
           http::ResponseHead Answer;
-          Answer.Status = !Known                 ? 404
-                          : Metrics || isReady() ? 200
-                                                 : 503;
+          Answer.Status = !Known ? 404 : Metrics || isReady() ? 200 : 503;
           if (Metrics)
             Answer.Fields.add("Content-Type", "text/plain; version=0.0.4");
           Answer.Fields.add("Content-Length", std::to_string(Body.size()));
@@ -210,8 +207,7 @@
     if (Drawn < 0)
       return Share.Service;
   }
-  return Matched.Shares.empty() ? ServiceName()
-                                : Matched.Shares.back().Service;
+  return Matched.Shares.empty() ? ServiceName() : Matched.Shares.back().Service;
 }
 
 void Gateway::onRequest(http::CallerConnection &Connection,
@@ -232,8 +228,8 @@
     return Refuse(503, "no configuration yet", 1s);
 
   // Step 2. Find its route.
-  const auto *Matched = m_Plan->findRoute(Message.Head.Fields.get("Host"),
-                                          Message.Head.Target);
+  const auto *Matched =
+      m_Plan->findRoute(Message.Head.Fields.get("Host"), Message.Head.Target);
   if (!Matched)
     return Refuse(404, "no such route", std::nullopt);
 
@@ -258,13 +254,12 @@
     const auto Wait =
         m_Quotas.take(Customer->Name, costOf(Facts, *Customer), Now);
     if (Wait) {
-      m_Log.write("over_limit",
-                  {{"id", Facts.AttemptId},
-                   {"customer", Customer->Name.Text},
-                   {"cost", costOf(Facts, *Customer)},
-                   {"limit_per_s", Customer->PerSecond},
-                   {"reach", m_Quotas.reach(Customer->Name, Now)},
-                   {"wait_ms", toMs(*Wait)}});
+      m_Log.write("over_limit", {{"id", Facts.AttemptId},
+                                 {"customer", Customer->Name.Text},
+                                 {"cost", costOf(Facts, *Customer)},
+                                 {"limit_per_s", Customer->PerSecond},
+                                 {"reach", m_Quotas.reach(Customer->Name, Now)},
+                                 {"wait_ms", toMs(*Wait)}});
       return Refuse(429, "over the customer's limit",
                     std::clamp<Duration>(*Wait, LeastComeBack, MostComeBack));
     }
@@ -430,10 +425,10 @@
     const auto Now = steadyNow();
     Target->noteFailure(Now);
     if (m_Crashes.note({Fingerprint, Target->Hash}, Now))
-      m_Log.write("crash_mark", {{"target", Target->Entry.Id.Text},
-                                 {"fingerprint", Fingerprint},
-                                 {"refused",
-                                  m_Crashes.isRefused(Fingerprint, Now)}});
+      m_Log.write("crash_mark",
+                  {{"target", Target->Entry.Id.Text},
+                   {"fingerprint", Fingerprint},
+                   {"refused", m_Crashes.isRefused(Fingerprint, Now)}});
   });
 }
 
@@ -469,11 +464,10 @@
 void Gateway::onPlan(RoutePlanPtr Plan) {
   if (m_Plan && Plan->Version <= m_Plan->Version)
     return;
-  m_Log.write("plan_in_force",
-              {{"version", Plan->Version},
-               {"before", m_Plan ? m_Plan->Version : 0},
-               {"routes", Plan->Routes.size()},
-               {"customers", Plan->Customers.size()}});
+  m_Log.write("plan_in_force", {{"version", Plan->Version},
+                                {"before", m_Plan ? m_Plan->Version : 0},
+                                {"routes", Plan->Routes.size()},
+                                {"customers", Plan->Customers.size()}});
   m_Plan = std::move(Plan);
   m_Quotas.configure(*m_Plan, steadyNow());
 }
@@ -546,8 +540,8 @@
         if (Error == asio::error::operation_aborted)
           return;
         const auto Now = steadyNow();
-        auto Report = Error ? std::nullopt
-                            : decodeReport({m_ReportBuffer.data(), Size});
+        auto Report =
+            Error ? std::nullopt : decodeReport({m_ReportBuffer.data(), Size});
         if (Report && Report->Vm != m_Settings.Vm) {
           for (const auto &Mark : Report->Crashes)
             m_Crashes.note(Mark, Now);
@@ -599,8 +593,9 @@
 
 Duration Gateway::reportPeriod() const {
   const auto Peers = m_Peers.homeAddresses().size();
-  return ReportPeriod * std::max<std::size_t>(1, (Peers + DaemonsAtFullRate - 1) /
-                                                     DaemonsAtFullRate);
+  return ReportPeriod *
+         std::max<std::size_t>(1, (Peers + DaemonsAtFullRate - 1) /
+                                      DaemonsAtFullRate);
 }
 
 void Gateway::sendReports(TimePoint Now) {
@@ -659,8 +654,7 @@
 void Gateway::tick() {
   const auto Now = steadyNow();
   if (const auto Still = m_Wake.check(); Still > Duration{0}) {
-    m_Log.write("woken", {{"stood_still_ms",
-                           toMs(Still)}});
+    m_Log.write("woken", {{"stood_still_ms", toMs(Still)}});
     m_Pool.closeIdle();
     if (OnWoken)
       OnWoken();
@@ -678,8 +672,8 @@
       pump(ServiceName(Name));
   for (const auto &Lapsed : std::vector<LapsedTarget>(m_Lapsed))
     if (Lapsed.Until <= Now) {
-      m_Log.write("target_dropped", {{"target", Lapsed.Id.Text},
-                                     {"reason", "lapsed"}});
+      m_Log.write("target_dropped",
+                  {{"target", Lapsed.Id.Text}, {"reason", "lapsed"}});
       m_Targets.remove(Lapsed.Id);
     }
   std::erase_if(m_Lapsed, [&](const auto &L) { return L.Until <= Now; });
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -45,11 +45,10 @@
 }
 
 void KeyFollower::listFrom(std::string After) {
-  m_Feed.list(After,
-              [this, Generation = m_Generation](Expected<KeyPage> Page) {
-                if (Generation == m_Generation)
-                  onPage(std::move(Page));
-              });
+  m_Feed.list(After, [this, Generation = m_Generation](Expected<KeyPage> Page) {
+    if (Generation == m_Generation)
+      onPage(std::move(Page));
+  });
 }
 
 void KeyFollower::onPage(Expected<KeyPage> Page) {
@@ -95,7 +94,8 @@
 
 void KeyFollower::onChanges(Expected<KeyChanges> Answer) {
   if (!Answer) {
-    const bool HistoryGone = Answer.error() == make_error_code(Errc::StaleStore);
+    const bool HistoryGone =
+        Answer.error() == make_error_code(Errc::StaleStore);
     if (HistoryGone)
       noteAnswer();
     else
@@ -157,9 +157,9 @@
   if (!m_InTouch && m_Failures > 1)
     return;
   if (m_InTouch || m_Failures == 1)
-    m_Log.write("store_lost", {{"error", Error.message()},
-                               {"last_answer_ms",
-                                ageMs(m_LastAnswer, steadyNow())}});
+    m_Log.write("store_lost",
+                {{"error", Error.message()},
+                 {"last_answer_ms", ageMs(m_LastAnswer, steadyNow())}});
   m_InTouch = false;
 }
 
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peertable.cpp
@@ -74,11 +74,11 @@
     if (Message.contains("q"))
       for (const auto &[Name, Use] : Message["q"].items())
         Report.Use[Name] = {Use.at(0).get<double>(), Use.at(1).get<double>(),
-                             Use.at(2).get<double>()};
+                            Use.at(2).get<double>()};
     if (Message.contains("c"))
       for (const auto &Mark : Message["c"])
-        Report.Crashes.push_back({Mark.at(0).get<std::uint64_t>(),
-                                  Mark.at(1).get<std::uint64_t>()});
+        Report.Crashes.push_back(
+            {Mark.at(0).get<std::uint64_t>(), Mark.at(1).get<std::uint64_t>()});
     if (Message.contains("l"))
       Report.Leaving = Message["l"].get<std::vector<std::uint64_t>>();
     return Report;
@@ -110,8 +110,8 @@
   if (OtherDelegate && Now - Peer.Heard < DelegateSilence)
     return false;
   if (!OtherDelegate && (Report.Incarnation < Peer.Last.Incarnation ||
-      (Report.Incarnation == Peer.Last.Incarnation &&
-       Report.Sequence <= Peer.Last.Sequence)))
+                         (Report.Incarnation == Peer.Last.Incarnation &&
+                          Report.Sequence <= Peer.Last.Sequence)))
     return false;
   Peer.Heard = Now;
   Peer.Stopped = Report.Stopping;
@@ -182,9 +182,9 @@
   std::size_t Count = 1;
   for (const auto &[Vm, Peer] : m_Peers) {
     const bool Listed = Peer.Address && !Peer.Removed;
-    const bool Lately = (Peer.Removed && Now - *Peer.Removed < ShareLifetime) ||
-                        (Peer.Heard != TimePoint{} &&
-                         Now - Peer.Heard < ShareLifetime);
+    const bool Lately =
+        (Peer.Removed && Now - *Peer.Removed < ShareLifetime) ||
+        (Peer.Heard != TimePoint{} && Now - Peer.Heard < ShareLifetime);
     if (!Peer.Stopped && (Listed || Lately))
       ++Count;
   }
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -116,8 +116,8 @@
   // Daemons that told nothing yet are taken to be like the others.
   if (m_Daemons > Known)
     All *= static_cast<double>(m_Daemons) / static_cast<double>(Known);
-  const double Even = std::min(
-      1.0, static_cast<double>(Contacts) / static_cast<double>(m_Daemons));
+  const double Even = std::min(1.0, static_cast<double>(Contacts) /
+                                        static_cast<double>(m_Daemons));
   if (Even >= 1 || All <= 0)
     return {Even, Reached};
   return {EvenPart * Even + (1 - EvenPart) * Reached / All, Reached};
--- a/packages/gateway/src/registration.cpp
+++ b/packages/gateway/src/registration.cpp
@@ -42,8 +42,8 @@
     if (!Done) {
       m_Log.write("registration_failed", {{"error", Done.error().message()}});
       const bool LeaseGone = Done.error() == make_error_code(Errc::NotFound);
-      return again(RetryDelay, LeaseGone ? &Registration::grant
-                                         : &Registration::write);
+      return again(RetryDelay,
+                   LeaseGone ? &Registration::grant : &Registration::write);
     }
     m_Log.write("registered", {{"lease", m_Lease}});
     again(RenewPeriod, &Registration::keep);
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -55,8 +55,7 @@
   if (Second == Field.npos)
     return std::nullopt;
   const auto Running = parseNumber(Field.substr(0, First));
-  const auto Waiting =
-      parseNumber(Field.substr(First + 1, Second - First - 1));
+  const auto Waiting = parseNumber(Field.substr(First + 1, Second - First - 1));
   if (!Running || !Waiting)
     return std::nullopt;
   return static_cast<std::uint32_t>(*Running + *Waiting);
--- a/packages/gateway/src/targetbook.cpp
+++ b/packages/gateway/src/targetbook.cpp
@@ -38,8 +38,8 @@
       toSeconds(stepTime(running())) * static_cast<double>(Tokens);
   const double Sample =
       std::clamp(toSeconds(Gap) / Nominal, LeastSlowness, MostSlowness);
-  Slowness = SlownessKnown ? Slowness + PaceWeight * (Sample - Slowness)
-                           : Sample;
+  Slowness =
+      SlownessKnown ? Slowness + PaceWeight * (Sample - Slowness) : Sample;
   SlownessKnown = true;
 }
 
@@ -64,8 +64,8 @@
   ++FailuresInRow;
   if (FailuresInRow < FailuresToAvoid)
     return;
-  const auto Doublings = std::min<std::uint32_t>(
-      FailuresInRow - FailuresToAvoid, 8);
+  const auto Doublings =
+      std::min<std::uint32_t>(FailuresInRow - FailuresToAvoid, 8);
   AvoidUntil =
       Now + std::min(FirstAvoidance * (1 << Doublings), LongestAvoidance);
 }
--- /dev/null
+++ b/packages/gateway/test/dispatchqueue_test.cpp
@@ -0,0 +1,208 @@
+#include "mangodeck/gateway/dispatchqueue.h"
+
+#include "mangodeck/gateway/crashguard.h"
+#include "mangodeck/gateway/eventframes.h"
+#include "mangodeck/gateway/retrybudget.h"
+#include "mangodeck/gateway/wakeguard.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mangodeck {
+
+class DispatchQueueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatchQueueTest);
+  CPPUNIT_TEST(queue_customersRank_goesBeforeRoutesRank);
+  CPPUNIT_TEST(queue_lateTicket_goesAfterThoseInTime);
+  CPPUNIT_TEST(queue_sameRank_leastTimeLeftFirst);
+  CPPUNIT_TEST(queue_burstOfUnlikeWorth_servesHighRankInTime);
+  CPPUNIT_TEST(queue_expired_areTakenOut);
+  CPPUNIT_TEST(queue_countAhead_leavesOutLateAndLower);
+  CPPUNIT_TEST(rate_steadyService_isMeasured);
+  CPPUNIT_TEST(budget_daemonsTogether_keepTheBudget);
+  CPPUNIT_TEST(budget_window_slides);
+  CPPUNIT_TEST(crashes_twoTargets_refuseRequest);
+  CPPUNIT_TEST(crashes_oneTarget_doNotRefuse);
+  CPPUNIT_TEST(crashes_marks_expire);
+  CPPUNIT_TEST(frames_anySplit_giveSameEvents);
+  CPPUNIT_TEST(frames_eventId_isRead);
+  CPPUNIT_TEST(wake_suspended_isNoticed);
+  CPPUNIT_TEST_SUITE_END();
+
+  const TimePoint m_Now{std::chrono::hours(1)};
+  const ServiceName m_Service{"s"};
+
+  QueuedTicket ticket(TicketNumber Number, TierRank Customer, TierRank Route,
+                      Duration StartBy, Duration GiveUp = 5s) const {
+    return {Number, {Customer, Route}, m_Now + StartBy, m_Now + GiveUp};
+  }
+
+public:
+  void queue_customersRank_goesBeforeRoutesRank() {
+    DispatchQueue Queue;
+    Queue.push(ticket(1, 1, 0, 100ms));
+    Queue.push(ticket(2, 0, 2, 300ms));
+    Queue.push(ticket(3, 1, 1, 50ms));
+    std::vector<TicketNumber> Order;
+    while (const auto Next = Queue.next(m_Now, {})) {
+      Order.push_back(Next->Number);
+      Queue.remove(Next->Number);
+    }
+    CPPUNIT_ASSERT((Order == std::vector<TicketNumber>{2, 1, 3}));
+  }
+
+  void queue_lateTicket_goesAfterThoseInTime() {
+    DispatchQueue Queue;
+    Queue.push(ticket(1, 0, 0, -10ms));
+    Queue.push(ticket(2, 3, 3, 100ms));
+    CPPUNIT_ASSERT_EQUAL(TicketNumber(2), Queue.next(m_Now, {})->Number);
+    CPPUNIT_ASSERT_EQUAL(TicketNumber(1), Queue.next(m_Now, {2})->Number);
+  }
+
+  void queue_sameRank_leastTimeLeftFirst() {
+    DispatchQueue Queue;
+    Queue.push(ticket(1, 1, 1, 300ms));
+    Queue.push(ticket(2, 1, 1, 100ms));
+    CPPUNIT_ASSERT_EQUAL(TicketNumber(2), Queue.next(m_Now, {})->Number);
+  }
+
+  /// A burst of three times what a daemon can start: 30 requests of three
+  /// ranks a 100 ms, ten starts. The high rank must be served whole and in
+  /// time, and the middle one before the low one.
+  void queue_burstOfUnlikeWorth_servesHighRankInTime() {
+    DispatchQueue Queue;
+    std::map<TierRank, int> Served;
+    TicketNumber Number = 0;
+    for (int Step = 0; Step < 50; ++Step) {
+      const auto Now = m_Now + Step * 100ms;
+      for (int I = 0; I < 30; ++I) {
+        const auto Rank = static_cast<TierRank>(I % 6 == 0 ? 0 : 1 + I % 2);
+        Queue.push({++Number, {1, Rank}, Now + 300ms, Now + 400ms});
+      }
+      for (int Slot = 0; Slot < 10; ++Slot) {
+        const auto Next = Queue.next(Now, {});
+        CPPUNIT_ASSERT(Next.has_value());
+        ++Served[Next->Rank.Route];
+        CPPUNIT_ASSERT(Next->Rank.Route != 0 || Next->StartBy >= Now);
+        Queue.remove(Next->Number);
+      }
+      Queue.takeExpired(Now);
+    }
+    CPPUNIT_ASSERT_EQUAL(250, Served[0]);
+    CPPUNIT_ASSERT(Served[1] > 200);
+    CPPUNIT_ASSERT(Served[2] < 50);
+  }
+
+  void queue_expired_areTakenOut() {
+    DispatchQueue Queue;
+    Queue.push(ticket(1, 0, 0, 100ms, 200ms));
+    Queue.push(ticket(2, 0, 0, 100ms, 900ms));
+    CPPUNIT_ASSERT(Queue.takeExpired(m_Now).empty());
+    const auto Expired = Queue.takeExpired(m_Now + 300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Expired.size());
+    CPPUNIT_ASSERT_EQUAL(TicketNumber(1), Expired[0].Number);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Queue.size());
+  }
+
+  void queue_countAhead_leavesOutLateAndLower() {
+    DispatchQueue Queue;
+    Queue.push(ticket(1, 0, 0, 100ms));
+    Queue.push(ticket(2, 0, 0, -100ms));
+    Queue.push(ticket(3, 0, 2, 100ms));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Queue.countAhead({0, 1}, m_Now));
+  }
+
+  void rate_steadyService_isMeasured() {
+    ServiceRate Rate;
+    TimePoint Now = m_Now;
+    for (int I = 0; I < 200; ++I) {
+      Now += 50ms;
+      Rate.note(Now);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(20.0, Rate.perSecond(Now), 2.0);
+  }
+
+  void budget_daemonsTogether_keepTheBudget() {
+    const RetryBudgetLimits Limits{0.2, 56, 10s};
+    std::vector<RetryBudget> Daemons(8, RetryBudget(Limits));
+    std::size_t Repeats = 0;
+    for (auto &Daemon : Daemons) {
+      Daemon.setDaemons(8);
+      for (int I = 0; I < 100; ++I) {
+        Daemon.noteRequest(m_Service, m_Now + I * 50ms);
+        while (Daemon.take(m_Service, m_Now + I * 50ms))
+          ++Repeats;
+      }
+    }
+    CPPUNIT_ASSERT(Repeats > 100);
+    CPPUNIT_ASSERT(static_cast<double>(Repeats) <= 0.2 * 800 + 56);
+  }
+
+  void budget_window_slides() {
+    RetryBudget Budget({0, 10, 10s});
+    int First = 0;
+    while (Budget.take(m_Service, m_Now))
+      ++First;
+    CPPUNIT_ASSERT(First > 0);
+    CPPUNIT_ASSERT(!Budget.take(m_Service, m_Now + 9s));
+    CPPUNIT_ASSERT(Budget.take(m_Service, m_Now + 11s));
+  }
+
+  void crashes_twoTargets_refuseRequest() {
+    CrashGuard Guard;
+    CPPUNIT_ASSERT(Guard.note({7, 1}, m_Now));
+    CPPUNIT_ASSERT(!Guard.isRefused(7, m_Now));
+    CPPUNIT_ASSERT(Guard.note({7, 2}, m_Now));
+    CPPUNIT_ASSERT(Guard.isRefused(7, m_Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Guard.recent(m_Now).size());
+  }
+
+  void crashes_oneTarget_doNotRefuse() {
+    CrashGuard Guard;
+    Guard.note({7, 1}, m_Now);
+    CPPUNIT_ASSERT(!Guard.note({7, 1}, m_Now));
+    CPPUNIT_ASSERT(!Guard.isRefused(7, m_Now));
+  }
+
+  void crashes_marks_expire() {
+    CrashGuard Guard;
+    Guard.note({7, 1}, m_Now);
+    Guard.note({7, 2}, m_Now);
+    CPPUNIT_ASSERT(!Guard.isRefused(7, m_Now + 120s));
+    CPPUNIT_ASSERT(Guard.recent(m_Now + 20s).empty());
+  }
+
+  void frames_anySplit_giveSameEvents() {
+    const std::string Bytes = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3";
+    for (std::size_t At = 0; At <= Bytes.size(); ++At) {
+      EventFrames Frames;
+      std::vector<std::string> Events;
+      for (const auto &Part : {Bytes.substr(0, At), Bytes.substr(At)}) {
+        Frames.append(Part);
+        while (const auto Event = Frames.next())
+          Events.push_back(*Event);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), Events.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), Events[0]);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(5), Frames.pendingBytes());
+    }
+  }
+
+  void frames_eventId_isRead() {
+    CPPUNIT_ASSERT(eventId("data: x\nid: 12\n\n") == 12);
+    CPPUNIT_ASSERT(eventId("id:7\r\ndata: x\r\n\r\n") == 7);
+    CPPUNIT_ASSERT(!eventId("data: id: 3\n\n"));
+    CPPUNIT_ASSERT(!eventId("id: x\n\n"));
+  }
+
+  void wake_suspended_isNoticed() {
+    WakeGuard Guard;
+    CPPUNIT_ASSERT(Guard.check(m_Now, 10s) == Duration{0});
+    CPPUNIT_ASSERT(Guard.check(m_Now + 25ms, 10s + 25ms) == Duration{0});
+    CPPUNIT_ASSERT(Guard.check(m_Now + 50ms, 14s) > 3s);
+    CPPUNIT_ASSERT(Guard.check(m_Now + 3s, 17s) > 2s);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchQueueTest);
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/gateway/test/eventlog_test.cpp
@@ -0,0 +1,71 @@
+#include "mangodeck/gateway/eventlog.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+namespace mangodeck {
+
+class EventLogTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventLogTest);
+  CPPUNIT_TEST(log_line_isOneJsonObject);
+  CPPUNIT_TEST(log_readerStops_neverBlocksAndKeepsImportantLines);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    CPPUNIT_ASSERT_EQUAL(0, ::pipe2(m_Pipe, O_NONBLOCK));
+  }
+  void tearDown() override {
+    ::close(m_Pipe[0]);
+    ::close(m_Pipe[1]);
+  }
+
+  void log_line_isOneJsonObject() {
+    EventLog Log(m_Pipe[1], "vm-1", "42", 10000);
+    Log.write("refused", {{"id", "a\"b\n"}, {"status", 503}});
+    Log.flush();
+    const auto Line = nlohmann::json::parse(readAll());
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"),
+                         Line["event"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("a\"b\n"), Line["id"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("vm-1"), Line["vm"].get<std::string>());
+  }
+
+  /// Writes far more than the pipe and the buffer hold while nobody reads; a
+  /// write that blocked would never return.
+  void log_readerStops_neverBlocksAndKeepsImportantLines() {
+    EventLog Log(m_Pipe[1], "vm-1", "42", 20000);
+    const std::string Filler(400, 'x');
+    for (int I = 0; I < 2000; ++I)
+      Log.write("answered", {{"filler", Filler}}, LogWeight::Ordinary);
+    const auto Dropped = Log.droppedLines();
+    CPPUNIT_ASSERT(Dropped > 1000);
+    Log.write("failed", {{"id", "last"}});
+    CPPUNIT_ASSERT_EQUAL(Dropped, Log.droppedLines());
+    std::string All;
+    for (int I = 0; I < 20; ++I) {
+      All += readAll();
+      Log.flush();
+    }
+    CPPUNIT_ASSERT(All.find("\"last\"") != All.npos);
+    CPPUNIT_ASSERT(All.find("log_dropped") != All.npos);
+  }
+
+private:
+  std::string readAll() {
+    std::string Bytes;
+    std::array<char, 65536> Buffer;
+    const auto Count = ::read(m_Pipe[0], Buffer.data(), Buffer.size());
+    if (Count > 0)
+      Bytes.assign(Buffer.data(), static_cast<std::size_t>(Count));
+    return Bytes;
+  }
+
+  int m_Pipe[2] = {-1, -1};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLogTest);
+
+} // namespace mangodeck
--- a/packages/gateway/test/quotaledger_test.cpp
+++ b/packages/gateway/test/quotaledger_test.cpp
@@ -28,8 +28,9 @@
 class Fleet {
 public:
   Fleet(std::size_t Count, double PerSecond, int PeriodSteps = 10)
-      : m_PeriodSteps(PeriodSteps), m_Plan(planWith(PerSecond, PerSecond)), m_Ledgers(Count),
-        m_Incarnation(Count, 1), m_Cut(Count, false), m_Stopping(Count, false) {
+      : m_PeriodSteps(PeriodSteps), m_Plan(planWith(PerSecond, PerSecond)),
+        m_Ledgers(Count), m_Incarnation(Count, 1), m_Cut(Count, false),
+        m_Stopping(Count, false) {
     for (std::size_t I = 0; I < Count; ++I)
       restart(I);
   }
@@ -94,9 +95,9 @@
       for (std::size_t To = 0; To < m_Ledgers.size(); ++To)
         if (To != From && m_Cut[To] == m_Cut[From])
           m_Ledgers[To]->onPeerUse({"vm" + std::to_string(From),
-                                   m_Incarnation[From], 1, false,
-                                   m_Stopping[From], Use},
-                                  m_Now);
+                                    m_Incarnation[From], 1, false,
+                                    m_Stopping[From], Use},
+                                   m_Now);
     }
   }
 
--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -4,8 +4,8 @@
 #include "mangodeck/common/units.h"
 #include "mangodeck/http/parser.h"
 
-#include <asio/ip/tcp.hpp>
 #include <array>
+#include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
 #include <string>
--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -4,9 +4,9 @@
 #include "mangodeck/common/units.h"
 #include "mangodeck/http/parser.h"
 
+#include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -29,9 +29,7 @@
   void onAnswerBody(std::string_view Bytes) override {
     Answer.Body.append(Bytes);
   }
-  void onAnswerEnd() override {
-    Owner.finish(Self.lock(), std::move(Answer));
-  }
+  void onAnswerEnd() override { Owner.finish(Self.lock(), std::move(Answer)); }
   void onExchangeFailed(const ExchangeFailure &Failure) override {
     Owner.finish(Self.lock(), unexpected(Failure.Error));
   }
@@ -87,7 +85,8 @@
   while (!m_Idle.empty()) {
     auto Connection = std::move(m_Idle.back());
     m_Idle.pop_back();
-    if (!Connection->isReusable(Now) || Connection->idleFor(Now) > MaxIdleTime) {
+    if (!Connection->isReusable(Now) ||
+        Connection->idleFor(Now) > MaxIdleTime) {
       Connection->close();
       continue;
     }
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -295,8 +295,8 @@
         return 1;
       }
       Head.Status = static_cast<int>(P->status_code);
-      const bool Bare = Self.Owner.m_ToHead || Head.Status == 204 ||
-                        Head.Status == 304;
+      const bool Bare =
+          Self.Owner.m_ToHead || Head.Status == 204 || Head.Status == 304;
       Head.EndsWithConnection = !Bare && !Head.Fields.find("content-length") &&
                                 (P->flags & F_CHUNKED) == 0;
       Head.KeepAlive =
--- a/packages/http/src/targetconnection.cpp
+++ b/packages/http/src/targetconnection.cpp
@@ -56,20 +56,20 @@
     if (!Error && !Self->m_Open)
       Self->m_Socket.close(Ignored);
   });
-  m_Socket.async_connect(Remote, [Self = shared_from_this(),
-                                  Done = std::move(Done)](
-                                     std::error_code Error) {
-    Self->m_Timer.cancel();
-    if (!Error && !Self->m_Socket.is_open())
-      Error = asio::error::timed_out;
-    if (!Error) {
-      Self->m_Open = true;
-      Self->m_IdleSince = std::chrono::steady_clock::now();
-      Self->setOptions();
-      Self->read();
-    }
-    Done(Error);
-  });
+  m_Socket.async_connect(
+      Remote, [Self = shared_from_this(),
+               Done = std::move(Done)](std::error_code Error) {
+        Self->m_Timer.cancel();
+        if (!Error && !Self->m_Socket.is_open())
+          Error = asio::error::timed_out;
+        if (!Error) {
+          Self->m_Open = true;
+          Self->m_IdleSince = std::chrono::steady_clock::now();
+          Self->setOptions();
+          Self->read();
+        }
+        Done(Error);
+      });
 }
 
 void TargetConnection::setOptions() {
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -21,9 +21,7 @@
       Connection.sendAnswer(200, HeaderList(), Message.Head.Target);
   }
   void onCallerLeft(CallerConnection &) override { ++Left; }
-  void onRejected(int Status, std::string_view) override {
-    Rejected = Status;
-  }
+  void onRejected(int Status, std::string_view) override { Rejected = Status; }
   void onClosed(CallerConnection &) override { ++Closed; }
   bool isLeaving() const override { return Leaving; }
   bool mayBuffer(std::size_t) const override { return true; }
@@ -56,8 +54,8 @@
   void setUp() override {
     m_Loop.emplace();
     m_Handler = EchoHandler();
-    asio::ip::tcp::acceptor Acceptor(
-        *m_Loop, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::acceptor Acceptor(*m_Loop,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
     m_Client.emplace(*m_Loop);
     m_Client->connect(Acceptor.local_endpoint());
     m_Server = std::make_shared<CallerConnection>(Acceptor.accept(), m_Handler,
@@ -90,8 +88,8 @@
 
   void caller_headInPieces_isRead() {
     for (const std::string_view Piece :
-         {"POST /1/ HTTP/1.1\r\nHost: x\r\nContent-Le", "ngth: 2\r\n\r\n",
-          "o", "k"}) {
+         {"POST /1/ HTTP/1.1\r\nHost: x\r\nContent-Le", "ngth: 2\r\n\r\n", "o",
+          "k"}) {
       send(Piece);
       turn();
     }
@@ -162,8 +160,7 @@
       turn();
       std::array<char, 4096> Buffer;
       m_ReadError.clear();
-      const auto Size =
-          m_Client->read_some(asio::buffer(Buffer), m_ReadError);
+      const auto Size = m_Client->read_some(asio::buffer(Buffer), m_ReadError);
       Bytes.append(Buffer.data(), Size);
       if (m_ReadError && m_ReadError != asio::error::would_block)
         return Bytes;
--- a/packages/http/test/parser_test.cpp
+++ b/packages/http/test/parser_test.cpp
@@ -53,8 +53,7 @@
   }
 
   void requestParser_anySplit_givesSameRequest() {
-    const auto Bytes =
-        head(Post, "Host: x\r\nContent-Length: 5\r\n") + "hello";
+    const auto Bytes = head(Post, "Host: x\r\nContent-Length: 5\r\n") + "hello";
     for (std::size_t At = 1; At < Bytes.size(); ++At) {
       BodySink Sink;
       RequestParser Parser(Sink, 1000, 1000);
