--- /dev/null
+++ b/apps/mangodeck/explaincommand.cpp
@@ -0,0 +1,42 @@
+#include "explaincommand.h"
+
+#include "mangodeck/gateway/logstory.h"
+
+#include <fmt/format.h>
+#include <fstream>
+
+namespace mangodeck {
+
+CLI::App *ExplainCommand::declare(CLI::App &Parent) {
+  auto *Sub = Parent.add_subcommand(
+      "explain", "Tell one request's story from the daemons' log files");
+  Sub->add_option("id", m_RequestId, "Id of the caller's attempt")->required();
+  Sub->add_option("files", m_Files, "Log files of any number of daemons")
+      ->required();
+  return Sub;
+}
+
+int ExplainCommand::run() {
+  LogStory Story(m_RequestId);
+  bool AllRead = true;
+  for (const auto &Path : m_Files) {
+    std::ifstream File(Path);
+    if (!File) {
+      fmt::print(stderr, "mangodeck: {} cannot be read\n", Path);
+      AllRead = false;
+      continue;
+    }
+    Story.read(File);
+  }
+  if (Story.unreadable() > 0)
+    fmt::print(stderr, "mangodeck: {} lines are no log lines of a gateway\n",
+               Story.unreadable());
+  if (!Story.isKnown()) {
+    fmt::print(stderr, "mangodeck: no line names request {}\n", m_RequestId);
+    return ExitFailure;
+  }
+  fmt::print("{}", Story.tell());
+  return AllRead ? ExitSuccess : ExitFailure;
+}
+
+} // namespace mangodeck
--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -5,6 +5,7 @@
 #include "command.h"
 #include "diffcommand.h"
 #include "draincommand.h"
+#include "explaincommand.h"
 #include "logcommand.h"
 #include "replaycommand.h"
 #include "statuscommand.h"
@@ -27,6 +28,7 @@
   Commands.push_back(std::make_unique<AdoptCommand>());
   Commands.push_back(std::make_unique<ReplayCommand>());
   Commands.push_back(std::make_unique<TimelineCommand>());
+  Commands.push_back(std::make_unique<ExplainCommand>());
   Commands.push_back(std::make_unique<BenchCommand>());
   return Commands;
 }
--- a/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
+++ b/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
@@ -4,10 +4,10 @@
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -20,7 +20,10 @@
 struct RequestRank {
   TierRank Customer = 0;
   TierRank Route = 0;
-  auto operator<=>(const RequestRank &) const = default;
+  bool operator==(const RequestRank &) const = default;
+  bool operator<(const RequestRank &Other) const {
+    return std::tie(Customer, Route) < std::tie(Other.Customer, Other.Route);
+  }
 };
 
 /// A request that waits for a slot.
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -128,6 +128,8 @@
   void end(std::string_view Outcome, std::string_view Reason, int Status);
   void logStep(std::string_view Event, std::string_view Reason);
   bool isSilent(TimePoint Now) const;
+  /// Milliseconds from the arrival to \p Then; -1 if that is unset.
+  std::int64_t sinceArrival(TimePoint Then) const;
 
   ExchangeParts m_Parts;
   TicketNumber m_Number;
--- a/packages/gateway/src/dispatchqueue.cpp
+++ b/packages/gateway/src/dispatchqueue.cpp
@@ -52,7 +52,7 @@
                                       TimePoint Now) const {
   return static_cast<std::size_t>(
       std::count_if(m_Tickets.begin(), m_Tickets.end(), [&](const auto &Entry) {
-        return Entry.second.StartBy >= Now && Entry.second.Rank <= Rank;
+        return Entry.second.StartBy >= Now && !(Rank < Entry.second.Rank);
       }));
 }
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -477,6 +477,10 @@
   m_Parts.Control.onSlotFreed(m_Service);
 }
 
+std::int64_t Exchange::sinceArrival(TimePoint Then) const {
+  return Then == TimePoint{} ? -1 : toMs(Then - m_Arrival);
+}
+
 void Exchange::end(std::string_view Outcome, std::string_view Reason,
                    int Status) {
   if (m_Phase == Phase::Over)
@@ -497,10 +501,10 @@
        {"sends", m_Sends},
        {"target", m_Target ? m_Target->Entry.Id.Text : std::string()},
        {"plan", m_Plan->Version},
-       {"wait_ms", ageMs(m_Arrival, m_FirstSentAt)},
+       {"wait_ms", sinceArrival(m_FirstSentAt)},
        {"expected_first_ms", toMs(m_ExpectedFirst)},
        {"running_at_send", m_RunningAtSend},
-       {"first_ms", ageMs(m_Arrival, m_FirstByteAt)},
+       {"first_ms", sinceArrival(m_FirstByteAt)},
        {"whole_ms", ageMs(m_Arrival, Now)},
        {"prompt", m_Facts.Prompt},
        {"output", m_Work.Output},
--- /dev/null
+++ b/packages/gateway/test/logstory_test.cpp
@@ -0,0 +1,61 @@
+#include "mangodeck/gateway/logstory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sstream>
+
+namespace mangodeck {
+
+class LogStoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogStoryTest);
+  CPPUNIT_TEST(story_clockThatJumped_keepsOrder);
+  CPPUNIT_TEST(story_beliefsBefore_areToldAndOtherRequestsLeftOut);
+  CPPUNIT_TEST(story_unknownIdAndForeignLines_areSaid);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string line(std::int64_t Wall, std::int64_t Up,
+                          const std::string &Event, const std::string &Id) {
+    nlohmann::ordered_json Fields = {{"t", Wall},      {"up", Up},
+                                     {"vm", "a"},      {"inc", "1"},
+                                     {"event", Event}, {"id", Id}};
+    return "12.5 prefix " + Fields.dump() + "\n";
+  }
+
+public:
+  void story_clockThatJumped_keepsOrder() {
+    LogStory Story("x");
+    std::istringstream Log(line(9000, 100, "send_failed", "x") +
+                           line(4000, 200, "again", "x") +
+                           line(4100, 300, "request_end", "x"));
+    Story.read(Log);
+    const auto Text = Story.tell();
+    CPPUNIT_ASSERT(Text.find("send_failed") < Text.find("again"));
+    CPPUNIT_ASSERT(Text.find("again") < Text.find("request_end"));
+  }
+
+  void story_beliefsBefore_areToldAndOtherRequestsLeftOut() {
+    LogStory Story("x");
+    std::istringstream Log(
+        line(1, 1000, "target_gone", "") + line(1, 9000, "store_lost", "") +
+        line(1, 9500, "request_end", "y") + line(1, 10000, "refused", "x") +
+        line(1, 10500, "store_regained", ""));
+    Story.read(Log);
+    const auto Text = Story.tell();
+    CPPUNIT_ASSERT(Text.find("store_lost") != Text.npos);
+    CPPUNIT_ASSERT(Text.find("target_gone") == Text.npos);
+    CPPUNIT_ASSERT(Text.find("request_end") == Text.npos);
+    CPPUNIT_ASSERT(Text.find("store_regained") == Text.npos);
+  }
+
+  void story_unknownIdAndForeignLines_areSaid() {
+    LogStory Story("z");
+    std::istringstream Log("free text\n{\"a\":1}\n{\"t\":1,\"up\n" +
+                           line(1, 10, "refused", "x"));
+    Story.read(Log);
+    CPPUNIT_ASSERT(!Story.isKnown());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Story.unreadable());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogStoryTest);
+
+} // namespace mangodeck
