--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: help setup build test run stop fuzz bench capacity format format-check lint docs-check generate clean
+.PHONY: help setup build test run stop fuzz bench capacity format format-check lint boundary-check docs-check generate clean
 
 help:
 	@echo "make setup         install the Debian packages in packages.txt"
@@ -20,6 +20,7 @@
 	@echo "make format-check  fail if a source is not formatted"
 	@echo "make lint          run clang-tidy on all sources"
 	@echo "make docs-check    check links, commands and options named in the pages"
+	@echo "make boundary-check  check that the platform's names stay in platform/"
 	@echo "make generate      run protoc; the generated files are committed"
 
 setup:
@@ -47,7 +48,8 @@
 	  -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_C_COMPILER=clang \
 	  -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
 	cmake --build build-fuzz -j $(JOBS) --target fuzz-records fuzz-revisions \
-	  fuzz-storeanswers fuzz-settings fuzz-peermessages
+	  fuzz-storeanswers fuzz-settings fuzz-peermessages fuzz-httpmessages \
+	  fuzz-platformkeys
 	@scripts/fuzz.sh build-fuzz
 
 bench: setup build
@@ -68,6 +70,9 @@
 docs-check: build
 	@scripts/docs-check.sh $(BUILD)
 
+boundary-check:
+	@scripts/boundary-check.sh
+
 generate:
 	@scripts/generate.sh
 
--- /dev/null
+++ b/fuzz/platformkeys.cpp
@@ -0,0 +1,18 @@
+// Values of the store and reports of other daemons.
+#include "directory.h"
+#include "settingsfile.h"
+
+#include "mangodeck/gateway/peertable.h"
+
+#include <cstdint>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  const std::string_view Bytes(reinterpret_cast<const char *>(Data), Size);
+  mangodeck::platform::decodePlan(Bytes);
+  mangodeck::platform::decodeTarget("i", Bytes);
+  mangodeck::platform::decodePeer(Bytes);
+  mangodeck::platform::parseSettings(Bytes);
+  mangodeck::decodeReport(Bytes);
+  return 0;
+}
