--- /dev/null
+++ b/testing/soak/main.cpp
@@ -0,0 +1,241 @@
+// Randomized fault soak: real daemons as processes, stand-ins for the store,
+// targets and callers, faults from outside.
+#include "soakcaller.h"
+#include "soakfleet.h"
+#include "soakstore.h"
+#include "soaktarget.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+
+namespace {
+
+using namespace mangodeck::soak;
+using std::chrono::milliseconds;
+
+struct Options {
+  std::string Front = "build/bin/mangodeck-front";
+  std::string Folder = "build/soak";
+  std::uint64_t Seed = 1;
+  unsigned Seeds = 1;
+  unsigned Seconds = 8;
+  unsigned Daemons = 6;
+  unsigned Targets = 6;
+  unsigned Callers = 24;
+  unsigned Subnet = 1; ///< Daemons listen at 127.0.SUBNET.1 and on.
+};
+
+/// Time without a fault after which promises hold without excuse.
+constexpr milliseconds CalmTime{4000};
+
+/// One run with one seed.
+class Soak {
+public:
+  Soak(const Options &Chosen, std::uint64_t Seed)
+      : m_Options(Chosen), m_Seed(Seed), m_Random(Seed) {
+    std::filesystem::create_directories(Chosen.Folder);
+    for (unsigned I = 0; I < Chosen.Targets; ++I) {
+      m_Targets.push_back(std::make_unique<SoakTarget>(
+          fmt::format("t-{}", I), I % 2 ? "a" : "b", m_Ledger, m_Store, m_Calm,
+          m_Random()));
+      m_Targets.back()->announce(false);
+    }
+    configure();
+    for (unsigned I = 0; I < Chosen.Daemons; ++I) {
+      m_Daemons.push_back(std::make_unique<SoakDaemon>(
+          Chosen.Front, Chosen.Folder,
+          fmt::format("127.0.{}.{}", Chosen.Subnet, I + 1), I % 2 ? "a" : "b",
+          m_StoreLink.port()));
+      m_Daemons.back()->start();
+    }
+  }
+
+  std::vector<std::string> run() {
+    std::vector<std::unique_ptr<SoakCaller>> Callers;
+    std::vector<std::thread> Threads;
+    std::this_thread::sleep_for(milliseconds(600));
+    for (unsigned I = 0; I < m_Options.Callers; ++I) {
+      Callers.push_back(std::make_unique<SoakCaller>(
+          m_Daemons, m_Ledger, m_Generation, m_Calm, m_Random()));
+      Threads.emplace_back(
+          [this, Caller = Callers.back().get()] { Caller->run(m_Stopped); });
+    }
+    // Step 1. Faults and planned work together.
+    const auto Half = std::chrono::seconds(m_Options.Seconds) / 2;
+    for (const auto End = Clock::now() + Half; Clock::now() < End; pause())
+      disturb();
+
+    // Step 2. Planned work alone, once the fleet has had time to recover.
+    heal();
+    std::this_thread::sleep_for(CalmTime);
+    m_Calm = true;
+    for (const auto End = Clock::now() + Half; Clock::now() < End; pause())
+      doPlannedWork();
+    heal();
+    m_Stopped = true;
+    for (auto &Each : Threads)
+      Each.join();
+    for (auto &Each : m_Daemons)
+      Each->signal(SIGTERM);
+    for (auto &Each : m_Daemons)
+      Each->join(std::chrono::seconds(7));
+    m_Daemons.clear();
+    m_Store.stop();
+    fmt::print("seed {}: {} asked, {} answered\n", m_Seed, m_Ledger.asked(),
+               m_Ledger.answered());
+    auto Broken = m_Ledger.verdict();
+    if (m_Ledger.answered() * 4 < m_Ledger.asked())
+      Broken.push_back("less than a quarter answered");
+    return Broken;
+  }
+
+private:
+  /// Writes a version with one route more for each generation.
+  void configure() {
+    nlohmann::json Routes = nlohmann::json::array();
+    const auto Add = [&](const std::string &Prefix, const char *Kind) {
+      Routes.push_back({{"Name", Prefix},
+                        {"Hostname", "h.example"},
+                        {"Prefix", Prefix},
+                        {"Kind", Kind},
+                        {"TimeoutMs", 3000},
+                        {"TargetLatencyMs", 500},
+                        {"GapTargetMs", 300},
+                        {"Priority", 0},
+                        {"Service", "s"},
+                        {"Attempts", 2},
+                        {"StreamResume", true}});
+    };
+    Add("/once/", "non_idempotent");
+    Add("/again/", "idempotent");
+    Add("/stream/", "streaming");
+    const unsigned Next = m_Generation + 1;
+    for (unsigned I = 1; I <= Next; ++I)
+      Add(fmt::format("/gen{}/", I), "idempotent");
+    m_Store.put(
+        "op/config",
+        nlohmann::json{{"Version", Next},
+                       {"Routes", Routes},
+                       {"Services", {{{"Name", "s"}}}},
+                       {"Tenants", {{{"Name", "c"}, {"ApiKeys", {"k"}}}}}}
+            .dump());
+    m_Generation = Next;
+  }
+
+  void pause() {
+    std::this_thread::sleep_for(milliseconds(100 + m_Random() % 500));
+  }
+
+  SoakDaemon &anyDaemon() { return *m_Daemons[m_Random() % m_Daemons.size()]; }
+  SoakTarget &anyTarget() { return *m_Targets[m_Random() % m_Targets.size()]; }
+
+  /// Draws one fault, or its end. Faults overlap and come in series.
+  void disturb() {
+    auto &Daemon = anyDaemon();
+    switch (m_Random() % 9) {
+    case 0:
+      Daemon.signal(SIGKILL);
+      Daemon.join(milliseconds(500));
+      return Daemon.start();
+    case 1:
+      Daemon.signal(SIGSTOP);
+      std::this_thread::sleep_for(milliseconds(200 + m_Random() % 1500));
+      return Daemon.signal(SIGCONT);
+    case 2:
+      return anyTarget().link().setFault(
+          static_cast<LinkFault>(m_Random() % 4));
+    case 3:
+      return anyTarget().link().resetAll();
+    case 4:
+      return anyTarget().setSpoiled(static_cast<unsigned>(m_Random() % 30));
+    case 5:
+      return m_StoreLink.setFault(static_cast<LinkFault>(m_Random() % 4));
+    case 6:
+      m_StoreLink.resetAll();
+      return m_Store.dropHistory();
+    case 7:
+      return m_Store.setDown(m_Random() % 2 == 0);
+    default:
+      return doPlannedWork();
+    }
+  }
+
+  /// Draws a step of planned work, which excuses nothing.
+  void doPlannedWork() {
+    switch (m_Random() % 4) {
+    case 0:
+      return restartGracefully(anyDaemon());
+    case 1:
+      return anyDaemon().signal(SIGHUP);
+    case 2:
+      return anyTarget().announce(m_Random() % 2 == 0);
+    default:
+      return configure();
+    }
+  }
+
+  void restartGracefully(SoakDaemon &Daemon) {
+    Daemon.setPlannedStop(true);
+    Daemon.signal(SIGTERM);
+    if (!Daemon.join(std::chrono::seconds(6)))
+      m_Ledger.noteBroken("daemon did not stop within its grace");
+    Daemon.start();
+  }
+
+  void heal() {
+    m_StoreLink.setFault(LinkFault::None);
+    m_Store.setDown(false);
+    for (auto &Each : m_Targets) {
+      Each->link().setFault(LinkFault::None);
+      Each->setSpoiled(0);
+      Each->announce(false);
+    }
+  }
+
+  const Options &m_Options;
+  std::uint64_t m_Seed;
+  std::mt19937_64 m_Random;
+  SoakLedger m_Ledger;
+  SoakStore m_Store;
+  FaultProxy m_StoreLink{"127.0.0.1", "127.0.0.1", m_Store.port()};
+  std::vector<std::unique_ptr<SoakTarget>> m_Targets;
+  std::vector<std::unique_ptr<SoakDaemon>> m_Daemons;
+  std::atomic<unsigned> m_Generation{0};
+  std::atomic<bool> m_Calm{false};
+  std::atomic<bool> m_Stopped{false};
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App{"Randomized fault soak of mangodeck-front"};
+  Options Chosen;
+  App.add_option("--front", Chosen.Front, "Program of the daemon");
+  App.add_option("--folder", Chosen.Folder, "Folder for settings and logs");
+  App.add_option("--seed", Chosen.Seed, "First seed");
+  App.add_option("--seeds", Chosen.Seeds, "Number of seeds");
+  App.add_option("--seconds", Chosen.Seconds, "Length of a run")
+      ->check(CLI::Range(1, 600));
+  App.add_option("--daemons", Chosen.Daemons, "Processes")
+      ->check(CLI::Range(1, 200));
+  App.add_option("--targets", Chosen.Targets, "Stand-in targets")
+      ->check(CLI::Range(1, 100));
+  App.add_option("--callers", Chosen.Callers, "Callers")
+      ->check(CLI::Range(1, 400));
+  App.add_option("--subnet", Chosen.Subnet, "Third part of the addresses")
+      ->check(CLI::Range(1, 254));
+  CLI11_PARSE(App, Argc, Argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  unsigned Failed = 0;
+  for (unsigned I = 0; I < Chosen.Seeds; ++I) {
+    const auto Seed = Chosen.Seed + I;
+    const auto Broken = Soak(Chosen, Seed).run();
+    for (const auto &What : Broken)
+      fmt::print("seed {}: broken: {}\n", Seed, What);
+    Failed += Broken.empty() ? 0 : 1;
+  }
+  fmt::print("{} passed, {} failed\n", Chosen.Seeds - Failed, Failed);
+  return Failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/testing/soak/soakcaller.h
@@ -0,0 +1,47 @@
+#ifndef MANGODECK_SOAK_SOAKCALLER_H
+#define MANGODECK_SOAK_SOAKCALLER_H
+
+#include "httpserver.h"
+#include "soakfleet.h"
+#include "soakledger.h"
+
+#include <functional>
+#include <random>
+#include <span>
+
+namespace mangodeck::soak {
+
+/// A caller on a thread of its own: sends requests to daemons, keeps using an
+/// open connection until it is closed, and checks every answer.
+class SoakCaller {
+public:
+  SoakCaller(std::span<const std::unique_ptr<SoakDaemon>> Daemons,
+             SoakLedger &Ledger, const std::atomic<unsigned> &Generation,
+             const std::atomic<bool> &Calm, std::uint64_t Seed);
+
+  /// Sends requests until \p Stopped.
+  void run(const std::atomic<bool> &Stopped);
+
+private:
+  struct Reading;
+  bool connect();
+  void ask();
+  void check(const std::string &Id, const std::string &Path,
+             const Reading &Answer);
+  void checkGeneration(unsigned Asked, bool Known);
+
+  std::span<const std::unique_ptr<SoakDaemon>> m_Daemons;
+  SoakLedger &m_Ledger;
+  const std::atomic<unsigned> &m_Generation; ///< Newest version written.
+  const std::atomic<bool> &m_Calm;           ///< No fault for a while.
+  std::mt19937_64 m_Random;
+  asio::io_context m_Loop;
+  std::unique_ptr<Socket> m_Socket;
+  SoakDaemon *m_Daemon = nullptr;
+  unsigned m_Incarnation = 0;
+  unsigned m_SeenGeneration = 0; ///< By this connection's incarnation.
+};
+
+} // namespace mangodeck::soak
+
+#endif
--- /dev/null
+++ b/testing/soak/soakfleet.cpp
@@ -0,0 +1,87 @@
+#include "soakfleet.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <thread>
+
+extern char **environ;
+
+namespace mangodeck::soak {
+
+namespace {
+
+constexpr std::uint16_t CallerPort = 18221;
+constexpr std::uint16_t ReadyPort = 18224;
+constexpr std::uint16_t PeerPort = 18600;
+/// Time from SIGTERM that a daemon is given, in seconds.
+constexpr int GraceSeconds = 5;
+
+} // namespace
+
+SoakDaemon::SoakDaemon(std::string Program, std::string Folder, std::string Ip,
+                       std::string Domain, std::uint16_t StorePort)
+    : m_Program(std::move(Program)), m_Folder(Folder + "/" + Ip),
+      m_Ip(std::move(Ip)), m_CallerPort(CallerPort) {
+  std::ofstream(m_Folder + ".toml") << fmt::format(
+      "NodeName = \"{0}\"\nIp = \"{0}\"\nZone = \"{1}\"\n"
+      "PortRange = [{2}, {3}]\n[Listen]\nFront = \"{0}:{4}\"\n"
+      "Ready = \"{0}:{5}\"\n[Limits]\nMemoryMb = 128\n[Bounds]\nGraceS = {6}\n"
+      "RetryBudgetRatio = 0.2\nBudgetSlack = 56\nBudgetWindowS = 10\n"
+      "[Platform]\nAddress = \"127.0.0.1:{7}\"\n",
+      m_Ip, Domain, PeerPort, PeerPort + 15, CallerPort, ReadyPort,
+      GraceSeconds, StorePort);
+}
+
+SoakDaemon::~SoakDaemon() {
+  signal(SIGCONT);
+  signal(SIGKILL);
+  join(std::chrono::seconds(2));
+}
+
+void SoakDaemon::start() {
+  const auto Settings = m_Folder + ".toml";
+  const auto Log = m_Folder + ".log";
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  posix_spawn_file_actions_addopen(&Actions, 1, Log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  std::vector<std::string> Words = {m_Program, "--settings", Settings};
+  std::vector<char *> Arguments;
+  for (auto &Word : Words)
+    Arguments.push_back(Word.data());
+  Arguments.push_back(nullptr);
+  if (posix_spawn(&m_Process, m_Program.c_str(), &Actions, nullptr,
+                  Arguments.data(), environ) != 0)
+    m_Process = 0;
+  posix_spawn_file_actions_destroy(&Actions);
+  m_PlannedStop = false;
+  ++m_Incarnation;
+}
+
+void SoakDaemon::signal(int Number) {
+  if (m_Process > 0)
+    ::kill(m_Process, Number);
+}
+
+bool SoakDaemon::join(std::chrono::milliseconds Limit) {
+  const auto End = Clock::now() + Limit;
+  while (m_Process > 0 && Clock::now() < End) {
+    if (::waitpid(m_Process, nullptr, WNOHANG) == m_Process) {
+      m_Process = 0;
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  if (m_Process <= 0)
+    return true;
+  signal(SIGKILL);
+  ::waitpid(m_Process, nullptr, 0);
+  m_Process = 0;
+  return false;
+}
+
+} // namespace mangodeck::soak
--- /dev/null
+++ b/testing/soak/soakfleet.h
@@ -0,0 +1,47 @@
+#ifndef MANGODECK_SOAK_SOAKFLEET_H
+#define MANGODECK_SOAK_SOAKFLEET_H
+
+#include "soakledger.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace mangodeck::soak {
+
+/// One daemon as a process of its own, at a loopback address of its own.
+class SoakDaemon {
+public:
+  SoakDaemon(std::string Program, std::string Folder, std::string Ip,
+             std::string Domain, std::uint16_t StorePort);
+  ~SoakDaemon();
+
+  void start();
+  /// Sends \p Number to the process that this object started.
+  void signal(int Number);
+  /// Waits until it ended, for \p Limit at most; kills it then. False if it
+  /// had to be killed.
+  bool join(std::chrono::milliseconds Limit);
+
+  const std::string &ip() const { return m_Ip; }
+  std::uint16_t callerPort() const { return m_CallerPort; }
+  /// Counts the starts; answers of different starts are not compared.
+  unsigned incarnation() const { return m_Incarnation; }
+  bool isPlannedStop() const { return m_PlannedStop; }
+  void setPlannedStop(bool Planned) { m_PlannedStop = Planned; }
+
+private:
+  std::string m_Program;
+  std::string m_Folder;
+  std::string m_Ip;
+  std::uint16_t m_CallerPort;
+  pid_t m_Process = 0;
+  std::atomic<unsigned> m_Incarnation{0};
+  std::atomic<bool> m_PlannedStop{false};
+};
+
+} // namespace mangodeck::soak
+
+#endif
--- /dev/null
+++ b/testing/soak/soakledger.cpp
@@ -0,0 +1,42 @@
+#include "soakledger.h"
+
+namespace mangodeck::soak {
+
+void SoakLedger::count(std::uint64_t &Counter) {
+  const std::lock_guard Lock(m_Mutex);
+  ++Counter;
+}
+
+void SoakLedger::noteRun(const std::string &Id, bool MayRepeat) {
+  const std::lock_guard Lock(m_Mutex);
+  auto &Entry = m_Runs[Id];
+  ++Entry.Count;
+  Entry.MayRepeat = MayRepeat;
+}
+
+void SoakLedger::notePromise(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Promised.insert(Id);
+}
+
+void SoakLedger::noteBroken(const std::string &What) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Broken.push_back(What);
+}
+
+std::vector<std::string> SoakLedger::verdict() {
+  const std::lock_guard Lock(m_Mutex);
+  auto Broken = m_Broken;
+  for (const auto &[Id, Entry] : m_Runs) {
+    if (Entry.MayRepeat)
+      continue;
+    if (Entry.Count > 1)
+      Broken.push_back("at most once: " + Id + " ran " +
+                       std::to_string(Entry.Count) + " times");
+    if (m_Promised.contains(Id))
+      Broken.push_back("true refusal: " + Id + " ran, though refused");
+  }
+  return Broken;
+}
+
+} // namespace mangodeck::soak
--- /dev/null
+++ b/testing/soak/soakledger.h
@@ -0,0 +1,48 @@
+#ifndef MANGODECK_SOAK_SOAKLEDGER_H
+#define MANGODECK_SOAK_SOAKLEDGER_H
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mangodeck::soak {
+
+using Clock = std::chrono::steady_clock;
+
+/// What callers and targets saw, and which promises it breaks.
+class SoakLedger {
+public:
+  /// A target began to run a request.
+  void noteRun(const std::string &Id, bool MayRepeat);
+  /// A caller was told that its request has not run.
+  void notePromise(const std::string &Id);
+  void noteAnswer() { count(m_Answered); }
+  void noteAsked() { count(m_Asked); }
+  void noteBroken(const std::string &What);
+
+  /// Compares promises with runs; call when nothing runs any longer.
+  std::vector<std::string> verdict();
+  std::uint64_t asked() const { return m_Asked; }
+  std::uint64_t answered() const { return m_Answered; }
+
+private:
+  void count(std::uint64_t &Counter);
+  struct Run {
+    unsigned Count = 0;
+    bool MayRepeat = false;
+  };
+  std::mutex m_Mutex;
+  std::map<std::string, Run> m_Runs;
+  std::set<std::string> m_Promised;
+  std::vector<std::string> m_Broken;
+  std::uint64_t m_Asked = 0;
+  std::uint64_t m_Answered = 0;
+};
+
+} // namespace mangodeck::soak
+
+#endif
--- /dev/null
+++ b/testing/soak/soakstore.h
@@ -0,0 +1,63 @@
+#ifndef MANGODECK_SOAK_SOAKSTORE_H
+#define MANGODECK_SOAK_SOAKSTORE_H
+
+#include "httpserver.h"
+#include "soakledger.h"
+
+#include <condition_variable>
+#include <nlohmann/json.hpp>
+
+namespace mangodeck::soak {
+
+/// A stand-in of the platform's store: keys, leases, watches and a history
+/// that can be dropped.
+class SoakStore {
+public:
+  SoakStore();
+
+  std::uint16_t port() const { return m_Server.port(); }
+  /// Writes a key as the operator or a target does.
+  void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  /// Answers 503 to everything.
+  void setDown(bool Down) { m_Down = Down; }
+  /// Answers to older watches are 410 from now on.
+  void dropHistory();
+  void stop();
+
+private:
+  struct Item {
+    std::string Value;
+    std::int64_t Revision = 0;
+    std::int64_t Lease = 0;
+  };
+  using Json = nlohmann::json;
+  struct Reply {
+    int Status = 200;
+    Json Body = Json::object();
+  };
+
+  void serve(Socket &Caller);
+  Reply answer(const http::Request &Asked);
+  Reply watch(std::int64_t After, std::chrono::milliseconds Wait);
+  Reply range(const std::string &After);
+  void change(const std::string &Key, const std::string *Value,
+              std::int64_t Lease);
+  void expire();
+
+  std::mutex m_Mutex;
+  std::condition_variable m_Changed;
+  std::map<std::string, Item> m_Items;
+  std::map<std::int64_t, Clock::time_point> m_Leases;
+  std::map<std::int64_t, Json> m_History;
+  std::int64_t m_Revision = 1;
+  std::int64_t m_Dropped = 0; ///< History up to here is gone.
+  std::int64_t m_NextLease = 1;
+  std::atomic<bool> m_Down{false};
+  std::atomic<bool> m_Stopped{false};
+  ThreadedServer m_Server;
+};
+
+} // namespace mangodeck::soak
+
+#endif
