--- a/scripts/docs-check.sh
+++ b/scripts/docs-check.sh
@@ -17,7 +17,7 @@
 mapfile -t pages < <(git ls-files --cached --others --exclude-standard '*.md')
 
 # Step 1. What the programs and the Makefile know.
-programs=(mangodeck mangodeckd standin-store standin-target standin-relay)
+programs=(mangodeck mangodeckd mangodeck-front mangodeck-soak standin-store standin-target standin-relay)
 help_of() { # PROGRAM [SUBCOMMAND]
   local file="$work/help-$1-${2:-}"
   [ -f "$file" ] || "$build/bin/$1" ${2:+"$2"} --help >"$file"
