http, gateway: bodies beyond a quarter of the memory are refused

Cause: found by reading: the sum of bodies was counted up and never down, and nobody asked for it, so that large bodies could take all of the memory.

Change: a body that there is no memory for gets 503, which is true, and its connection is closed; the sum follows the requests that are open.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -82,6 +82,7 @@
   const RequestWork &work() const { return m_Work; }
   std::span<const TargetPtr> triedTargets() const { return m_Tried; }
   RequestRank rank() const;
+  std::size_t bodyBytes() const { return m_Message.Body.size(); }
   TimePoint arrival() const { return m_Arrival; }
   TimePoint deadline() const { return m_Deadline; }
   /// Latest time of the first event or answer that meets the objective.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -405,6 +405,7 @@
     m_Quotas.giveBack(Ended.customer()->Name,
                       costOf(Ended.facts(), *Ended.customer()));
   m_Services[Ended.service().Text].Queue.remove(Ended.number());
+  m_BufferedBytes -= Ended.bodyBytes();
   const auto Found = m_ByNumber.find(Ended.number());
   if (Found == m_ByNumber.end())
     return;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -149,6 +149,7 @@
   CPPUNIT_TEST(customer_overLimit_gets429WithTimeToComeBack);
   CPPUNIT_TEST(caller_leaves_targetConnectionIsClosed);
   CPPUNIT_TEST(plan_older_isNotTaken);
+  CPPUNIT_TEST(body_beyondMemory_isRefusedAndOthersServed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +161,7 @@
     m_Metrics.emplace();
     GatewaySettings Settings;
     Settings.Vm = "vm";
+    Settings.MemoryBytes = 1 << 20;
     Settings.Domain = FailureDomain("home");
     Settings.Ip = "127.0.0.1";
     Settings.CallerPort = freePort();
@@ -384,6 +386,20 @@
     CPPUNIT_ASSERT(ask(request("1")).starts_with("HTTP/1.1 200"));
   }
 
+  void body_beyondMemory_isRefusedAndOthersServed() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_A);
+    m_A->Scripts = {{plainAnswer("2")}};
+    const auto Answer =
+        ask("POST /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt: 1\r\n"
+            "Authorization: Bearer k\r\nContent-Length: 400000\r\n\r\n" +
+            std::string(400000, 'x'));
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 503"));
+    m_Client.emplace(*m_Loop);
+    m_Client->connect({asio::ip::make_address("127.0.0.1"), m_Port});
+    CPPUNIT_ASSERT(ask(request("2")).starts_with("HTTP/1.1 200"));
+  }
+
 private:
   static std::uint16_t freePort() {
     asio::io_context Loop;
--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -81,7 +81,7 @@
   void read();
   void onRead(std::error_code Error, std::size_t Size);
   void consume();
-  void reject(ParseFault Fault);
+  void reject(int Status);
   void write(std::string_view Bytes);
   void flush();
   void finishAnswer();
@@ -95,6 +95,7 @@
   RequestParser m_Parser;
   Request m_Request;
   Phase m_Phase = Phase::Reading;
+  bool m_OverBudget = false; ///< A body that there is no memory for.
   bool m_CloseAfter = false;
   bool m_HeadOnly = false;
   bool m_Chunked = true;
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -16,6 +16,17 @@
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
+int statusOf(ParseFault Fault) {
+  switch (Fault) {
+  case ParseFault::HeadTooLarge:
+    return 431;
+  case ParseFault::BodyTooLarge:
+    return 413;
+  default:
+    return 400;
+  }
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket Socket,
@@ -70,10 +81,10 @@
       m_FirstByte = steadyNow();
     const auto Used = m_Parser.feed(m_Unparsed);
     m_Unparsed.erase(0, Used);
-    if (m_Parser.fault() != ParseFault::None) {
-      reject(m_Parser.fault());
-      return;
-    }
+    if (m_OverBudget)
+      return reject(503);
+    if (m_Parser.fault() != ParseFault::None)
+      return reject(statusOf(m_Parser.fault()));
     if (!m_Parser.isComplete()) {
       if (Used == 0)
         return;
@@ -96,13 +107,12 @@
 }
 
 void CallerConnection::onBody(std::string_view Bytes) {
-  m_Request.Body.append(Bytes);
+  m_OverBudget = !m_Handler.mayBuffer(m_Request.Body.size() + Bytes.size());
+  if (!m_OverBudget)
+    m_Request.Body.append(Bytes);
 }
 
-void CallerConnection::reject(ParseFault Fault) {
-  const int Status = Fault == ParseFault::HeadTooLarge   ? 431
-                     : Fault == ParseFault::BodyTooLarge ? 413
-                                                         : 400;
+void CallerConnection::reject(int Status) {
   m_Handler.onRejected(Status, m_Parser.headBytes());
   m_Phase = Phase::Answering;
   m_CloseAfter = true;
@@ -251,12 +261,8 @@
           !m_Parser.hasHead() && Now - m_FirstByte > m_Bounds.HeadTimeout;
       const bool BodyLate =
           m_Parser.hasHead() && Now - m_LastActive > m_Bounds.BodyTimeout;
-      if (HeadLate || BodyLate) {
-        m_Handler.onRejected(408, m_Parser.headBytes());
-        m_Phase = Phase::Answering;
-        m_CloseAfter = true;
-        sendAnswer(408, HeaderList(), reasonOf(408));
-      }
+      if (HeadLate || BodyLate)
+        reject(408);
     } else if (Now - m_LastActive > m_Bounds.IdleTimeout) {
       closeIfIdle();
     }
