common, http: one copy of base64 and of the splitting of event streams

The gateway had its own EventFrames beside SseFrames, and the adapter its own base64 beside that of the etcd client, which checks padding and white space. Both are moved to where all can use them. The tests' assertions are unchanged; they name the moved functions. No functional change.

--- a/fuzz/storeanswers.cpp
+++ b/fuzz/storeanswers.cpp
@@ -16,9 +16,9 @@
   (void)etcd::parseLeaseGrant(Text);
   (void)etcd::parseKeepAlive(Text);
   (void)etcd::parseWatch(Text);
-  const auto Bytes = etcd::decodeBase64(Text);
-  if (Bytes && etcd::encodeBase64(*Bytes) != Text &&
-      etcd::decodeBase64(etcd::encodeBase64(*Bytes)) != Bytes)
+  const auto Bytes = decodeBase64(Text);
+  if (Bytes && encodeBase64(*Bytes) != Text &&
+      decodeBase64(encodeBase64(*Bytes)) != Bytes)
     __builtin_trap();
   return 0;
 }
--- a/packages/connection/src/etcdmessages.cpp
+++ b/packages/connection/src/etcdmessages.cpp
@@ -1,7 +1,6 @@
 #include "etcdmessages.h"
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 #include <algorithm>
 #include <charconv>
@@ -129,42 +128,6 @@
 
 } // namespace
 
-std::string encodeBase64(std::string_view Bytes) {
-  std::string Text(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
-  const int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Text.resize(static_cast<std::size_t>(Length));
-  return Text;
-}
-
-std::optional<std::string> decodeBase64(std::string_view Text) {
-  constexpr std::string_view Digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmn"
-                                      "opqrstuvwxyz0123456789+/";
-  if (Text.empty())
-    return std::string();
-  // Step 1. EVP_DecodeBlock also takes padding and white space where none
-  // belongs, so the form is checked first.
-  const auto End = Text.find('=');
-  const auto Padding = End == Text.npos ? 0 : Text.size() - End;
-  const auto Body = Text.substr(0, Text.size() - Padding);
-  if (Text.size() % 4 != 0 || Padding > 2 ||
-      Body.find_first_not_of(Digits) != Body.npos ||
-      Text.find_first_not_of('=', Body.size()) != Text.npos)
-    return std::nullopt;
-  // Step 2. Decode, and drop the bytes that the padding stands for.
-  std::string Bytes(Text.size() / 4 * 3, '\0');
-  const int Length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  if (Length < 0)
-    return std::nullopt;
-  Bytes.resize(static_cast<std::size_t>(Length) - Padding);
-  return Bytes;
-}
-
 std::string endOfPrefix(std::string_view Prefix) {
   std::string End(Prefix);
   while (!End.empty() && End.back() == '\xff')
--- a/packages/connection/src/etcdmessages.h
+++ b/packages/connection/src/etcdmessages.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_CONNECTION_ETCDMESSAGES_H
 #define MANGODECK_CONNECTION_ETCDMESSAGES_H
 
+#include "mangodeck/common/base64.h"
 #include "mangodeck/version/store.h"
 
 #include <optional>
@@ -10,11 +11,8 @@
 
 namespace mangodeck::etcd {
 
-/// Messages of etcd's JSON gateway, as published with etcd 3.4 and later: keys
-/// and values in base64, 64-bit numbers as decimal strings.
-
-std::string encodeBase64(std::string_view Bytes);
-std::optional<std::string> decodeBase64(std::string_view Text);
+// Messages of etcd's JSON gateway, as published with etcd 3.4 and later: keys
+// and values in base64, 64-bit numbers as decimal strings.
 
 /// The least key that is greater than all keys which start with \p Prefix.
 std::string endOfPrefix(std::string_view Prefix);
--- a/packages/connection/src/httptargetwatcher.cpp
+++ b/packages/connection/src/httptargetwatcher.cpp
@@ -1,7 +1,7 @@
 #include "mangodeck/connection/httptargetwatcher.h"
 
 #include "curlloop.h"
-#include "sseframes.h"
+#include "mangodeck/http/sseframes.h"
 #include "targetevents.h"
 
 #include <algorithm>
--- a/packages/connection/src/targetexchange.h
+++ b/packages/connection/src/targetexchange.h
@@ -2,7 +2,7 @@
 #define MANGODECK_CONNECTION_TARGETEXCHANGE_H
 
 #include "curlloop.h"
-#include "sseframes.h"
+#include "mangodeck/http/sseframes.h"
 
 #include "mangodeck/connection/curltargetclient.h"
 
--- a/packages/connection/test/etcdstore_test.cpp
+++ b/packages/connection/test/etcdstore_test.cpp
@@ -85,11 +85,11 @@
   void base64_anyBytes_readBack() {
     std::string Bytes;
     for (int I = 0; I < 256; ++I) {
-      CPPUNIT_ASSERT(etcd::decodeBase64(etcd::encodeBase64(Bytes)) == Bytes);
+      CPPUNIT_ASSERT(decodeBase64(encodeBase64(Bytes)) == Bytes);
       Bytes += static_cast<char>(I);
     }
     for (const char *Bad : {"abc", "a===", "ab=c", "ab c", "abcd\n", "===="})
-      CPPUNIT_ASSERT(!etcd::decodeBase64(Bad));
+      CPPUNIT_ASSERT(!decodeBase64(Bad));
   }
 
   void answers_malformed_areRefused() {
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -3,13 +3,13 @@
 
 #include "mangodeck/gateway/choosetarget.h"
 #include "mangodeck/gateway/dispatchqueue.h"
-#include "mangodeck/gateway/eventframes.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/gatewaymetrics.h"
 #include "mangodeck/gateway/requestfacts.h"
 #include "mangodeck/gateway/retrybudget.h"
 #include "mangodeck/gateway/targetpool.h"
 #include "mangodeck/http/callerconnection.h"
+#include "mangodeck/http/sseframes.h"
 #include "mangodeck/http/targetconnection.h"
 #include "mangodeck/version/routeplan.h"
 
@@ -160,7 +160,7 @@
   bool m_Rejected = false;
   bool m_BadAnswer = false;
   bool m_HeadSent = false;
-  EventFrames m_Frames;
+  SseFrames m_Frames;
   std::optional<std::int64_t> m_LastEvent;
   std::uint32_t m_EventsHere = 0; ///< Of the present send.
   Duration m_LowGap{0};
--- a/packages/gateway/include/mangodeck/gateway/requestfacts.h
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -24,6 +24,9 @@
 
 RequestFacts readFacts(const http::Request &Message, const HeaderNames &Names);
 
+/// The numeric id of a stream's event; std::nullopt if it has none.
+std::optional<std::int64_t> eventId(std::string_view Event);
+
 /// Requests that run or wait at a target, from the field that tells its load;
 /// std::nullopt if it cannot be read.
 std::optional<std::uint32_t> parseLoad(std::string_view Field);
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/gateway/requestfacts.h"
 
+#include "mangodeck/http/sseframes.h"
+
 #include <algorithm>
 #include <charconv>
 #include <xxhash.h>
@@ -49,6 +51,10 @@
   return Facts;
 }
 
+std::optional<std::int64_t> eventId(std::string_view Event) {
+  return parseNumber(findSseField(Event, "id"));
+}
+
 std::optional<std::uint32_t> parseLoad(std::string_view Field) {
   const auto First = Field.find(',');
   const auto Second = First == Field.npos ? First : Field.find(',', First + 1);
--- a/packages/gateway/test/dispatchqueue_test.cpp
+++ b/packages/gateway/test/dispatchqueue_test.cpp
@@ -1,9 +1,10 @@
 #include "mangodeck/gateway/dispatchqueue.h"
 
 #include "mangodeck/gateway/crashguard.h"
-#include "mangodeck/gateway/eventframes.h"
+#include "mangodeck/gateway/requestfacts.h"
 #include "mangodeck/gateway/retrybudget.h"
 #include "mangodeck/gateway/wakeguard.h"
+#include "mangodeck/http/sseframes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -174,7 +175,7 @@
   void frames_anySplit_giveSameEvents() {
     const std::string Bytes = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3";
     for (std::size_t At = 0; At <= Bytes.size(); ++At) {
-      EventFrames Frames;
+      SseFrames Frames;
       std::vector<std::string> Events;
       for (const auto &Part : {Bytes.substr(0, At), Bytes.substr(At)}) {
         Frames.append(Part);
--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -98,7 +98,6 @@
   bool m_OverBudget = false; ///< A body that there is no memory for.
   bool m_CloseAfter = false;
   bool m_HeadOnly = false;
-  bool m_Chunked = true;
   bool m_ReadPending = false;
   bool m_WritePending = false;
   bool m_PeerClosed = false;
--- a/packages/connection/src/sseframes.cpp
+++ b/packages/http/src/sseframes.cpp
@@ -1,4 +1,4 @@
-#include "sseframes.h"
+#include "mangodeck/http/sseframes.h"
 
 #include <algorithm>
 
--- a/testing/soak/soakstore.cpp
+++ b/testing/soak/soakstore.cpp
@@ -1,6 +1,6 @@
 #include "soakstore.h"
 
-#include "base64.h"
+#include "mangodeck/common/base64.h"
 
 namespace mangodeck::soak {
 
@@ -128,7 +128,7 @@
 
 void SoakStore::put(const std::string &Key, const std::string &Value) {
   const std::lock_guard Lock(m_Mutex);
-  const auto Text = platform::encodeBase64(Value);
+  const auto Text = encodeBase64(Value);
   change(Key, &Text, 0);
 }
 
