gateway: one place schedules the pumping of a service's queue

waitForSlot and onSlotFreed held the same six lines. The condition that takes back a rejected send is written without its parts that always held. No functional change; the 78 tests of the gateway pass.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -120,6 +120,8 @@
   void answer(http::CallerConnection &Connection, int Status,
               std::string_view Reason, std::optional<Duration> ComeBack);
   void admit(const ExchangePtr &New, TimePoint Now);
+  /// Pumps the service once the present handler has returned.
+  void schedulePump(const ServiceName &Service);
   void pump(const ServiceName &Service);
   bool tryDispatch(const ExchangePtr &Waiting, TimePoint Now);
   ServiceName pickService(const Route &Matched);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -360,8 +360,7 @@
   if (m_Phase == Phase::Over)
     return;
   releaseTarget(false);
-  if (Kind != Doubt::MayHaveRun && m_RunsPossible > 0 && m_Sends > 0 &&
-      Kind == Doubt::Rejected)
+  if (Kind == Doubt::Rejected && m_RunsPossible > 0)
     --m_RunsPossible;
   if (m_Target && Kind != Doubt::NotSent)
     m_Tried.push_back(m_Target);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -307,13 +307,17 @@
   if (Ticket.StartBy < Now && Waiting->hasStreamed())
     Ticket.StartBy = Ticket.GiveUp;
   m_Services[Waiting->service().Text].Queue.push(Ticket);
-  m_ToPump.push_back(Waiting->service());
+  schedulePump(Waiting->service());
+}
+
+void Gateway::schedulePump(const ServiceName &Service) {
+  m_ToPump.push_back(Service);
   if (m_ToPump.size() == 1)
     asio::post(m_Loop, [this] {
       auto Services = std::move(m_ToPump);
       m_ToPump.clear();
-      for (const auto &Service : Services)
-        pump(Service);
+      for (const auto &Each : Services)
+        pump(Each);
     });
 }
 
@@ -372,16 +376,8 @@
 
 void Gateway::onSlotFreed(const ServiceName &Service) {
   const auto Found = m_Services.find(Service.Text);
-  if (Found == m_Services.end() || Found->second.Queue.empty())
-    return;
-  m_ToPump.push_back(Service);
-  if (m_ToPump.size() == 1)
-    asio::post(m_Loop, [this] {
-      auto Services = std::move(m_ToPump);
-      m_ToPump.clear();
-      for (const auto &Each : Services)
-        pump(Each);
-    });
+  if (Found != m_Services.end() && !Found->second.Queue.empty())
+    schedulePump(Service);
 }
 
 Duration Gateway::comeBackAfter(const Exchange &Refused) {
