gateway: one daemon of a failure domain hands out the slots of its targets

Cause: at 73 and 87 daemons each sees a small part of the requests and knows of the others what was true some hundred milliseconds ago. Engines were sent up to twice their slots while others idled (first events came 1.4 to 2.4 times later than expected in the median, 7 to 16 times in the worst tenth), each daemon learned a target's pace and failures from its own requests only, and urgent requests waited at one daemon while another started idle ones.

Change: the daemon that makes a domain's digests is its slot broker as well. The others ask it for a slot for each request, tell it of the first event and of the end with what they learned of the target, and report their running requests, from which a successor learns the state. A daemon that gets no answer within 90 ms decides alone as before, which also holds at start and behind a cut. A target that failed lately is tried with one request at a time.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -15,6 +15,10 @@
   Duration TimeToEnd{0};    ///< Until the whole answer is worth nothing.
   Duration GapTarget{0};    ///< Longest pause between events; 0: none.
   std::span<const TargetPtr> Excluded; ///< Targets that were tried already.
+  /// Targets of the own failure domain are left to the slot broker there.
+  bool ElsewhereOnly = false;
+  /// The slots that are free are known, not estimated: no allowance applies.
+  bool LoadsAreExact = false;
 };
 
 /// A chosen target and what is expected of it.
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -5,8 +5,10 @@
 #include "mangodeck/gateway/dispatchqueue.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/gatewaymetrics.h"
+#include "mangodeck/gateway/peertable.h"
 #include "mangodeck/gateway/requestfacts.h"
 #include "mangodeck/gateway/retrybudget.h"
+#include "mangodeck/gateway/slotmessages.h"
 #include "mangodeck/gateway/targetpool.h"
 #include "mangodeck/http/callerconnection.h"
 #include "mangodeck/http/sseframes.h"
@@ -28,8 +30,10 @@
   virtual ~ExchangeControl() = default;
   /// Queues the exchange until a slot is free.
   virtual void waitForSlot(const ExchangePtr &Waiting) = 0;
-  /// A request of the service ended at a target.
-  virtual void onSlotFreed(const ServiceName &Service) = 0;
+  /// The first event of the request came.
+  virtual void onFirstEvent(const Exchange &Running) = 0;
+  /// A request left the target that it ran at; \p Use tells how it fared.
+  virtual void onTargetReleased(const Exchange &Left, const SlotNote &Use) = 0;
   /// The exchange is over. \p Ran is false if no target began to work on it.
   virtual void onExchangeOver(Exchange &Ended, bool Ran) = 0;
   /// A request broke off at \p Target without a whole answer.
@@ -99,6 +103,8 @@
   void setWaiting() { m_Phase = Phase::Waiting; }
   bool isOver() const { return m_Phase == Phase::Over; }
   const TargetPtr &target() const { return m_Target; }
+  /// The request at its target; std::nullopt while it is at none.
+  std::optional<PeerRun> run() const;
 
 private:
   enum class Phase : std::uint8_t { Waiting, Connecting, Sent, Over };
@@ -124,6 +130,11 @@
   bool mayGoOn(Doubt Kind) const;
   void giveUp(Doubt Kind, std::string_view Reason);
   void releaseTarget(bool Reuse);
+  void noteTargetFailure(TimePoint Now);
+  void noteTargetSuccess(TimePoint Now);
+  bool isAtTarget() const {
+    return m_Target && (m_Phase == Phase::Connecting || m_Phase == Phase::Sent);
+  }
   void answerOwn(int Status, std::string_view Reason,
                  std::optional<Duration> ComeBack);
   void end(std::string_view Outcome, std::string_view Reason, int Status);
@@ -152,6 +163,7 @@
   std::uint32_t m_Sends = 0;
   std::uint32_t m_RunsPossible = 0; ///< Sends that may have run.
   TokenCount m_PrefillBooked = 0;
+  SlotOutcome m_Outcome = SlotOutcome::Unknown; ///< Of the present send.
   std::uint64_t m_Epoch = 0; ///< Of the send; late callbacks are ignored.
 
   http::ResponseHead m_Answer;
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peertable.h"
 #include "mangodeck/gateway/quotaledger.h"
+#include "mangodeck/gateway/slotbroker.h"
 #include "mangodeck/gateway/wakeguard.h"
 
 #include <asio/io_context.hpp>
@@ -57,7 +58,8 @@
 /// writes, and handing it between threads would cost more than it saves.
 class Gateway : public DirectoryObserver,
                 private http::CallerHandler,
-                private ExchangeControl {
+                private ExchangeControl,
+                private SlotVerdictSink {
 public:
   Gateway(asio::io_context &Loop, GatewaySettings Settings,
           const HeaderNames &Names, EventLog &Log, GatewayMetrics &Metrics,
@@ -85,6 +87,14 @@
   struct ServiceState {
     DispatchQueue Queue;
     ServiceRate Rate;
+    Duration ToldBacklog{0}; ///< By the broker, last.
+  };
+  /// A request whose slot the broker was asked for.
+  struct PendingAsk {
+    TimePoint FirstSent{};
+    TimePoint LastSent{};
+    bool MayRefuse = false;
+    bool Answered = false;
   };
   struct LapsedTarget {
     TargetName Id;
@@ -102,11 +112,27 @@
 
   // Exchanges.
   void waitForSlot(const ExchangePtr &Waiting) override;
-  void onSlotFreed(const ServiceName &Service) override;
+  void onFirstEvent(const Exchange &Running) override;
+  void onTargetReleased(const Exchange &Left, const SlotNote &Use) override;
   void onExchangeOver(Exchange &Ended, bool Ran) override;
   void onBrokenOff(const TargetPtr &Target, std::uint64_t Fingerprint) override;
   Duration comeBackAfter(const Exchange &Refused) override;
 
+  // The slot broker of this failure domain.
+  void onVerdict(const std::string &Vm, const SlotVerdict &Verdict) override;
+  void onOwnVerdict(const SlotVerdict &Verdict);
+  /// Follows which daemon is the broker.
+  void updateBroker(TimePoint Now);
+  bool isBrokerHeard(TimePoint Now) const { return m_BrokerSilentUntil <= Now; }
+  void askForSlot(const ExchangePtr &Waiting, bool MayRefuse, TimePoint Now);
+  void tellBroker(const SlotMessage &Message, TimePoint Now);
+  void acceptSlotMessage(const SlotMessage &Message, TimePoint Now);
+  /// Asks again where no verdict came, and turns to deciding alone if the
+  /// broker stays silent.
+  void checkAsks(TimePoint Now);
+  void withdraw(TicketNumber Number, TimePoint Now);
+
+  void onSlotFreed(const ServiceName &Service);
   void accept();
   void acceptReady(asio::ip::tcp::acceptor &Acceptor);
   void serveReady(std::shared_ptr<asio::ip::tcp::socket> Socket);
@@ -120,10 +146,14 @@
   void answer(http::CallerConnection &Connection, int Status,
               std::string_view Reason, std::optional<Duration> ComeBack);
   void admit(const ExchangePtr &New, TimePoint Now);
+  /// Puts a request into its service's queue.
+  void pushTicket(const ExchangePtr &Waiting);
   /// Pumps the service once the present handler has returned.
   void schedulePump(const ServiceName &Service);
   void pump(const ServiceName &Service);
-  bool tryDispatch(const ExchangePtr &Waiting, TimePoint Now);
+  /// Sends the request to a target that this daemon chooses.
+  bool tryDispatch(const ExchangePtr &Waiting, bool ElsewhereOnly,
+                   TimePoint Now);
   ServiceName pickService(const Route &Matched);
   void tick();
   void stopStep(TimePoint Now);
@@ -152,6 +182,10 @@
   CrashGuard m_Crashes;
   PeerTable m_Peers;
   WakeGuard m_Wake;
+  SlotBroker m_Broker;
+  std::optional<PeerTable::Delegate> m_RemoteBroker; ///< Unless it is this one.
+  TimePoint m_BrokerSilentUntil{};
+  std::unordered_map<TicketNumber, PendingAsk> m_Asks;
   std::map<std::string, ServiceState> m_Services;
   std::map<std::uint64_t, TimePoint> m_Leaving; ///< Told to the other daemons.
   std::vector<LapsedTarget> m_Lapsed;
--- a/packages/gateway/include/mangodeck/gateway/peertable.h
+++ b/packages/gateway/include/mangodeck/gateway/peertable.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,6 +24,13 @@
   TokenCount Prefill = 0;
 };
 
+/// A request of one daemon at a target.
+struct PeerRun {
+  std::uint64_t Number = 0; ///< Of the request at its daemon.
+  std::uint64_t Target = 0; ///< TargetState::Hash.
+  TokenCount Prefill = 0;   ///< 0 once the first event came.
+};
+
 /// What a daemon tells the others of its failure domain several times a
 /// second. A digest is the same of all daemons of a failure domain together,
 /// made by one of them for the other domains: so the messages of a daemon grow
@@ -36,12 +44,16 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
   bool Stopping = false;
-  std::vector<PeerLoad> Loads;
+  std::vector<PeerRun> Runs;              ///< Of a daemon; a digest has none.
+  std::vector<PeerLoad> Loads;            ///< Sums of the runs.
   std::map<std::string, CustomerUse> Use; ///< By customer.
   std::vector<CrashMark> Crashes;
   std::vector<std::uint64_t> Leaving; ///< Targets that leave or are gone.
 };
 
+/// Sums the runs of a daemon by target.
+std::vector<PeerLoad> sumLoads(std::span<const PeerRun> Runs);
+
 /// Encodes a report as MessagePack.
 std::string encodeReport(const PeerReport &Report);
 /// std::nullopt for bytes that are no report.
@@ -75,6 +87,17 @@
   /// Whether this daemon makes the digests of its failure domain: the first by
   /// name of those that are heard.
   bool isDelegate(TimePoint Now) const;
+  /// The daemon that makes the digests and hands out the slots of this failure
+  /// domain; std::nullopt if that is this one.
+  struct Delegate {
+    std::string Vm;
+    std::uint64_t Incarnation = 0;
+    std::optional<PeerAddress> Address; ///< Unless it was never listed.
+    bool operator==(const Delegate &) const = default;
+  };
+  std::optional<Delegate> delegate(TimePoint Now) const;
+  /// Where a daemon of the own failure domain listens, if it is listed.
+  std::optional<PeerAddress> addressOf(const std::string &Vm) const;
   /// All daemons of the own failure domain in one report; \p Own is this
   /// daemon's.
   PeerReport digest(const PeerReport &Own, TimePoint Now) const;
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -0,0 +1,98 @@
+#ifndef MANGODECK_GATEWAY_SLOTBROKER_H
+#define MANGODECK_GATEWAY_SLOTBROKER_H
+
+#include "mangodeck/gateway/choosetarget.h"
+#include "mangodeck/gateway/dispatchqueue.h"
+#include "mangodeck/gateway/peertable.h"
+#include "mangodeck/gateway/slotmessages.h"
+#include "mangodeck/gateway/targetbook.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mangodeck {
+
+/// Takes the broker's verdicts to the daemons that asked.
+class SlotVerdictSink {
+public:
+  virtual ~SlotVerdictSink() = default;
+  virtual void onVerdict(const std::string &Vm, const SlotVerdict &Verdict) = 0;
+};
+
+/// Hands out the slots of one failure domain's targets to all daemons there.
+/// Answers saturation at many daemons: each sees only a small part of the
+/// requests, and of what it learns from the others' reports most is stale by
+/// the time that it decides, so that engines are overbooked beside others that
+/// idle, and a daemon's urgent requests wait while another starts idle ones.
+/// With one broker the requests of a failure domain form one queue, a slot is
+/// filled within a round trip of being freed, and what one daemon learns about
+/// a target's speed or failures serves all.
+///
+/// The broker is one of the daemons and keeps no state that must last: a
+/// successor learns the running requests from the daemons' next reports, and
+/// a daemon that gets no answer decides alone. Two brokers at once overbook
+/// engines for a moment and do no other harm.
+class SlotBroker {
+public:
+  SlotBroker(std::string OwnVm, FailureDomain Home, const TargetBook &Targets,
+             SlotVerdictSink &Sink);
+
+  /// Grants a slot, queues the ask or refuses it. An ask that is known is
+  /// answered as before: its verdict may have been lost.
+  void ask(const SlotAsk &Ask, TimePoint Now);
+  void note(const SlotNote &Note, TimePoint Now);
+  /// Takes over what a daemon reports as running; it goes before notes that
+  /// were lost.
+  void reconcile(const PeerReport &Report, TimePoint Now);
+  /// Starts what can start and forgets what has waited too long.
+  void pump(const ServiceName &Service, TimePoint Now);
+  void pumpAll(TimePoint Now);
+  /// Forgets everything; the daemon stood still, or another one took over.
+  void clear();
+  /// Requests that hold a slot, by target. Those of this daemon are left out
+  /// once they were sent.
+  std::unordered_map<std::uint64_t, PeerLoad> loads() const;
+  std::size_t waiting() const { return m_Waiting.size(); }
+
+private:
+  using Key = std::pair<std::string, TicketNumber>; ///< Daemon and request.
+  struct Waiting {
+    SlotAsk Ask;
+    TicketNumber Ticket = 0;
+    TimePoint AskedAt{};
+  };
+  struct Granted {
+    std::uint64_t Target = 0;
+    TokenCount Prefill = 0;
+    TimePoint Since{};
+  };
+  struct ServiceState {
+    DispatchQueue Queue;
+    ServiceRate Rate;
+  };
+
+  std::vector<TargetPtr> homeTargets(const ServiceName &Service) const;
+  bool tryGrant(const Waiting &Asked, std::span<const TargetPtr> Home,
+                TimePoint Now);
+  void release(const Key &Which);
+  void forget(const Key &Which);
+  Duration backlog(const ServiceState &State, TimePoint Now) const;
+
+  std::string m_OwnVm;
+  FailureDomain m_Home;
+  const TargetBook &m_Targets;
+  SlotVerdictSink &m_Sink;
+  std::map<Key, Waiting> m_Waiting;
+  std::unordered_map<TicketNumber, Key> m_ByTicket;
+  std::map<Key, Granted> m_Granted;
+  std::map<std::string, ServiceState> m_Services;
+  TicketNumber m_NextTicket = 1;
+};
+
+} // namespace mangodeck
+
+#endif
--- a/packages/gateway/include/mangodeck/gateway/targetbook.h
+++ b/packages/gateway/include/mangodeck/gateway/targetbook.h
@@ -91,6 +91,10 @@
   /// A failure that may be the target's fault; avoids it for a while, longer
   /// each time.
   void noteFailure(TimePoint Now);
+  /// Nobody listens at its address; avoids it at once.
+  void noteUnreachable(TimePoint Now);
+  /// Failed lately and not seen well since: it is tried with one request.
+  bool isOnTrial() const;
 };
 
 using TargetPtr = std::shared_ptr<TargetState>;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -39,7 +39,7 @@
 
 /// Requests that a target is sent at once.
 std::uint32_t placesOf(const TargetState &Target) {
-  return Target.Entry.Slots + QueueAhead;
+  return Target.isOnTrial() ? 1 : Target.Entry.Slots + QueueAhead;
 }
 
 } // namespace
@@ -75,7 +75,10 @@
     // Step 1. Leave out targets that must not be used or have no free slot.
     if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
         Target->running() >= placesOf(*Target) ||
-        (Input.Work.IsEngine && Target->Allowance == 0))
+        (Input.Work.IsEngine && !Input.LoadsAreExact && Target->Allowance == 0))
+      continue;
+    const bool Away = Target->Entry.Domain != Input.Home;
+    if (Input.ElsewhereOnly && !Away)
       continue;
 
     // Step 2. Rate it: in time, no harm to others, at home, then by speed.
@@ -84,7 +87,6 @@
                       expectedWhole(*Target, Input.Work) <= Input.TimeToEnd;
     const bool InTime = First <= Input.TimeToTarget && Ends;
     const bool Stalls = Input.Work.IsEngine && stallsOthers(*Target, Input);
-    const bool Away = Target->Entry.Domain != Input.Home;
     const double Cost =
         Input.Work.IsEngine
             ? toSeconds(First) + Target->Slowness * 0.2
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -103,6 +103,7 @@
   m_Target->OwnRunning += 1;
   if (m_Target->Allowance > 0)
     m_Target->Allowance -= 1;
+  m_Outcome = SlotOutcome::Unknown;
   m_PrefillBooked = m_Work.Prompt;
   m_Target->OwnPrefill += m_PrefillBooked;
   m_SentAt = Now;
@@ -128,8 +129,8 @@
                            TargetPool::Connection Ready) {
   const auto Now = std::chrono::steady_clock::now();
   if (Error) {
-    m_Target->noteFailure(Now);
-    m_Target->noteFailure(Now); // Nobody listens: avoid it at once.
+    m_Target->noteUnreachable(Now);
+    m_Outcome = SlotOutcome::Unreachable;
     logStep("connect_failed", Error.message());
     return sendFailed(Doubt::NotSent, "connect failed");
   }
@@ -237,6 +238,7 @@
   if (m_PrefillBooked > 0) {
     m_Target->OwnPrefill -= m_PrefillBooked;
     m_PrefillBooked = 0;
+    m_Parts.Control.onFirstEvent(*this);
   }
   if (!m_HeadSent)
     sendHead();
@@ -278,7 +280,7 @@
 void Exchange::onAnswerEnd() {
   const auto Now = std::chrono::steady_clock::now();
   if (m_IsStream && m_Frames.pendingBytes() == 0) {
-    m_Target->noteSuccess(Now);
+    noteTargetSuccess(Now);
     if (m_EventsHere >= EventsForPace)
       if (const auto *Planned = m_Plan->findService(m_Service))
         m_Target->learnPace(m_LowGap, Planned->TokensPerEvent);
@@ -297,11 +299,13 @@
     if (Misdirected)
       m_Target->Lost = true;
     else
-      m_Target->noteFailure(Now);
+      noteTargetFailure(Now);
     logStep("rejected", fmt::format("status {}", m_Answer.Status));
     releaseTarget(true);
     return sendFailed(Doubt::Rejected, "rejected by the target");
   }
+  if (m_Answer.Status < 500 && !isPromise(m_Answer.Status))
+    noteTargetSuccess(Now);
   releaseTarget(true);
   deliver();
 }
@@ -321,8 +325,6 @@
   // These statuses promise that the request has not run; this one has.
   if (isPromise(Status))
     return answerOwn(502, "target failed", std::nullopt);
-  if (Status < 500)
-    m_Target->noteSuccess(Now);
   auto Fields = m_Answer.Fields;
   http::removeConnectionFields(Fields);
   Fields.remove("Content-Length");
@@ -333,7 +335,7 @@
 
 void Exchange::onExchangeFailed(const http::ExchangeFailure &Failure) {
   const auto Now = std::chrono::steady_clock::now();
-  m_Target->noteFailure(Now);
+  noteTargetFailure(Now);
   const auto Broken = m_Target;
   logStep("send_failed", Failure.Error.message());
   if (Failure.NothingSent) {
@@ -450,7 +452,7 @@
   if (m_Phase == Phase::Sent && m_Route.mayRepeat() &&
       m_Sends < m_Route.Attempts && isSilent(Now) &&
       m_Parts.Budget.left(m_Service, Now) >= 1) {
-    m_Target->noteFailure(Now);
+    noteTargetFailure(Now);
     logStep("silent", fmt::format("quiet for {} ms", ageMs(m_LastByte, Now)));
     releaseTarget(false);
     sendFailed(Doubt::MayHaveRun, "target silent");
@@ -466,14 +468,40 @@
       m_Connection->close();
     m_Connection = nullptr;
   }
-  if (!m_Target || (m_Phase != Phase::Connecting && m_Phase != Phase::Sent))
+  if (!isAtTarget())
     return;
   m_Phase = Phase::Waiting;
   m_Target->OwnRunning -= 1;
   m_Target->Allowance += 1;
   m_Target->OwnPrefill -= m_PrefillBooked;
   m_PrefillBooked = 0;
-  m_Parts.Control.onSlotFreed(m_Service);
+  SlotNote Use;
+  Use.Number = m_Number;
+  Use.What = SlotNote::Kind::Ended;
+  Use.Target = m_Target->Hash;
+  Use.Outcome = m_Outcome;
+  const auto *Planned = m_Plan->findService(m_Service);
+  if (m_EventsHere >= EventsForPace && Planned) {
+    Use.Gap = m_LowGap;
+    Use.TokensPerEvent = Planned->TokensPerEvent;
+  }
+  m_Parts.Control.onTargetReleased(*this, Use);
+}
+
+void Exchange::noteTargetFailure(TimePoint Now) {
+  m_Target->noteFailure(Now);
+  m_Outcome = SlotOutcome::Failure;
+}
+
+void Exchange::noteTargetSuccess(TimePoint Now) {
+  m_Target->noteSuccess(Now);
+  m_Outcome = SlotOutcome::Success;
+}
+
+std::optional<PeerRun> Exchange::run() const {
+  if (!isAtTarget())
+    return std::nullopt;
+  return PeerRun{m_Number, m_Target->Hash, m_PrefillBooked};
 }
 
 std::int64_t Exchange::sinceArrival(TimePoint Then) const {
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -32,6 +32,16 @@
 constexpr Duration StopMargin = 250ms;
 /// Part of the memory that bodies of requests may take.
 constexpr double BodyPart = 0.25;
+/// An ask for a slot is sent again if nothing came back for this long: some
+/// hundred times the way to the broker and back.
+constexpr Duration AskAgain = 40ms;
+/// An ask that waits at the broker is repeated this often, since its verdict
+/// may be lost.
+constexpr Duration AskWhileWaiting = 150ms;
+/// Silence of the broker after which this daemon decides alone, and for how
+/// long it does.
+constexpr Duration BrokerPatience = 90ms;
+constexpr Duration DecideAlone = 500ms;
 /// Bounds of the time after which a refused caller is asked to come back.
 constexpr Duration LeastComeBack = 300ms;
 constexpr Duration MostComeBack = 4s;
@@ -54,7 +64,8 @@
       m_Metrics(Metrics), m_Random(Random), m_Acceptor(Loop),
       m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
       m_Timer(Loop), m_Pool(Loop.get_executor()), m_Budget(m_Settings.Retry),
-      m_Quotas(Random), m_Peers(m_Settings.Vm, m_Settings.Domain) {}
+      m_Quotas(Random), m_Peers(m_Settings.Vm, m_Settings.Domain),
+      m_Broker(m_Settings.Vm, m_Settings.Domain, m_Targets, *this) {}
 
 Gateway::~Gateway() = default;
 
@@ -280,12 +291,19 @@
 }
 
 void Gateway::admit(const ExchangePtr &New, TimePoint Now) {
+  // Step 1. The broker decides, if there is one.
+  if (isBrokerHeard(Now)) {
+    pushTicket(New);
+    return askForSlot(New, true, Now);
+  }
+
+  // Step 2. Start it at once if nothing waits that goes before it.
   auto &State = m_Services[New->service().Text];
-  // Step 1. Start it at once if nothing waits that goes before it.
-  if (State.Queue.countAhead(New->rank(), Now) == 0 && tryDispatch(New, Now))
+  if (State.Queue.countAhead(New->rank(), Now) == 0 &&
+      tryDispatch(New, false, Now))
     return;
 
-  // Step 2. Refuse it at once if its turn would come too late.
+  // Step 3. Refuse it at once if its turn would come too late.
   const auto Ahead = State.Queue.countAhead(New->rank(), Now) + 1;
   const auto Rate = std::max(0.5, State.Rate.perSecond(Now));
   const auto Wait = fromSeconds(static_cast<double>(Ahead) / Rate);
@@ -293,10 +311,19 @@
   if (Wait > Patience)
     return New->refuse(503, "no slot within the latency target",
                        comeBackAfter(*New));
-  waitForSlot(New);
+  pushTicket(New);
 }
 
 void Gateway::waitForSlot(const ExchangePtr &Waiting) {
+  const auto Now = steadyNow();
+  pushTicket(Waiting);
+  if (isBrokerHeard(Now))
+    askForSlot(Waiting, false, Now);
+  else
+    schedulePump(Waiting->service());
+}
+
+void Gateway::pushTicket(const ExchangePtr &Waiting) {
   const auto Now = steadyNow();
   Waiting->setWaiting();
   QueuedTicket Ticket;
@@ -307,7 +334,6 @@
   if (Ticket.StartBy < Now && Waiting->hasStreamed())
     Ticket.StartBy = Ticket.GiveUp;
   m_Services[Waiting->service().Text].Queue.push(Ticket);
-  schedulePump(Waiting->service());
 }
 
 void Gateway::schedulePump(const ServiceName &Service) {
@@ -321,7 +347,8 @@
     });
 }
 
-bool Gateway::tryDispatch(const ExchangePtr &Waiting, TimePoint Now) {
+bool Gateway::tryDispatch(const ExchangePtr &Waiting, bool ElsewhereOnly,
+                          TimePoint Now) {
   ChoiceInput Input;
   Input.Work = Waiting->work();
   Input.Home = m_Settings.Domain;
@@ -329,9 +356,10 @@
   Input.TimeToEnd = Waiting->deadline() - Now;
   Input.GapTarget = Waiting->route().GapTarget;
   Input.Excluded = Waiting->triedTargets();
+  Input.ElsewhereOnly = ElsewhereOnly;
   const auto Chosen =
       chooseTarget(m_Targets.of(Waiting->service()), Input, Now);
-  if (!Chosen)
+  if (!Chosen || (ElsewhereOnly && !Chosen->InTime))
     return false;
   m_Services[Waiting->service().Text].Rate.note(Now);
   m_Metrics.observeWait(Waiting->route().Name, Now - Waiting->arrival());
@@ -341,6 +369,7 @@
 
 void Gateway::pump(const ServiceName &Service) {
   const auto Now = steadyNow();
+  m_Broker.pump(Service, Now);
   auto &State = m_Services[Service.Text];
   // Step 1. Give up what waited too long.
   for (const auto &Ticket : State.Queue.takeExpired(Now)) {
@@ -348,6 +377,7 @@
     if (Found == m_ByNumber.end())
       continue;
     const auto Expired = Found->second;
+    withdraw(Ticket.Number, Now);
     if (Expired->hasStreamed())
       Expired->cutOff();
     else
@@ -357,6 +387,8 @@
   // Step 2. Start what can start, in order; one that fits nowhere does not
   // hold up the others.
   std::set<TicketNumber> Skipped;
+  for (const auto &[Number, Ask] : m_Asks)
+    Skipped.insert(Number);
   while (const auto Next = State.Queue.next(Now, Skipped)) {
     const auto Found = m_ByNumber.find(Next->Number);
     if (Found == m_ByNumber.end()) {
@@ -367,7 +399,7 @@
     if (roomOf(m_Targets.of(Service), Now).FreeSlots == 0)
       return;
     State.Queue.remove(Next->Number);
-    if (!tryDispatch(Waiting, Now)) {
+    if (!tryDispatch(Waiting, false, Now)) {
       State.Queue.push(*Next);
       Skipped.insert(Next->Number);
     }
@@ -376,10 +408,193 @@
 
 void Gateway::onSlotFreed(const ServiceName &Service) {
   const auto Found = m_Services.find(Service.Text);
-  if (Found != m_Services.end() && !Found->second.Queue.empty())
+  const bool Waits = Found != m_Services.end() && !Found->second.Queue.empty();
+  if (Waits || m_Broker.waiting() > 0)
     schedulePump(Service);
 }
 
+void Gateway::onFirstEvent(const Exchange &Running) {
+  const auto Run = Running.run();
+  if (!Run || !m_RemoteBroker)
+    return;
+  SlotNote Note;
+  Note.Vm = m_Settings.Vm;
+  Note.Number = Run->Number;
+  Note.What = SlotNote::Kind::Started;
+  Note.Target = Run->Target;
+  tellBroker(Note, steadyNow());
+}
+
+void Gateway::onTargetReleased(const Exchange &Left, const SlotNote &Use) {
+  const auto Target = m_Targets.findByHash(Use.Target);
+  if (m_RemoteBroker && Target && Target->Entry.Domain == m_Settings.Domain) {
+    auto Note = Use;
+    Note.Vm = m_Settings.Vm;
+    tellBroker(Note, steadyNow());
+  }
+  onSlotFreed(Left.service());
+}
+
+void Gateway::updateBroker(TimePoint Now) {
+  auto Current = m_Peers.delegate(Now);
+  if (Current == m_RemoteBroker)
+    return;
+  m_Log.write("broker_changed",
+              {{"broker", Current ? Current->Vm : m_Settings.Vm},
+               {"before", m_RemoteBroker ? m_RemoteBroker->Vm : m_Settings.Vm},
+               {"waiting", m_Asks.size()}});
+  m_RemoteBroker = std::move(Current);
+  m_Broker.clear();
+  m_BrokerSilentUntil = TimePoint{};
+  for (auto &[Number, Ask] : m_Asks) {
+    Ask.Answered = false;
+    Ask.FirstSent = Now;
+    Ask.LastSent = TimePoint{};
+  }
+  // The new broker learns from it what runs.
+  m_LastReport = TimePoint{};
+}
+
+void Gateway::askForSlot(const ExchangePtr &Waiting, bool MayRefuse,
+                         TimePoint Now) {
+  auto [At, New] = m_Asks.try_emplace(Waiting->number());
+  if (New) {
+    At->second.FirstSent = Now;
+    At->second.MayRefuse = MayRefuse;
+  }
+  At->second.LastSent = Now;
+  SlotAsk Ask;
+  Ask.Vm = m_Settings.Vm;
+  Ask.Number = Waiting->number();
+  Ask.Service = Waiting->service();
+  Ask.Rank = Waiting->hasStreamed() ? RequestRank() : Waiting->rank();
+  Ask.Work = Waiting->work();
+  Ask.ToTarget = Waiting->latencyDeadline() - Now;
+  Ask.ToEnd = Waiting->deadline() - Now;
+  Ask.ToStart = (Waiting->hasStreamed() ? Waiting->latestWait()
+                                        : Waiting->latestStart()) -
+                Now;
+  Ask.ToGiveUp = Waiting->latestWait() - Now;
+  Ask.GapTarget = Waiting->route().GapTarget;
+  Ask.MayRefuse = At->second.MayRefuse;
+  for (const auto &Tried : Waiting->triedTargets())
+    Ask.Excluded.push_back(Tried->Hash);
+  for (const auto &Target : m_Targets.of(Waiting->service()))
+    if (Target->Entry.Domain == m_Settings.Domain && !Target->isUsable(Now))
+      Ask.Excluded.push_back(Target->Hash);
+  tellBroker(Ask, Now);
+}
+
+void Gateway::tellBroker(const SlotMessage &Message, TimePoint Now) {
+  if (!m_RemoteBroker)
+    return acceptSlotMessage(Message, Now);
+  if (m_RemoteBroker->Address)
+    sendTo(std::span(&*m_RemoteBroker->Address, 1), encodeSlotMessage(Message));
+}
+
+void Gateway::acceptSlotMessage(const SlotMessage &Message, TimePoint Now) {
+  if (const auto *Ask = std::get_if<SlotAsk>(&Message)) {
+    // Daemons differ for a moment on who the broker is; this one serves.
+    return m_Broker.ask(*Ask, Now);
+  }
+  if (const auto *Verdict = std::get_if<SlotVerdict>(&Message))
+    return onOwnVerdict(*Verdict);
+  const auto &Note = std::get<SlotNote>(Message);
+  m_Broker.note(Note, Now);
+  if (Note.What != SlotNote::Kind::Started)
+    if (const auto Target = m_Targets.findByHash(Note.Target))
+      onSlotFreed(Target->Entry.Service);
+}
+
+void Gateway::onVerdict(const std::string &Vm, const SlotVerdict &Verdict) {
+  // The broker's loop goes on before an exchange acts on its verdict.
+  if (Vm == m_Settings.Vm)
+    return asio::post(m_Loop, [this, Verdict] { onOwnVerdict(Verdict); });
+  if (const auto Address = m_Peers.addressOf(Vm))
+    sendTo(std::span(&*Address, 1), encodeSlotMessage(Verdict));
+}
+
+void Gateway::onOwnVerdict(const SlotVerdict &Verdict) {
+  const auto Now = steadyNow();
+  const auto Found = m_ByNumber.find(Verdict.Number);
+  const auto Asked = m_Asks.find(Verdict.Number);
+  // Step 1. Return a slot that is no longer needed.
+  if (Found == m_ByNumber.end() || Asked == m_Asks.end() ||
+      !Found->second->isWaiting()) {
+    const auto Run =
+        Found == m_ByNumber.end() ? std::nullopt : Found->second->run();
+    const bool InUse = Run && Run->Target == Verdict.Target;
+    if (Verdict.Answer == SlotVerdict::Kind::Granted && !InUse)
+      withdraw(Verdict.Number, Now);
+    return;
+  }
+  const auto Waiting = Found->second;
+  auto &State = m_Services[Waiting->service().Text];
+  auto &Queue = State.Queue;
+  Asked->second.Answered = true;
+  if (Verdict.Answer != SlotVerdict::Kind::Granted)
+    State.ToldBacklog = Verdict.Backlog;
+
+  // Step 2. Use the slot, unless this daemon knows the target as unusable.
+  if (Verdict.Answer == SlotVerdict::Kind::Granted) {
+    const auto Target = m_Targets.findByHash(Verdict.Target);
+    if (!Target || !Target->isUsable(Now)) {
+      withdraw(Verdict.Number, Now);
+      return schedulePump(Waiting->service());
+    }
+    m_Asks.erase(Asked);
+    Queue.remove(Verdict.Number);
+    if (!m_RemoteBroker) // From here on it counts as this daemon's own load.
+      withdraw(Verdict.Number, Now);
+    m_Metrics.observeWait(Waiting->route().Name, Now - Waiting->arrival());
+    const auto First = expectedFirstEvent(*Target, Waiting->work());
+    return Waiting->dispatch(
+        {Target, First, First <= Waiting->latencyDeadline() - Now}, Now);
+  }
+
+  // Step 3. Another failure domain may have a slot that meets the target.
+  Queue.remove(Verdict.Number);
+  if (tryDispatch(Waiting, true, Now))
+    return withdraw(Verdict.Number, Now);
+  if (Verdict.Answer == SlotVerdict::Kind::Waits)
+    return pushTicket(Waiting);
+  m_Asks.erase(Asked);
+  Waiting->refuse(503, "no slot within the latency target",
+                  comeBackAfter(*Waiting));
+}
+
+void Gateway::withdraw(TicketNumber Number, TimePoint Now) {
+  m_Asks.erase(Number);
+  SlotNote Note;
+  Note.Vm = m_Settings.Vm;
+  Note.Number = Number;
+  Note.What = SlotNote::Kind::Withdrawn;
+  tellBroker(Note, Now);
+}
+
+void Gateway::checkAsks(TimePoint Now) {
+  std::vector<ExchangePtr> Again;
+  for (const auto &[Number, Ask] : m_Asks) {
+    const auto Found = m_ByNumber.find(Number);
+    if (Found == m_ByNumber.end())
+      continue;
+    // Step 1. Decide alone while the broker is silent.
+    if (!Ask.Answered && Now - Ask.FirstSent > BrokerPatience) {
+      m_Log.write("broker_silent",
+                  {{"broker", m_RemoteBroker ? m_RemoteBroker->Vm : ""},
+                   {"waiting", m_Asks.size()}});
+      m_BrokerSilentUntil = Now + DecideAlone;
+      m_Asks.clear(); // The tickets stay in this daemon's queues.
+      return;
+    }
+    // Step 2. Repeat what may be lost.
+    if (Now - Ask.LastSent > (Ask.Answered ? AskWhileWaiting : AskAgain))
+      Again.push_back(Found->second);
+  }
+  for (const auto &Each : Again)
+    askForSlot(Each, false, Now);
+}
+
 Duration Gateway::comeBackAfter(const Exchange &Refused) {
   const auto Now = steadyNow();
   const auto &State = m_Services[Refused.service().Text];
@@ -387,7 +602,9 @@
   // that were refused together.
   const auto Rate = std::max(1.0, State.Rate.perSecond(Now));
   const auto Backlog =
-      fromSeconds(static_cast<double>(State.Queue.size()) / Rate);
+      isBrokerHeard(Now)
+          ? State.ToldBacklog
+          : fromSeconds(static_cast<double>(State.Queue.size()) / Rate);
   const auto Base = std::max<Duration>(Backlog, LeastComeBack);
   const auto Spread = fromSeconds(toSeconds(MostComeBack) * m_Random.uniform());
   const auto Left = fromSeconds(
@@ -401,6 +618,8 @@
     m_Quotas.giveBack(Ended.customer()->Name,
                       costOf(Ended.facts(), *Ended.customer()));
   m_Services[Ended.service().Text].Queue.remove(Ended.number());
+  if (m_Asks.contains(Ended.number()))
+    withdraw(Ended.number(), steadyNow());
   m_BufferedBytes -= Ended.bodyBytes();
   const auto Found = m_ByNumber.find(Ended.number());
   if (Found == m_ByNumber.end())
@@ -537,8 +756,10 @@
         if (Error == asio::error::operation_aborted)
           return;
         const auto Now = steadyNow();
-        auto Report =
-            Error ? std::nullopt : decodeReport({m_ReportBuffer.data(), Size});
+        const std::string_view Bytes(m_ReportBuffer.data(), Error ? 0 : Size);
+        if (const auto Message = decodeSlotMessage(Bytes))
+          acceptSlotMessage(*Message, Now);
+        auto Report = decodeReport(Bytes);
         if (Report && Report->Vm != m_Settings.Vm) {
           for (const auto &Mark : Report->Crashes)
             m_Crashes.note(Mark, Now);
@@ -569,6 +790,8 @@
   auto Copy = Report;
   if (!m_Peers.accept(std::move(Report), Now))
     return;
+  if (!Copy.IsDigest && Copy.Domain == m_Settings.Domain && !m_RemoteBroker)
+    m_Broker.reconcile(Copy, Now);
   m_Quotas.onPeerUse(Told, Now);
   if (Copy.IsDigest && !Copy.Forwarded && m_Peers.isDelegate(Now)) {
     Copy.Forwarded = true;
@@ -606,11 +829,10 @@
   Report.Incarnation = m_Settings.Incarnation;
   Report.Sequence = ++m_ReportSequence;
   Report.Stopping = m_Stopping;
-  for (const auto &[Name, Targets] : m_Targets.services())
-    for (const auto &Target : Targets)
-      if (Target->OwnRunning > 0)
-        Report.Loads.push_back(
-            {Target->Hash, Target->OwnRunning, Target->OwnPrefill});
+  for (const auto &[Number, Each] : m_ByNumber)
+    if (const auto Run = Each->run())
+      Report.Runs.push_back(*Run);
+  Report.Loads = sumLoads(Report.Runs);
   Report.Use = m_Quotas.use(Now);
   Report.Crashes = m_Crashes.recent(Now);
   std::erase_if(m_Leaving, [&](const auto &Entry) {
@@ -633,7 +855,12 @@
     return;
   m_LastRefresh = Now;
   m_Quotas.startPeriod(reportPeriod());
-  const auto Loads = m_Peers.loads(Now);
+  auto Loads = m_Peers.loads(Now);
+  if (!m_RemoteBroker) // Newer than the reports.
+    for (const auto &[Hash, Load] : m_Broker.loads())
+      if (const auto Target = m_Targets.findByHash(Hash);
+          Target && Target->Entry.Domain == m_Settings.Domain)
+        Loads[Hash] = Load;
   const auto AtHome = m_Peers.heardAtHome(Now) + 1;
   const auto All = std::max(AtHome, m_Peers.daemonCount(Now));
   for (const auto &[Name, Targets] : m_Targets.services())
@@ -653,11 +880,14 @@
   if (const auto Still = m_Wake.check(); Still > Duration{0}) {
     m_Log.write("woken", {{"stood_still_ms", toMs(Still)}});
     m_Pool.closeIdle();
+    m_Broker.clear();
     if (OnWoken)
       OnWoken();
   }
+  updateBroker(Now);
   sendReports(Now);
   refreshLoads(Now);
+  checkAsks(Now);
   std::vector<ExchangePtr> Running;
   Running.reserve(m_ByNumber.size());
   for (const auto &[Number, Each] : m_ByNumber)
@@ -667,6 +897,7 @@
   for (auto &[Name, State] : m_Services)
     if (!State.Queue.empty())
       pump(ServiceName(Name));
+  m_Broker.pumpAll(Now);
   for (const auto &Lapsed : std::vector<LapsedTarget>(m_Lapsed))
     if (Lapsed.Until <= Now) {
       m_Log.write("target_dropped",
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peertable.cpp
@@ -24,6 +24,21 @@
 
 } // namespace
 
+std::vector<PeerLoad> sumLoads(std::span<const PeerRun> Runs) {
+  std::map<std::uint64_t, PeerLoad> Sums;
+  for (const auto &Run : Runs) {
+    auto &Sum = Sums[Run.Target];
+    Sum.Target = Run.Target;
+    Sum.Running += 1;
+    Sum.Prefill += Run.Prefill;
+  }
+  std::vector<PeerLoad> Loads;
+  Loads.reserve(Sums.size());
+  for (const auto &[Target, Sum] : Sums)
+    Loads.push_back(Sum);
+  return Loads;
+}
+
 std::string encodeReport(const PeerReport &Report) {
   nlohmann::json Message;
   Message["v"] = Report.Vm;
@@ -37,8 +52,12 @@
   if (Report.Stopping)
     Message["x"] = true;
   auto &Loads = Message["t"] = nlohmann::json::array();
-  for (const auto &Load : Report.Loads)
-    Loads.push_back({Load.Target, Load.Running, Load.Prefill});
+  if (Report.IsDigest)
+    for (const auto &Load : Report.Loads)
+      Loads.push_back({Load.Target, Load.Running, Load.Prefill});
+  else
+    for (const auto &Run : Report.Runs)
+      Loads.push_back({Run.Number, Run.Target, Run.Prefill});
   for (const auto &[Name, Use] : Report.Use)
     Message["q"][Name] = {static_cast<std::int64_t>(Use.Admitted),
                           static_cast<std::int64_t>(Use.Demand),
@@ -68,9 +87,16 @@
     Report.Sequence = Message.at("s").get<std::uint64_t>();
     Report.Stopping = Message.value("x", false);
     for (const auto &Load : Message.at("t"))
-      Report.Loads.push_back({Load.at(0).get<std::uint64_t>(),
-                              Load.at(1).get<std::uint32_t>(),
-                              Load.at(2).get<TokenCount>()});
+      if (Report.IsDigest)
+        Report.Loads.push_back({Load.at(0).get<std::uint64_t>(),
+                                Load.at(1).get<std::uint32_t>(),
+                                Load.at(2).get<TokenCount>()});
+      else
+        Report.Runs.push_back({Load.at(0).get<std::uint64_t>(),
+                               Load.at(1).get<std::uint64_t>(),
+                               Load.at(2).get<TokenCount>()});
+    if (!Report.IsDigest)
+      Report.Loads = sumLoads(Report.Runs);
     if (Message.contains("q"))
       for (const auto &[Name, Use] : Message["q"].items())
         Report.Use[Name] = {Use.at(0).get<double>(), Use.at(1).get<double>(),
@@ -137,11 +163,25 @@
   return Result;
 }
 
-bool PeerTable::isDelegate(TimePoint Now) const {
-  return std::none_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
-    return Entry.first < m_OwnVm && Entry.second.Last.Domain == m_Home &&
-           !Entry.second.Stopped && Now - Entry.second.Heard < HeardTime;
-  });
+bool PeerTable::isDelegate(TimePoint Now) const { return !delegate(Now); }
+
+std::optional<PeerTable::Delegate> PeerTable::delegate(TimePoint Now) const {
+  const auto First =
+      std::find_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
+        const auto &Peer = Entry.second;
+        return Entry.first >= m_OwnVm ||
+               (Peer.Last.Domain == m_Home && !Peer.Stopped &&
+                Now - Peer.Heard < HeardTime);
+      });
+  if (First == m_Peers.end() || First->first >= m_OwnVm)
+    return std::nullopt;
+  return Delegate{First->first, First->second.Last.Incarnation,
+                  First->second.Address};
+}
+
+std::optional<PeerAddress> PeerTable::addressOf(const std::string &Vm) const {
+  const auto Found = m_Peers.find(Vm);
+  return Found == m_Peers.end() ? std::nullopt : Found->second.Address;
 }
 
 PeerReport PeerTable::digest(const PeerReport &Own, TimePoint Now) const {
--- a/packages/gateway/src/targetbook.cpp
+++ b/packages/gateway/src/targetbook.cpp
@@ -70,6 +70,13 @@
       Now + std::min(FirstAvoidance * (1 << Doublings), LongestAvoidance);
 }
 
+void TargetState::noteUnreachable(TimePoint Now) {
+  FailuresInRow = std::max(FailuresInRow + 1, FailuresToAvoid) - 1;
+  noteFailure(Now);
+}
+
+bool TargetState::isOnTrial() const { return FailuresInRow >= FailuresToAvoid; }
+
 TargetPtr TargetBook::update(const TargetEntry &Entry) {
   auto &Known = m_ById[Entry.Id.Text];
   const bool Same = Known && Known->Entry.Started == Entry.Started &&
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -150,6 +150,11 @@
   CPPUNIT_TEST(caller_leaves_targetConnectionIsClosed);
   CPPUNIT_TEST(plan_older_isNotTaken);
   CPPUNIT_TEST(body_beyondMemory_isRefusedAndOthersServed);
+  CPPUNIT_TEST(broker_grants_requestGoesToGrantedTarget);
+  CPPUNIT_TEST(broker_grantsDrainingTarget_isNotUsed);
+  CPPUNIT_TEST(broker_silent_requestIsServedAllTheSame);
+  CPPUNIT_TEST(broker_refuses_callerIsToldWhenToComeBack);
+  CPPUNIT_TEST(ownBroker_otherDaemonAsks_isGrantedFreeSlots);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -169,6 +174,7 @@
     Settings.PeerPort = freePort();
     Settings.ReadyPath = "/ready";
     m_Port = Settings.CallerPort;
+    m_PeerPort = Settings.PeerPort;
     m_Gateway.emplace(*m_Loop, Settings, m_Names, *m_Log, *m_Metrics, m_Random);
     CPPUNIT_ASSERT(!m_Gateway->start());
     m_Client.emplace(*m_Loop);
@@ -400,7 +406,159 @@
     CPPUNIT_ASSERT(ask(request("2")).starts_with("HTTP/1.1 200"));
   }
 
+  void broker_grants_requestGoesToGrantedTarget() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_A);
+    addTarget("b", *m_B);
+    PeerStub Broker(*m_Loop, *m_Gateway, m_PeerPort, "a-first");
+    Broker.Answer = [&](const SlotAsk &Ask) {
+      return SlotVerdict{Ask.Number, SlotVerdict::Kind::Granted, hashOf("b"),
+                         Duration{0}};
+    };
+    waitFor([&] { return Broker.isFollowed(); });
+    m_B->Scripts = {{plainAnswer("1")}};
+    CPPUNIT_ASSERT(ask(request("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_B->Requests.size());
+    waitFor([&] { return Broker.Notes.size() == 1; });
+    CPPUNIT_ASSERT(Broker.Notes.at(0).What == SlotNote::Kind::Ended);
+    CPPUNIT_ASSERT(Broker.Notes.at(0).Outcome == SlotOutcome::Success);
+    CPPUNIT_ASSERT_EQUAL(hashOf("b"), Broker.Notes.at(0).Target);
+  }
+
+  void broker_grantsDrainingTarget_isNotUsed() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_A);
+    addTarget("b", *m_B);
+    m_Gateway->onTarget(entry("a", *m_A, "home", true));
+    PeerStub Broker(*m_Loop, *m_Gateway, m_PeerPort, "a-first");
+    Broker.Answer = [&](const SlotAsk &Ask) {
+      return SlotVerdict{Ask.Number, SlotVerdict::Kind::Granted, hashOf("a"),
+                         Duration{0}};
+    };
+    waitFor([&] { return Broker.isFollowed(); });
+    m_B->Scripts = {{plainAnswer("1")}};
+    CPPUNIT_ASSERT(ask(request("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(m_A->Requests.empty());
+  }
+
+  void broker_silent_requestIsServedAllTheSame() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_A);
+    PeerStub Broker(*m_Loop, *m_Gateway, m_PeerPort, "a-first");
+    waitFor([&] { return Broker.isFollowed(); });
+    m_A->Scripts = {{plainAnswer("1")}};
+    CPPUNIT_ASSERT(ask(request("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(!Broker.Asks.empty());
+  }
+
+  void broker_refuses_callerIsToldWhenToComeBack() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_A);
+    PeerStub Broker(*m_Loop, *m_Gateway, m_PeerPort, "a-first");
+    Broker.Answer = [](const SlotAsk &Ask) {
+      return SlotVerdict{Ask.Number, SlotVerdict::Kind::Refused, 0, 50ms};
+    };
+    waitFor([&] { return Broker.isFollowed(); });
+    const auto Answer = ask(request("1"));
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(Answer.find("Retry-After: ") != Answer.npos);
+    CPPUNIT_ASSERT(m_A->Requests.empty());
+  }
+
+  void ownBroker_otherDaemonAsks_isGrantedFreeSlots() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_A);
+    PeerStub Other(*m_Loop, *m_Gateway, m_PeerPort, "z-last");
+    SlotAsk Ask;
+    Ask.Vm = "z-last";
+    Ask.Service = ServiceName("s");
+    Ask.ToTarget = Ask.ToStart = Ask.ToGiveUp = Ask.ToEnd = 5s;
+    Ask.MayRefuse = true;
+    for (Ask.Number = 1; Ask.Number <= 6; ++Ask.Number)
+      Other.send(encodeSlotMessage(Ask));
+    waitFor([&] { return Other.Verdicts.size() == 6; });
+    CPPUNIT_ASSERT_EQUAL(
+        std::ptrdiff_t(5), // Four slots and one ahead.
+        std::count_if(Other.Verdicts.begin(), Other.Verdicts.end(),
+                      [](const auto &Verdict) {
+                        return Verdict.Answer == SlotVerdict::Kind::Granted;
+                      }));
+  }
+
 private:
+  /// Another daemon of the failure domain: reports, and answers asks.
+  class PeerStub {
+  public:
+    PeerStub(asio::io_context &Loop, Gateway &Under, std::uint16_t PeerPort,
+             std::string Vm)
+        : m_Socket(Loop, {asio::ip::make_address("127.0.0.1"), 0}),
+          m_To(asio::ip::make_address("127.0.0.1"), PeerPort),
+          m_Vm(std::move(Vm)) {
+      Under.onPeer(m_Vm, {"127.0.0.1", m_Socket.local_endpoint().port(),
+                          FailureDomain("home")});
+      report();
+      receive();
+    }
+
+    void send(const std::string &Bytes) {
+      m_Socket.send_to(asio::buffer(Bytes), m_To);
+    }
+    /// The gateway has taken a report and sent one of its own afterwards.
+    bool isFollowed() const { return m_Reports >= 3; }
+
+    std::function<std::optional<SlotVerdict>(const SlotAsk &)> Answer;
+    std::vector<SlotAsk> Asks;
+    std::vector<SlotVerdict> Verdicts;
+    std::vector<SlotNote> Notes;
+
+  private:
+    void report() {
+      PeerReport Report;
+      Report.Vm = m_Vm;
+      Report.Domain = FailureDomain("home");
+      Report.Incarnation = 1;
+      Report.Sequence = ++m_Sequence;
+      send(encodeReport(Report));
+    }
+
+    void receive() {
+      m_Socket.async_receive(
+          asio::buffer(m_Buffer), [this](std::error_code Error, auto Size) {
+            if (Error)
+              return;
+            const std::string_view Bytes(m_Buffer.data(), Size);
+            if (decodeReport(Bytes)) {
+              ++m_Reports;
+              report();
+            }
+            const auto Message = decodeSlotMessage(Bytes);
+            if (Message)
+              std::visit([this](const auto &Each) { take(Each); }, *Message);
+            receive();
+          });
+    }
+    void take(const SlotAsk &Ask) {
+      Asks.push_back(Ask);
+      if (const auto Verdict = Answer ? Answer(Ask) : std::nullopt)
+        send(encodeSlotMessage(*Verdict));
+    }
+    void take(const SlotVerdict &Verdict) { Verdicts.push_back(Verdict); }
+    void take(const SlotNote &Note) { Notes.push_back(Note); }
+
+    asio::ip::udp::socket m_Socket;
+    asio::ip::udp::endpoint m_To;
+    std::string m_Vm;
+    std::array<char, 16384> m_Buffer;
+    std::uint64_t m_Sequence = 0;
+    int m_Reports = 0;
+  };
+
+  static std::uint64_t hashOf(const char *Id) {
+    TargetEntry Entry;
+    Entry.Id = TargetName(Id);
+    return TargetState(Entry).Hash;
+  }
+
   static std::uint16_t freePort() {
     asio::io_context Loop;
     asio::ip::tcp::acceptor Any(Loop, {asio::ip::make_address("127.0.0.1"), 0});
@@ -499,6 +657,7 @@
   std::optional<Gateway> m_Gateway;
   std::optional<asio::ip::tcp::socket> m_Client;
   std::uint16_t m_Port = 0;
+  std::uint16_t m_PeerPort = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/packages/gateway/test/peertable_test.cpp
+++ b/packages/gateway/test/peertable_test.cpp
@@ -24,7 +24,8 @@
     Report.Domain = FailureDomain("x");
     Report.Incarnation = Incarnation;
     Report.Sequence = Sequence;
-    Report.Loads.push_back({7, 3, 500});
+    Report.Runs = {{1, 7, 500}, {2, 7, 0}, {3, 7, 0}};
+    Report.Loads = sumLoads(Report.Runs);
     return Report;
   }
 
