--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
+#include <utility>
 
 namespace mangodeck {
 
@@ -337,11 +338,12 @@
 }
 
 void Gateway::schedulePump(const ServiceName &Service) {
-  m_ToPump.push_back(Service);
-  if (m_ToPump.size() == 1)
+  const bool Scheduled = !m_ToPump.empty();
+  if (std::find(m_ToPump.begin(), m_ToPump.end(), Service) == m_ToPump.end())
+    m_ToPump.push_back(Service);
+  if (!Scheduled)
     asio::post(m_Loop, [this] {
-      auto Services = std::move(m_ToPump);
-      m_ToPump.clear();
+      const auto Services = std::exchange(m_ToPump, {});
       for (const auto &Each : Services)
         pump(Each);
     });
--- a/packages/gateway/test/choosetarget_test.cpp
+++ b/packages/gateway/test/choosetarget_test.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(choose_longAnswer_avoidsEngineThatCannotEndInTime);
   CPPUNIT_TEST(choose_longPrompt_avoidsStallingOthers);
   CPPUNIT_TEST(choose_noAllowance_findsNone);
+  CPPUNIT_TEST(choose_elsewhereOnly_leavesHomeAndKeepsToAllowance);
+  CPPUNIT_TEST(choose_exactLoads_needNoAllowance);
   CPPUNIT_TEST(allowance_manyDaemonsSeeSameSlots_fillThemOnceOverAll);
   CPPUNIT_TEST(book_startedAnew_forgetsWhatWasLearned);
   CPPUNIT_TEST(book_gone_isNotFoundAgain);
@@ -110,6 +112,24 @@
 
   /// A burst reaches 18 daemons that all see the same four free slots. Without
   /// their parts they would send up to 18 x 5 requests into them.
+  void choose_elsewhereOnly_leavesHomeAndKeepsToAllowance() {
+    const std::vector<TargetPtr> All = {target("h", "home"),
+                                        target("a", "away")};
+    auto Input = input();
+    Input.ElsewhereOnly = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(All, Input));
+    All[1]->Allowance = 0;
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(All, Input));
+  }
+
+  void choose_exactLoads_needNoAllowance() {
+    const std::vector<TargetPtr> All = {target("h", "home")};
+    All[0]->Allowance = 0;
+    auto Input = input();
+    Input.LoadsAreExact = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("h"), chosen(All, Input));
+  }
+
   void allowance_manyDaemonsSeeSameSlots_fillThemOnceOverAll() {
     SeededRandom Random(5);
     std::uint32_t Sent = 0;
