--- a/packages/gateway/test/eventlog_test.cpp
+++ b/packages/gateway/test/eventlog_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(EventLogTest);
   CPPUNIT_TEST(log_line_isOneJsonObject);
   CPPUNIT_TEST(log_readerStops_neverBlocksAndKeepsImportantLines);
+  CPPUNIT_TEST(log_importantOnly_leavesOutRequestsThatEndedWell);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +54,18 @@
     CPPUNIT_ASSERT(All.find("log_dropped") != All.npos);
   }
 
+  void log_importantOnly_leavesOutRequestsThatEndedWell() {
+    EventLog Log(m_Pipe[1], "vm-1", "42", 20000);
+    Log.setLevel(LogWeight::Important);
+    Log.write("well", {{"id", "1"}}, LogWeight::Ordinary);
+    Log.write("failed", {{"id", "2"}});
+    Log.flush();
+    const auto All = readAll();
+    CPPUNIT_ASSERT(All.find("\"well\"") == All.npos);
+    CPPUNIT_ASSERT(All.find("\"failed\"") != All.npos);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Log.droppedLines());
+  }
+
 private:
   std::string readAll() {
     std::string Bytes;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(caller_leaves_targetConnectionIsClosed);
   CPPUNIT_TEST(plan_older_isNotTaken);
   CPPUNIT_TEST(body_beyondMemory_isRefusedAndOthersServed);
+  CPPUNIT_TEST(metrics_ownPort_areServed);
   CPPUNIT_TEST(broker_grants_requestGoesToGrantedTarget);
   CPPUNIT_TEST(broker_grantsDrainingTarget_isNotUsed);
   CPPUNIT_TEST(broker_silent_requestIsServedAllTheSame);
@@ -171,6 +172,7 @@
     Settings.Ip = "127.0.0.1";
     Settings.CallerPort = freePort();
     Settings.ReadyPort = freePort();
+    Settings.MetricsPort = m_MetricsPort = freePort();
     Settings.PeerPort = freePort();
     Settings.ReadyPath = "/ready";
     m_Port = Settings.CallerPort;
@@ -406,6 +408,15 @@
     CPPUNIT_ASSERT(ask(request("2")).starts_with("HTTP/1.1 200"));
   }
 
+  void metrics_ownPort_areServed() {
+    configure(RouteKind::Idempotent);
+    m_Client.emplace(*m_Loop);
+    m_Client->connect({asio::ip::make_address("127.0.0.1"), m_MetricsPort});
+    const auto Answer = ask("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(Answer.find("mangodeck_") != Answer.npos);
+  }
+
   void broker_grants_requestGoesToGrantedTarget() {
     configure(RouteKind::Idempotent);
     addTarget("a", *m_A);
@@ -659,6 +670,7 @@
   std::optional<asio::ip::tcp::socket> m_Client;
   std::uint16_t m_Port = 0;
   std::uint16_t m_PeerPort = 0;
+  std::uint16_t m_MetricsPort = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
