gateway: idle connections of all daemons stay within half of a target's limit

Cause: each daemon kept up to 12 idle connections to a target, whatever the target's limit and the number of daemons; 87 daemons could have exceeded a limit of 580. MaxConnections was read and not used.

Datagrams are told apart by their first byte, no longer by reading them twice. Removed what had no caller: KeyFollower::lastAnswer, TargetConnection::OnIdleClosed, a parameter of Exchange::giveUp.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -128,7 +128,7 @@
   void deliver();
   void sendFailed(Doubt Kind, std::string_view Reason);
   bool mayGoOn(Doubt Kind) const;
-  void giveUp(Doubt Kind, std::string_view Reason);
+  void giveUp(std::string_view Reason);
   void releaseTarget(bool Reuse);
   void noteTargetFailure(TimePoint Now);
   void noteTargetSuccess(TimePoint Now);
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -47,8 +47,6 @@
   void setDaemons(std::size_t Count) { m_Daemons = Count; }
 
   bool isInTouch() const { return m_InTouch; }
-  /// When the store last answered.
-  TimePoint lastAnswer() const { return m_LastAnswer; }
 
 private:
   void list();
--- a/packages/gateway/include/mangodeck/gateway/targetpool.h
+++ b/packages/gateway/include/mangodeck/gateway/targetpool.h
@@ -3,14 +3,20 @@
 
 #include "mangodeck/gateway/targetbook.h"
 #include "mangodeck/http/targetconnection.h"
+#include "mangodeck/version/routeplan.h"
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace mangodeck {
 
+/// Idle connections that a daemon keeps to a target that takes
+/// \p MaxConnections from all \p Daemons together; 0: no limit is known.
+std::size_t idleBound(std::uint32_t MaxConnections, std::size_t Daemons);
+
 /// Kept connections to targets. A connection serves one request at a time;
 /// the one that was idle for the shortest time is used first, so that those
 /// not needed grow old and are closed.
@@ -21,6 +27,11 @@
 
   explicit TargetPool(asio::any_io_executor Executor);
 
+  /// Takes over the services' limits on connections.
+  void configure(const RoutePlan &Plan);
+  /// Daemons that connect to the same targets.
+  void setDaemons(std::size_t Count) { m_Daemons = Count; }
+
   /// Hands out an idle connection at once, or a new one when it is connected.
   /// \p Fresh: an idle connection only if it was used within the last moment,
   /// since a request that may not be repeated is lost with its connection.
@@ -43,9 +54,12 @@
     std::vector<Connection> Connections;
   };
   void connect(const TargetPtr &Target, Ready Done);
+  std::size_t boundOf(const TargetState &Target) const;
 
   asio::any_io_executor m_Executor;
   std::unordered_map<const TargetState *, Idle> m_Idle;
+  std::unordered_map<std::string, std::uint32_t> m_MaxConnections;
+  std::size_t m_Daemons = 1;
   std::uint64_t m_Opened = 0;
   std::uint64_t m_Reused = 0;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -370,14 +370,14 @@
   const bool AttemptsLeft = !Counts || m_Sends < m_Route.Attempts;
   if (!mayGoOn(Kind) || !AttemptsLeft || Now >= giveUpTime() ||
       (Counts && !m_Parts.Budget.take(m_Service, Now)))
-    return giveUp(Kind, Reason);
+    return giveUp(Reason);
   logStep("again", Reason);
   m_Target = nullptr;
   m_Phase = Phase::Waiting;
   m_Parts.Control.waitForSlot(shared_from_this());
 }
 
-void Exchange::giveUp(Doubt Kind, std::string_view Reason) {
+void Exchange::giveUp(std::string_view Reason) {
   if (m_HeadSent) {
     m_Caller->abort();
     return end("broken_off", Reason, 0);
@@ -421,7 +421,7 @@
     m_Caller->abort();
     return end("broken_off", "cut off", 0);
   }
-  giveUp(Doubt::MayHaveRun, "cut off");
+  giveUp("cut off");
 }
 
 bool Exchange::isSilent(TimePoint Now) const {
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -688,6 +688,7 @@
                                 {"customers", Plan->Customers.size()}});
   m_Plan = std::move(Plan);
   m_Quotas.configure(*m_Plan, steadyNow());
+  m_Pool.configure(*m_Plan);
 }
 
 void Gateway::onTarget(const TargetEntry &Entry) {
@@ -727,6 +728,7 @@
   const auto Daemons = m_Peers.daemonCount(Now);
   m_Budget.setDaemons(Daemons);
   m_Quotas.setDaemons(Daemons);
+  m_Pool.setDaemons(Daemons);
   m_Metrics.setGauge("daemons", static_cast<double>(Daemons));
   if (OnDaemonCount)
     OnDaemonCount(Daemons);
--- a/packages/gateway/src/slotmessages.cpp
+++ b/packages/gateway/src/slotmessages.cpp
@@ -10,6 +10,8 @@
 constexpr int AskTag = 1;
 constexpr int VerdictTag = 2;
 constexpr int NoteTag = 3;
+/// First byte of a MessagePack map of more than fifteen fields.
+constexpr unsigned char MapMark = 0xde;
 
 std::int64_t toMicros(Duration Span) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Span).count();
@@ -121,6 +123,10 @@
 }
 
 std::optional<SlotMessage> decodeSlotMessage(std::string_view Bytes) {
+  // Reports are maps; they come on the same port and are not read twice.
+  if (Bytes.empty() || (static_cast<unsigned char>(Bytes[0]) & 0xf0) == 0x80 ||
+      static_cast<unsigned char>(Bytes[0]) == MapMark)
+    return std::nullopt;
   const auto Fields = nlohmann::json::from_msgpack(Bytes, true, false);
   if (!Fields.is_array() || Fields.empty())
     return std::nullopt;
--- a/packages/gateway/src/targetpool.cpp
+++ b/packages/gateway/src/targetpool.cpp
@@ -1,5 +1,6 @@
 #include "mangodeck/gateway/targetpool.h"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 
 namespace mangodeck {
@@ -13,13 +14,25 @@
 constexpr Duration FreshTime = 1500ms;
 /// Idle connections are closed after this time.
 constexpr Duration MaxIdleTime = 8s;
-/// Idle connections kept to one target, as many as it has slots at most.
+/// Idle connections kept to one target at most; about its slots.
 constexpr std::size_t MaxIdlePerTarget = 12;
+/// Part of a target's connections that may be idle ones of all daemons; the
+/// others are for requests that run.
+constexpr double IdlePart = 0.5;
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
 } // namespace
 
+std::size_t idleBound(std::uint32_t MaxConnections, std::size_t Daemons) {
+  if (MaxConnections == 0)
+    return MaxIdlePerTarget;
+  const auto Part = IdlePart * MaxConnections /
+                    static_cast<double>(std::max<std::size_t>(1, Daemons));
+  return std::clamp<std::size_t>(static_cast<std::size_t>(Part), 1,
+                                 MaxIdlePerTarget);
+}
+
 TargetPool::TargetPool(asio::any_io_executor Executor)
     : m_Executor(std::move(Executor)) {}
 
@@ -64,12 +77,24 @@
     return;
   auto &Entry = m_Idle[Target.get()];
   if (!Used->isReusable(steadyNow()) || Target->Entry.Draining ||
-      Entry.Connections.size() >= MaxIdlePerTarget)
+      Entry.Connections.size() >= boundOf(*Target))
     return Used->close();
   Entry.Target = Target;
   Entry.Connections.push_back(std::move(Used));
 }
 
+void TargetPool::configure(const RoutePlan &Plan) {
+  m_MaxConnections.clear();
+  for (const auto &Service : Plan.Services)
+    m_MaxConnections[Service.Name.Text] = Service.MaxConnections;
+}
+
+std::size_t TargetPool::boundOf(const TargetState &Target) const {
+  const auto Found = m_MaxConnections.find(Target.Entry.Service.Text);
+  return idleBound(Found == m_MaxConnections.end() ? 0 : Found->second,
+                   m_Daemons);
+}
+
 void TargetPool::probe(const TargetPtr &Target,
                        std::function<void(bool)> Done) {
   connect(Target, [this, Target, Done = std::move(Done)](std::error_code Error,
--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -61,9 +61,6 @@
   /// How long the server says it keeps an idle connection; 0 if unknown.
   Duration keptFor() const { return m_KeptFor; }
 
-  /// Called when an idle connection is closed.
-  std::function<void()> OnIdleClosed;
-
 private:
   void onHead() override;
   void onBody(std::string_view Bytes) override;
--- a/packages/http/src/targetconnection.cpp
+++ b/packages/http/src/targetconnection.cpp
@@ -128,8 +128,6 @@
   if (!m_Handler) {
     // Idle: closed by the server, or bytes that belong to no request.
     shut();
-    if (OnIdleClosed)
-      OnIdleClosed();
     return;
   }
   if (Error) {
