--- a/fuzz/platformkeys.cpp
+++ b/fuzz/platformkeys.cpp
@@ -1,8 +1,9 @@
-// Values of the store and reports of other daemons.
+// Values of the store and datagrams of other daemons.
 #include "directory.h"
 #include "settingsfile.h"
 
 #include "mangodeck/gateway/peertable.h"
+#include "mangodeck/gateway/slotmessages.h"
 
 #include <cstdint>
 
@@ -14,5 +15,6 @@
   mangodeck::platform::decodePeer(Bytes);
   mangodeck::platform::parseSettings(Bytes);
   mangodeck::decodeReport(Bytes);
+  mangodeck::decodeSlotMessage(Bytes);
   return 0;
 }
