gateway: the slot broker counts requests of other domains, and forgets dead daemons

Cause, found by reading: the broker's own count of a target's requests replaced the sum that included what daemons of other failure domains had sent there, so that it granted slots that were taken; and the slots of a daemon that was killed stayed taken until another daemon became the broker, since only its own reports end them.

Change: the counts are added up (daemons of the domain by the broker, others by their digests); a daemon that neither reported nor asked for two seconds holds no slots. Tests: loads_ofOtherDomain_areKept, awayLoads_homeAndDigest_ areOfDigestOnly, daemon_silent_losesItsSlots.

--- a/packages/gateway/include/mangodeck/gateway/peertable.h
+++ b/packages/gateway/include/mangodeck/gateway/peertable.h
@@ -105,6 +105,8 @@
   std::size_t daemonCount(TimePoint Now) const;
   /// Work of the daemons heard lately, by target.
   std::unordered_map<std::uint64_t, PeerLoad> loads(TimePoint Now) const;
+  /// The same of the other failure domains' daemons only.
+  std::unordered_map<std::uint64_t, PeerLoad> awayLoads(TimePoint Now) const;
   /// Daemons of the own failure domain that were heard lately.
   std::size_t heardAtHome(TimePoint Now) const;
 
@@ -116,6 +118,9 @@
     TimePoint Heard{};
     bool Stopped = false;
   };
+  static void addLoads(const std::map<std::string, Peer> &Table, TimePoint Now,
+                       std::unordered_map<std::uint64_t, PeerLoad> &Sum);
+
   std::string m_OwnVm;
   FailureDomain m_Home;
   std::map<std::string, Peer> m_Peers;   ///< By name.
--- a/packages/gateway/include/mangodeck/gateway/slotbroker.h
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -50,12 +50,13 @@
   void reconcile(const PeerReport &Report, TimePoint Now);
   /// Starts what can start and forgets what has waited too long.
   void pump(const ServiceName &Service, TimePoint Now);
+  /// The same for all services, and frees what silent daemons held.
   void pumpAll(TimePoint Now);
   /// Forgets everything; the daemon stood still, or another one took over.
   void clear();
-  /// Requests that hold a slot, by target. Those of this daemon are left out
-  /// once they were sent.
-  std::unordered_map<std::uint64_t, PeerLoad> loads() const;
+  /// Adds the requests that hold a slot, by target, to \p Sum. Those of this
+  /// daemon are left out once they were sent.
+  void addLoads(std::unordered_map<std::uint64_t, PeerLoad> &Sum) const;
   std::size_t waiting() const { return m_Waiting.size(); }
 
 private:
@@ -80,6 +81,8 @@
                 TimePoint Now);
   void release(const Key &Which);
   void forget(const Key &Which);
+  /// Frees the slots of daemons that are no longer heard.
+  void forgetSilent(TimePoint Now);
   Duration backlog(const ServiceState &State, TimePoint Now) const;
 
   std::string m_OwnVm;
@@ -89,6 +92,7 @@
   std::map<Key, Waiting> m_Waiting;
   std::unordered_map<TicketNumber, Key> m_ByTicket;
   std::map<Key, Granted> m_Granted;
+  std::map<std::string, TimePoint> m_Heard; ///< By daemon.
   std::map<std::string, ServiceState> m_Services;
   TicketNumber m_NextTicket = 1;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -861,12 +861,10 @@
     return;
   m_LastRefresh = Now;
   m_Quotas.startPeriod(reportPeriod());
-  auto Loads = m_Peers.loads(Now);
-  if (!m_RemoteBroker) // Newer than the reports.
-    for (const auto &[Hash, Load] : m_Broker.loads())
-      if (const auto Target = m_Targets.findByHash(Hash);
-          Target && Target->Entry.Domain == m_Settings.Domain)
-        Loads[Hash] = Load;
+  // The broker knows more of its own domain's daemons than they reported.
+  auto Loads = m_RemoteBroker ? m_Peers.loads(Now) : m_Peers.awayLoads(Now);
+  if (!m_RemoteBroker)
+    m_Broker.addLoads(Loads);
   const auto AtHome = m_Peers.heardAtHome(Now) + 1;
   const auto All = std::max(AtHome, m_Peers.daemonCount(Now));
   for (const auto &[Name, Targets] : m_Targets.services())
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peertable.cpp
@@ -231,20 +231,32 @@
   return Count;
 }
 
+void PeerTable::addLoads(const std::map<std::string, Peer> &Table,
+                         TimePoint Now,
+                         std::unordered_map<std::uint64_t, PeerLoad> &Sum) {
+  for (const auto &[Name, Peer] : Table) {
+    if (Now - Peer.Heard > LoadLifetime)
+      continue;
+    for (const auto &Load : Peer.Last.Loads) {
+      auto &Entry = Sum[Load.Target];
+      Entry.Target = Load.Target;
+      Entry.Running += Load.Running;
+      Entry.Prefill += Load.Prefill;
+    }
+  }
+}
+
 std::unordered_map<std::uint64_t, PeerLoad>
 PeerTable::loads(TimePoint Now) const {
+  auto Sum = awayLoads(Now);
+  addLoads(m_Peers, Now, Sum);
+  return Sum;
+}
+
+std::unordered_map<std::uint64_t, PeerLoad>
+PeerTable::awayLoads(TimePoint Now) const {
   std::unordered_map<std::uint64_t, PeerLoad> Sum;
-  for (const auto *Table : {&m_Peers, &m_Domains})
-    for (const auto &[Name, Peer] : *Table) {
-      if (Now - Peer.Heard > LoadLifetime)
-        continue;
-      for (const auto &Load : Peer.Last.Loads) {
-        auto &Entry = Sum[Load.Target];
-        Entry.Target = Load.Target;
-        Entry.Running += Load.Running;
-        Entry.Prefill += Load.Prefill;
-      }
-    }
+  addLoads(m_Domains, Now, Sum);
   return Sum;
 }
 
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -10,6 +10,9 @@
 /// A report may have been on its way while a slot was granted; grants that
 /// are younger are not ended by it.
 constexpr Duration ReportLag = 250ms;
+/// A daemon that neither reported nor asked for this long holds no slots: it
+/// crashed or is cut off. Twice the longest period of reports.
+constexpr Duration SilenceOfDaemon = 2s;
 /// Starts a second that are assumed where none were measured.
 constexpr double LeastRate = 0.5;
 
@@ -36,6 +39,7 @@
 
 void SlotBroker::ask(const SlotAsk &Ask, TimePoint Now) {
   const Key Which(Ask.Vm, Ask.Number);
+  m_Heard[Ask.Vm] = Now;
   // Step 1. Repeat the verdict on an ask that is known.
   if (const auto Known = m_Granted.find(Which); Known != m_Granted.end()) {
     if (std::find(Ask.Excluded.begin(), Ask.Excluded.end(),
@@ -157,6 +161,7 @@
 }
 
 void SlotBroker::reconcile(const PeerReport &Report, TimePoint Now) {
+  m_Heard[Report.Vm] = Now;
   std::set<TicketNumber> Told;
   for (const auto &Run : Report.Runs) {
     Told.insert(Run.Number);
@@ -177,15 +182,14 @@
   }
 }
 
-std::unordered_map<std::uint64_t, PeerLoad> SlotBroker::loads() const {
-  std::unordered_map<std::uint64_t, PeerLoad> Sum;
+void SlotBroker::addLoads(
+    std::unordered_map<std::uint64_t, PeerLoad> &Sum) const {
   for (const auto &[Which, Held] : m_Granted) {
     auto &Entry = Sum[Held.Target];
     Entry.Target = Held.Target;
     Entry.Running += 1;
     Entry.Prefill += Held.Prefill;
   }
-  return Sum;
 }
 
 void SlotBroker::pump(const ServiceName &Service, TimePoint Now) {
@@ -217,7 +221,20 @@
   }
 }
 
+void SlotBroker::forgetSilent(TimePoint Now) {
+  std::erase_if(m_Heard, [&](const auto &Entry) {
+    return Now - Entry.second > SilenceOfDaemon;
+  });
+  std::vector<Key> Silent;
+  for (const auto &[Which, Held] : m_Granted)
+    if (!m_Heard.contains(Which.first))
+      Silent.push_back(Which);
+  for (const auto &Which : Silent)
+    release(Which);
+}
+
 void SlotBroker::pumpAll(TimePoint Now) {
+  forgetSilent(Now);
   for (const auto &[Name, State] : m_Services)
     pump(ServiceName(Name), Now);
 }
@@ -226,6 +243,7 @@
   m_Waiting.clear();
   m_ByTicket.clear();
   m_Granted.clear();
+  m_Heard.clear();
   m_Services.clear();
 }
 
--- a/packages/gateway/test/peertable_test.cpp
+++ b/packages/gateway/test/peertable_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(accept_digestOfOtherDelegate_onlyAfterSilence);
   CPPUNIT_TEST(accept_olderReport_isIgnored);
   CPPUNIT_TEST(loads_silentPeer_countNoLonger);
+  CPPUNIT_TEST(awayLoads_homeAndDigest_areOfDigestOnly);
   CPPUNIT_TEST_SUITE_END();
 
   static PeerReport reportOf(const std::string &Vm, std::uint64_t Incarnation,
@@ -119,6 +120,18 @@
     CPPUNIT_ASSERT(Table.accept(reportOf("a", 6, 1), m_Now));
   }
 
+  void awayLoads_homeAndDigest_areOfDigestOnly() {
+    PeerTable Table("m", FailureDomain("x"));
+    CPPUNIT_ASSERT(Table.accept(reportOf("a", 1, 1), m_Now));
+    auto Digest = reportOf("b", 1, 1);
+    Digest.Domain = FailureDomain("y");
+    Digest.IsDigest = true;
+    CPPUNIT_ASSERT(Table.accept(Digest, m_Now));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), Table.loads(m_Now).at(7).Running);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(3),
+                         Table.awayLoads(m_Now).at(7).Running);
+  }
+
   void loads_silentPeer_countNoLonger() {
     PeerTable Table("m", FailureDomain("x"));
     Table.accept(reportOf("a", 5, 9), m_Now);
--- a/packages/gateway/test/slotbroker_test.cpp
+++ b/packages/gateway/test/slotbroker_test.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(report_runsOfPredecessor_takeSlots);
   CPPUNIT_TEST(report_withoutRun_endsGrantWhoseNoteWasLost);
   CPPUNIT_TEST(report_olderThanGrant_doesNotEndIt);
+  CPPUNIT_TEST(daemon_silent_losesItsSlots);
+  CPPUNIT_TEST(loads_ofOtherDomain_areKept);
   CPPUNIT_TEST(failures_ofTwoDaemons_avoidTargetForAll);
   CPPUNIT_TEST(target_onTrial_getsOneRequest);
   CPPUNIT_TEST(pace_ofOneDaemon_isUsedForAll);
@@ -151,16 +153,14 @@
     ask("vm", 1);
     m_Broker->note(noteOf("vm", 1, SlotNote::Kind::Withdrawn, 0), m_Now);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), A->running());
-    CPPUNIT_ASSERT(m_Broker->loads().empty());
+    CPPUNIT_ASSERT(loads().empty());
   }
 
   void report_runsOfPredecessor_takeSlots() {
     const auto A = addTarget("a", 1);
     m_Broker->reconcile(reportOf("vm", {{1, A->Hash, 300}}), m_Now);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1),
-                         m_Broker->loads().at(A->Hash).Running);
-    CPPUNIT_ASSERT_EQUAL(TokenCount(300),
-                         m_Broker->loads().at(A->Hash).Prefill);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), loads().at(A->Hash).Running);
+    CPPUNIT_ASSERT_EQUAL(TokenCount(300), loads().at(A->Hash).Prefill);
   }
 
   void report_withoutRun_endsGrantWhoseNoteWasLost() {
@@ -168,7 +168,7 @@
     ask("vm", 1);
     m_Now += 300ms;
     m_Broker->reconcile(reportOf("vm", {}), m_Now);
-    CPPUNIT_ASSERT(m_Broker->loads().empty());
+    CPPUNIT_ASSERT(loads().empty());
   }
 
   void report_olderThanGrant_doesNotEndIt() {
@@ -176,8 +176,30 @@
     ask("vm", 1);
     m_Now += 20ms;
     m_Broker->reconcile(reportOf("vm", {}), m_Now);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1),
-                         m_Broker->loads().at(A->Hash).Running);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), loads().at(A->Hash).Running);
+  }
+
+  void daemon_silent_losesItsSlots() {
+    const auto A = addTarget("a", 1);
+    ask("dead", 1);
+    ask("alive", 2);
+    ask("alive", 3);
+    m_Now += 2500ms;
+    m_Broker->reconcile(reportOf("alive", {{2, A->Hash, 0}}), m_Now);
+    m_Broker->pumpAll(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), loads().at(A->Hash).Running);
+    ask("alive", 4);
+    CPPUNIT_ASSERT(last().Answer == SlotVerdict::Kind::Granted);
+  }
+
+  void loads_ofOtherDomain_areKept() {
+    const auto A = addTarget("a", 4);
+    ask("vm", 1);
+    std::unordered_map<std::uint64_t, PeerLoad> Sum;
+    Sum[A->Hash] = {A->Hash, 2, 100};
+    m_Broker->addLoads(Sum);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(3), Sum.at(A->Hash).Running);
+    CPPUNIT_ASSERT_EQUAL(TokenCount(700), Sum.at(A->Hash).Prefill);
   }
 
   void failures_ofTwoDaemons_avoidTargetForAll() {
@@ -364,6 +386,12 @@
     return Report;
   }
 
+  std::unordered_map<std::uint64_t, PeerLoad> loads() const {
+    std::unordered_map<std::uint64_t, PeerLoad> Sum;
+    m_Broker->addLoads(Sum);
+    return Sum;
+  }
+
   const SlotVerdict &last() const { return m_Verdicts.back(); }
 
   TargetBook m_Targets;
