gateway, http: one piece of code for what stood twice, and names of their own

No change of behaviour.

- The wait for a place in a queue was estimated in Gateway::admit and in SlotBroker::ask: ServiceRate::timeFor.
- Loads by target were summed in four places: addLoad, LoadSums.
- Both parsers collected header fields with the same callbacks: collectFields.
- SlotBroker knew its own daemon's name for a case that cannot come: notes of its own name no target.
A report is no longer copied twice when it comes.
- mangodeck and the fuzz targets link the gateway beside packages that define classes of the same names, which one program must not: PeerTable, PeerAddress, TargetState and CustomerUse of the gateway are PeerBook, PeerEndpoint, KnownTarget and QuotaUse now.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -44,18 +44,18 @@
                                          TimePoint Now);
 
 /// Expected time to the first event of \p Work on \p Target.
-Duration expectedFirstEvent(const TargetState &Target, const RequestWork &Work);
+Duration expectedFirstEvent(const KnownTarget &Target, const RequestWork &Work);
 
 /// Time to the first event of \p Work on an idle nominal target.
 Duration nominalFirstEvent(const RequestWork &Work);
 
 /// Expected time to the end of \p Work on \p Target.
-Duration expectedWhole(const TargetState &Target, const RequestWork &Work);
+Duration expectedWhole(const KnownTarget &Target, const RequestWork &Work);
 
 /// The part of a target's free slots that one of \p Rivals daemons takes;
 /// \p Draw in [0, 1) rounds it up or down by chance. Answers bursts at many
 /// daemons: without it, all of them fill the slots that they see free.
-std::uint32_t drawAllowance(const TargetState &Target, std::size_t Rivals,
+std::uint32_t drawAllowance(const KnownTarget &Target, std::size_t Rivals,
                             double Draw);
 
 /// Usable targets of a service and the slots that are free on them.
--- a/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
+++ b/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
@@ -69,6 +69,8 @@
 public:
   void note(TimePoint Now);
   double perSecond(TimePoint Now) const;
+  /// Time until \p Requests have left the queue.
+  Duration timeFor(std::size_t Requests, TimePoint Now) const;
 
 private:
   double m_Rate = 0;
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -5,7 +5,7 @@
 #include "mangodeck/gateway/dispatchqueue.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/gatewaymetrics.h"
-#include "mangodeck/gateway/peertable.h"
+#include "mangodeck/gateway/peerbook.h"
 #include "mangodeck/gateway/requestfacts.h"
 #include "mangodeck/gateway/retrybudget.h"
 #include "mangodeck/gateway/slotmessages.h"
@@ -121,7 +121,7 @@
   void onExchangeFailed(const http::ExchangeFailure &Failure) override;
 
   void onConnected(std::error_code Error, TargetPool::Connection Ready);
-  std::string serializeFor(const TargetState &Target, TimePoint Now) const;
+  std::string serializeFor(const KnownTarget &Target, TimePoint Now) const;
   void relayEvents();
   bool relayEvent(std::string_view Event, TimePoint Now);
   void sendHead();
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -5,7 +5,7 @@
 #include "mangodeck/gateway/crashguard.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
-#include "mangodeck/gateway/peertable.h"
+#include "mangodeck/gateway/peerbook.h"
 #include "mangodeck/gateway/quotaledger.h"
 #include "mangodeck/gateway/slotbroker.h"
 #include "mangodeck/gateway/wakeguard.h"
@@ -47,7 +47,7 @@
   virtual void onPlan(RoutePlanPtr Plan) = 0;
   virtual void onTarget(const TargetEntry &Entry) = 0;
   virtual void onTargetGone(const TargetName &Id, bool AfterOutage) = 0;
-  virtual void onPeer(const std::string &Vm, const PeerAddress &Address) = 0;
+  virtual void onPeer(const std::string &Vm, const PeerEndpoint &Address) = 0;
   virtual void onPeerGone(const std::string &Vm) = 0;
   /// Everything known has been told once.
   virtual void onDirectoryComplete() = 0;
@@ -79,7 +79,7 @@
   void onPlan(RoutePlanPtr Plan) override;
   void onTarget(const TargetEntry &Entry) override;
   void onTargetGone(const TargetName &Id, bool AfterOutage) override;
-  void onPeer(const std::string &Vm, const PeerAddress &Address) override;
+  void onPeer(const std::string &Vm, const PeerEndpoint &Address) override;
   void onPeerGone(const std::string &Vm) override;
   void onDirectoryComplete() override;
 
@@ -140,7 +140,7 @@
   void serveReady(std::shared_ptr<asio::ip::tcp::socket> Socket);
   void receiveReport();
   void acceptReport(PeerReport Report, TimePoint Now);
-  void sendTo(std::span<const PeerAddress> Peers, std::string_view Bytes);
+  void sendTo(std::span<const PeerEndpoint> Peers, std::string_view Bytes);
   void updateDaemonCount(TimePoint Now);
   Duration reportPeriod() const;
   void sendReports(TimePoint Now);
@@ -182,10 +182,10 @@
   RetryBudget m_Budget;
   QuotaLedger m_Quotas;
   CrashGuard m_Crashes;
-  PeerTable m_Peers;
+  PeerBook m_Peers;
   WakeGuard m_Wake;
   SlotBroker m_Broker;
-  std::optional<PeerTable::Delegate> m_RemoteBroker; ///< Unless it is this one.
+  std::optional<PeerBook::Delegate> m_RemoteBroker; ///< Unless it is this one.
   TimePoint m_BrokerSilentUntil{};
   std::unordered_map<TicketNumber, PendingAsk> m_Asks;
   std::map<std::string, ServiceState> m_Services;
--- a/packages/gateway/include/mangodeck/gateway/peertable.h
+++ b/packages/gateway/include/mangodeck/gateway/peerbook.h
@@ -1,5 +1,5 @@
-#ifndef MANGODECK_GATEWAY_PEERTABLE_H
-#define MANGODECK_GATEWAY_PEERTABLE_H
+#ifndef MANGODECK_GATEWAY_PEERBOOK_H
+#define MANGODECK_GATEWAY_PEERBOOK_H
 
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
@@ -12,22 +12,25 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace mangodeck {
 
 /// Work of one daemon on one target.
 struct PeerLoad {
-  std::uint64_t Target = 0; ///< TargetState::Hash.
+  std::uint64_t Target = 0; ///< KnownTarget::Hash.
   std::uint32_t Running = 0;
   TokenCount Prefill = 0;
 };
 
+/// Work of several daemons, by target.
+using LoadSums = std::map<std::uint64_t, PeerLoad>;
+void addLoad(LoadSums &Sums, const PeerLoad &Load);
+
 /// A request of one daemon at a target.
 struct PeerRun {
   std::uint64_t Number = 0; ///< Of the request at its daemon.
-  std::uint64_t Target = 0; ///< TargetState::Hash.
+  std::uint64_t Target = 0; ///< KnownTarget::Hash.
   TokenCount Prefill = 0;   ///< 0 once the first event came.
 };
 
@@ -44,9 +47,9 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
   bool Stopping = false;
-  std::vector<PeerRun> Runs;              ///< Of a daemon; a digest has none.
-  std::vector<PeerLoad> Loads;            ///< Sums of the runs.
-  std::map<std::string, CustomerUse> Use; ///< By customer.
+  std::vector<PeerRun> Runs;           ///< Of a daemon; a digest has none.
+  std::vector<PeerLoad> Loads;         ///< Sums of the runs.
+  std::map<std::string, QuotaUse> Use; ///< By customer.
   std::vector<CrashMark> Crashes;
   std::vector<std::uint64_t> Leaving; ///< Targets that leave or are gone.
 };
@@ -60,20 +63,20 @@
 std::optional<PeerReport> decodeReport(std::string_view Bytes);
 
 /// Where a daemon receives reports.
-struct PeerAddress {
+struct PeerEndpoint {
   std::string Ip;
   std::uint16_t Port = 0;
   FailureDomain Domain;
-  bool operator==(const PeerAddress &) const = default;
+  bool operator==(const PeerEndpoint &) const = default;
 };
 
 /// The other daemons: where they are, and what they told last.
-class PeerTable {
+class PeerBook {
 public:
-  PeerTable(std::string OwnVm, FailureDomain Home);
+  PeerBook(std::string OwnVm, FailureDomain Home);
 
   /// The store lists a daemon.
-  void add(const std::string &Vm, const PeerAddress &Address);
+  void add(const std::string &Vm, const PeerEndpoint &Address);
   /// The store lists it no longer. It counts for a while, since it may live
   /// on behind a cut.
   void remove(const std::string &Vm, TimePoint Now);
@@ -81,9 +84,9 @@
   bool accept(PeerReport Report, TimePoint Now);
 
   /// Daemons of the own failure domain, to send reports to.
-  std::vector<PeerAddress> homeAddresses() const;
+  std::vector<PeerEndpoint> homeAddresses() const;
   /// Some daemons of each other failure domain, to send digests to.
-  std::vector<PeerAddress> awayAddresses() const;
+  std::vector<PeerEndpoint> awayAddresses() const;
   /// Whether this daemon makes the digests of its failure domain: the first by
   /// name of those that are heard.
   bool isDelegate(TimePoint Now) const;
@@ -92,34 +95,34 @@
   struct Delegate {
     std::string Vm;
     std::uint64_t Incarnation = 0;
-    std::optional<PeerAddress> Address; ///< Unless it was never listed.
+    std::optional<PeerEndpoint> Address; ///< Unless it was never listed.
     bool operator==(const Delegate &) const = default;
   };
   std::optional<Delegate> delegate(TimePoint Now) const;
   /// Where a daemon of the own failure domain listens, if it is listed.
-  std::optional<PeerAddress> addressOf(const std::string &Vm) const;
+  std::optional<PeerEndpoint> addressOf(const std::string &Vm) const;
   /// All daemons of the own failure domain in one report; \p Own is this
   /// daemon's.
   PeerReport digest(const PeerReport &Own, TimePoint Now) const;
   /// Daemons that may be serving, this one included.
   std::size_t daemonCount(TimePoint Now) const;
   /// Work of the daemons heard lately, by target.
-  std::unordered_map<std::uint64_t, PeerLoad> loads(TimePoint Now) const;
+  LoadSums loads(TimePoint Now) const;
   /// The same of the other failure domains' daemons only.
-  std::unordered_map<std::uint64_t, PeerLoad> awayLoads(TimePoint Now) const;
+  LoadSums awayLoads(TimePoint Now) const;
   /// Daemons of the own failure domain that were heard lately.
   std::size_t heardAtHome(TimePoint Now) const;
 
 private:
   struct Peer {
-    std::optional<PeerAddress> Address;
+    std::optional<PeerEndpoint> Address;
     std::optional<TimePoint> Removed;
     PeerReport Last;
     TimePoint Heard{};
     bool Stopped = false;
   };
   static void addLoads(const std::map<std::string, Peer> &Table, TimePoint Now,
-                       std::unordered_map<std::uint64_t, PeerLoad> &Sum);
+                       LoadSums &Sums);
 
   std::string m_OwnVm;
   FailureDomain m_Home;
--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -12,7 +12,7 @@
 namespace mangodeck {
 
 /// What a daemon tells the others about a customer's requests.
-struct CustomerUse {
+struct QuotaUse {
   double Admitted = 0; ///< Units admitted since the daemon's start.
   double Demand = 0;   ///< Units asked for per second, decaying mean.
   double Level = 0;    ///< Units left in its copy of the bucket.
@@ -20,12 +20,12 @@
 
 /// The use that a daemon, or the daemons of a failure domain, told.
 struct PeerUse {
-  std::string Peer;              ///< Names the daemon or failure domain.
-  std::uint64_t Incarnation = 0; ///< Tells starts of the teller apart.
-  std::uint32_t Daemons = 1;     ///< That it speaks of.
-  bool IsDigest = false;         ///< Of a failure domain.
-  bool Stopping = false;         ///< No longer counts once it is silent.
-  std::map<std::string, CustomerUse> Use; ///< By customer.
+  std::string Peer;                    ///< Names the daemon or failure domain.
+  std::uint64_t Incarnation = 0;       ///< Tells starts of the teller apart.
+  std::uint32_t Daemons = 1;           ///< That it speaks of.
+  bool IsDigest = false;               ///< Of a failure domain.
+  bool Stopping = false;               ///< No longer counts once it is silent.
+  std::map<std::string, QuotaUse> Use; ///< By customer.
 };
 
 /// The customers' limits, as one daemon enforces them. Answers the load of
@@ -63,9 +63,9 @@
   /// Returns what was booked for a request that never ran.
   void giveBack(const CustomerName &Customer, double Cost);
   /// Own use by customer, for the daemons of this failure domain.
-  std::map<std::string, CustomerUse> use(TimePoint Now);
+  std::map<std::string, QuotaUse> use(TimePoint Now);
   /// Use of this failure domain by customer, for the others.
-  std::map<std::string, CustomerUse> domainUse(TimePoint Now);
+  std::map<std::string, QuotaUse> domainUse(TimePoint Now);
   /// The part of the limit that this daemon and those heard may use, 0 to 1.
   double reach(const CustomerName &Customer, TimePoint Now) const;
 
@@ -74,7 +74,7 @@
     double PerSecond = 0;
     double Burst = 0;
     double Level = 0;
-    CustomerUse Own;
+    QuotaUse Own;
     double DomainAdmitted = 0; ///< By daemons of this failure domain.
     double PeriodAdmitted = 0; ///< By this daemon since the last reports.
     TimePoint Updated{};
--- a/packages/gateway/include/mangodeck/gateway/slotbroker.h
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -3,7 +3,7 @@
 
 #include "mangodeck/gateway/choosetarget.h"
 #include "mangodeck/gateway/dispatchqueue.h"
-#include "mangodeck/gateway/peertable.h"
+#include "mangodeck/gateway/peerbook.h"
 #include "mangodeck/gateway/slotmessages.h"
 #include "mangodeck/gateway/targetbook.h"
 
@@ -38,7 +38,7 @@
 /// engines for a moment and do no other harm.
 class SlotBroker {
 public:
-  SlotBroker(std::string OwnVm, FailureDomain Home, const TargetBook &Targets,
+  SlotBroker(FailureDomain Home, const TargetBook &Targets,
              SlotVerdictSink &Sink);
 
   /// Grants a slot, queues the ask or refuses it. An ask that is known is
@@ -54,9 +54,9 @@
   void pumpAll(TimePoint Now);
   /// Forgets everything; the daemon stood still, or another one took over.
   void clear();
-  /// Adds the requests that hold a slot, by target, to \p Sum. Those of this
+  /// Adds the requests that hold a slot, by target, to \p Sums. Those of this
   /// daemon are left out once they were sent.
-  void addLoads(std::unordered_map<std::uint64_t, PeerLoad> &Sum) const;
+  void addLoads(LoadSums &Sums) const;
   std::size_t waiting() const { return m_Waiting.size(); }
 
 private:
@@ -85,7 +85,6 @@
   void forgetSilent(TimePoint Now);
   Duration backlog(const ServiceState &State, TimePoint Now) const;
 
-  std::string m_OwnVm;
   FailureDomain m_Home;
   const TargetBook &m_Targets;
   SlotVerdictSink &m_Sink;
--- a/packages/gateway/include/mangodeck/gateway/slotmessages.h
+++ b/packages/gateway/include/mangodeck/gateway/slotmessages.h
@@ -37,7 +37,7 @@
   enum class Kind : std::uint8_t { Granted, Waits, Refused };
   TicketNumber Number = 0;
   Kind Answer = Kind::Waits;
-  std::uint64_t Target = 0; ///< TargetState::Hash, if granted.
+  std::uint64_t Target = 0; ///< KnownTarget::Hash, if granted.
   Duration Backlog{0};      ///< Time until all that waits would be started.
 };
 
--- a/packages/gateway/include/mangodeck/gateway/targetbook.h
+++ b/packages/gateway/include/mangodeck/gateway/targetbook.h
@@ -36,9 +36,9 @@
 };
 
 /// What a daemon knows of one target.
-class TargetState {
+class KnownTarget {
 public:
-  explicit TargetState(TargetEntry Entry);
+  explicit KnownTarget(TargetEntry Entry);
 
   TargetEntry Entry;
   std::uint64_t Hash = 0; ///< Of the id and start; names it among daemons.
@@ -97,7 +97,7 @@
   bool isOnTrial() const;
 };
 
-using TargetPtr = std::shared_ptr<TargetState>;
+using TargetPtr = std::shared_ptr<KnownTarget>;
 
 /// All targets by service.
 class TargetBook {
--- a/packages/gateway/include/mangodeck/gateway/targetpool.h
+++ b/packages/gateway/include/mangodeck/gateway/targetpool.h
@@ -50,14 +50,14 @@
 
 private:
   struct Idle {
-    std::weak_ptr<TargetState> Target;
+    std::weak_ptr<KnownTarget> Target;
     std::vector<Connection> Connections;
   };
   void connect(const TargetPtr &Target, Ready Done);
-  std::size_t boundOf(const TargetState &Target) const;
+  std::size_t boundOf(const KnownTarget &Target) const;
 
   asio::any_io_executor m_Executor;
-  std::unordered_map<const TargetState *, Idle> m_Idle;
+  std::unordered_map<const KnownTarget *, Idle> m_Idle;
   std::unordered_map<std::string, std::uint32_t> m_MaxConnections;
   std::size_t m_Daemons = 1;
   std::uint64_t m_Opened = 0;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -18,7 +18,7 @@
 /// Nominal time for a request of a plain service.
 constexpr Duration PlainTime = 20ms;
 
-bool isExcluded(const TargetState &Target,
+bool isExcluded(const KnownTarget &Target,
                 std::span<const TargetPtr> Excluded) {
   return std::any_of(
       Excluded.begin(), Excluded.end(), [&](const TargetPtr &Other) {
@@ -28,7 +28,7 @@
 
 /// Whether reading the prompt, with those that are being read, would hold up
 /// the events of the requests beside it for longer than the gap target.
-bool stallsOthers(const TargetState &Target, const ChoiceInput &Input) {
+bool stallsOthers(const KnownTarget &Target, const ChoiceInput &Input) {
   if (Input.GapTarget <= Duration{0} || Target.running() == 0)
     return false;
   const auto Reading = toSeconds(prefillTime(Target.prefill())) +
@@ -38,13 +38,13 @@
 }
 
 /// Requests that a target is sent at once.
-std::uint32_t placesOf(const TargetState &Target) {
+std::uint32_t placesOf(const KnownTarget &Target) {
   return Target.isOnTrial() ? 1 : Target.Entry.Slots + QueueAhead;
 }
 
 } // namespace
 
-Duration expectedFirstEvent(const TargetState &Target,
+Duration expectedFirstEvent(const KnownTarget &Target,
                             const RequestWork &Work) {
   if (!Work.IsEngine)
     return PlainTime * (1 + Target.running());
@@ -59,7 +59,7 @@
                        : PlainTime;
 }
 
-Duration expectedWhole(const TargetState &Target, const RequestWork &Work) {
+Duration expectedWhole(const KnownTarget &Target, const RequestWork &Work) {
   const auto Decode = toSeconds(stepTime(Target.running())) *
                       static_cast<double>(Work.Output) * Target.Slowness;
   return expectedFirstEvent(Target, Work) + fromSeconds(Decode);
@@ -101,7 +101,7 @@
   return Best;
 }
 
-std::uint32_t drawAllowance(const TargetState &Target, std::size_t Rivals,
+std::uint32_t drawAllowance(const KnownTarget &Target, std::size_t Rivals,
                             double Draw) {
   const auto Places = placesOf(Target);
   const auto Free = Places > Target.running() ? Places - Target.running() : 0;
--- a/packages/gateway/src/dispatchqueue.cpp
+++ b/packages/gateway/src/dispatchqueue.cpp
@@ -11,6 +11,8 @@
 /// Time constant of the service rate: long against the gaps between requests,
 /// short against a burst.
 constexpr double RateSeconds = 1.0;
+/// Starts a second that are assumed where fewer were measured.
+constexpr double LeastRate = 0.5;
 
 auto orderOf(const QueuedTicket &Ticket, TimePoint Now) {
   const bool Late = Ticket.StartBy < Now;
@@ -68,4 +70,9 @@
          std::exp(-std::max(0.0, toSeconds(Now - m_Last)) / RateSeconds);
 }
 
+Duration ServiceRate::timeFor(std::size_t Requests, TimePoint Now) const {
+  return fromSeconds(static_cast<double>(Requests) /
+                     std::max(LeastRate, perSecond(Now)));
+}
+
 } // namespace mangodeck
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -151,7 +151,7 @@
                          m_Message.Head.Method == "HEAD", *this);
 }
 
-std::string Exchange::serializeFor(const TargetState &Target,
+std::string Exchange::serializeFor(const KnownTarget &Target,
                                    TimePoint Now) const {
   const auto &Names = m_Parts.Names;
   http::RequestHead Head;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -66,7 +66,7 @@
       m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
       m_Timer(Loop), m_Pool(Loop.get_executor()), m_Budget(m_Settings.Retry),
       m_Quotas(Random), m_Peers(m_Settings.Vm, m_Settings.Domain),
-      m_Broker(m_Settings.Vm, m_Settings.Domain, m_Targets, *this) {}
+      m_Broker(m_Settings.Domain, m_Targets, *this) {}
 
 Gateway::~Gateway() = default;
 
@@ -306,10 +306,7 @@
 
   // Step 3. Refuse it at once if its turn would come too late.
   const auto Ahead = State.Queue.countAhead(New->rank(), Now) + 1;
-  const auto Rate = std::max(0.5, State.Rate.perSecond(Now));
-  const auto Wait = fromSeconds(static_cast<double>(Ahead) / Rate);
-  const auto Patience = New->latestStart() - Now;
-  if (Wait > Patience)
+  if (State.Rate.timeFor(Ahead, Now) > New->latestStart() - Now)
     return New->refuse(503, "no slot within the latency target",
                        comeBackAfter(*New));
   pushTicket(New);
@@ -734,7 +731,7 @@
     OnDaemonCount(Daemons);
 }
 
-void Gateway::onPeer(const std::string &Vm, const PeerAddress &Address) {
+void Gateway::onPeer(const std::string &Vm, const PeerEndpoint &Address) {
   if (Vm == m_Settings.Vm)
     return;
   m_Peers.add(Vm, Address);
@@ -793,19 +790,18 @@
   Told.IsDigest = Report.IsDigest;
   Told.Stopping = Report.Stopping;
   Told.Use = Report.Use;
-  auto Copy = Report;
-  if (!m_Peers.accept(std::move(Report), Now))
+  if (!m_Peers.accept(Report, Now))
     return;
-  if (!Copy.IsDigest && Copy.Domain == m_Settings.Domain && !m_RemoteBroker)
-    m_Broker.reconcile(Copy, Now);
+  if (!Report.IsDigest && Report.Domain == m_Settings.Domain && !m_RemoteBroker)
+    m_Broker.reconcile(Report, Now);
   m_Quotas.onPeerUse(Told, Now);
-  if (Copy.IsDigest && !Copy.Forwarded && m_Peers.isDelegate(Now)) {
-    Copy.Forwarded = true;
-    sendTo(m_Peers.homeAddresses(), encodeReport(Copy));
+  if (Report.IsDigest && !Report.Forwarded && m_Peers.isDelegate(Now)) {
+    Report.Forwarded = true;
+    sendTo(m_Peers.homeAddresses(), encodeReport(Report));
   }
 }
 
-void Gateway::sendTo(std::span<const PeerAddress> Peers,
+void Gateway::sendTo(std::span<const PeerEndpoint> Peers,
                      std::string_view Bytes) {
   for (const auto &Peer : Peers) {
     std::error_code Error;
--- a/packages/gateway/src/peertable.cpp
+++ b/packages/gateway/src/peerbook.cpp
@@ -1,4 +1,4 @@
-#include "mangodeck/gateway/peertable.h"
+#include "mangodeck/gateway/peerbook.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -22,16 +22,7 @@
 /// Digests of another daemon are taken over after this silence.
 constexpr Duration DelegateSilence = 500ms;
 
-} // namespace
-
-std::vector<PeerLoad> sumLoads(std::span<const PeerRun> Runs) {
-  std::map<std::uint64_t, PeerLoad> Sums;
-  for (const auto &Run : Runs) {
-    auto &Sum = Sums[Run.Target];
-    Sum.Target = Run.Target;
-    Sum.Running += 1;
-    Sum.Prefill += Run.Prefill;
-  }
+std::vector<PeerLoad> listLoads(const LoadSums &Sums) {
   std::vector<PeerLoad> Loads;
   Loads.reserve(Sums.size());
   for (const auto &[Target, Sum] : Sums)
@@ -39,6 +30,22 @@
   return Loads;
 }
 
+} // namespace
+
+void addLoad(LoadSums &Sums, const PeerLoad &Load) {
+  auto &Sum = Sums[Load.Target];
+  Sum.Target = Load.Target;
+  Sum.Running += Load.Running;
+  Sum.Prefill += Load.Prefill;
+}
+
+std::vector<PeerLoad> sumLoads(std::span<const PeerRun> Runs) {
+  LoadSums Sums;
+  for (const auto &Run : Runs)
+    addLoad(Sums, {Run.Target, 1, Run.Prefill});
+  return listLoads(Sums);
+}
+
 std::string encodeReport(const PeerReport &Report) {
   nlohmann::json Message;
   Message["v"] = Report.Vm;
@@ -113,23 +120,23 @@
   }
 }
 
-PeerTable::PeerTable(std::string OwnVm, FailureDomain Home)
+PeerBook::PeerBook(std::string OwnVm, FailureDomain Home)
     : m_OwnVm(std::move(OwnVm)), m_Home(std::move(Home)) {}
 
-void PeerTable::add(const std::string &Vm, const PeerAddress &Address) {
+void PeerBook::add(const std::string &Vm, const PeerEndpoint &Address) {
   auto &Peer = m_Peers[Vm];
   Peer.Address = Address;
   Peer.Removed.reset();
   Peer.Stopped = false;
 }
 
-void PeerTable::remove(const std::string &Vm, TimePoint Now) {
+void PeerBook::remove(const std::string &Vm, TimePoint Now) {
   const auto Found = m_Peers.find(Vm);
   if (Found != m_Peers.end())
     Found->second.Removed = Now;
 }
 
-bool PeerTable::accept(PeerReport Report, TimePoint Now) {
+bool PeerBook::accept(PeerReport Report, TimePoint Now) {
   auto &Peer =
       Report.IsDigest ? m_Domains[Report.Domain.Text] : m_Peers[Report.Vm];
   const bool OtherDelegate = Report.IsDigest && Report.Vm != Peer.Last.Vm;
@@ -145,16 +152,16 @@
   return true;
 }
 
-std::vector<PeerAddress> PeerTable::homeAddresses() const {
-  std::vector<PeerAddress> Result;
+std::vector<PeerEndpoint> PeerBook::homeAddresses() const {
+  std::vector<PeerEndpoint> Result;
   for (const auto &[Vm, Peer] : m_Peers)
     if (Peer.Address && Peer.Address->Domain == m_Home)
       Result.push_back(*Peer.Address);
   return Result;
 }
 
-std::vector<PeerAddress> PeerTable::awayAddresses() const {
-  std::vector<PeerAddress> Result;
+std::vector<PeerEndpoint> PeerBook::awayAddresses() const {
+  std::vector<PeerEndpoint> Result;
   std::map<std::string, std::size_t> Chosen;
   for (const auto &[Vm, Peer] : m_Peers)
     if (Peer.Address && !Peer.Removed && Peer.Address->Domain != m_Home &&
@@ -163,9 +170,9 @@
   return Result;
 }
 
-bool PeerTable::isDelegate(TimePoint Now) const { return !delegate(Now); }
+bool PeerBook::isDelegate(TimePoint Now) const { return !delegate(Now); }
 
-std::optional<PeerTable::Delegate> PeerTable::delegate(TimePoint Now) const {
+std::optional<PeerBook::Delegate> PeerBook::delegate(TimePoint Now) const {
   const auto First =
       std::find_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
         const auto &Peer = Entry.second;
@@ -179,17 +186,17 @@
                   First->second.Address};
 }
 
-std::optional<PeerAddress> PeerTable::addressOf(const std::string &Vm) const {
+std::optional<PeerEndpoint> PeerBook::addressOf(const std::string &Vm) const {
   const auto Found = m_Peers.find(Vm);
   return Found == m_Peers.end() ? std::nullopt : Found->second.Address;
 }
 
-PeerReport PeerTable::digest(const PeerReport &Own, TimePoint Now) const {
+PeerReport PeerBook::digest(const PeerReport &Own, TimePoint Now) const {
   PeerReport Sum = Own;
   Sum.IsDigest = true;
-  std::map<std::uint64_t, PeerLoad> Loads;
+  LoadSums Loads;
   for (const auto &Load : Own.Loads)
-    Loads[Load.Target] = Load;
+    addLoad(Loads, Load);
   std::set<std::pair<std::uint64_t, std::uint64_t>> Marks;
   for (const auto &Mark : Own.Crashes)
     Marks.insert({Mark.Fingerprint, Mark.Crash});
@@ -198,19 +205,13 @@
     if (Peer.Last.Domain != m_Home || Now - Peer.Heard > HeardTime)
       continue;
     ++Sum.Daemons;
-    for (const auto &Load : Peer.Last.Loads) {
-      auto &Entry = Loads[Load.Target];
-      Entry.Target = Load.Target;
-      Entry.Running += Load.Running;
-      Entry.Prefill += Load.Prefill;
-    }
+    for (const auto &Load : Peer.Last.Loads)
+      addLoad(Loads, Load);
     for (const auto &Mark : Peer.Last.Crashes)
       Marks.insert({Mark.Fingerprint, Mark.Crash});
     Leaving.insert(Peer.Last.Leaving.begin(), Peer.Last.Leaving.end());
   }
-  Sum.Loads.clear();
-  for (const auto &[Target, Load] : Loads)
-    Sum.Loads.push_back(Load);
+  Sum.Loads = listLoads(Loads);
   Sum.Crashes.clear();
   for (const auto &[Fingerprint, Crash] : Marks)
     Sum.Crashes.push_back({Fingerprint, Crash});
@@ -218,7 +219,7 @@
   return Sum;
 }
 
-std::size_t PeerTable::daemonCount(TimePoint Now) const {
+std::size_t PeerBook::daemonCount(TimePoint Now) const {
   std::size_t Count = 1;
   for (const auto &[Vm, Peer] : m_Peers) {
     const bool Listed = Peer.Address && !Peer.Removed;
@@ -231,36 +232,27 @@
   return Count;
 }
 
-void PeerTable::addLoads(const std::map<std::string, Peer> &Table,
-                         TimePoint Now,
-                         std::unordered_map<std::uint64_t, PeerLoad> &Sum) {
-  for (const auto &[Name, Peer] : Table) {
-    if (Now - Peer.Heard > LoadLifetime)
-      continue;
-    for (const auto &Load : Peer.Last.Loads) {
-      auto &Entry = Sum[Load.Target];
-      Entry.Target = Load.Target;
-      Entry.Running += Load.Running;
-      Entry.Prefill += Load.Prefill;
-    }
-  }
+void PeerBook::addLoads(const std::map<std::string, Peer> &Table, TimePoint Now,
+                        LoadSums &Sums) {
+  for (const auto &[Name, Peer] : Table)
+    if (Now - Peer.Heard <= LoadLifetime)
+      for (const auto &Load : Peer.Last.Loads)
+        addLoad(Sums, Load);
 }
 
-std::unordered_map<std::uint64_t, PeerLoad>
-PeerTable::loads(TimePoint Now) const {
-  auto Sum = awayLoads(Now);
-  addLoads(m_Peers, Now, Sum);
-  return Sum;
+LoadSums PeerBook::loads(TimePoint Now) const {
+  auto Sums = awayLoads(Now);
+  addLoads(m_Peers, Now, Sums);
+  return Sums;
 }
 
-std::unordered_map<std::uint64_t, PeerLoad>
-PeerTable::awayLoads(TimePoint Now) const {
-  std::unordered_map<std::uint64_t, PeerLoad> Sum;
-  addLoads(m_Domains, Now, Sum);
-  return Sum;
+LoadSums PeerBook::awayLoads(TimePoint Now) const {
+  LoadSums Sums;
+  addLoads(m_Domains, Now, Sums);
+  return Sums;
 }
 
-std::size_t PeerTable::heardAtHome(TimePoint Now) const {
+std::size_t PeerBook::heardAtHome(TimePoint Now) const {
   std::size_t Count = 0;
   for (const auto &[Vm, Peer] : m_Peers)
     if (Peer.Last.Domain == m_Home && Now - Peer.Heard < LoadLifetime)
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -178,7 +178,7 @@
   Found->second.DomainAdmitted -= Cost;
 }
 
-std::map<std::string, CustomerUse> QuotaLedger::domainUse(TimePoint Now) {
+std::map<std::string, QuotaUse> QuotaLedger::domainUse(TimePoint Now) {
   auto Result = use(Now);
   for (auto &[Name, Use] : Result) {
     Use.Admitted = m_Accounts.at(Name).DomainAdmitted;
@@ -193,8 +193,8 @@
   return Result;
 }
 
-std::map<std::string, CustomerUse> QuotaLedger::use(TimePoint Now) {
-  std::map<std::string, CustomerUse> Result;
+std::map<std::string, QuotaUse> QuotaLedger::use(TimePoint Now) {
+  std::map<std::string, QuotaUse> Result;
   for (auto &[Name, State] : m_Accounts) {
     advance(Name, State, Now);
     State.Own.Level = State.Level;
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -13,15 +13,12 @@
 /// A daemon that neither reported nor asked for this long holds no slots: it
 /// crashed or is cut off. Twice the longest period of reports.
 constexpr Duration SilenceOfDaemon = 2s;
-/// Starts a second that are assumed where none were measured.
-constexpr double LeastRate = 0.5;
 
 } // namespace
 
-SlotBroker::SlotBroker(std::string OwnVm, FailureDomain Home,
-                       const TargetBook &Targets, SlotVerdictSink &Sink)
-    : m_OwnVm(std::move(OwnVm)), m_Home(std::move(Home)), m_Targets(Targets),
-      m_Sink(Sink) {}
+SlotBroker::SlotBroker(FailureDomain Home, const TargetBook &Targets,
+                       SlotVerdictSink &Sink)
+    : m_Home(std::move(Home)), m_Targets(Targets), m_Sink(Sink) {}
 
 std::vector<TargetPtr>
 SlotBroker::homeTargets(const ServiceName &Service) const {
@@ -33,8 +30,7 @@
 }
 
 Duration SlotBroker::backlog(const ServiceState &State, TimePoint Now) const {
-  const auto Rate = std::max(LeastRate, State.Rate.perSecond(Now));
-  return fromSeconds(static_cast<double>(State.Queue.size()) / Rate);
+  return State.Rate.timeFor(State.Queue.size(), Now);
 }
 
 void SlotBroker::ask(const SlotAsk &Ask, TimePoint Now) {
@@ -60,9 +56,7 @@
     return;
 
   // Step 3. Refuse it if its turn would come too late.
-  const auto Rate = std::max(LeastRate, State.Rate.perSecond(Now));
-  const auto Wait = fromSeconds(static_cast<double>(Ahead + 1) / Rate);
-  if (Ask.MayRefuse && Wait > Ask.ToStart)
+  if (Ask.MayRefuse && State.Rate.timeFor(Ahead + 1, Now) > Ask.ToStart)
     return m_Sink.onVerdict(Ask.Vm, {Ask.Number, SlotVerdict::Kind::Refused, 0,
                                      backlog(State, Now)});
 
@@ -128,7 +122,7 @@
   if (Holds)
     release(Which);
   // Step 2. What one daemon learned serves all.
-  if (!Target || Note.Vm == m_OwnVm)
+  if (!Target)
     return;
   if (Note.Gap > Duration{0} && Note.TokensPerEvent > 0)
     Target->learnPace(Note.Gap, Note.TokensPerEvent);
@@ -182,14 +176,9 @@
   }
 }
 
-void SlotBroker::addLoads(
-    std::unordered_map<std::uint64_t, PeerLoad> &Sum) const {
-  for (const auto &[Which, Held] : m_Granted) {
-    auto &Entry = Sum[Held.Target];
-    Entry.Target = Held.Target;
-    Entry.Running += 1;
-    Entry.Prefill += Held.Prefill;
-  }
+void SlotBroker::addLoads(LoadSums &Sums) const {
+  for (const auto &[Which, Held] : m_Granted)
+    addLoad(Sums, {Held.Target, 1, Held.Prefill});
 }
 
 void SlotBroker::pump(const ServiceName &Service, TimePoint Now) {
--- a/packages/gateway/src/targetbook.cpp
+++ b/packages/gateway/src/targetbook.cpp
@@ -27,13 +27,13 @@
 
 } // namespace
 
-TargetState::TargetState(TargetEntry Entry) : Entry(std::move(Entry)) {
+KnownTarget::KnownTarget(TargetEntry Entry) : Entry(std::move(Entry)) {
   const auto Text =
       fmt::format("{}@{}", this->Entry.Id.Text, this->Entry.Started);
   Hash = XXH3_64bits(Text.data(), Text.size());
 }
 
-void TargetState::learnPace(Duration Gap, std::uint32_t Tokens) {
+void KnownTarget::learnPace(Duration Gap, std::uint32_t Tokens) {
   const double Nominal =
       toSeconds(stepTime(running())) * static_cast<double>(Tokens);
   const double Sample =
@@ -43,24 +43,24 @@
   SlownessKnown = true;
 }
 
-void TargetState::noteLoad(std::uint32_t Total, TimePoint Now) {
+void KnownTarget::noteLoad(std::uint32_t Total, TimePoint Now) {
   ForeignSeen = Total > OwnRunning ? Total - OwnRunning : 0;
   ForeignSeenAt = Now;
 }
 
-void TargetState::ageLoad(TimePoint Now) {
+void KnownTarget::ageLoad(TimePoint Now) {
   if (Now - ForeignSeenAt > LoadLifetime)
     ForeignSeen = 0;
 }
 
-void TargetState::noteSuccess(TimePoint Now) {
+void KnownTarget::noteSuccess(TimePoint Now) {
   FailuresInRow = 0;
   AvoidUntil = TimePoint{};
   Lost = false;
   LastByte = Now;
 }
 
-void TargetState::noteFailure(TimePoint Now) {
+void KnownTarget::noteFailure(TimePoint Now) {
   ++FailuresInRow;
   if (FailuresInRow < FailuresToAvoid)
     return;
@@ -70,12 +70,12 @@
       Now + std::min(FirstAvoidance * (1 << Doublings), LongestAvoidance);
 }
 
-void TargetState::noteUnreachable(TimePoint Now) {
+void KnownTarget::noteUnreachable(TimePoint Now) {
   FailuresInRow = std::max(FailuresInRow + 1, FailuresToAvoid) - 1;
   noteFailure(Now);
 }
 
-bool TargetState::isOnTrial() const { return FailuresInRow >= FailuresToAvoid; }
+bool KnownTarget::isOnTrial() const { return FailuresInRow >= FailuresToAvoid; }
 
 TargetPtr TargetBook::update(const TargetEntry &Entry) {
   auto &Known = m_ById[Entry.Id.Text];
@@ -90,7 +90,7 @@
   }
   if (Known)
     unlink(Known);
-  Known = std::make_shared<TargetState>(Entry);
+  Known = std::make_shared<KnownTarget>(Entry);
   m_ByHash[Known->Hash] = Known;
   m_ByService[Entry.Service.Text].push_back(Known);
   return Known;
--- a/packages/gateway/src/targetpool.cpp
+++ b/packages/gateway/src/targetpool.cpp
@@ -89,7 +89,7 @@
     m_MaxConnections[Service.Name.Text] = Service.MaxConnections;
 }
 
-std::size_t TargetPool::boundOf(const TargetState &Target) const {
+std::size_t TargetPool::boundOf(const KnownTarget &Target) const {
   const auto Found = m_MaxConnections.find(Target.Entry.Service.Text);
   return idleBound(Found == m_MaxConnections.end() ? 0 : Found->second,
                    m_Daemons);
--- a/packages/gateway/test/choosetarget_test.cpp
+++ b/packages/gateway/test/choosetarget_test.cpp
@@ -32,7 +32,7 @@
     Entry.Service = ServiceName("s");
     Entry.Domain = FailureDomain(Domain);
     Entry.Slots = 10;
-    auto State = std::make_shared<TargetState>(Entry);
+    auto State = std::make_shared<KnownTarget>(Entry);
     State->Slowness = Slowness;
     State->Allowance = 10;
     return State;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -568,7 +568,7 @@
   static std::uint64_t hashOf(const char *Id) {
     TargetEntry Entry;
     Entry.Id = TargetName(Id);
-    return TargetState(Entry).Hash;
+    return KnownTarget(Entry).Hash;
   }
 
   static std::uint16_t freePort() {
--- a/packages/gateway/test/peertable_test.cpp
+++ b/packages/gateway/test/peerbook_test.cpp
@@ -1,11 +1,11 @@
-#include "mangodeck/gateway/peertable.h"
+#include "mangodeck/gateway/peerbook.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace mangodeck {
 
-class PeerTableTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(PeerTableTest);
+class PeerBookTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerBookTest);
   CPPUNIT_TEST(report_encodedAndDecoded_isTheSame);
   CPPUNIT_TEST(report_foreignBytes_areNoReport);
   CPPUNIT_TEST(addresses_stoppingPeer_isStillToldOfUse);
@@ -58,7 +58,7 @@
   }
 
   void addresses_stoppingPeer_isStillToldOfUse() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     Table.add("a", {"10.0.0.1", 7000, FailureDomain("x")});
     auto Report = reportOf("a", 5, 9);
     Report.Stopping = true;
@@ -67,7 +67,7 @@
   }
 
   void daemonCount_peerUnlisted_countsUntilCutsHaveEnded() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     Table.add("a", {"10.0.0.1", 7000, FailureDomain("x")});
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Table.daemonCount(m_Now));
     Table.remove("a", m_Now);
@@ -76,7 +76,7 @@
   }
 
   void digest_homeDaemons_areSummedAndOthersLeftOut() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     Table.accept(reportOf("n", 5, 9), m_Now);
     auto Away = reportOf("z", 5, 9);
     Away.Domain = FailureDomain("y");
@@ -91,7 +91,7 @@
   }
 
   void delegate_firstByNameOfThoseHeard_andNextWhenSilent() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     CPPUNIT_ASSERT(Table.isDelegate(m_Now));
     Table.accept(reportOf("a", 5, 9), m_Now);
     CPPUNIT_ASSERT(!Table.isDelegate(m_Now));
@@ -99,7 +99,7 @@
   }
 
   void accept_digestOfOtherDelegate_onlyAfterSilence() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     auto First = reportOf("z1", 9, 50);
     First.Domain = FailureDomain("y");
     First.IsDigest = true;
@@ -113,7 +113,7 @@
   }
 
   void accept_olderReport_isIgnored() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     CPPUNIT_ASSERT(Table.accept(reportOf("a", 5, 9), m_Now));
     CPPUNIT_ASSERT(!Table.accept(reportOf("a", 5, 9), m_Now));
     CPPUNIT_ASSERT(!Table.accept(reportOf("a", 4, 20), m_Now));
@@ -121,7 +121,7 @@
   }
 
   void awayLoads_homeAndDigest_areOfDigestOnly() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     CPPUNIT_ASSERT(Table.accept(reportOf("a", 1, 1), m_Now));
     auto Digest = reportOf("b", 1, 1);
     Digest.Domain = FailureDomain("y");
@@ -133,7 +133,7 @@
   }
 
   void loads_silentPeer_countNoLonger() {
-    PeerTable Table("m", FailureDomain("x"));
+    PeerBook Table("m", FailureDomain("x"));
     Table.accept(reportOf("a", 5, 9), m_Now);
     Table.accept(reportOf("b", 5, 9), m_Now);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), Table.loads(m_Now).at(7).Running);
@@ -141,6 +141,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PeerTableTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerBookTest);
 
 } // namespace mangodeck
--- a/packages/gateway/test/slotbroker_test.cpp
+++ b/packages/gateway/test/slotbroker_test.cpp
@@ -36,7 +36,7 @@
 public:
   void setUp() override {
     m_Targets = TargetBook();
-    m_Broker.emplace("own", FailureDomain("home"), m_Targets, *this);
+    m_Broker.emplace(FailureDomain("home"), m_Targets, *this);
     m_Verdicts.clear();
     m_Now = TimePoint(std::chrono::hours(1));
   }
@@ -195,7 +195,7 @@
   void loads_ofOtherDomain_areKept() {
     const auto A = addTarget("a", 4);
     ask("vm", 1);
-    std::unordered_map<std::uint64_t, PeerLoad> Sum;
+    LoadSums Sum;
     Sum[A->Hash] = {A->Hash, 2, 100};
     m_Broker->addLoads(Sum);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t(3), Sum.at(A->Hash).Running);
@@ -386,8 +386,8 @@
     return Report;
   }
 
-  std::unordered_map<std::uint64_t, PeerLoad> loads() const {
-    std::unordered_map<std::uint64_t, PeerLoad> Sum;
+  LoadSums loads() const {
+    LoadSums Sum;
     m_Broker->addLoads(Sum);
     return Sum;
   }
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -78,6 +78,25 @@
   bool m_InValue = false;
 };
 
+/// Lets \p Settings collect the fields of a head; those of a trailer are
+/// dropped. \p Impl is what the parser's data points to.
+template <typename Impl> void collectFields(http_parser_settings &Settings) {
+  Settings.on_header_field = [](http_parser *P, const char *At,
+                                std::size_t Size) {
+    auto &Self = Impl::self(P);
+    if (!Self.hasHead())
+      Self.Fields.name({At, Size});
+    return 0;
+  };
+  Settings.on_header_value = [](http_parser *P, const char *At,
+                                std::size_t Size) {
+    auto &Self = Impl::self(P);
+    if (!Self.hasHead())
+      Self.Fields.value({At, Size});
+    return 0;
+  };
+}
+
 } // namespace
 
 bool isStrictHead(std::string_view Head) {
@@ -136,20 +155,7 @@
       self(P).Owner.m_Head.Target.append(At, Size);
       return 0;
     };
-    Settings.on_header_field = [](http_parser *P, const char *At,
-                                  std::size_t Size) {
-      auto &Self = self(P);
-      if (!Self.Owner.m_HasHead) // Trailer fields are dropped.
-        Self.Fields.name({At, Size});
-      return 0;
-    };
-    Settings.on_header_value = [](http_parser *P, const char *At,
-                                  std::size_t Size) {
-      auto &Self = self(P);
-      if (!Self.Owner.m_HasHead)
-        Self.Fields.value({At, Size});
-      return 0;
-    };
+    collectFields<Impl>(Settings);
     Settings.on_headers_complete = [](http_parser *P) {
       auto &Self = self(P);
       Self.Fields.flush();
@@ -180,6 +186,7 @@
   }
 
   static Impl &self(http_parser *P) { return *static_cast<Impl *>(P->data); }
+  bool hasHead() const { return Owner.m_HasHead; }
 
   RequestParser &Owner;
   FieldCollector Fields;
@@ -272,20 +279,7 @@
       self(P).Owner.m_Head.Reason.append(At, Size);
       return 0;
     };
-    Settings.on_header_field = [](http_parser *P, const char *At,
-                                  std::size_t Size) {
-      auto &Self = self(P);
-      if (!Self.Owner.m_HasHead)
-        Self.Fields.name({At, Size});
-      return 0;
-    };
-    Settings.on_header_value = [](http_parser *P, const char *At,
-                                  std::size_t Size) {
-      auto &Self = self(P);
-      if (!Self.Owner.m_HasHead)
-        Self.Fields.value({At, Size});
-      return 0;
-    };
+    collectFields<Impl>(Settings);
     Settings.on_headers_complete = [](http_parser *P) {
       auto &Self = self(P);
       auto &Head = Self.Owner.m_Head;
@@ -323,6 +317,7 @@
   }
 
   static Impl &self(http_parser *P) { return *static_cast<Impl *>(P->data); }
+  bool hasHead() const { return Owner.m_HasHead; }
 
   ResponseParser &Owner;
   FieldCollector Fields;
