--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -65,6 +65,11 @@
 std::uint32_t drawAllowance(const TrackedTarget &Target,
                             std::size_t CompetingDaemons, double Draw);
 
+/// Time until the first of \p Targets accepts requests again; std::nullopt if
+/// one does now, or if there is none apart from those that leave or are down.
+std::optional<Duration> commonPause(std::span<const TargetPtr> Targets,
+                                    TimePoint Now);
+
 /// Slots of the usable targets of a service.
 struct TargetCapacity {
   std::uint32_t UsableTargets = 0;
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -42,6 +42,13 @@
   /// The connection to \p Target broke before the answer was complete.
   virtual void onIncompleteAnswer(const TargetPtr &Target,
                                   std::uint64_t Fingerprint) = 0;
+  /// An answer of \p Target states that the target leaves.
+  virtual void onTargetLeaving(const TargetPtr &Target) = 0;
+  /// An answer states that the target at the address of \p Expected leaves,
+  /// which is another target than the expected one.
+  virtual void onOtherTargetLeaving(const TargetPtr &Expected) = 0;
+  /// \p Target has rejected a request and wants no other for some time.
+  virtual void onTargetPaused(const TargetPtr &Target) = 0;
   /// Time after which the caller of a refused request should retry.
   virtual Duration retryAfter(const Exchange &Refused) = 0;
 };
@@ -132,6 +139,8 @@
   void onConnected(std::error_code Error,
                    TargetConnectionPool::Connection Ready);
   std::string serializeFor(const TrackedTarget &Target, TimePoint Now) const;
+  /// Acts on what the head of an answer states about the target itself.
+  void recordTargetState(const http::ResponseHead &Head, TimePoint Now);
   /// Relays the events of the stream that are complete.
   void relayEvents();
   /// Relays one event; false if its id does not follow the id before it.
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -131,6 +131,9 @@
   void onExchangeEnded(Exchange &Ended, bool MayHaveRun) override;
   void onIncompleteAnswer(const TargetPtr &Target,
                           std::uint64_t Fingerprint) override;
+  void onTargetLeaving(const TargetPtr &Target) override;
+  void onOtherTargetLeaving(const TargetPtr &Expected) override;
+  void onTargetPaused(const TargetPtr &Target) override;
   Duration retryAfter(const Exchange &Refused) override;
 
   // Messages to and from the slot broker of this failure domain.
@@ -167,6 +170,8 @@
   void serveReadiness(std::shared_ptr<asio::ip::tcp::socket> Socket);
   /// Receives reports and slot messages of other daemons.
   void receivePeerMessage();
+  /// Applies what another daemon reports of targets that leave.
+  void applyLeavingTargets(const PeerReport &Report);
   void handleReport(PeerReport Report, TimePoint Now);
   void sendTo(std::span<const PeerEndpoint> Peers, std::string_view Bytes);
   void updateDaemonCount(TimePoint Now);
@@ -184,6 +189,12 @@
   /// Requests a slot for a new request. While the broker is unreachable,
   /// dispatches, queues or refuses the request instead.
   void admit(const ExchangePtr &New, TimePoint Now);
+  /// Refuses a request that cannot start in time because all targets of its
+  /// service have asked for a pause; false if it may wait.
+  bool refuseIfPaused(const ExchangePtr &Waiting, TimePoint Now);
+  /// Refuses waiting requests whose time to wait is over, or ends before the
+  /// pause for which all targets of the service have asked.
+  void refuseExpired(const ServiceName &Service, TimePoint Now);
   /// Puts a request into the queue of its service.
   void enqueue(const ExchangePtr &Waiting);
   /// Calls dispatchWaiting() for the service after the running handler has
@@ -238,6 +249,9 @@
   /// Targets that leave or were removed, by TrackedTarget::Hash, and since
   /// when; named in the reports to other daemons.
   std::map<std::uint64_t, TimePoint> m_LeavingTargets;
+  /// Targets that stated in an answer that they leave, by TrackedTarget::Hash,
+  /// and since when; named in the reports to other daemons.
+  std::map<std::uint64_t, TimePoint> m_AnnouncedLeaving;
   std::vector<ExpiredTarget> m_ExpiredTargets;
   std::unordered_map<const http::CallerConnection *,
                      std::shared_ptr<http::CallerConnection>>
--- a/packages/gateway/include/mangodeck/gateway/headernames.h
+++ b/packages/gateway/include/mangodeck/gateway/headernames.h
@@ -20,7 +20,10 @@
   std::string NotExecuted;    ///< A target's promise that it ran nothing.
   std::string ResponseStamp;  ///< A target's proof that it made the answer.
   std::string TargetLoad;     ///< "RUNNING,WAITING,SLOTS" of a target.
-  std::string RetryAfter;     ///< Seconds after which a caller should retry.
+  std::string TargetLeaving;  ///< "1" in the answers of a target that leaves.
+  /// Seconds after which a caller should retry, and for which a target that
+  /// rejects a request wants none from this daemon.
+  std::string RetryAfter;
   /// Fields that only the daemon may set; removed from callers' requests.
   std::vector<std::string> Reserved;
 };
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -3,12 +3,15 @@
 
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/keyvaluestore.h"
+#include "mangodeck/gateway/storeera.h"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace mangodeck {
 
@@ -34,10 +37,11 @@
 
 /// Keeps an observer up to date with the store: lists all keys, then watches
 /// for changes after the revision of the listing's first page. Lists again if
-/// the store no longer has the history or a call failed. Does not report an
-/// older revision of a key after a newer one, unless the key was removed in
-/// between.
-class KeyFollower {
+/// the store no longer has the history, was restored from an older copy, or a
+/// call failed. Does not report an older revision of a key after a newer one,
+/// unless the key was removed in between. After a restore, keys may be reported
+/// with the older values of the copy.
+class KeyFollower : public StoreEraObserver {
 public:
   KeyFollower(asio::any_io_executor Executor, KeyValueStore &Store,
               KeyObserver &Observer, EventLog &Log);
@@ -47,6 +51,11 @@
   /// suspended and may have missed changes.
   void refresh();
 
+  /// Lists all keys again, since the revisions reported so far are void. Keys
+  /// that the copy lacks are reported as removed after an outage: the processes
+  /// that wrote them write them again.
+  void onStoreRestored() override;
+
   /// Sets the number of daemons that watch the store.
   void setDaemonCount(std::size_t Count) { m_DaemonCount = Count; }
 
@@ -73,13 +82,16 @@
   EventLog &m_Log;
   asio::steady_timer m_Timer;
   /// Revisions by key, as last reported to the observer.
-  std::unordered_map<std::string, std::int64_t> m_Revisions;
-  /// Revisions by key, from the pages of the current listing.
-  std::unordered_map<std::string, std::int64_t> m_Listed;
-  std::int64_t m_Revision = 0;        ///< Watches start after this revision.
-  std::int64_t m_ListingRevision = 0; ///< Of the current listing's first page.
-  /// Number of refreshes. Answers to calls made before the last refresh are
-  /// ignored.
+  std::unordered_map<std::string, StoreRevision> m_Revisions;
+  /// Keys on the pages of the current listing.
+  std::unordered_set<std::string> m_Listed;
+  StoreRevision m_Revision; ///< Watches start after this revision.
+  /// Revision of the current listing's first page; std::nullopt before it.
+  std::optional<StoreRevision> m_ListingRevision;
+  /// The store was restored and no listing has been completed since.
+  bool m_Restored = false;
+  /// Number of refreshes and restores. Answers to calls made before the last
+  /// one are ignored.
   std::uint64_t m_Generation = 0;
   bool m_StoreReachable = false;
   bool m_WasEverReachable = false;
--- a/packages/gateway/include/mangodeck/gateway/keyvaluestore.h
+++ b/packages/gateway/include/mangodeck/gateway/keyvaluestore.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/error.h"
 #include "mangodeck/common/units.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -12,11 +13,20 @@
 
 namespace mangodeck {
 
+/// A point in the history of the store. A store that is restored from an older
+/// copy begins a new era and gives revision numbers after that copy out again,
+/// so revisions are ordered by era first.
+struct StoreRevision {
+  std::uint64_t Era = 0; ///< 0 if the store states no era.
+  std::int64_t Number = 0;
+  auto operator<=>(const StoreRevision &) const = default;
+};
+
 /// A key with its value, or the removal of a key.
 struct KeyChange {
   std::string Key;
   std::string Value;
-  std::int64_t Revision = 0;
+  StoreRevision Revision;
   bool Removed = false;
 };
 
@@ -25,13 +35,13 @@
 struct KeyPage {
   std::vector<KeyChange> Items;
   bool HasMore = false;
-  std::int64_t StoreRevision = 0;
+  StoreRevision AsOf; ///< The store's revision at the time of the page.
 };
 
 /// The changes after a revision.
 struct KeyChanges {
   std::vector<KeyChange> Changes;
-  std::int64_t StoreRevision = 0;
+  StoreRevision AsOf; ///< The changes up to this revision are included.
 };
 
 /// A lease that keys can be bound to.
@@ -43,7 +53,8 @@
 /// Access to the store that holds the configuration, targets and daemons.
 /// Every callback runs once, on the caller's event loop, with a result or an
 /// error. Errc::StaleStore: the store no longer has the history after the
-/// revision. Errc::NotFound: the lease does not exist.
+/// revision. Errc::Unavailable: also if the answer is of an earlier era.
+/// Errc::NotFound: the lease does not exist.
 class KeyValueStore {
 public:
   template <typename T> using Callback = std::function<void(Expected<T>)>;
@@ -52,8 +63,8 @@
   /// Lists the keys after \p After in key order. The page is at least as new as
   /// the store at the time of the call.
   virtual void list(std::string_view After, Callback<KeyPage> Done) = 0;
-  /// Waits up to \p Wait for changes after \p Revision.
-  virtual void watch(std::int64_t Revision, Duration Wait,
+  /// Waits up to \p Wait for changes after the revision \p After.
+  virtual void watch(StoreRevision After, Duration Wait,
                      Callback<KeyChanges> Done) = 0;
   virtual void grantLease(Duration TimeToLive, Callback<KeyLease> Done) = 0;
   virtual void keepLease(std::int64_t Lease, Callback<KeyLease> Done) = 0;
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -58,6 +58,8 @@
   std::vector<CrashRecord> CrashRecords;
   /// TrackedTarget::Hash of targets that are draining or were removed.
   std::vector<std::uint64_t> LeavingTargets;
+  /// TrackedTarget::Hash of targets that stated in an answer that they leave.
+  std::vector<std::uint64_t> AnnouncedLeaving;
 };
 
 /// Sums the requests of a daemon by target.
--- a/packages/gateway/include/mangodeck/gateway/requestfacts.h
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -33,6 +33,20 @@
 /// HeaderNames::TargetLoad; std::nullopt if \p Field is malformed.
 std::optional<std::uint32_t> parseTargetLoad(std::string_view Field);
 
+/// Whether the header field HeaderNames::TargetLeaving states that the target
+/// leaves.
+bool parseTargetLeaving(std::string_view Field);
+
+/// Time for which a target wants no requests, from the header field
+/// HeaderNames::RetryAfter in decimal seconds (RFC 9110, 10.2.3, and
+/// fractions), at most MaxTargetPause; std::nullopt if \p Field is malformed,
+/// negative or a date.
+std::optional<Duration> parseTargetPause(std::string_view Field);
+/// Upper bound of a pause: a mistaken value must not exclude a target for good.
+inline constexpr Duration MaxTargetPause = 600s;
+/// Pause after a value that cannot be read.
+inline constexpr Duration DefaultTargetPause = 1s;
+
 /// The work that a request is expected to cause at a target.
 RequestWork expectedWork(const RequestFacts &Facts,
                          const PlannedService *Service);
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,8 @@
   std::uint32_t Slots = 1;
   bool Draining = false;
   std::int64_t StartedUnixMs = 0; ///< 0 if unknown.
+  /// Increases with each registration of the same start; 0 if unknown.
+  std::uint64_t Sequence = 0;
 };
 
 /// Work that a request causes at a target.
@@ -69,6 +72,11 @@
   double Slowdown = 1.0;
   bool HasSlowdownSample = false;
 
+  /// The target has stated in an answer that it leaves. Holds for this start of
+  /// the target, whatever its registration says.
+  bool AnnouncedLeaving = false;
+  /// The target has asked this daemon to send nothing before this time.
+  TimePoint PausedUntil{};
   /// The target is not used before this time, after failures.
   TimePoint AvoidUntil{};
   std::uint32_t ConsecutiveFailures = 0;
@@ -91,8 +99,15 @@
   TokenCount prefillTokens() const {
     return OwnPrefillTokens + PeerPrefillTokens;
   }
+  bool isLeaving() const { return Entry.Draining || AnnouncedLeaving; }
+  bool isPaused(TimePoint Now) const { return PausedUntil > Now; }
   bool isUsable(TimePoint Now) const {
-    return !Entry.Draining && !MarkedDown && AvoidUntil <= Now;
+    return !isLeaving() && !MarkedDown && !isPaused(Now) && AvoidUntil <= Now;
+  }
+  /// Records that the target asked this daemon to send nothing for \p Pause. A
+  /// shorter pause than that in force changes nothing.
+  void pauseFor(Duration Pause, TimePoint Now) {
+    PausedUntil = std::max(PausedUntil, Now + Pause);
   }
   /// Updates Slowdown from the mean pause between two events of \p Tokens
   /// tokens each.
@@ -115,10 +130,16 @@
 class TargetRegistry {
 public:
   /// Adds or updates a target and returns it. A target that has restarted or
-  /// changed its address or service is replaced by a new TrackedTarget.
+  /// changed its address or service is replaced by a new TrackedTarget; one
+  /// that was removed and registers again under the same start is continued.
+  /// A store that was restored from an older copy may show a target as ready
+  /// that has left since: returns nullptr, and changes nothing, if \p Entry is
+  /// not newer than the registration with which the target left.
   TargetPtr update(const TargetEntry &Entry);
-  /// Removes a target whose registration is gone, and returns it.
-  TargetPtr remove(const TargetName &Id);
+  /// Removes a target whose registration is gone, and returns it. \p HasLeft:
+  /// the registration did not merely expire, so that only a newer one brings
+  /// the target back.
+  TargetPtr remove(const TargetName &Id, bool HasLeft);
   TargetPtr find(const TargetName &Id) const;
   TargetPtr findByHash(std::uint64_t Hash) const;
   std::span<const TargetPtr> targetsOf(const ServiceName &Service) const;
@@ -129,9 +150,19 @@
   std::size_t size() const { return m_ById.size(); }
 
 private:
-  /// Removes the target from the indexes by hash and service, and marks it
-  /// down.
-  void unlink(const TargetPtr &Target);
+  /// A target whose registration was removed or replaced.
+  struct Departure {
+    TargetPtr Target;
+    bool HasLeft = false; ///< See remove().
+  };
+  /// Removes the target from the indexes by hash and service, marks it down,
+  /// and remembers its departure.
+  void unlink(const TargetPtr &Target, bool HasLeft);
+  /// Continues or creates the target that \p Entry describes; nullptr if it has
+  /// left.
+  TargetPtr recallOrCreate(const TargetEntry &Entry);
+  std::unordered_map<std::uint64_t, Departure> m_Departures; ///< By hash.
+  std::deque<std::uint64_t> m_DepartureOrder; ///< Hashes, oldest first.
   std::unordered_map<std::string, TargetPtr> m_ById;
   std::unordered_map<std::uint64_t, TargetPtr> m_ByHash;
   std::map<std::string, std::vector<TargetPtr>> m_ByService;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -122,6 +122,20 @@
       static_cast<double>(Free) / static_cast<double>(CompetingDaemons) + Draw);
 }
 
+std::optional<Duration> commonPause(std::span<const TargetPtr> Targets,
+                                    TimePoint Now) {
+  std::optional<Duration> Shortest;
+  for (const auto &Target : Targets) {
+    if (Target->isLeaving() || Target->MarkedDown)
+      continue;
+    if (!Target->isPaused(Now))
+      return std::nullopt;
+    const Duration Left = Target->PausedUntil - Now;
+    Shortest = std::min(Shortest.value_or(Left), Left);
+  }
+  return Shortest;
+}
+
 TargetCapacity capacityOf(std::span<const TargetPtr> Targets, TimePoint Now) {
   TargetCapacity Result;
   for (const auto &Target : Targets) {
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -189,8 +189,7 @@
   m_LastByteAt = m_Target->LastByteAt = Now;
   m_AnswerHead = Head;
   const auto &Names = m_Context.Names;
-  if (const auto Load = parseTargetLoad(Head.Fields.get(Names.TargetLoad)))
-    m_Target->recordLoad(*Load, Now);
+  recordTargetState(Head, Now);
   const auto *ReturnedId = Head.Fields.find(Names.AttemptId);
   // Targets return the attempt id. A different one shows that the answer
   // belongs to another request, e.g. an earlier one on this connection.
@@ -206,6 +205,30 @@
                Head.Fields.get("Content-Type").starts_with("text/event-stream");
 }
 
+void Exchange::recordTargetState(const http::ResponseHead &Head,
+                                 TimePoint Now) {
+  const auto &Names = m_Context.Names;
+  const bool IsLeaving =
+      parseTargetLeaving(Head.Fields.get(Names.TargetLeaving));
+  if (Head.Status == 421) { // Another target answers at this address.
+    if (IsLeaving)
+      m_Context.Control.onOtherTargetLeaving(m_Target);
+    return;
+  }
+  if (const auto Load = parseTargetLoad(Head.Fields.get(Names.TargetLoad)))
+    m_Target->recordLoad(*Load, Now);
+  if (IsLeaving)
+    m_Context.Control.onTargetLeaving(m_Target);
+  const auto *RetryAfter = Head.Fields.find(Names.RetryAfter);
+  if (Head.Status != 503 || !RetryAfter)
+    return;
+  const auto Pause = parseTargetPause(*RetryAfter);
+  m_Target->pauseFor(Pause.value_or(DefaultTargetPause), Now);
+  logEvent("target_paused",
+           Pause ? std::string_view() : "unreadable Retry-After");
+  m_Context.Control.onTargetPaused(m_Target);
+}
+
 void Exchange::onAnswerBody(std::string_view Bytes) {
   m_LastByteAt = m_Target->LastByteAt = std::chrono::steady_clock::now();
   if (m_IsStream) {
@@ -309,7 +332,7 @@
     const bool Misdirected = m_AnswerHead.Status == 421;
     if (Misdirected)
       m_Target->MarkedDown = true;
-    else
+    else if (!m_Target->isPaused(Now)) // A pause is no failure.
       recordTargetFailure(Now);
     logEvent("rejected", fmt::format("status {}", m_AnswerHead.Status));
     releaseTarget(true);
@@ -573,6 +596,8 @@
     Fields["since_send_ms"] = ageMs(m_SentAt, Now);
     Fields["target_quiet_ms"] = ageMs(m_Target->LastByteAt, Now);
     Fields["running"] = m_Target->running();
+    if (m_Target->isPaused(Now))
+      Fields["paused_ms"] = ageMs(Now, m_Target->PausedUntil);
     Fields["slowness"] = std::round(m_Target->Slowdown * 100) / 100;
   }
   m_Context.Log.write(Event, std::move(Fields));
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -52,6 +52,8 @@
 /// Bounds of the Retry-After of refused requests.
 constexpr Duration MinRetryAfter = 300ms;
 constexpr Duration MaxRetryAfter = 4s;
+/// Time over which the retries are spread after a pause of all targets.
+constexpr Duration RetrySpreadAfterPause = 500ms;
 /// Largest share of a request's remaining time that its Retry-After may take.
 constexpr double MaxRetryAfterShare = 0.3;
 /// Bytes of a rejected request's first line that are logged. The header fields
@@ -62,6 +64,19 @@
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
+/// Removes the targets from \p Leaving that have been reported for
+/// LeavingReportPeriod, and returns the hashes of the others.
+std::vector<std::uint64_t>
+recentlyLeaving(std::map<std::uint64_t, TimePoint> &Leaving, TimePoint Now) {
+  std::erase_if(Leaving, [&](const auto &Entry) {
+    return Now - Entry.second > LeavingReportPeriod;
+  });
+  std::vector<std::uint64_t> Hashes;
+  for (const auto &[Hash, Since] : Leaving)
+    Hashes.push_back(Hash);
+  return Hashes;
+}
+
 } // namespace
 
 Gateway::Gateway(asio::io_context &Loop, GatewaySettings Settings,
@@ -308,20 +323,32 @@
   admit(New, Now);
 }
 
+bool Gateway::refuseIfPaused(const ExchangePtr &Waiting, TimePoint Now) {
+  const auto Pause = commonPause(m_Targets.targetsOf(Waiting->service()), Now);
+  if (!Pause || Now + *Pause <= Waiting->slotWaitDeadline())
+    return false;
+  Waiting->refuse(503, "all targets pause", retryAfter(*Waiting));
+  return true;
+}
+
 void Gateway::admit(const ExchangePtr &New, TimePoint Now) {
-  // Step 1. Leave the decision to the broker while it is reachable.
+  // Step 1. Refuse the request if no target accepts any in time.
+  if (refuseIfPaused(New, Now))
+    return;
+
+  // Step 2. Leave the decision to the broker while it is reachable.
   if (isBrokerReachable(Now)) {
     enqueue(New);
     return requestSlot(New, true, Now);
   }
 
-  // Step 2. Dispatch the request now if no waiting request goes before it.
+  // Step 3. Dispatch the request now if no waiting request goes before it.
   auto &State = m_Services[New->service().Text];
   if (State.Queue.countAhead(New->rank(), Now) == 0 &&
       tryDispatch(New, false, Now))
     return;
 
-  // Step 3. Refuse it now if its turn would come too late for the latency
+  // Step 4. Refuse it now if its turn would come too late for the latency
   // target.
   const auto Ahead = State.Queue.countAhead(New->rank(), Now) + 1;
   if (State.Rate.timeToDispatch(Ahead, Now) > New->latestStart() - Now)
@@ -332,6 +359,8 @@
 
 void Gateway::waitForSlot(const ExchangePtr &Waiting) {
   const auto Now = steadyNow();
+  if (!Waiting->hasStreamStarted() && refuseIfPaused(Waiting, Now))
+    return;
   enqueue(Waiting);
   if (isBrokerReachable(Now))
     requestSlot(Waiting, false, Now);
@@ -385,23 +414,36 @@
   return true;
 }
 
-void Gateway::dispatchWaiting(const ServiceName &Service) {
-  const auto Now = steadyNow();
-  m_LocalBroker.dispatchWaiting(Service, Now);
-  auto &State = m_Services[Service.Text];
-  // Step 1. Refuse requests that have waited too long; terminate those whose
-  // stream has begun.
-  for (const auto &Ticket : State.Queue.takeExpired(Now)) {
+void Gateway::refuseExpired(const ServiceName &Service, TimePoint Now) {
+  auto &Queue = m_Services[Service.Text].Queue;
+  const auto Pause = commonPause(m_Targets.targetsOf(Service), Now);
+  for (const auto &Ticket :
+       Queue.takeExpired(Now + Pause.value_or(Duration{0}))) {
     const auto Found = m_ExchangeByNumber.find(Ticket.Number);
     if (Found == m_ExchangeByNumber.end())
       continue;
     const auto Expired = Found->second;
+    // A stream that has started waits on: another target may register.
+    if (Expired->hasStreamStarted() && Ticket.ExpiresAt > Now) {
+      Queue.push(Ticket);
+      continue;
+    }
     withdrawSlotRequest(Ticket.Number, Now);
     if (Expired->hasStreamStarted())
       Expired->terminate();
     else
-      Expired->refuse(503, "no slot in time", retryAfter(*Expired));
+      Expired->refuse(503, Pause ? "all targets pause" : "no slot in time",
+                      retryAfter(*Expired));
   }
+}
+
+void Gateway::dispatchWaiting(const ServiceName &Service) {
+  const auto Now = steadyNow();
+  m_LocalBroker.dispatchWaiting(Service, Now);
+  auto &State = m_Services[Service.Text];
+  // Step 1. Refuse requests that have waited too long; terminate those whose
+  // stream has begun.
+  refuseExpired(Service, Now);
 
   // Step 2. Dispatch the other requests in order. One that no target can take
   // does not hold up those behind it, and those that the broker decides on are
@@ -634,6 +676,11 @@
 Duration Gateway::retryAfter(const Exchange &Refused) {
   const auto Now = steadyNow();
   const auto &State = m_Services[Refused.service().Text];
+  // Before the end of a common pause, a retry would only be refused again.
+  if (const auto Pause =
+          commonPause(m_Targets.targetsOf(Refused.service()), Now))
+    return *Pause +
+           fromSeconds(toSeconds(RetrySpreadAfterPause) * m_Random.uniform());
   // The backlog gives the time until a slot is likely to be free; the random
   // part spreads the retries of callers that were refused together.
   const auto Rate = std::max(1.0, State.Rate.perSecond(Now));
@@ -687,6 +734,26 @@
   });
 }
 
+void Gateway::onTargetLeaving(const TargetPtr &Target) {
+  if (std::exchange(Target->AnnouncedLeaving, true))
+    return;
+  m_Log.write("target_draining",
+              {{"target", Target->Entry.Id.Text}, {"told_by", "its answer"}});
+  m_AnnouncedLeaving[Target->Hash] = steadyNow();
+}
+
+void Gateway::onOtherTargetLeaving(const TargetPtr &Expected) {
+  for (const auto &[Name, Targets] : m_Targets.targetsByService())
+    for (const auto &Target : Targets)
+      if (Target != Expected && Target->Entry.Ip == Expected->Entry.Ip &&
+          Target->Entry.Port == Expected->Entry.Port)
+        onTargetLeaving(Target);
+}
+
+void Gateway::onTargetPaused(const TargetPtr &Target) {
+  scheduleDispatch(Target->Entry.Service);
+}
+
 void Gateway::onCallerLeft(http::CallerConnection &Connection) {
   const auto Found = m_ExchangeByCaller.find(&Connection);
   if (Found == m_ExchangeByCaller.end())
@@ -732,9 +799,14 @@
 void Gateway::onTargetUpdated(const TargetEntry &Entry) {
   const auto Previous = m_Targets.find(Entry.Id);
   const bool WasDraining = Previous && Previous->Entry.Draining;
+  const auto Current = m_Targets.update(Entry);
+  if (!Current) {
+    m_Log.write("target_entry_outdated",
+                {{"target", Entry.Id.Text}, {"sequence", Entry.Sequence}});
+    return;
+  }
   std::erase_if(m_ExpiredTargets,
                 [&](const auto &Expired) { return Expired.Id == Entry.Id; });
-  const auto Current = m_Targets.update(Entry);
   if (Current == Previous && WasDraining == Entry.Draining)
     return;
   m_Log.write(Entry.Draining ? "target_draining" : "target_ready",
@@ -759,7 +831,7 @@
     return;
   }
   m_LeavingTargets[Known->Hash] = steadyNow();
-  m_Targets.remove(Id);
+  m_Targets.remove(Id, true);
 }
 
 void Gateway::updateDaemonCount(TimePoint Now) {
@@ -808,19 +880,32 @@
         if (Report && Report->Vm != m_Settings.Vm) {
           for (const auto &Record : Report->CrashRecords)
             m_CrashGuard.record(Record, Now);
-          for (const auto Hash : Report->LeavingTargets)
-            if (const auto Target = m_Targets.findByHash(Hash);
-                Target && !Target->Entry.Draining) {
-              m_Log.write("target_draining", {{"target", Target->Entry.Id.Text},
-                                              {"told_by", Report->Vm}});
-              Target->Entry.Draining = true;
-            }
+          applyLeavingTargets(*Report);
           handleReport(std::move(*Report), Now);
         }
         receivePeerMessage();
       });
 }
 
+void Gateway::applyLeavingTargets(const PeerReport &Report) {
+  const auto LogDraining = [&](const TrackedTarget &Target) {
+    m_Log.write("target_draining",
+                {{"target", Target.Entry.Id.Text}, {"told_by", Report.Vm}});
+  };
+  for (const auto Hash : Report.LeavingTargets)
+    if (const auto Target = m_Targets.findByHash(Hash);
+        Target && !Target->Entry.Draining) {
+      LogDraining(*Target);
+      Target->Entry.Draining = true;
+    }
+  for (const auto Hash : Report.AnnouncedLeaving)
+    if (const auto Target = m_Targets.findByHash(Hash);
+        Target && !Target->AnnouncedLeaving) {
+      LogDraining(*Target);
+      Target->AnnouncedLeaving = true;
+    }
+}
+
 void Gateway::handleReport(PeerReport Report, TimePoint Now) {
   // A domain summary of this daemon's own domain arrives only if a daemon was
   // moved to another domain.
@@ -882,11 +967,8 @@
   Report.Loads = sumLoadsByTarget(Report.RunningRequests);
   Report.Usage = m_Quotas.usage(Now);
   Report.CrashRecords = m_CrashGuard.recentRecords(Now);
-  std::erase_if(m_LeavingTargets, [&](const auto &Leaving) {
-    return Now - Leaving.second > LeavingReportPeriod;
-  });
-  for (const auto &[Hash, Since] : m_LeavingTargets)
-    Report.LeavingTargets.push_back(Hash);
+  Report.LeavingTargets = recentlyLeaving(m_LeavingTargets, Now);
+  Report.AnnouncedLeaving = recentlyLeaving(m_AnnouncedLeaving, Now);
   sendTo(Peers, encodeReport(Report));
   if (!m_Peers.isDelegate(Now))
     return;
@@ -952,7 +1034,7 @@
     if (Expired.Until <= Now) {
       m_Log.write("target_dropped",
                   {{"target", Expired.Id.Text}, {"reason", "lapsed"}});
-      m_Targets.remove(Expired.Id);
+      m_Targets.remove(Expired.Id, false);
     }
   std::erase_if(m_ExpiredTargets,
                 [&](const auto &Expired) { return Expired.Until <= Now; });
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -1,6 +1,7 @@
 #include "mangodeck/gateway/keyfollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangodeck {
 
@@ -49,9 +50,15 @@
   list();
 }
 
+void KeyFollower::onStoreRestored() {
+  ++m_Generation;
+  m_Restored = true;
+  list();
+}
+
 void KeyFollower::list() {
   m_Listed.clear();
-  m_ListingRevision = 0;
+  m_ListingRevision.reset();
   listFrom(std::string());
 }
 
@@ -71,10 +78,10 @@
   recordAnswer();
   // A page may lack changes made after the first page was read, so the watch
   // starts at the revision of the first page.
-  if (m_ListingRevision == 0)
-    m_ListingRevision = Page->StoreRevision;
+  if (!m_ListingRevision)
+    m_ListingRevision = Page->AsOf;
   for (const auto &Item : Page->Items) {
-    m_Listed[Item.Key] = Item.Revision;
+    m_Listed.insert(Item.Key);
     apply(Item);
   }
   if (Page->HasMore && !Page->Items.empty())
@@ -83,14 +90,17 @@
 }
 
 void KeyFollower::finishListing() {
+  // The processes whose keys the copy lacks need time to write them again.
+  if (std::exchange(m_Restored, false))
+    m_OutageEnd = steadyNow();
   std::vector<KeyChange> Removed;
   for (const auto &[Key, Revision] : m_Revisions)
     if (!m_Listed.contains(Key))
-      Removed.push_back({Key, std::string(), m_ListingRevision, true});
+      Removed.push_back({Key, std::string(), *m_ListingRevision, true});
   for (const auto &Change : Removed)
     apply(Change);
   m_Listed.clear();
-  m_Revision = m_ListingRevision;
+  m_Revision = *m_ListingRevision;
   m_Observer.onListed();
   watch();
 }
@@ -120,7 +130,7 @@
   recordAnswer();
   for (const auto &Change : Answer->Changes)
     apply(Change);
-  m_Revision = std::max(m_Revision, Answer->StoreRevision);
+  m_Revision = std::max(m_Revision, Answer->AsOf);
   const auto Elapsed = steadyNow() - m_WatchStart;
   const auto Interval = minWatchInterval(m_DaemonCount);
   if (Elapsed >= Interval)
@@ -164,7 +174,8 @@
   if (m_WasEverReachable)
     m_OutageEnd = m_LastAnswerTime;
   m_WasEverReachable = true;
-  m_Log.write("store_regained", {{"revision", m_Revision}});
+  m_Log.write("store_regained",
+              {{"era", m_Revision.Era}, {"revision", m_Revision.Number}});
 }
 
 void KeyFollower::recordFailure(std::error_code Error) {
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -77,6 +77,8 @@
     Message["c"].push_back({Record.Fingerprint, Record.CrashId});
   for (const auto Target : Report.LeavingTargets)
     Message["l"].push_back(Target);
+  for (const auto Target : Report.AnnouncedLeaving)
+    Message["a"].push_back(Target);
   std::string Bytes;
   nlohmann::json::to_msgpack(Message, Bytes);
   return Bytes;
@@ -119,6 +121,8 @@
                                        Record.at(1).get<std::uint64_t>()});
     if (Message.contains("l"))
       Report.LeavingTargets = Message["l"].get<std::vector<std::uint64_t>>();
+    if (Message.contains("a"))
+      Report.AnnouncedLeaving = Message["a"].get<std::vector<std::uint64_t>>();
     return Report;
   } catch (const nlohmann::json::exception &) {
     return std::nullopt;
@@ -213,6 +217,8 @@
     CrashRecords.insert({Record.Fingerprint, Record.CrashId});
   std::set<std::uint64_t> LeavingTargets(Own.LeavingTargets.begin(),
                                          Own.LeavingTargets.end());
+  std::set<std::uint64_t> AnnouncedLeaving(Own.AnnouncedLeaving.begin(),
+                                           Own.AnnouncedLeaving.end());
   for (const auto &[Vm, Peer] : m_Peers) {
     if (Peer.LastReport.Domain != m_OwnDomain ||
         Now - Peer.LastReportTime > ReachableTime)
@@ -224,12 +230,16 @@
       CrashRecords.insert({Record.Fingerprint, Record.CrashId});
     LeavingTargets.insert(Peer.LastReport.LeavingTargets.begin(),
                           Peer.LastReport.LeavingTargets.end());
+    AnnouncedLeaving.insert(Peer.LastReport.AnnouncedLeaving.begin(),
+                            Peer.LastReport.AnnouncedLeaving.end());
   }
   Summary.Loads = listLoads(Loads);
   Summary.CrashRecords.clear();
   for (const auto &[Fingerprint, Crash] : CrashRecords)
     Summary.CrashRecords.push_back({Fingerprint, Crash});
   Summary.LeavingTargets.assign(LeavingTargets.begin(), LeavingTargets.end());
+  Summary.AnnouncedLeaving.assign(AnnouncedLeaving.begin(),
+                                  AnnouncedLeaving.end());
   return Summary;
 }
 
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <xxhash.h>
 
 namespace mangodeck {
@@ -68,6 +69,19 @@
   return static_cast<std::uint32_t>(*Running + *Waiting);
 }
 
+bool parseTargetLeaving(std::string_view Field) { return Field == "1"; }
+
+std::optional<Duration> parseTargetPause(std::string_view Field) {
+  double Seconds = 0;
+  const auto *End = Field.data() + Field.size();
+  const auto [At, Error] =
+      std::from_chars(Field.data(), End, Seconds, std::chars_format::fixed);
+  if (Error != std::errc() || At != End || !std::isfinite(Seconds) ||
+      Seconds < 0)
+    return std::nullopt;
+  return fromSeconds(std::min(Seconds, toSeconds(MaxTargetPause)));
+}
+
 RequestWork expectedWork(const RequestFacts &Facts,
                          const PlannedService *Service) {
   RequestWork Work;
--- a/packages/gateway/src/targetconnectionpool.cpp
+++ b/packages/gateway/src/targetconnectionpool.cpp
@@ -83,7 +83,7 @@
   if (!Used)
     return;
   auto &Entry = m_Idle[Target.get()];
-  if (!Used->isReusable(steadyNow()) || Target->Entry.Draining ||
+  if (!Used->isReusable(steadyNow()) || Target->isLeaving() ||
       Entry.Connections.size() >= maxIdleFor(*Target))
     return Used->close();
   Entry.Target = Target;
@@ -117,7 +117,7 @@
   for (auto &[Key, Entry] : m_Idle) {
     const auto Target = Entry.Target.lock();
     std::erase_if(Entry.Connections, [&](const Connection &Kept) {
-      if (Target && !Target->Entry.Draining && Kept->isReusable(Now) &&
+      if (Target && !Target->isLeaving() && Kept->isReusable(Now) &&
           Kept->idleFor(Now) < MaxIdleTime)
         return false;
       Kept->close();
--- a/packages/gateway/src/targetregistry.cpp
+++ b/packages/gateway/src/targetregistry.cpp
@@ -27,6 +27,14 @@
 /// factor of five.
 constexpr double MinSlowdown = 0.3;
 constexpr double MaxSlowdown = 12.0;
+/// Departed targets that are remembered; some times the size of a fleet.
+constexpr std::size_t MaxDepartures = 4096;
+
+/// Whether \p Entry was registered before \p Other, by the same start of a
+/// target.
+bool isOlder(const TargetEntry &Entry, const TargetEntry &Other) {
+  return Entry.Sequence != 0 && Entry.Sequence < Other.Sequence;
+}
 
 } // namespace
 
@@ -82,42 +90,74 @@
 }
 
 TargetPtr TargetRegistry::update(const TargetEntry &Entry) {
-  auto &Current = m_ById[Entry.Id.Text];
+  const auto Known = find(Entry.Id);
   const bool IsSameInstance =
-      Current && Current->Entry.StartedUnixMs == Entry.StartedUnixMs &&
-      Current->Entry.Ip == Entry.Ip && Current->Entry.Port == Entry.Port &&
-      Current->Entry.Service == Entry.Service;
+      Known && Known->Entry.StartedUnixMs == Entry.StartedUnixMs &&
+      Known->Entry.Ip == Entry.Ip && Known->Entry.Port == Entry.Port &&
+      Known->Entry.Service == Entry.Service;
   if (IsSameInstance) {
-    Current->Entry = Entry;
-    Current->MarkedDown = false;
-    return Current;
+    const bool UndoesDrain = Known->Entry.Draining && !Entry.Draining;
+    if (UndoesDrain && isOlder(Entry, Known->Entry))
+      return nullptr;
+    Known->Entry = Entry;
+    Known->MarkedDown = false;
+    return Known;
   }
-  if (Current)
-    unlink(Current);
-  Current = std::make_shared<TrackedTarget>(Entry);
-  m_ByHash[Current->Hash] = Current;
-  m_ByService[Entry.Service.Text].push_back(Current);
-  return Current;
+  const auto Added = recallOrCreate(Entry);
+  if (!Added)
+    return nullptr;
+  if (Known)
+    unlink(Known, false);
+  m_ById[Entry.Id.Text] = Added;
+  m_ByHash[Added->Hash] = Added;
+  m_ByService[Entry.Service.Text].push_back(Added);
+  return Added;
 }
 
-TargetPtr TargetRegistry::remove(const TargetName &Id) {
+TargetPtr TargetRegistry::recallOrCreate(const TargetEntry &Entry) {
+  auto New = std::make_shared<TrackedTarget>(Entry);
+  const auto Found = m_Departures.find(New->Hash);
+  if (Found == m_Departures.end())
+    return New;
+  const auto Departed = Found->second;
+  const auto &Last = Departed.Target->Entry;
+  if (Departed.HasLeft &&
+      (isOlder(Entry, Last) ||
+       (Entry.Sequence != 0 && Entry.Sequence == Last.Sequence)))
+    return nullptr;
+  m_Departures.erase(Found);
+  std::erase(m_DepartureOrder, New->Hash);
+  // What the target asked of this daemon holds until the target restarts.
+  New->AnnouncedLeaving = Departed.Target->AnnouncedLeaving;
+  New->PausedUntil = Departed.Target->PausedUntil;
+  return New;
+}
+
+TargetPtr TargetRegistry::remove(const TargetName &Id, bool HasLeft) {
   const auto Found = m_ById.find(Id.Text);
   if (Found == m_ById.end())
     return nullptr;
   auto Removed = Found->second;
   m_ById.erase(Found);
-  unlink(Removed);
+  unlink(Removed, HasLeft);
   // Waiting requests hold no pointer to the target. A request that is being
   // connected does, and must not be sent any more.
   Removed->Entry.Draining = true;
   return Removed;
 }
 
-void TargetRegistry::unlink(const TargetPtr &Target) {
+void TargetRegistry::unlink(const TargetPtr &Target, bool HasLeft) {
   m_ByHash.erase(Target->Hash);
   auto &Targets = m_ByService[Target->Entry.Service.Text];
   std::erase(Targets, Target);
   Target->MarkedDown = true;
+  if (m_Departures.insert_or_assign(Target->Hash, Departure{Target, HasLeft})
+          .second)
+    m_DepartureOrder.push_back(Target->Hash);
+  while (m_DepartureOrder.size() > MaxDepartures) {
+    m_Departures.erase(m_DepartureOrder.front());
+    m_DepartureOrder.pop_front();
+  }
 }
 
 TargetPtr TargetRegistry::find(const TargetName &Id) const {
--- a/packages/gateway/test/choosetarget_test.cpp
+++ b/packages/gateway/test/choosetarget_test.cpp
@@ -166,7 +166,7 @@
   void registry_removedTarget_isNotFound() {
     TargetRegistry Registry;
     const auto State = Registry.update(target("h", "own")->Entry);
-    Registry.remove(TargetName("h"));
+    Registry.remove(TargetName("h"), true);
     CPPUNIT_ASSERT(!State->isUsable(m_Now));
     CPPUNIT_ASSERT(Registry.targetsOf(ServiceName("s")).empty());
     CPPUNIT_ASSERT(!Registry.findByHash(State->Hash));
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -26,6 +26,7 @@
   Names.NotExecuted = "X-Not-Executed";
   Names.ResponseStamp = "X-Stamp";
   Names.TargetLoad = "X-Load";
+  Names.TargetLeaving = "X-Leaving";
   Names.RetryAfter = "Retry-After";
   Names.Reserved = {"X-Customer", "X-Expect"};
   return Names;
@@ -146,6 +147,15 @@
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
   CPPUNIT_TEST(stream_eventMissing_laterEventIsNotRelayed);
   CPPUNIT_TEST(target_draining_getsNoRequests);
+  CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
+  CPPUNIT_TEST(target_announcesLeaving_isReportedToPeers);
+  CPPUNIT_TEST(target_peerReportsLeaving_getsNoRequestsAfterHeartbeat);
+  CPPUNIT_TEST(target_misdirectedAnswerLeaving_marksTargetAtThatAddress);
+  CPPUNIT_TEST(target_asksForPause_getsNothingUntilItsEnd);
+  CPPUNIT_TEST(target_asksForPause_repeatableRequestGoesToOther);
+  CPPUNIT_TEST(target_unreadableRetryAfter_pausesForDefault);
+  CPPUNIT_TEST(allTargets_pause_callerIsRefusedWithTimeOfPause);
+  CPPUNIT_TEST(retryAfter_ofTarget_isParsedWithinBounds);
   CPPUNIT_TEST(customer_overLimit_gets429WithRetryAfter);
   CPPUNIT_TEST(caller_disconnects_targetConnectionIsClosed);
   CPPUNIT_TEST(plan_older_isIgnored);
@@ -362,6 +372,129 @@
     CPPUNIT_ASSERT(m_TargetA->Requests.empty());
   }
 
+  void target_announcesLeaving_getsNoFurtherRequests() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    m_TargetA->Scripts = {
+        {plainAnswer("1", 200, "X-Stamp: r\r\nX-Leaving: 1\r\n")}};
+    m_TargetB->Scripts = {{plainAnswer("2")}, {plainAnswer("3")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 200"));
+    addTarget("a", *m_TargetA); // A heartbeat that still says ready.
+    CPPUNIT_ASSERT(sendRequest(requestText("3")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+  }
+
+  void target_announcesLeaving_isReportedToPeers() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {
+        {plainAnswer("1", 200, "X-Stamp: r\r\nX-Leaving: 1\r\n")}};
+    PeerStub Other(*m_Loop, *m_Gateway, m_PeerPort, "z-last");
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    waitFor([&] { return !Other.LastReport.AnnouncedLeaving.empty(); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Other.LastReport.AnnouncedLeaving.size());
+    CPPUNIT_ASSERT_EQUAL(targetHash("a"),
+                         Other.LastReport.AnnouncedLeaving.at(0));
+  }
+
+  void target_peerReportsLeaving_getsNoRequestsAfterHeartbeat() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    PeerStub Other(*m_Loop, *m_Gateway, m_PeerPort, "z-last");
+    Other.AnnouncedLeaving = {targetHash("a")};
+    waitFor([&] { return Other.hasExchangedReports(); });
+    addTarget("a", *m_TargetA);
+    m_TargetB->Scripts = {{plainAnswer("1")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(m_TargetA->Requests.empty());
+  }
+
+  /// The address of a target is used by another one, which answers 421.
+  void target_misdirectedAnswerLeaving_marksTargetAtThatAddress() {
+    configure(RouteKind::Idempotent, 2);
+    addTarget("a", *m_TargetA);
+    addTarget("same-address", *m_TargetA, "other-domain");
+    addTarget("b", *m_TargetB, "third-domain");
+    m_TargetA->Scripts = {{plainAnswer("1", 421, "X-Leaving: 1\r\n")}};
+    m_TargetB->Scripts = {{plainAnswer("1")}, {plainAnswer("2")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+  }
+
+  void target_asksForPause_getsNothingUntilItsEnd() {
+    configure(RouteKind::NonIdempotent, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {
+        {plainAnswer("1", 503, "X-Not-Executed: 1\r\nRetry-After: 0.8\r\n")},
+        {plainAnswer("3")}};
+    const auto Start = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+    waitFor([&] { return std::chrono::steady_clock::now() - Start > 900ms; });
+    CPPUNIT_ASSERT(sendRequest(requestText("3")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_TargetA->Requests.size());
+  }
+
+  void target_asksForPause_repeatableRequestGoesToOther() {
+    configure(RouteKind::Idempotent, 2);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    m_TargetA->Scripts = {
+        {plainAnswer("1", 503, "X-Not-Executed: 1\r\nRetry-After: 30\r\n")}};
+    m_TargetB->Scripts = {{plainAnswer("1")}, {plainAnswer("2")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    addTarget("a", *m_TargetA); // A heartbeat does not end the pause.
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+  }
+
+  void target_unreadableRetryAfter_pausesForDefault() {
+    configure(RouteKind::Idempotent, 2);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    m_TargetA->Scripts = {{plainAnswer(
+        "1", 503,
+        "X-Not-Executed: 1\r\nRetry-After: Fri, 31 Dec 1999 23:59:59 "
+        "GMT\r\n")}};
+    m_TargetB->Scripts = {{plainAnswer("1")}, {plainAnswer("2")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+  }
+
+  void allTargets_pause_callerIsRefusedWithTimeOfPause() {
+    configure(RouteKind::NonIdempotent, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {
+        {plainAnswer("1", 503, "X-Not-Executed: 1\r\nRetry-After: 7\r\n")}};
+    sendRequest(requestText("1"));
+    const auto Start = std::chrono::steady_clock::now();
+    const auto Answer = sendRequest(requestText("2"));
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - Start < 500ms);
+    const auto At = Answer.find("Retry-After: ");
+    CPPUNIT_ASSERT(At != Answer.npos);
+    const auto Seconds = std::stod(Answer.substr(At + 13));
+    CPPUNIT_ASSERT(Seconds > 6 && Seconds < 8);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+  }
+
+  void retryAfter_ofTarget_isParsedWithinBounds() {
+    CPPUNIT_ASSERT(parseTargetPause("2") == Duration(2s));
+    CPPUNIT_ASSERT(parseTargetPause("0.25") == Duration(250ms));
+    CPPUNIT_ASSERT(parseTargetPause("1e12") == std::nullopt);
+    CPPUNIT_ASSERT(parseTargetPause("999999999999") == MaxTargetPause);
+    for (const auto *Invalid :
+         {"", "-1", "nan", "inf", "2s", "Fri, 31 Dec 1999 23:59:59 GMT"})
+      CPPUNIT_ASSERT_MESSAGE(Invalid, !parseTargetPause(Invalid));
+  }
+
   void customer_overLimit_gets429WithRetryAfter() {
     configure(RouteKind::Idempotent, 1, false, 2);
     addTarget("a", *m_TargetA);
@@ -526,6 +659,9 @@
     bool hasExchangedReports() const { return m_ReportsReceived >= 3; }
 
     std::function<std::optional<SlotDecision>(const SlotRequest &)> Decide;
+    /// Named in the reports of this daemon.
+    std::vector<std::uint64_t> AnnouncedLeaving;
+    PeerReport LastReport; ///< Of the gateway.
     std::vector<SlotRequest> SlotRequests;
     std::vector<SlotDecision> Decisions;
     std::vector<SlotUpdate> Updates;
@@ -537,6 +673,7 @@
       Report.Domain = FailureDomain("own-domain");
       Report.Incarnation = 1;
       Report.Sequence = ++m_Sequence;
+      Report.AnnouncedLeaving = AnnouncedLeaving;
       sendBytes(encodeReport(Report));
     }
 
@@ -546,7 +683,8 @@
             if (Error)
               return;
             const std::string_view Bytes(m_Buffer.data(), Size);
-            if (decodeReport(Bytes)) {
+            if (auto Report = decodeReport(Bytes)) {
+              LastReport = std::move(*Report);
               ++m_ReportsReceived;
               report();
             }
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -17,9 +17,9 @@
     Lists.push_back(std::string(After));
     ListDone = std::move(Done);
   }
-  void watch(std::int64_t Revision, Duration,
+  void watch(StoreRevision After, Duration,
              Callback<KeyChanges> Done) override {
-    Watches.push_back(Revision);
+    Watches.push_back(After);
     WatchDone = std::move(Done);
   }
   void grantLease(Duration, Callback<KeyLease>) override {}
@@ -38,7 +38,7 @@
   }
 
   std::vector<std::string> Lists;
-  std::vector<std::int64_t> Watches;
+  std::vector<StoreRevision> Watches;
   Callback<KeyPage> ListDone;
   Callback<KeyChanges> WatchDone;
   int Reconnects = 0;
@@ -69,6 +69,9 @@
   CPPUNIT_TEST(watch_failure_listsAgain);
   CPPUNIT_TEST(removal_rightAfterOutage_isReportedAsAfterOutage);
   CPPUNIT_TEST(refresh_answerToOlderCall_isIgnored);
+  CPPUNIT_TEST(restore_reusedRevision_isReported);
+  CPPUNIT_TEST(restore_missingKey_isReportedAsRemovedAfterOutage);
+  CPPUNIT_TEST(restore_answerToEarlierWatch_isIgnored);
   CPPUNIT_TEST(minWatchInterval_manyDaemons_growsWithinBounds);
   CPPUNIT_TEST_SUITE_END();
 
@@ -94,28 +97,28 @@
   }
 
   void list_severalPages_watchStartsAtFirstPageRevision() {
-    m_Store.answerList(KeyPage{{{"a", "1", 5, false}}, true, 10});
+    m_Store.answerList(KeyPage{{{"a", "1", {0, 5}, false}}, true, {0, 10}});
     CPPUNIT_ASSERT_EQUAL(std::string("a"), m_Store.Lists.back());
-    m_Store.answerList(KeyPage{{{"b", "2", 6, false}}, false, 12});
+    m_Store.answerList(KeyPage{{{"b", "2", {0, 6}, false}}, false, {0, 12}});
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Observer.Values.size());
     CPPUNIT_ASSERT_EQUAL(1, m_Observer.Listings);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(10), m_Store.Watches.back());
+    CPPUNIT_ASSERT(m_Store.Watches.back() == (StoreRevision{0, 10}));
   }
 
   void watch_historyDropped_listsAgainAndRemovesMissingKeys() {
     answerFirstList();
     m_Store.answerWatch(unexpected(make_error_code(Errc::StaleStore)));
-    m_Store.answerList(KeyPage{{{"b", "2", 6, false}}, false, 20});
+    m_Store.answerList(KeyPage{{{"b", "2", {0, 6}, false}}, false, {0, 20}});
     CPPUNIT_ASSERT(!m_Observer.Values.contains("a"));
     CPPUNIT_ASSERT(m_Observer.Values.contains("b"));
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(20), m_Store.Watches.back());
+    CPPUNIT_ASSERT(m_Store.Watches.back() == (StoreRevision{0, 20}));
   }
 
   void watch_olderRevision_isIgnored() {
     answerFirstList();
-    m_Store.answerWatch(KeyChanges{{{"a", "new", 11, false}}, 11});
+    m_Store.answerWatch(KeyChanges{{{"a", "new", {0, 11}, false}}, {0, 11}});
     runTimers();
-    m_Store.answerWatch(KeyChanges{{{"a", "old", 9, false}}, 12});
+    m_Store.answerWatch(KeyChanges{{{"a", "old", {0, 9}, false}}, {0, 12}});
     CPPUNIT_ASSERT_EQUAL(std::string("new"), m_Observer.Values["a"]);
   }
 
@@ -126,7 +129,7 @@
     CPPUNIT_ASSERT(!m_Follower->isStoreReachable());
     runTimers();
     CPPUNIT_ASSERT_EQUAL(ListsBefore + 1, m_Store.Lists.size());
-    m_Store.answerList(KeyPage{{{"a", "1", 5, false}}, false, 12});
+    m_Store.answerList(KeyPage{{{"a", "1", {0, 5}, false}}, false, {0, 12}});
     CPPUNIT_ASSERT(m_Follower->isStoreReachable());
   }
 
@@ -134,7 +137,7 @@
     answerFirstList();
     m_Store.answerWatch(unexpected(make_error_code(Errc::Timeout)));
     runTimers();
-    m_Store.answerList(KeyPage{{}, false, 12});
+    m_Store.answerList(KeyPage{{}, false, {0, 12}});
     CPPUNIT_ASSERT(m_Observer.Values.empty());
     CPPUNIT_ASSERT(m_Observer.LastAfterOutage);
   }
@@ -144,14 +147,45 @@
     auto Stale = std::move(m_Store.WatchDone);
     m_Follower->refresh();
     CPPUNIT_ASSERT_EQUAL(1, m_Store.Reconnects);
-    Stale(KeyChanges{{{"a", "stale", 50, false}}, 50});
+    Stale(KeyChanges{{{"a", "stale", {0, 50}, false}}, {0, 50}});
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), m_Observer.Values["a"]);
+  }
+
+  /// After a restore the store gives revision numbers out again.
+  void restore_reusedRevision_isReported() {
+    answerFirstList();
+    m_Follower->onStoreRestored();
+    m_Store.answerList(KeyPage{
+        {{"a", "rewritten", {2, 5}, false}, {"b", "older", {2, 4}, false}},
+        false,
+        {2, 7}});
+    CPPUNIT_ASSERT_EQUAL(std::string("rewritten"), m_Observer.Values["a"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("older"), m_Observer.Values["b"]);
+    CPPUNIT_ASSERT(m_Store.Watches.back() == (StoreRevision{2, 7}));
+  }
+
+  void restore_missingKey_isReportedAsRemovedAfterOutage() {
+    answerFirstList();
+    m_Follower->onStoreRestored();
+    m_Store.answerList(KeyPage{{{"b", "2", {2, 4}, false}}, false, {2, 7}});
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("a"));
+    CPPUNIT_ASSERT(m_Observer.LastAfterOutage);
+  }
+
+  void restore_answerToEarlierWatch_isIgnored() {
+    answerFirstList();
+    auto Earlier = std::move(m_Store.WatchDone);
+    m_Follower->onStoreRestored();
+    Earlier(KeyChanges{{{"a", "lost", {1, 50}, false}}, {1, 50}});
     CPPUNIT_ASSERT_EQUAL(std::string("1"), m_Observer.Values["a"]);
   }
 
 private:
   void answerFirstList() {
     m_Store.answerList(
-        KeyPage{{{"a", "1", 5, false}, {"b", "2", 6, false}}, false, 10});
+        KeyPage{{{"a", "1", {0, 5}, false}, {"b", "2", {0, 6}, false}},
+                false,
+                {0, 10}});
   }
   /// Runs the loop for a second; all delays of the follower are shorter.
   void runTimers() {
--- a/packages/gateway/test/peerregistry_test.cpp
+++ b/packages/gateway/test/peerregistry_test.cpp
@@ -38,6 +38,7 @@
     Report.Usage["x"] = {100, 20, -3};
     Report.CrashRecords.push_back({11, 12});
     Report.LeavingTargets.push_back(13);
+    Report.AnnouncedLeaving.push_back(14);
     Report.Stopping = true;
     const auto Decoded = decodeReport(encodeReport(Report));
     CPPUNIT_ASSERT(Decoded.has_value());
@@ -47,6 +48,7 @@
     CPPUNIT_ASSERT_EQUAL(-3.0, Decoded->Usage.at("x").UnitsLeft);
     CPPUNIT_ASSERT(Decoded->CrashRecords.at(0) == (CrashRecord{11, 12}));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), Decoded->LeavingTargets.at(0));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(14), Decoded->AnnouncedLeaving.at(0));
   }
 
   void decodeReport_invalidBytes_returnsNothing() {
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -43,6 +43,7 @@
       m_Targets.back()->announce(false);
     }
     configure();
+    m_Store.saveCopy();
     for (unsigned I = 0; I < Chosen.Daemons; ++I) {
       m_Daemons.push_back(std::make_unique<SoakDaemon>(
           Chosen.Front, Chosen.Folder,
@@ -164,13 +165,21 @@
 
   /// Draws a step of planned work, which excuses nothing.
   void doPlannedWork() {
-    switch (m_Random() % 4) {
+    switch (m_Random() % 8) {
     case 0:
       return restartGracefully(anyDaemon());
     case 1:
       return anyDaemon().signal(SIGHUP);
     case 2:
       return anyTarget().announce(m_Random() % 2 == 0);
+    case 3:
+      return anyTarget().leaveByAnswers();
+    case 4:
+      return anyTarget().rejectFor(milliseconds(800 + m_Random() % 2200));
+    case 5:
+      return m_Store.saveCopy();
+    case 6:
+      return m_Store.restoreCopy(milliseconds(m_Random() % 600));
     default:
       return configure();
     }
--- a/testing/soak/soakcaller.cpp
+++ b/testing/soak/soakcaller.cpp
@@ -67,6 +67,7 @@
                     : Kind == 2 ? std::string("/stream/x")
                                 : fmt::format("/gen{}/x", Newest);
   const auto Asked = Clock::now();
+  m_Ledger.noteSent(Id, fmt::format("{}#{}", m_Daemon->ip(), m_Incarnation));
   const bool Sent = writeAll(
       *m_Socket,
       fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\n"
--- a/testing/soak/soakledger.cpp
+++ b/testing/soak/soakledger.cpp
@@ -7,6 +7,17 @@
   ++Counter;
 }
 
+void SoakLedger::noteSent(const std::string &Id, const std::string &Daemon) {
+  const std::lock_guard Lock(m_Mutex);
+  m_DaemonByRequest[Id] = Daemon;
+}
+
+std::string SoakLedger::daemonOf(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_DaemonByRequest.find(Id);
+  return Found == m_DaemonByRequest.end() ? std::string() : Found->second;
+}
+
 void SoakLedger::noteRun(const std::string &Id, bool MayRepeat) {
   const std::lock_guard Lock(m_Mutex);
   auto &Entry = m_Runs[Id];
--- a/testing/soak/soakledger.h
+++ b/testing/soak/soakledger.h
@@ -16,6 +16,11 @@
 /// What callers and targets saw, and which promises it breaks.
 class SoakLedger {
 public:
+  /// A caller sends a request to a daemon. \p Daemon differs between the
+  /// starts of a daemon.
+  void noteSent(const std::string &Id, const std::string &Daemon);
+  /// The daemon that a request was sent to; empty if unknown.
+  std::string daemonOf(const std::string &Id);
   /// A target began to run a request.
   void noteRun(const std::string &Id, bool MayRepeat);
   /// A caller was told that its request has not run.
@@ -38,6 +43,7 @@
   std::mutex m_Mutex;
   std::map<std::string, Run> m_Runs;
   std::set<std::string> m_Promised;
+  std::map<std::string, std::string> m_DaemonByRequest;
   std::vector<std::string> m_Broken;
   std::uint64_t m_Asked = 0;
   std::uint64_t m_Answered = 0;
--- a/testing/soak/soakstore.cpp
+++ b/testing/soak/soakstore.cpp
@@ -38,12 +38,18 @@
     const auto Body = Result.Body.dump();
     http::ResponseHead Head;
     Head.Status = Result.Status;
+    Head.Fields.add("Store-Era", eraField());
     Head.Fields.add("Content-Length", std::to_string(Body.size()));
     if (!writeAll(Caller, http::serialize(Head) + Body))
       return;
   }
 }
 
+std::string SoakStore::eraField() {
+  const std::lock_guard Lock(m_Mutex);
+  return std::to_string(m_Era);
+}
+
 SoakStore::Reply SoakStore::answer(const http::Request &Asked) {
   const auto &Target = Asked.Head.Target;
   if (Target.starts_with("/kv-watch"))
@@ -89,11 +95,12 @@
 
 SoakStore::Reply SoakStore::watch(std::int64_t After, milliseconds Wait) {
   std::unique_lock Lock(m_Mutex);
+  const auto Era = m_Era;
   m_Changed.wait_for(Lock, Wait, [&] {
     expire();
-    return m_Revision > After || m_Stopped || m_Dropped > After;
+    return m_Revision > After || m_Stopped || m_Dropped > After || m_Era != Era;
   });
-  if (After < m_Dropped)
+  if (After < m_Dropped || After > m_Revision || m_Era != Era)
     return {410, Json::object()};
   Json Events = Json::array();
   for (auto At = m_History.upper_bound(After); At != m_History.end(); ++At)
@@ -137,6 +144,36 @@
   change(Key, nullptr, 0);
 }
 
+void SoakStore::saveCopy() {
+  const std::lock_guard Lock(m_Mutex);
+  m_CopiedItems = m_Items;
+  m_CopiedRevision = m_Revision;
+}
+
+void SoakStore::restoreCopy(milliseconds RewriteDelay) {
+  std::map<std::string, Item> Before;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Before = m_Items;
+    m_Items.clear();
+    for (const auto &[Key, Entry] : m_CopiedItems)
+      if (Entry.Lease == 0)
+        m_Items[Key] = Entry;
+    m_Revision = m_CopiedRevision;
+    m_Leases.clear();
+    m_History.clear();
+    m_Dropped = m_Revision;
+    ++m_Era;
+    m_Changed.notify_all();
+  }
+  std::this_thread::sleep_for(RewriteDelay);
+  const std::lock_guard Lock(m_Mutex);
+  for (const auto &[Key, Entry] : Before)
+    if (Entry.Lease == 0 && (!m_CopiedItems.contains(Key) ||
+                             m_CopiedItems[Key].Value != Entry.Value))
+      change(Key, &Entry.Value, 0);
+}
+
 void SoakStore::dropHistory() {
   const std::lock_guard Lock(m_Mutex);
   m_Dropped = m_Revision;
--- a/testing/soak/soakstore.h
+++ b/testing/soak/soakstore.h
@@ -23,6 +23,11 @@
   void setDown(bool Down) { m_Down = Down; }
   /// Answers to older watches are 410 from now on.
   void dropHistory();
+  /// Returns to the state of the last saveCopy() in a new era: later changes
+  /// and all leases are lost, and revisions are given out again. Keys without a
+  /// lease that were written since are written again after \p RewriteDelay.
+  void restoreCopy(std::chrono::milliseconds RewriteDelay);
+  void saveCopy();
   void stop();
 
 private:
@@ -44,6 +49,7 @@
   void change(const std::string &Key, const std::string *Value,
               std::int64_t Lease);
   void expire();
+  std::string eraField();
 
   std::mutex m_Mutex;
   std::condition_variable m_Changed;
@@ -51,6 +57,10 @@
   std::map<std::int64_t, Clock::time_point> m_Leases;
   std::map<std::int64_t, Json> m_History;
   std::int64_t m_Revision = 1;
+  std::uint64_t m_Era = 1;
+  /// State at the last saveCopy().
+  std::map<std::string, Item> m_CopiedItems;
+  std::int64_t m_CopiedRevision = 1;
   std::int64_t m_Dropped = 0; ///< History up to here is gone.
   std::int64_t m_NextLease = 1;
   std::atomic<bool> m_Down{false};
--- a/testing/soak/soaktarget.cpp
+++ b/testing/soak/soaktarget.cpp
@@ -13,11 +13,15 @@
 /// A leaving target gets nothing more after this time; the platform's bound
 /// and a margin for a loaded machine.
 constexpr milliseconds DrainBound{2000 + 2000};
+/// Requests that may arrive within a pause: up to PauseLeadTime after its start
+/// any number, later MaxRequestsInPause.
+constexpr milliseconds PauseLeadTime{500};
+constexpr unsigned MaxRequestsInPause = 2;
 
-std::string headOf(const std::string &Id) {
+std::string headOf(const std::string &Id, const std::string &Leaving) {
   return fmt::format("HTTP/1.1 200 OK\r\nX-Mangodeck-Attempt-Id: {}\r\n"
-                     "X-Mangodeck-Response-Stamp: {}\r\n",
-                     Id, Id);
+                     "X-Mangodeck-Response-Stamp: {}\r\n{}",
+                     Id, Id, Leaving);
 }
 
 } // namespace
@@ -33,7 +37,15 @@
       m_Link("127.0.0.1", "127.0.0.1", m_Server.port()) {}
 
 void SoakTarget::announce(bool Draining) {
+  const bool WasLeaving = m_DrainingSince != 0 || m_LeavingByAnswers;
   m_DrainingSince = Draining ? Clock::now().time_since_epoch().count() : 0;
+  if (!Draining && WasLeaving) {
+    const std::lock_guard Lock(m_Mutex);
+    m_LeavingByAnswers = false;
+    m_Told.clear();
+    ++m_Start;
+    m_Sequence = 0;
+  }
   m_Store.put(
       "servers/" + m_Id,
       nlohmann::json{{"Service", "s"},
@@ -41,10 +53,66 @@
                      {"Zone", m_Domain},
                      {"Slots", 8},
                      {"State", Draining ? "draining" : "ready"},
-                     {"born", 1}}
+                     {"Sequence", ++m_Sequence},
+                     {"born", m_Start.load()}}
           .dump());
 }
 
+void SoakTarget::rejectFor(milliseconds Pause) {
+  m_RejectUntil = (Clock::now() + Pause).time_since_epoch().count();
+}
+
+void SoakTarget::checkTold(const std::string &Id) {
+  const auto Now = Clock::now();
+  const auto Daemon = m_Ledger.daemonOf(Id);
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_Told.find(Daemon);
+  if (Found == m_Told.end() || !m_Calm)
+    return;
+  auto &Told = Found->second;
+  if (Told.LeavingSince != Clock::time_point{} &&
+      Now > Told.LeavingSince + DrainBound)
+    m_Ledger.noteBroken("drain by answer: " + Id + " reached " + m_Id);
+  if (Now > Told.PauseSince + PauseLeadTime && Now < Told.PauseUntil &&
+      ++Told.RequestsInPause > MaxRequestsInPause)
+    m_Ledger.noteBroken("pause: " + Id + " reached " + m_Id);
+}
+
+std::string SoakTarget::leavingField(const std::string &Id) {
+  if (!m_LeavingByAnswers)
+    return "";
+  const auto Daemon = m_Ledger.daemonOf(Id);
+  const std::lock_guard Lock(m_Mutex);
+  // An answer that is sent while links fail may not reach the daemon.
+  auto &Since = m_Told[Daemon].LeavingSince;
+  if (m_Calm && Since == Clock::time_point{})
+    Since = Clock::now();
+  return "Server-Leaving: 1\r\n";
+}
+
+bool SoakTarget::reject(Socket &Caller, const std::string &Id) {
+  const auto Now = Clock::now();
+  const Clock::time_point Until{Clock::duration(m_RejectUntil.load())};
+  if (Now >= Until)
+    return false;
+  const auto Daemon = m_Ledger.daemonOf(Id);
+  {
+    const std::lock_guard Lock(m_Mutex);
+    auto &Told = m_Told[Daemon];
+    if (m_Calm && Now >= Told.PauseUntil) {
+      Told.PauseSince = Now;
+      Told.PauseUntil = Until;
+      Told.RequestsInPause = 0;
+    }
+  }
+  const auto Left = std::chrono::duration<double>(Until - Now).count();
+  writeAll(Caller, fmt::format("HTTP/1.1 503 S\r\nX-Mangodeck-Not-Executed: 1"
+                               "\r\nRetry-After: {:.3f}\r\n"
+                               "Content-Length: 0\r\n\r\n",
+                               Left));
+  return true;
+}
+
 unsigned SoakTarget::draw(unsigned Below) {
   const std::lock_guard Lock(m_Mutex);
   return static_cast<unsigned>(m_Random() % Below);
@@ -72,19 +140,24 @@
       Clock::now() > Clock::time_point(Clock::duration(Since)) + DrainBound)
     m_Ledger.noteBroken("drain: " + Id + " reached " + m_Id);
 
+  checkTold(Id);
+  if (reject(Caller, Id))
+    return true;
   const unsigned Fault = draw(100) < m_Spoiled ? 1 + draw(5) : 0;
   if (Fault == 5) // Rejected, and truly not run.
     return writeAll(Caller, "HTTP/1.1 503 S\r\nX-Mangodeck-Not-Executed: 1\r\n"
                             "Content-Length: 0\r\n\r\n");
   m_Ledger.noteRun(Id, MayRepeat);
+  const auto Head = headOf(Id, leavingField(Id));
   if (IsStream) {
     const auto Last = Fields.get("Last-Event-Id");
-    return stream(Caller, Id, Last.empty() ? 0 : std::stoi(std::string(Last)));
+    return stream(Caller, Head, Id,
+                  Last.empty() ? 0 : std::stoi(std::string(Last)));
   }
   std::this_thread::sleep_for(PlainWork);
   const auto Body = bodyOf(Id);
-  const auto Whole = headOf(Id) + fmt::format("Content-Length: {}\r\n\r\n{}",
-                                              Body.size(), Body);
+  const auto Whole =
+      Head + fmt::format("Content-Length: {}\r\n\r\n{}", Body.size(), Body);
   switch (Fault) {
   case 1: // The answer is lost.
     reset(Caller);
@@ -95,17 +168,18 @@
   case 3: // A second answer follows.
     return writeAll(Caller, Whole + Whole);
   case 4: // No length; ends with the connection.
-    writeAll(Caller, headOf(Id) + "\r\n" + Body);
+    writeAll(Caller, Head + "\r\n" + Body);
     return false;
   default:
     return writeAll(Caller, Whole);
   }
 }
 
-bool SoakTarget::stream(Socket &Caller, const std::string &Id, int After) {
+bool SoakTarget::stream(Socket &Caller, const std::string &Head,
+                        const std::string &Id, int After) {
   const bool Cut = draw(100) < m_Spoiled;
-  if (!writeAll(Caller, headOf(Id) + "Content-Type: text/event-stream\r\n"
-                                     "Transfer-Encoding: chunked\r\n\r\n"))
+  if (!writeAll(Caller, Head + "Content-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"))
     return false;
   for (int Event = After + 1; Event <= StreamEvents; ++Event) {
     std::this_thread::sleep_for(EventPause);
--- a/testing/soak/soaktarget.h
+++ b/testing/soak/soaktarget.h
@@ -20,13 +20,34 @@
   FaultProxy &link() { return m_Link; }
   /// Share of the answers that are spoiled, in percent.
   void setSpoiled(unsigned Percent) { m_Spoiled = Percent; }
-  /// Registers as ready or draining.
+  /// Registers as ready or draining. Ready after a time of leaving is a new
+  /// start of the target.
   void announce(bool Draining);
+  /// States in all answers that it leaves, until announce(false). The
+  /// registration still says ready.
+  void leaveByAnswers() { m_LeavingByAnswers = true; }
+  /// Rejects all requests for \p Pause with a Retry-After of that length.
+  void rejectFor(std::chrono::milliseconds Pause);
 
 private:
+  /// What one daemon was told by answers, by its address.
+  struct Told {
+    Clock::time_point LeavingSince{};
+    Clock::time_point PauseSince{};
+    Clock::time_point PauseUntil{};
+    unsigned RequestsInPause = 0;
+  };
+  /// Checks that the daemon which sends request \p Id heeds earlier answers.
+  void checkTold(const std::string &Id);
+  /// Notes that the daemon is told now that the target leaves. Returns the
+  /// header field that says so; empty if the target does not leave.
+  std::string leavingField(const std::string &Id);
+  /// Rejects the request if the target rejects all; false if it does not.
+  bool reject(Socket &Caller, const std::string &Id);
   void serve(Socket &Caller);
   bool answer(Socket &Caller, const http::Request &Asked);
-  bool stream(Socket &Caller, const std::string &Id, int After);
+  bool stream(Socket &Caller, const std::string &Head, const std::string &Id,
+              int After);
   unsigned draw(unsigned Below);
 
   std::string m_Id;
@@ -38,6 +59,11 @@
   std::mt19937_64 m_Random;
   std::atomic<unsigned> m_Spoiled{0};
   std::atomic<Clock::rep> m_DrainingSince{0};
+  std::atomic<Clock::rep> m_RejectUntil{0};
+  std::atomic<bool> m_LeavingByAnswers{false};
+  std::atomic<std::uint64_t> m_Sequence{0};
+  std::atomic<std::int64_t> m_Start{1}; ///< Number of the current start.
+  std::map<std::string, Told> m_Told;   ///< By the daemon's name.
   ThreadedServer m_Server;
   FaultProxy m_Link;
 };
