gateway: the cost of a quota report does not grow with the fleet

Cause: each report of another daemon, each report of this one and each charge visited every peer for every customer.

Change: the demand of reachable and unreachable daemons is summed per customer as reports arrive; a daemon moves between the sums when its standing ends.

--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -48,6 +48,9 @@
 /// demand, of what the bucket holds until the next reports arrive. A request
 /// larger than the rest of that share is admitted with a probability equal to
 /// the rest divided by its cost.
+///
+/// The sums over all daemons are kept up to date by each report, so that a
+/// request and a report cost the same in a fleet of any size.
 class QuotaLedger {
 public:
   explicit QuotaLedger(RandomSource &Random) : m_Random(Random) {}
@@ -74,9 +77,14 @@
   std::map<std::string, QuotaUsage> domainUsage(TimePoint Now);
   /// The share of the limit that this daemon and the reachable ones may use,
   /// from 0 to 1.
-  double reachableShare(const CustomerName &Customer, TimePoint Now) const;
+  double reachableShare(const CustomerName &Customer, TimePoint Now);
 
 private:
+  /// Demand of the other daemons for a customer's units, per second.
+  struct PeerDemand {
+    double Reachable = 0;
+    double Unreachable = 0; ///< Of daemons that still hold their share.
+  };
   struct Account {
     double UnitsPerSecond = 0;
     double BurstUnits = 0;
@@ -86,21 +94,38 @@
     double DomainAdmittedUnits = 0;
     /// Units admitted by this daemon in the current report period.
     double PeriodAdmittedUnits = 0;
+    PeerDemand OthersDemand;
     TimePoint UpdatedAt{};
   };
+  /// How a daemon or failure domain counts by the age of its last report.
+  enum class Standing : std::uint8_t {
+    Reachable,
+    Unreachable, ///< Holds its share, which the others must not use.
+    Expired,     ///< No longer counts.
+  };
   struct Peer {
     PeerUsage LastUsage;
     TimePoint LastReportTime{};
+    Standing Counted = Standing::Expired; ///< As what the sums include it.
   };
+  static Standing standingOf(const Peer &Other, TimePoint Now);
+  /// Time at which the standing of \p Other changes unless it reports again.
+  static TimePoint standingEnd(const Peer &Other);
+  /// Adds the peer to the sums, or removes it if \p Sign is -1.
+  void addToSums(const Peer &Other, int Sign);
+  /// The demand for a customer's units by the last reports.
+  PeerDemand reportedDemand(const std::string &Name) const;
+  /// Updates the sums if the standing of a daemon has changed by \p Now.
+  void refreshStandings(TimePoint Now);
   /// Decays the demand and refills the token bucket up to \p Now.
-  void advance(const std::string &Name, Account &State, TimePoint Now);
+  void advance(Account &State, TimePoint Now);
   /// This daemon and the reachable ones together.
   struct ReachableDaemons {
     double LimitShare = 1; ///< Share of the limit that they may use.
     double DemandPerSecond = 0;
   };
-  ReachableDaemons reachableDaemons(const std::string &Name, double OwnDemand,
-                                    TimePoint Now) const;
+  /// The standings must be those at the time of the call.
+  ReachableDaemons reachableDaemons(const Account &State) const;
   /// Whether this daemon's share of the units, or else a random draw, allows a
   /// request that the bucket can hold.
   bool mayAdmit(const Account &State, const ReachableDaemons &Reachable,
@@ -109,6 +134,9 @@
   std::unordered_map<std::string, Account> m_Accounts;
   std::map<std::string, Peer> m_Peers; ///< By PeerUsage::Source.
   RandomSource &m_Random;
+  std::size_t m_ReachableDaemons = 0;   ///< Daemons of reachable peers.
+  std::size_t m_UnreachableDaemons = 0; ///< Daemons of unreachable peers.
+  TimePoint m_NextStandingChange = TimePoint::max();
   std::size_t m_DaemonCount = 1;
   Duration m_ReportPeriod{0};
 };
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -34,16 +34,18 @@
 } // namespace
 
 void QuotaLedger::configure(const RoutePlan &Plan, TimePoint Now) {
+  refreshStandings(Now);
   for (const auto &Customer : Plan.Customers) {
     auto [At, New] = m_Accounts.try_emplace(Customer.Name.Text);
     auto &State = At->second;
     if (!New)
-      advance(At->first, State, Now);
+      advance(State, Now);
     State.UnitsPerSecond = Customer.PerSecond;
     State.BurstUnits = Customer.Burst;
     if (New) {
       State.UpdatedAt = Now;
       State.UnitsLeft = InitialBurstShare * State.BurstUnits;
+      State.OthersDemand = reportedDemand(At->first);
     }
   }
   std::erase_if(m_Accounts, [&](const auto &Entry) {
@@ -54,6 +56,7 @@
 }
 
 void QuotaLedger::onPeerUsage(const PeerUsage &Reported, TimePoint Now) {
+  refreshStandings(Now);
   auto [At, New] = m_Peers.try_emplace(Reported.Source);
   auto &State = At->second;
   const bool SameIncarnation =
@@ -70,7 +73,7 @@
     if (Account == m_Accounts.end())
       continue;
     auto &Entry = Account->second;
-    advance(Name, Entry, Now);
+    advance(Entry, Now);
     if (WasReachable || Restarted) {
       const auto Previous = State.LastUsage.Usage.find(Name);
       const double PreviousUnits =
@@ -86,8 +89,80 @@
       Entry.UnitsLeft = std::min(Entry.UnitsLeft, Usage.UnitsLeft);
     }
   }
+  addToSums(State, -1);
   State.LastUsage = Reported;
   State.LastReportTime = Now;
+  State.Counted = Standing::Reachable;
+  addToSums(State, 1);
+  m_NextStandingChange = std::min(m_NextStandingChange, standingEnd(State));
+}
+
+QuotaLedger::Standing QuotaLedger::standingOf(const Peer &Other,
+                                              TimePoint Now) {
+  const auto Age = Now - Other.LastReportTime;
+  if (Age <= ReachableTimeout)
+    return Standing::Reachable;
+  return Other.LastUsage.Stopping || Age > PeerExpiry ? Standing::Expired
+                                                      : Standing::Unreachable;
+}
+
+TimePoint QuotaLedger::standingEnd(const Peer &Other) {
+  switch (Other.Counted) {
+  case Standing::Reachable:
+    return Other.LastReportTime + ReachableTimeout;
+  case Standing::Unreachable:
+    return Other.LastReportTime + PeerExpiry;
+  case Standing::Expired:
+    break;
+  }
+  return TimePoint::max();
+}
+
+void QuotaLedger::addToSums(const Peer &Other, int Sign) {
+  if (Other.Counted == Standing::Expired)
+    return;
+  const bool IsReachable = Other.Counted == Standing::Reachable;
+  auto &Daemons = IsReachable ? m_ReachableDaemons : m_UnreachableDaemons;
+  Daemons = Sign > 0 ? Daemons + Other.LastUsage.DaemonCount
+                     : Daemons - Other.LastUsage.DaemonCount;
+  for (const auto &[Name, Usage] : Other.LastUsage.Usage) {
+    const auto Found = m_Accounts.find(Name);
+    if (Found == m_Accounts.end())
+      continue;
+    auto &Demand = Found->second.OthersDemand;
+    auto &Sum = IsReachable ? Demand.Reachable : Demand.Unreachable;
+    // Rounding must not leave a negative sum.
+    Sum = std::max(0.0, Sum + Sign * Usage.DemandPerSecond);
+  }
+}
+
+QuotaLedger::PeerDemand
+QuotaLedger::reportedDemand(const std::string &Name) const {
+  PeerDemand Demand;
+  for (const auto &[Id, Other] : m_Peers) {
+    const auto Found = Other.LastUsage.Usage.find(Name);
+    if (Found == Other.LastUsage.Usage.end())
+      continue;
+    if (Other.Counted == Standing::Reachable)
+      Demand.Reachable += Found->second.DemandPerSecond;
+    else if (Other.Counted == Standing::Unreachable)
+      Demand.Unreachable += Found->second.DemandPerSecond;
+  }
+  return Demand;
+}
+
+void QuotaLedger::refreshStandings(TimePoint Now) {
+  if (Now <= m_NextStandingChange)
+    return;
+  m_NextStandingChange = TimePoint::max();
+  for (auto &[Id, Other] : m_Peers) {
+    if (const auto Current = standingOf(Other, Now); Current != Other.Counted) {
+      addToSums(Other, -1);
+      Other.Counted = Current;
+      addToSums(Other, 1);
+    }
+    m_NextStandingChange = std::min(m_NextStandingChange, standingEnd(Other));
+  }
 }
 
 void QuotaLedger::setDaemonCount(std::size_t Count) {
@@ -101,26 +176,12 @@
 }
 
 QuotaLedger::ReachableDaemons
-QuotaLedger::reachableDaemons(const std::string &Name, double OwnDemand,
-                              TimePoint Now) const {
-  double TotalDemand = OwnDemand;
-  double ReachableDemand = OwnDemand;
-  std::size_t ReachableCount = 1;
-  std::size_t ReportedCount = 1;
-  for (const auto &[Id, Peer] : m_Peers) {
-    if (Now - Peer.LastReportTime >
-        (Peer.LastUsage.Stopping ? ReachableTimeout : PeerExpiry))
-      continue;
-    const auto Found = Peer.LastUsage.Usage.find(Name);
-    const double Demand =
-        Found == Peer.LastUsage.Usage.end() ? 0 : Found->second.DemandPerSecond;
-    TotalDemand += Demand;
-    ReportedCount += Peer.LastUsage.DaemonCount;
-    if (Now - Peer.LastReportTime <= ReachableTimeout) {
-      ReachableDemand += Demand;
-      ReachableCount += Peer.LastUsage.DaemonCount;
-    }
-  }
+QuotaLedger::reachableDaemons(const Account &State) const {
+  const double ReachableDemand =
+      State.OwnUsage.DemandPerSecond + State.OthersDemand.Reachable;
+  double TotalDemand = ReachableDemand + State.OthersDemand.Unreachable;
+  const auto ReachableCount = m_ReachableDaemons + 1;
+  const auto ReportedCount = ReachableCount + m_UnreachableDaemons;
   // Daemons without a report so far are assumed to have the mean demand of the
   // others.
   if (m_DaemonCount > ReportedCount)
@@ -136,14 +197,12 @@
           ReachableDemand};
 }
 
-void QuotaLedger::advance(const std::string &Name, Account &State,
-                          TimePoint Now) {
+void QuotaLedger::advance(Account &State, TimePoint Now) {
   const double Seconds = std::max(0.0, toSeconds(Now - State.UpdatedAt));
   State.UpdatedAt = Now;
   State.OwnUsage.DemandPerSecond *=
       std::exp(-Seconds / DemandTimeConstantSeconds);
-  const double LimitShare =
-      reachableDaemons(Name, State.OwnUsage.DemandPerSecond, Now).LimitShare;
+  const double LimitShare = reachableDaemons(State).LimitShare;
   State.UnitsLeft =
       std::min(State.UnitsLeft + Seconds * State.UnitsPerSecond * LimitShare,
                State.BurstUnits * LimitShare);
@@ -155,12 +214,12 @@
   if (Found == m_Accounts.end())
     return std::nullopt;
   auto &State = Found->second;
-  advance(Found->first, State, Now);
+  refreshStandings(Now);
+  advance(State, Now);
   State.OwnUsage.DemandPerSecond += Cost / DemandTimeConstantSeconds;
   if (State.UnitsPerSecond <= 0)
     return std::nullopt;
-  const auto Reachable =
-      reachableDaemons(Found->first, State.OwnUsage.DemandPerSecond, Now);
+  const auto Reachable = reachableDaemons(State);
   const double RequiredUnits = std::min(
       Cost, LargeRequestBurstShare * State.BurstUnits * Reachable.LimitShare);
   if (State.UnitsLeft >= RequiredUnits && mayAdmit(State, Reachable, Cost)) {
@@ -214,9 +273,10 @@
 }
 
 std::map<std::string, QuotaUsage> QuotaLedger::usage(TimePoint Now) {
+  refreshStandings(Now);
   std::map<std::string, QuotaUsage> Result;
   for (auto &[Name, State] : m_Accounts) {
-    advance(Name, State, Now);
+    advance(State, Now);
     State.OwnUsage.UnitsLeft = State.UnitsLeft;
     if (State.UnitsPerSecond > 0)
       Result[Name] = State.OwnUsage;
@@ -225,13 +285,11 @@
 }
 
 double QuotaLedger::reachableShare(const CustomerName &Customer,
-                                   TimePoint Now) const {
+                                   TimePoint Now) {
+  refreshStandings(Now);
   const auto Found = m_Accounts.find(Customer.Text);
-  return Found == m_Accounts.end()
-             ? 1.0
-             : reachableDaemons(Found->first,
-                                Found->second.OwnUsage.DemandPerSecond, Now)
-                   .LimitShare;
+  return Found == m_Accounts.end() ? 1.0
+                                   : reachableDaemons(Found->second).LimitShare;
 }
 
 } // namespace mangodeck
--- a/packages/gateway/test/quotaledger_test.cpp
+++ b/packages/gateway/test/quotaledger_test.cpp
@@ -136,6 +136,9 @@
   CPPUNIT_TEST(charge_daemonsStopGracefully_staysWithinBound);
   CPPUNIT_TEST(charge_networkPartition_bothSidesServeWithinBound);
   CPPUNIT_TEST(charge_daemonsWithoutReport_keepTheirShares);
+  CPPUNIT_TEST(reachableShare_peersComeAndGo_followsTheirReports);
+  CPPUNIT_TEST(reachableShare_customerAddedLater_countsEarlierReports);
+  CPPUNIT_TEST(report_largeFleet_costsAsInSmallOne);
   CPPUNIT_TEST(refund_requestNotRun_returnsUnits);
   CPPUNIT_TEST(configure_lowerLimit_appliesToNextCharge);
   CPPUNIT_TEST_SUITE_END();
@@ -226,6 +229,49 @@
     CPPUNIT_ASSERT(AdmittedUnits <= (4 * 10000 + 10000) / 50 + 100);
   }
 
+  /// Three daemons of equal demand: the share of the limit follows the ages of
+  /// their last reports.
+  void reachableShare_peersComeAndGo_followsTheirReports() {
+    SeededRandom Random(3);
+    QuotaLedger Ledger(Random);
+    const TimePoint Start{std::chrono::hours(1)};
+    Ledger.configure(planWith(1000, 1000), Start);
+    Ledger.setDaemonCount(3);
+    const auto Share = [&](Duration After) {
+      return Ledger.reachableShare(LimitedCustomer, Start + After);
+    };
+    report(Ledger, "b", 100, Start);
+    report(Ledger, "c", 300, Start);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, Share(1s), 1e-9);
+    report(Ledger, "b", 100, Start + 1s);
+    // Reachable: this daemon without demand, and b with 100 of 400 units.
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3 * 2 / 3 + 0.7 * 100 / 400, Share(2s),
+                                 1e-9);
+    report(Ledger, "c", 200, Start + 2s);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, Share(2400ms), 1e-9);
+    // No daemon is reachable; then no report counts any longer.
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3 / 3, Share(10s), 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 3, Share(30s), 1e-9);
+  }
+
+  void reachableShare_customerAddedLater_countsEarlierReports() {
+    SeededRandom Random(3);
+    QuotaLedger Ledger(Random);
+    const TimePoint Start{std::chrono::hours(1)};
+    Ledger.setDaemonCount(3);
+    report(Ledger, "b", 100, Start);
+    report(Ledger, "c", 300, Start - 1s);
+    Ledger.configure(planWith(1000, 1000), Start + 1s);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        0.3 * 2 / 3 + 0.7 * 100 / 400,
+        Ledger.reachableShare(LimitedCustomer, Start + 1s), 1e-9);
+  }
+
+  void report_largeFleet_costsAsInSmallOne() {
+    constexpr double MaxCostRatio = 4;
+    CPPUNIT_ASSERT(reportCost(300) < MaxCostRatio * reportCost(10));
+  }
+
   void refund_requestNotRun_returnsUnits() {
     SeededRandom Random(3);
     QuotaLedger Ledger(Random);
@@ -248,6 +294,51 @@
     CPPUNIT_ASSERT(Wait.has_value());
     CPPUNIT_ASSERT(*Wait > 500ms && *Wait < 1s);
   }
+
+private:
+  static void report(QuotaLedger &Ledger, const std::string &Vm, double Demand,
+                     TimePoint Now) {
+    PeerUsage Usage;
+    Usage.Source = Vm;
+    Usage.Incarnation = 1;
+    Usage.Usage[LimitedCustomer.Text] = {0, Demand, 1000};
+    Ledger.onPeerUsage(Usage, Now);
+  }
+
+  /// Seconds that a report on 40 customers takes in a fleet of \p Daemons; the
+  /// shortest of several measurements.
+  static double reportCost(std::size_t Daemons) {
+    constexpr int Customers = 40;
+    constexpr int Repeats = 15;
+    SeededRandom Random(3);
+    QuotaLedger Ledger(Random);
+    RoutePlan Plan;
+    PeerUsage Usage;
+    Usage.Incarnation = 1;
+    for (int I = 0; I < Customers; ++I) {
+      PlannedCustomer Customer;
+      Customer.Name = CustomerName("customer-" + std::to_string(I));
+      Customer.PerSecond = Customer.Burst = 1000;
+      Usage.Usage[Customer.Name.Text] = {0, 10, 1000};
+      Plan.Customers.push_back(Customer);
+    }
+    TimePoint Now{std::chrono::hours(1)};
+    Ledger.configure(Plan, Now);
+    Ledger.setDaemonCount(Daemons);
+    double Shortest = 1;
+    for (int Repeat = 0; Repeat < Repeats; ++Repeat) {
+      const auto Start = std::chrono::steady_clock::now();
+      for (std::size_t I = 0; I < Daemons; ++I) {
+        Usage.Source = "vm" + std::to_string(I);
+        Now += std::chrono::microseconds(100);
+        Ledger.onPeerUsage(Usage, Now);
+      }
+      Shortest = std::min(Shortest,
+                          toSeconds(std::chrono::steady_clock::now() - Start) /
+                              static_cast<double>(Daemons));
+    }
+    return Shortest;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaLedgerTest);
