gateway: one daemon of a large failure domain watches the store for all

Cause: each daemon held its own watch of the whole store, and each change ended the watches of all of them.

Change: watches start at least a quarter of the deadline for changes apart (the lesser of ConfigApplyMs and DrainMs, now read from the settings), in place of an interval by the number of daemons. From the size of a failure domain on at which it saves calls, the delegate relays the changes of the last second to the others after each answer of its watch. A daemon that misses a message, a value too large for one, or any message for 0.6 of the deadline watches by itself from its revision; so does it if the store no longer answers the relay. A removal carries the last heartbeat before it, and reports of leaving targets carry the sequence, so that daemons with an older view do not undo a return.

--- a/fuzz/platformkeys.cpp
+++ b/fuzz/platformkeys.cpp
@@ -2,6 +2,7 @@
 #include "directory.h"
 #include "settingsfile.h"
 
+#include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/slotmessages.h"
 
@@ -15,6 +16,7 @@
   mangodeck::platform::decodePeer(Bytes);
   mangodeck::platform::parseSettings(Bytes);
   mangodeck::decodeReport(Bytes);
+  mangodeck::decodeRelayedChanges(Bytes);
   mangodeck::decodeSlotMessage(Bytes);
   return 0;
 }
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -2,6 +2,7 @@
 #define MANGODECK_GATEWAY_GATEWAY_H
 
 #include "mangodeck/common/random.h"
+#include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/crashguard.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
@@ -36,6 +37,8 @@
   std::string ReadyPath;
   std::string MetricsPath = "/metrics";
   Duration ShutdownGrace = 8s; ///< From SIGTERM until the process is killed.
+  /// Time after a write to the store within which the daemons must act on it.
+  Duration ChangeDeadline = 2s;
   RetryBudgetLimits RetryLimits;
   std::size_t MemoryLimitBytes = std::size_t(128) << 20;
 };
@@ -63,6 +66,7 @@
 /// of decisions between reads and writes, and handing it between threads would
 /// cost more than that saves.
 class Gateway : public DirectoryObserver,
+                public ChangeRelay,
                 private http::CallerConnectionHandler,
                 private ExchangeControl,
                 private SlotDecisionSink {
@@ -83,6 +87,8 @@
   std::function<void()> OnResumed;
   /// Called periodically with the number of daemons that may be serving.
   std::function<void(std::size_t)> OnDaemonCount;
+  /// Called with changes of the store's keys that another daemon has relayed.
+  std::function<void(const RelayedChanges &)> OnRelayedChanges;
 
   void onPlan(RoutePlanPtr Plan) override;
   void onTargetUpdated(const TargetEntry &Entry) override;
@@ -92,6 +98,10 @@
   void onPeerRemoved(const std::string &Vm) override;
   void onDirectoryComplete() override;
 
+  /// The delegate of a large failure domain relays.
+  bool isRelaying() const override;
+  void sendToDomain(std::string_view Bytes) override;
+
   bool isReady() const;
 
 private:
@@ -242,13 +252,14 @@
   /// The delegate of this failure domain, which is also its slot broker;
   /// std::nullopt if that is this daemon.
   std::optional<PeerRegistry::Delegate> m_RemoteBroker;
+  TimePoint m_BrokerSince{}; ///< Time of the last change of the broker.
   /// Until this time the broker counts as unreachable.
   TimePoint m_DecideLocallyUntil{};
   std::unordered_map<TicketNumber, PendingSlotRequest> m_PendingSlotRequests;
   std::map<std::string, ServiceState> m_Services;
-  /// Targets that leave or were removed, by TrackedTarget::Hash, and since
-  /// when; named in the reports to other daemons.
-  std::map<std::uint64_t, TimePoint> m_LeavingTargets;
+  /// Targets that leave or were removed, and since when; named in the reports
+  /// to other daemons.
+  std::map<LeavingTarget, TimePoint> m_LeavingTargets;
   /// Targets that stated in an answer that they leave, by TrackedTarget::Hash,
   /// and since when; named in the reports to other daemons.
   std::map<std::uint64_t, TimePoint> m_AnnouncedLeaving;
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_GATEWAY_KEYFOLLOWER_H
 #define MANGODECK_GATEWAY_KEYFOLLOWER_H
 
+#include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/keyvaluestore.h"
 #include "mangodeck/gateway/storeera.h"
@@ -19,8 +20,9 @@
 class KeyObserver {
 public:
   virtual ~KeyObserver() = default;
-  /// A key was added or its value was written.
-  virtual void onKeyUpdated(const KeyChange &Change) = 0;
+  /// A key was added or its value was written. Returns false if the change
+  /// makes no difference to any daemon, as a heartbeat does.
+  virtual bool onKeyUpdated(const KeyChange &Change) = 0;
   /// A key was removed. \p AfterOutage: the store is unreachable or became
   /// reachable again within the last seconds, so the key's lease may have
   /// expired although the process that wrote the key is alive.
@@ -29,11 +31,9 @@
   virtual void onListed() = 0;
 };
 
-/// Minimum time between the starts of two watches of one daemon. Each change
-/// ends the watches of all daemons, so the number of calls to the store grows
-/// with daemons and changes. A longer interval for many daemons delivers more
-/// changes per call.
-Duration minWatchInterval(std::size_t DaemonCount);
+/// Number of daemons in a failure domain from which on a relay saves calls to
+/// the store: it must call more often than a daemon that watches for itself.
+std::size_t minDaemonsForRelay(Duration ChangeDeadline);
 
 /// Keeps an observer up to date with the store: lists all keys, then watches
 /// for changes after the revision of the listing's first page. Lists again if
@@ -41,24 +41,33 @@
 /// call failed. Does not report an older revision of a key after a newer one,
 /// unless the key was removed in between. After a restore, keys may be reported
 /// with the older values of the copy.
+///
+/// In a large failure domain one daemon watches and relays the changes to the
+/// others, since with a watch of each daemon the calls to the store would grow
+/// with daemons times changes.
+/// The relay only saves calls: a daemon that has missed a message, or gets none
+/// for some time, watches by itself from the revision that it has.
 class KeyFollower : public StoreEraObserver {
 public:
+  /// \p ChangeDeadline: time after a write within which the daemons must act on
+  /// it.
   KeyFollower(asio::any_io_executor Executor, KeyValueStore &Store,
-              KeyObserver &Observer, EventLog &Log);
+              KeyObserver &Observer, ChangeRelay &Relay, EventLog &Log,
+              Duration ChangeDeadline);
 
   void start();
   /// Reconnects and lists all keys again; called after the process was
   /// suspended and may have missed changes.
   void refresh();
 
+  /// Applies what the relay of the failure domain has sent.
+  void onRelayedChanges(const RelayedChanges &Message);
+
   /// Lists all keys again, since the revisions reported so far are void. Keys
   /// that the copy lacks are reported as removed after an outage: the processes
   /// that wrote them write them again.
   void onStoreRestored() override;
 
-  /// Sets the number of daemons that watch the store.
-  void setDaemonCount(std::size_t Count) { m_DaemonCount = Count; }
-
   bool isStoreReachable() const { return m_StoreReachable; }
 
 private:
@@ -68,7 +77,17 @@
   void finishListing();
   void watch();
   void onChanges(Expected<KeyChanges> Answer);
-  void apply(const KeyChange &Change);
+  /// Reports the change if it is newer than what was reported of its key.
+  void apply(const KeyChange &Change, bool AfterOutage);
+  /// Sends the changes of the last second to the other daemons if this daemon
+  /// is the relay.
+  void publish();
+  /// Waits until the next watch is due. While the relay is fresh none is.
+  void awaitNextWatch();
+  bool isRelayFresh(TimePoint Now) const;
+  /// A daemon watches the store by itself if what the relay has told it is
+  /// older than this.
+  Duration relayTimeout() const;
   void retry();
   void runAfter(Duration Delay, void (KeyFollower::*Step)());
   void recordAnswer();
@@ -79,8 +98,11 @@
 
   KeyValueStore &m_Store;
   KeyObserver &m_Observer;
+  ChangeRelay &m_Relay;
   EventLog &m_Log;
+  Duration m_ChangeDeadline;
   asio::steady_timer m_Timer;
+  RelayWindow m_Window;
   /// Revisions by key, as last reported to the observer.
   std::unordered_map<std::string, StoreRevision> m_Revisions;
   /// Keys on the pages of the current listing.
@@ -96,8 +118,15 @@
   bool m_StoreReachable = false;
   bool m_WasEverReachable = false;
   unsigned m_ConsecutiveFailures = 0;
-  std::size_t m_DaemonCount = 1;
   TimePoint m_WatchStart{};
+  /// A listing has been completed, and none is in progress.
+  bool m_IsListed = false;
+  /// No call is in progress or due: the relay tells the changes.
+  bool m_FollowsRelay = false;
+  bool m_FollowedRelay = false; ///< As last logged.
+  /// Latest time at which, by the relay's messages, the store had no changes
+  /// after m_Revision.
+  TimePoint m_RelayConfirmedAt{};
   TimePoint m_LastAnswerTime{};
   TimePoint m_OutageEnd{};
 };
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -34,6 +34,15 @@
   TokenCount Prefill = 0;   ///< Prompt tokens; 0 after the first event.
 };
 
+/// A target that is draining or was removed.
+struct LeavingTarget {
+  std::uint64_t Target = 0; ///< TrackedTarget::Hash.
+  /// TargetEntry::Sequence of the registration with which it left. A later
+  /// registration brings it back.
+  std::uint64_t Sequence = 0;
+  auto operator<=>(const LeavingTarget &) const = default;
+};
+
 /// The state of a daemon, which the daemon sends to the others of its failure
 /// domain once per Gateway::reportPeriod(). A domain summary holds the sums of
 /// all daemons of a failure domain; the delegate of the domain makes it and
@@ -56,8 +65,7 @@
   std::vector<TargetLoad> Loads;           ///< One per target.
   std::map<std::string, QuotaUsage> Usage; ///< By customer.
   std::vector<CrashRecord> CrashRecords;
-  /// TrackedTarget::Hash of targets that are draining or were removed.
-  std::vector<std::uint64_t> LeavingTargets;
+  std::vector<LeavingTarget> LeavingTargets;
   /// TrackedTarget::Hash of targets that stated in an answer that they leave.
   std::vector<std::uint64_t> AnnouncedLeaving;
 };
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -29,6 +29,7 @@
   std::int64_t StartedUnixMs = 0; ///< 0 if unknown.
   /// Increases with each registration of the same start; 0 if unknown.
   std::uint64_t Sequence = 0;
+  bool operator==(const TargetEntry &) const = default;
 };
 
 /// Work that a request causes at a target.
--- /dev/null
+++ b/packages/gateway/src/changerelay.cpp
@@ -0,0 +1,139 @@
+#include "mangodeck/gateway/changerelay.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mangodeck {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// First element of the array; differs from the tags of slot messages.
+constexpr int RelayTag = 4;
+/// First byte of a MessagePack array of RelayFields elements.
+constexpr unsigned char ArrayMarker = 0x96;
+constexpr std::size_t RelayFields = 6;
+/// Time for which each message repeats a change.
+constexpr Duration WindowLength = 1s;
+/// Values above this size are left out of messages.
+constexpr std::size_t MaxRelayedValueBytes = 2048;
+/// Size of the keys and values in a message; a datagram of this size and the
+/// other fields stays below the receivers' buffers.
+constexpr std::size_t MaxMessageBytes = 8192;
+
+std::size_t sizeOf(const RelayedChange &Relayed) {
+  constexpr std::size_t OtherFieldsBytes = 32;
+  return OtherFieldsBytes + Relayed.Change.Key.size() +
+         Relayed.Change.Value.size();
+}
+
+} // namespace
+
+std::string encodeRelayedChanges(const RelayedChanges &Message) {
+  Json Changes = Json::array();
+  for (const auto &[Change, ValueOmitted, AfterOutage] : Message.Changes)
+    Changes.push_back(
+        Json::array({Change.Key, Change.Revision.Number, Change.Removed,
+                     AfterOutage, ValueOmitted ? Json() : Json(Change.Value)}));
+  const Json Fields = Json::array(
+      {RelayTag, Message.To.Era, Message.From.Number, Message.To.Number,
+       std::chrono::duration_cast<std::chrono::microseconds>(Message.Age)
+           .count(),
+       std::move(Changes)});
+  std::string Bytes;
+  Json::to_msgpack(Fields, Bytes);
+  return Bytes;
+}
+
+std::optional<RelayedChanges> decodeRelayedChanges(std::string_view Bytes) {
+  if (Bytes.size() < 2 || static_cast<unsigned char>(Bytes[0]) != ArrayMarker ||
+      Bytes[1] != RelayTag)
+    return std::nullopt;
+  const auto Fields = Json::from_msgpack(Bytes, true, false);
+  if (!Fields.is_array() || Fields.size() != RelayFields)
+    return std::nullopt;
+  // The library throws if a value has the wrong type or is missing.
+  try {
+    RelayedChanges Message;
+    const auto Era = Fields[1].get<std::uint64_t>();
+    Message.From = {Era, Fields[2].get<std::int64_t>()};
+    Message.To = {Era, Fields[3].get<std::int64_t>()};
+    Message.Age = std::chrono::microseconds(Fields[4].get<std::uint32_t>());
+    for (const auto &Item : Fields[5]) {
+      RelayedChange Relayed;
+      Relayed.Change.Key = Item.at(0).get<std::string>();
+      Relayed.Change.Revision = {Era, Item.at(1).get<std::int64_t>()};
+      Relayed.Change.Removed = Item.at(2).get<bool>();
+      Relayed.AfterOutage = Item.at(3).get<bool>();
+      Relayed.ValueOmitted = Item.at(4).is_null();
+      if (!Relayed.ValueOmitted)
+        Relayed.Change.Value = Item.at(4).get<std::string>();
+      Message.Changes.push_back(std::move(Relayed));
+    }
+    return Message;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+void RelayWindow::restart(StoreRevision Known) {
+  m_Changes.clear();
+  m_LastHeartbeats.clear();
+  m_Confirmations = {{Known, TimePoint{}}};
+}
+
+void RelayWindow::record(const KeyChange &Change, bool AfterOutage,
+                         TimePoint Now) {
+  const auto Heartbeat = m_LastHeartbeats.find(Change.Key);
+  if (Heartbeat != m_LastHeartbeats.end()) {
+    if (Change.Removed)
+      m_Changes.push_back({{Heartbeat->second, false, false}, Now});
+    m_LastHeartbeats.erase(Heartbeat);
+  }
+  const bool Omitted = Change.Value.size() > MaxRelayedValueBytes;
+  m_Changes.push_back({{Change, Omitted, AfterOutage}, Now});
+  if (Omitted)
+    m_Changes.back().Relayed.Change.Value.clear();
+}
+
+void RelayWindow::recordHeartbeat(const KeyChange &Change) {
+  if (Change.Value.size() <= MaxRelayedValueBytes)
+    m_LastHeartbeats[Change.Key] = Change;
+}
+
+void RelayWindow::advance(StoreRevision Known, TimePoint Now) {
+  m_Confirmations.push_back({Known, Now});
+  while (m_Confirmations.size() > 1 &&
+         m_Confirmations[1].At < Now - WindowLength)
+    m_Confirmations.pop_front();
+  while (!m_Changes.empty() && m_Changes.front().Relayed.Change.Revision <=
+                                   m_Confirmations.front().Known)
+    m_Changes.pop_front();
+}
+
+std::vector<RelayedChanges> RelayWindow::messages(TimePoint Now) const {
+  std::vector<RelayedChanges> Messages;
+  if (m_Confirmations.empty())
+    return Messages;
+  const auto &Last = m_Confirmations.back();
+  RelayedChanges Message;
+  Message.From = m_Confirmations.front().Known;
+  Message.Age = Now - Last.At;
+  std::size_t Size = 0;
+  for (const auto &[Relayed, RecordedAt] : m_Changes) {
+    Size += sizeOf(Relayed);
+    if (Size > MaxMessageBytes && !Message.Changes.empty()) {
+      Message.To = Message.Changes.back().Change.Revision;
+      Messages.push_back(Message);
+      Message.From = Message.To;
+      Message.Changes.clear();
+      Size = sizeOf(Relayed);
+    }
+    Message.Changes.push_back(Relayed);
+  }
+  Message.To = Last.Known;
+  Messages.push_back(std::move(Message));
+  return Messages;
+}
+
+} // namespace mangodeck
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -18,6 +18,9 @@
 /// their number beyond that, so that the message rate of a daemon does not.
 constexpr Duration BaseReportPeriod = 100ms;
 constexpr std::size_t DaemonsAtFullRate = 10;
+/// A daemon relays only after it has been the delegate for this long: at their
+/// start all daemons are, until they hear from each other.
+constexpr Duration RelayStartDelay = 1s;
 /// Period of the maintenance work that is not urgent.
 constexpr Duration SlowTickPeriod = 250ms;
 /// Time for which the reports to other daemons name a target that leaves or
@@ -65,16 +68,17 @@
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
 /// Removes the targets from \p Leaving that have been reported for
-/// LeavingReportPeriod, and returns the hashes of the others.
-std::vector<std::uint64_t>
-recentlyLeaving(std::map<std::uint64_t, TimePoint> &Leaving, TimePoint Now) {
+/// LeavingReportPeriod, and returns the others.
+template <typename Name>
+std::vector<Name> recentlyLeaving(std::map<Name, TimePoint> &Leaving,
+                                  TimePoint Now) {
   std::erase_if(Leaving, [&](const auto &Entry) {
     return Now - Entry.second > LeavingReportPeriod;
   });
-  std::vector<std::uint64_t> Hashes;
-  for (const auto &[Hash, Since] : Leaving)
-    Hashes.push_back(Hash);
-  return Hashes;
+  std::vector<Name> Names;
+  for (const auto &[Target, Since] : Leaving)
+    Names.push_back(Target);
+  return Names;
 }
 
 } // namespace
@@ -123,6 +127,7 @@
   if (Error)
     return Error;
   m_PeerSocket.non_blocking(true, Error);
+  m_BrokerSince = steadyNow();
   acceptCallers();
   acceptReadiness(m_ReadyAcceptor);
   receivePeerMessage();
@@ -508,6 +513,7 @@
                {"before", m_RemoteBroker ? m_RemoteBroker->Vm : m_Settings.Vm},
                {"waiting", m_PendingSlotRequests.size()}});
   m_RemoteBroker = std::move(Current);
+  m_BrokerSince = Now;
   m_LocalBroker.clear();
   m_DecideLocallyUntil = TimePoint{};
   for (auto &[Number, Pending] : m_PendingSlotRequests) {
@@ -815,7 +821,7 @@
                {"domain", Entry.Domain.Text},
                {"slots", Entry.Slots}});
   if (Entry.Draining)
-    m_LeavingTargets[Current->Hash] = steadyNow();
+    m_LeavingTargets[{Current->Hash, Entry.Sequence}] = steadyNow();
   else
     onSlotFreed(Entry.Service);
 }
@@ -830,7 +836,7 @@
     m_ExpiredTargets.push_back({Id, steadyNow() + ExpiredTargetRetention});
     return;
   }
-  m_LeavingTargets[Known->Hash] = steadyNow();
+  m_LeavingTargets[{Known->Hash, Known->Entry.Sequence}] = steadyNow();
   m_Targets.remove(Id, true);
 }
 
@@ -874,6 +880,11 @@
           return;
         const auto Now = steadyNow();
         const std::string_view Bytes(m_PeerBuffer.data(), Error ? 0 : Size);
+        if (const auto Changes = decodeRelayedChanges(Bytes)) {
+          if (OnRelayedChanges)
+            OnRelayedChanges(*Changes);
+          return receivePeerMessage();
+        }
         if (const auto Message = decodeSlotMessage(Bytes))
           handleSlotMessage(*Message, Now);
         auto Report = decodeReport(Bytes);
@@ -892,9 +903,10 @@
     m_Log.write("target_draining",
                 {{"target", Target.Entry.Id.Text}, {"told_by", Report.Vm}});
   };
-  for (const auto Hash : Report.LeavingTargets)
+  for (const auto &[Hash, Sequence] : Report.LeavingTargets)
     if (const auto Target = m_Targets.findByHash(Hash);
-        Target && !Target->Entry.Draining) {
+        Target && !Target->Entry.Draining &&
+        Target->Entry.Sequence <= Sequence) {
       LogDraining(*Target);
       Target->Entry.Draining = true;
     }
@@ -930,6 +942,16 @@
   }
 }
 
+bool Gateway::isRelaying() const {
+  return !m_RemoteBroker && steadyNow() - m_BrokerSince >= RelayStartDelay &&
+         m_Peers.ownDomainEndpoints().size() + 1 >=
+             minDaemonsForRelay(m_Settings.ChangeDeadline);
+}
+
+void Gateway::sendToDomain(std::string_view Bytes) {
+  sendTo(m_Peers.ownDomainEndpoints(), Bytes);
+}
+
 void Gateway::sendTo(std::span<const PeerEndpoint> Peers,
                      std::string_view Bytes) {
   for (const auto &Peer : Peers) {
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -10,13 +10,20 @@
 /// Time for which a watch waits for a change. TCP keep-alive probes detect a
 /// dead connection earlier.
 constexpr Duration WatchTimeout = 4s;
-/// Bounds of the minimum time between the starts of two watches. They are short
-/// compared with the time within which changes must take effect, which is two
-/// seconds or more.
-constexpr Duration ShortestWatchInterval = 250ms;
-constexpr Duration LongestWatchInterval = 750ms;
-/// Largest number of daemons for which the shortest interval is used.
-constexpr std::size_t DaemonsAtShortestInterval = 24;
+/// Minimum time between the starts of two watches, as a part of the time within
+/// which changes must take effect. Each change ends a watch, so the interval
+/// bounds the calls while many keys change, as at the start of all daemons.
+constexpr int WatchIntervalDivisor = 4;
+/// The same for the relay, whose changes have a further way.
+constexpr int RelayIntervalDivisor = 8;
+/// Time for which the watch of the relay waits, as a part of the time within
+/// which changes must take effect. The other daemons rely on the relay only
+/// while the store answers it this often.
+constexpr int RelayWaitDivisor = 4;
+/// Largest age of what the relay has told, as a share of the time within which
+/// changes must take effect. Covers the wait, a lost message and the delays;
+/// the rest is left for a call to a slow store.
+constexpr double RelayTimeoutShare = 0.6;
 /// Delays before a failed call is repeated. The first is short, since a single
 /// closed connection does not mean that the store is down. The later ones are
 /// longer, since rejected calls count against the store's rate limit.
@@ -30,16 +37,17 @@
 
 } // namespace
 
-Duration minWatchInterval(std::size_t DaemonCount) {
-  const Duration Interval =
-      ShortestWatchInterval * static_cast<std::int64_t>(DaemonCount) /
-      static_cast<std::int64_t>(DaemonsAtShortestInterval);
-  return std::clamp(Interval, ShortestWatchInterval, LongestWatchInterval);
+std::size_t minDaemonsForRelay(Duration ChangeDeadline) {
+  return static_cast<std::size_t>(WatchTimeout /
+                                  (ChangeDeadline / RelayWaitDivisor)) +
+         1;
 }
 
 KeyFollower::KeyFollower(asio::any_io_executor Executor, KeyValueStore &Store,
-                         KeyObserver &Observer, EventLog &Log)
-    : m_Store(Store), m_Observer(Observer), m_Log(Log), m_Timer(Executor) {}
+                         KeyObserver &Observer, ChangeRelay &Relay,
+                         EventLog &Log, Duration ChangeDeadline)
+    : m_Store(Store), m_Observer(Observer), m_Relay(Relay), m_Log(Log),
+      m_ChangeDeadline(ChangeDeadline), m_Timer(Executor) {}
 
 void KeyFollower::start() { list(); }
 
@@ -57,6 +65,9 @@
 }
 
 void KeyFollower::list() {
+  m_IsListed = false;
+  m_FollowsRelay = false;
+  m_RelayConfirmedAt = TimePoint{};
   m_Listed.clear();
   m_ListingRevision.reset();
   listFrom(std::string());
@@ -82,7 +93,7 @@
     m_ListingRevision = Page->AsOf;
   for (const auto &Item : Page->Items) {
     m_Listed.insert(Item.Key);
-    apply(Item);
+    apply(Item, false);
   }
   if (Page->HasMore && !Page->Items.empty())
     return listFrom(Page->Items.back().Key);
@@ -98,16 +109,22 @@
     if (!m_Listed.contains(Key))
       Removed.push_back({Key, std::string(), *m_ListingRevision, true});
   for (const auto &Change : Removed)
-    apply(Change);
+    apply(Change, isAfterOutage(steadyNow()));
   m_Listed.clear();
   m_Revision = *m_ListingRevision;
+  m_IsListed = true;
+  m_Window.restart(m_Revision);
   m_Observer.onListed();
-  watch();
+  m_WatchStart = steadyNow(); // The listing shows the changes up to now.
+  awaitNextWatch();
 }
 
 void KeyFollower::watch() {
+  m_FollowsRelay = false;
   m_WatchStart = steadyNow();
-  m_Store.watch(m_Revision, WatchTimeout,
+  m_Store.watch(m_Revision,
+                m_Relay.isRelaying() ? m_ChangeDeadline / RelayWaitDivisor
+                                     : WatchTimeout,
                 [this, Generation = m_Generation](Expected<KeyChanges> Answer) {
                   if (Generation == m_Generation)
                     onChanges(std::move(Answer));
@@ -129,13 +146,79 @@
   }
   recordAnswer();
   for (const auto &Change : Answer->Changes)
-    apply(Change);
+    if (Change.Revision > m_Revision) // Else the relay has told it.
+      apply(Change, isAfterOutage(steadyNow()));
   m_Revision = std::max(m_Revision, Answer->AsOf);
-  const auto Elapsed = steadyNow() - m_WatchStart;
-  const auto Interval = minWatchInterval(m_DaemonCount);
+  m_Window.advance(m_Revision, steadyNow());
+  publish();
+  awaitNextWatch();
+}
+
+void KeyFollower::awaitNextWatch() {
+  const auto Now = steadyNow();
+  const bool IsRelay = m_Relay.isRelaying();
+  m_FollowsRelay = !IsRelay && isRelayFresh(Now);
+  if (std::exchange(m_FollowedRelay, m_FollowsRelay) != m_FollowsRelay)
+    m_Log.write(m_FollowsRelay ? "relay_followed" : "relay_lost",
+                {{"revision", m_Revision.Number},
+                 {"relaying", IsRelay},
+                 {"confirmed_ms", ageMs(m_RelayConfirmedAt, Now)}});
+  if (m_FollowsRelay)
+    return runAfter(m_RelayConfirmedAt + relayTimeout() - Now,
+                    &KeyFollower::awaitNextWatch);
+  const auto Elapsed = Now - m_WatchStart;
+  const auto Interval = m_ChangeDeadline /
+                        (IsRelay ? RelayIntervalDivisor : WatchIntervalDivisor);
   if (Elapsed >= Interval)
     return watch();
-  runAfter(Interval - Elapsed, &KeyFollower::watch);
+  runAfter(Interval - Elapsed, &KeyFollower::awaitNextWatch);
+}
+
+bool KeyFollower::isRelayFresh(TimePoint Now) const {
+  return Now - m_RelayConfirmedAt < relayTimeout();
+}
+
+Duration KeyFollower::relayTimeout() const {
+  return fromSeconds(RelayTimeoutShare * toSeconds(m_ChangeDeadline));
+}
+
+void KeyFollower::publish() {
+  const auto Now = steadyNow();
+  if (!m_Relay.isRelaying())
+    return;
+  for (const auto &Message : m_Window.messages(Now))
+    m_Relay.sendToDomain(encodeRelayedChanges(Message));
+}
+
+void KeyFollower::onRelayedChanges(const RelayedChanges &Message) {
+  const auto Now = steadyNow();
+  // Step 1. Ignore what an earlier era or a repeated message tells, and what
+  // arrives before the first listing or while this daemon lists or relays.
+  if (!m_IsListed || m_Relay.isRelaying() || Message.To.Era < m_Revision.Era)
+    return;
+
+  // Step 2. After a gap, or if a value was left out, read the changes from the
+  // store. A later era is noticed by that call, too.
+  const bool MissesValue = std::any_of(
+      Message.Changes.begin(), Message.Changes.end(), [&](const auto &Relayed) {
+        return Relayed.ValueOmitted && Relayed.Change.Revision > m_Revision;
+      });
+  if (Message.From > m_Revision || MissesValue) {
+    if (m_FollowsRelay) {
+      m_RelayConfirmedAt = TimePoint{};
+      watch();
+    }
+    return;
+  }
+
+  // Step 3. Apply the changes. A watch in progress may report them again.
+  for (const auto &Relayed : Message.Changes)
+    if (Relayed.Change.Revision > m_Revision)
+      apply(Relayed.Change, Relayed.AfterOutage || isAfterOutage(Now));
+  m_Revision = std::max(m_Revision, Message.To);
+  m_Window.restart(m_Revision);
+  if (Message.To == m_Revision)
+    m_RelayConfirmedAt = std::max(m_RelayConfirmedAt, Now - Message.Age);
 }
 
 void KeyFollower::runAfter(Duration Delay, void (KeyFollower::*Step)()) {
@@ -147,16 +230,20 @@
       });
 }
 
-void KeyFollower::apply(const KeyChange &Change) {
+void KeyFollower::apply(const KeyChange &Change, bool AfterOutage) {
   const auto Reported = m_Revisions.find(Change.Key);
   if (Reported != m_Revisions.end() && Reported->second >= Change.Revision)
     return;
   if (!Change.Removed) {
     m_Revisions[Change.Key] = Change.Revision;
-    m_Observer.onKeyUpdated(Change);
+    if (m_Observer.onKeyUpdated(Change))
+      m_Window.record(Change, AfterOutage, steadyNow());
+    else
+      m_Window.recordHeartbeat(Change);
   } else if (Reported != m_Revisions.end()) {
     m_Revisions.erase(Reported);
-    m_Observer.onKeyRemoved(Change, isAfterOutage(steadyNow()));
+    m_Observer.onKeyRemoved(Change, AfterOutage);
+    m_Window.record(Change, AfterOutage, steadyNow());
   }
 }
 
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -75,8 +75,10 @@
                               static_cast<std::int64_t>(Usage.UnitsLeft)};
   for (const auto &Record : Report.CrashRecords)
     Message["c"].push_back({Record.Fingerprint, Record.CrashId});
-  for (const auto Target : Report.LeavingTargets)
-    Message["l"].push_back(Target);
+  for (const auto &Leaving : Report.LeavingTargets) {
+    Message["l"].push_back(Leaving.Target);
+    Message["ls"].push_back(Leaving.Sequence);
+  }
   for (const auto Target : Report.AnnouncedLeaving)
     Message["a"].push_back(Target);
   std::string Bytes;
@@ -120,7 +122,11 @@
         Report.CrashRecords.push_back({Record.at(0).get<std::uint64_t>(),
                                        Record.at(1).get<std::uint64_t>()});
     if (Message.contains("l"))
-      Report.LeavingTargets = Message["l"].get<std::vector<std::uint64_t>>();
+      for (std::size_t I = 0; I < Message["l"].size(); ++I)
+        Report.LeavingTargets.push_back(
+            {Message["l"][I].get<std::uint64_t>(),
+             Message.contains("ls") ? Message["ls"].at(I).get<std::uint64_t>()
+                                    : 0});
     if (Message.contains("a"))
       Report.AnnouncedLeaving = Message["a"].get<std::vector<std::uint64_t>>();
     return Report;
@@ -215,7 +221,7 @@
   std::set<std::pair<std::uint64_t, std::uint64_t>> CrashRecords;
   for (const auto &Record : Own.CrashRecords)
     CrashRecords.insert({Record.Fingerprint, Record.CrashId});
-  std::set<std::uint64_t> LeavingTargets(Own.LeavingTargets.begin(),
+  std::set<LeavingTarget> LeavingTargets(Own.LeavingTargets.begin(),
                                          Own.LeavingTargets.end());
   std::set<std::uint64_t> AnnouncedLeaving(Own.AnnouncedLeaving.begin(),
                                            Own.AnnouncedLeaving.end());
--- a/testing/soak/soakfleet.cpp
+++ b/testing/soak/soakfleet.cpp
@@ -30,6 +30,7 @@
       "NodeName = \"{0}\"\nIp = \"{0}\"\nZone = \"{1}\"\n"
       "PortRange = [{2}, {3}]\n[Listen]\nFront = \"{0}:{4}\"\n"
       "Ready = \"{0}:{5}\"\n[Limits]\nMemoryMb = 128\n[Bounds]\nGraceS = {6}\n"
+      "ConfigApplyMs = 2000\nDrainMs = 2000\n"
       "RetryBudgetRatio = 0.2\nBudgetSlack = 56\nBudgetWindowS = 10\n"
       "[Platform]\nAddress = \"127.0.0.1:{7}\"\n",
       m_Ip, Domain, PeerPort, PeerPort + 15, CallerPort, ReadyPort,
