gateway: few messages a daemon in large failure domains

Cause: in a failure domain all daemons report to each other, at a period that grows with their number so that a daemon sends and receives some hundred messages a second whatever the size. At 59 daemons that is 97 a second each way and a period of 0.6 s; from 91 daemons on the period reaches the second after which a silent daemon counts as unreachable.

Change: with more than ten others, a daemon reports to the first three by name that are heard or have not failed to answer, and answers whoever reports to it. So the delegate and its successors hear from all, and the others exchange a few messages. The delegate sends each a summary of the domain without that daemon: usage, loads, crash records and leaving targets. A daemon counts the usage of its domain by the summary or, as the delegate, by the reports, never by both. The period is 0.4 s at 59 daemons and at most 0.5 s.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -188,8 +188,15 @@
   Duration reportPeriod() const;
   /// Sends a report to the daemons of this failure domain once per
   /// reportPeriod(). The delegate also sends the domain summary to the other
-  /// failure domains.
+  /// failure domains, and in a large domain to the daemons there.
   void sendReports(TimePoint Now);
+  /// Sends each daemon of this failure domain the summary without that daemon.
+  void sendOwnDomainSummaries(const PeerReport &Summary, TimePoint Now);
+  /// Whether this daemon knows the usage of the others of its failure domain by
+  /// the delegate's summary, instead of by a report of each.
+  bool usesOwnSummary() const {
+    return m_RemoteBroker.has_value() && m_Peers.isDomainLarge();
+  }
   /// Updates, once per reportPeriod(), the load that other daemons cause at
   /// each target and the requests that this daemon may send there.
   void refreshTargetLoads(TimePoint Now);
@@ -252,7 +259,8 @@
   /// The delegate of this failure domain, which is also its slot broker;
   /// std::nullopt if that is this daemon.
   std::optional<PeerRegistry::Delegate> m_RemoteBroker;
-  TimePoint m_BrokerSince{}; ///< Time of the last change of the broker.
+  TimePoint m_BrokerSince{};     ///< Time of the last change of the broker.
+  bool m_UsedOwnSummary = false; ///< usesOwnSummary() at the last tick.
   /// Until this time the broker counts as unreachable.
   TimePoint m_DecideLocallyUntil{};
   std::unordered_map<TicketNumber, PendingSlotRequest> m_PendingSlotRequests;
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace mangodeck {
@@ -49,6 +50,10 @@
 /// sends it to some daemons of each other domain. So the message rate of a
 /// daemon does not grow with the size of the other domains, and few messages
 /// cross between domains.
+///
+/// In a large failure domain, only the first daemons by name exchange reports
+/// with all others, see PeerRegistry::reportReceivers(). Each of the others
+/// gets a summary of its own domain, without itself, from the delegate.
 struct PeerReport {
   std::string Vm; ///< The sender; of a domain summary, the delegate.
   FailureDomain Domain;
@@ -103,9 +108,23 @@
   /// while the first still sends.
   bool accept(PeerReport Report, TimePoint Now);
 
-  /// Endpoints of all other daemons of the own failure domain, which receive
-  /// this daemon's reports.
+  /// Endpoints of all other daemons of the own failure domain.
   std::vector<PeerEndpoint> ownDomainEndpoints() const;
+  /// Number of other daemons of the own failure domain with an endpoint.
+  std::size_t ownDomainSize() const;
+  /// Whether the own failure domain is so large that its daemons do not all
+  /// report to each other.
+  bool isDomainLarge() const;
+  /// Endpoints of the daemons that receive this daemon's reports. In a large
+  /// failure domain these are the first ones by name, passing over those that
+  /// stop or have not answered for some time, and all whose reports arrive. So
+  /// the first ones, of which one is the delegate, hear from all and are heard
+  /// by all, and the others send and receive few messages.
+  std::vector<PeerEndpoint> reportReceivers(TimePoint Now);
+  /// The own daemons' names and endpoints to which the delegate of a large
+  /// domain sends a summary: those whose reports arrive.
+  std::vector<std::pair<std::string, PeerEndpoint>>
+  reportingDaemons(TimePoint Now) const;
   /// Endpoints of some daemons of each remote failure domain, which receive
   /// the domain summaries.
   std::vector<PeerEndpoint> remoteDomainEndpoints() const;
@@ -129,6 +148,10 @@
   /// Usage and Stopping are copied from \p Own; the caller sets them for the
   /// domain.
   PeerReport summarizeDomain(const PeerReport &Own, TimePoint Now) const;
+  /// \p Summary of the own failure domain without the daemon \p Vm, to which it
+  /// is to be sent. Usage is that of \p Summary.
+  PeerReport summaryWithout(const std::string &Vm,
+                            const PeerReport &Summary) const;
   /// Number of daemons that may be serving, this one included. Customers'
   /// limits and targets' connections are shared among them.
   std::size_t daemonCount(TimePoint Now) const;
@@ -136,7 +159,8 @@
   TargetLoads peerLoads(TimePoint Now) const;
   /// Loads of the daemons of remote failure domains, from recent summaries.
   TargetLoads remoteDomainLoads(TimePoint Now) const;
-  /// Number of other daemons of the own failure domain with a recent report.
+  /// Number of other daemons of the own failure domain with a recent report, or
+  /// in a recent summary.
   std::size_t countReachableInOwnDomain(TimePoint Now) const;
 
 private:
@@ -146,7 +170,14 @@
     PeerReport LastReport;
     TimePoint LastReportTime{};
     bool Stopping = false;
+    /// Since when this daemon sends its reports there as to one of the first by
+    /// name; not set if it does not.
+    TimePoint ExpectedSince{};
   };
+  bool isInOwnDomain(const Peer &Other) const;
+  /// The summary of the own domain that the delegate has sent recently; null if
+  /// there is none.
+  const Peer *recentOwnSummary(TimePoint Now) const;
   /// Adds the loads of the peers in \p Table with a recent report to \p Sums.
   static void addRecentLoads(const std::map<std::string, Peer> &Table,
                              TimePoint Now, TargetLoads &Sums);
--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -75,6 +75,12 @@
   std::map<std::string, QuotaUsage> usage(TimePoint Now);
   /// Usage of this failure domain by customer, for the domain summary.
   std::map<std::string, QuotaUsage> domainUsage(TimePoint Now);
+  /// The same without the daemon \p Source, to be sent to that daemon.
+  std::map<std::string, QuotaUsage>
+  domainUsageWithout(const std::string &Source, TimePoint Now);
+  /// Forgets the reports of all other daemons: from now on they arrive by
+  /// another way, and would be counted twice.
+  void forgetPeers();
   /// The share of the limit that this daemon and the reachable ones may use,
   /// from 0 to 1.
   double reachableShare(const CustomerName &Customer, TimePoint Now);
@@ -83,7 +89,8 @@
   /// Demand of the other daemons for a customer's units, per second.
   struct PeerDemand {
     double Reachable = 0;
-    double Unreachable = 0; ///< Of daemons that still hold their share.
+    double ReachableInDomain = 0; ///< The part without domain summaries.
+    double Unreachable = 0;       ///< Of daemons that still hold their share.
   };
   struct Account {
     double UnitsPerSecond = 0;
@@ -107,6 +114,8 @@
     PeerUsage LastUsage;
     TimePoint LastReportTime{};
     Standing Counted = Standing::Expired; ///< As what the sums include it.
+    /// Units of this daemon in Account::DomainAdmittedUnits, by customer.
+    std::unordered_map<std::string, double> DomainUnits;
   };
   static Standing standingOf(const Peer &Other, TimePoint Now);
   /// Time at which the standing of \p Other changes unless it reports again.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -17,7 +17,10 @@
 /// there are at most DaemonsAtFullRate of them. It grows in proportion to
 /// their number beyond that, so that the message rate of a daemon does not.
 constexpr Duration BaseReportPeriod = 100ms;
-constexpr std::size_t DaemonsAtFullRate = 10;
+constexpr std::size_t DaemonsAtFullRate = 15;
+/// Upper bound of the period; several reports fit into the time after which a
+/// silent daemon counts as unreachable.
+constexpr Duration MaxReportPeriod = 500ms;
 /// A daemon relays only after it has been the delegate for this long: at their
 /// start all daemons are, until they hear from each other.
 constexpr Duration RelayStartDelay = 1s;
@@ -919,9 +922,11 @@
 }
 
 void Gateway::handleReport(PeerReport Report, TimePoint Now) {
-  // A domain summary of this daemon's own domain arrives only if a daemon was
-  // moved to another domain.
-  if (Report.IsDomainSummary && Report.Domain == m_Settings.Domain)
+  // The summary of this daemon's own domain is for this daemon alone, and only
+  // the delegate's view of the domain counts.
+  const bool IsOwnDomain = Report.Domain == m_Settings.Domain;
+  if (Report.IsDomainSummary && IsOwnDomain &&
+      (!usesOwnSummary() || Report.Vm != m_RemoteBroker->Vm))
     return;
   PeerUsage Usage;
   Usage.Source = Report.IsDomainSummary ? Report.Domain.Text : Report.Vm;
@@ -932,11 +937,12 @@
   Usage.Usage = Report.Usage;
   if (!m_Peers.accept(Report, Now))
     return;
-  if (!Report.IsDomainSummary && Report.Domain == m_Settings.Domain &&
-      !m_RemoteBroker)
+  if (!Report.IsDomainSummary && IsOwnDomain && !m_RemoteBroker)
     m_LocalBroker.reconcile(Report, Now);
-  m_Quotas.onPeerUsage(Usage, Now);
-  if (Report.IsDomainSummary && !Report.Forwarded && m_Peers.isDelegate(Now)) {
+  if (Report.IsDomainSummary || !IsOwnDomain || !usesOwnSummary())
+    m_Quotas.onPeerUsage(Usage, Now);
+  if (Report.IsDomainSummary && !IsOwnDomain && !Report.Forwarded &&
+      m_Peers.isDelegate(Now)) {
     Report.Forwarded = true;
     sendTo(m_Peers.ownDomainEndpoints(), encodeReport(Report));
   }
@@ -944,7 +950,7 @@
 
 bool Gateway::isRelaying() const {
   return !m_RemoteBroker && steadyNow() - m_BrokerSince >= RelayStartDelay &&
-         m_Peers.ownDomainEndpoints().size() + 1 >=
+         m_Peers.ownDomainSize() + 1 >=
              minDaemonsForRelay(m_Settings.ChangeDeadline);
 }
 
@@ -966,16 +972,26 @@
 }
 
 Duration Gateway::reportPeriod() const {
-  const auto Peers = m_Peers.ownDomainEndpoints().size();
-  return BaseReportPeriod *
-         std::max<std::size_t>(1, (Peers + DaemonsAtFullRate - 1) /
-                                      DaemonsAtFullRate);
+  const auto Peers = m_Peers.ownDomainSize();
+  return std::min<Duration>(
+      MaxReportPeriod,
+      BaseReportPeriod *
+          std::max<std::size_t>(1, (Peers + DaemonsAtFullRate - 1) /
+                                       DaemonsAtFullRate));
+}
+
+void Gateway::sendOwnDomainSummaries(const PeerReport &Summary, TimePoint Now) {
+  for (const auto &[Vm, Endpoint] : m_Peers.reportingDaemons(Now)) {
+    auto ForPeer = m_Peers.summaryWithout(Vm, Summary);
+    ForPeer.Usage = m_Quotas.domainUsageWithout(Vm, Now);
+    sendTo(std::span(&Endpoint, 1), encodeReport(ForPeer));
+  }
 }
 
 void Gateway::sendReports(TimePoint Now) {
-  const auto Peers = m_Peers.ownDomainEndpoints();
   if (Now - m_LastReportAt < reportPeriod())
     return;
+  const auto Peers = m_Peers.reportReceivers(Now);
   m_LastReportAt = Now;
   PeerReport Report;
   Report.Vm = m_Settings.Vm;
@@ -999,6 +1015,8 @@
   // The domain goes on when the daemon that sends its summary stops.
   Summary.Stopping = false;
   sendTo(m_Peers.remoteDomainEndpoints(), encodeReport(Summary));
+  if (m_Peers.isDomainLarge())
+    sendOwnDomainSummaries(Summary, Now);
 }
 
 void Gateway::refreshTargetLoads(TimePoint Now) {
@@ -1039,6 +1057,8 @@
       OnResumed();
   }
   updateBroker(Now);
+  if (std::exchange(m_UsedOwnSummary, usesOwnSummary()) != usesOwnSummary())
+    m_Quotas.forgetPeers();
   sendReports(Now);
   refreshTargetLoads(Now);
   checkSlotRequests(Now);
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -24,6 +24,12 @@
 /// Time without summaries of a domain's delegate after which summaries of
 /// another daemon of that domain are accepted.
 constexpr Duration DelegateTimeout = 500ms;
+/// Largest number of other daemons in a failure domain in which all report to
+/// each other.
+constexpr std::size_t MaxFullMeshPeers = 10;
+/// Daemons of a large failure domain that exchange reports with all others: the
+/// delegate, and those that replace it at once when it fails.
+constexpr std::size_t MainReceivers = 3;
 
 std::vector<TargetLoad> listLoads(const TargetLoads &Sums) {
   std::vector<TargetLoad> Loads;
@@ -169,14 +175,66 @@
   return true;
 }
 
+bool PeerRegistry::isInOwnDomain(const Peer &Other) const {
+  return Other.Endpoint && Other.Endpoint->Domain == m_OwnDomain;
+}
+
 std::vector<PeerEndpoint> PeerRegistry::ownDomainEndpoints() const {
   std::vector<PeerEndpoint> Result;
   for (const auto &[Vm, Peer] : m_Peers)
-    if (Peer.Endpoint && Peer.Endpoint->Domain == m_OwnDomain)
+    if (isInOwnDomain(Peer))
       Result.push_back(*Peer.Endpoint);
   return Result;
 }
 
+std::size_t PeerRegistry::ownDomainSize() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
+        return isInOwnDomain(Entry.second);
+      }));
+}
+
+bool PeerRegistry::isDomainLarge() const {
+  return ownDomainSize() > MaxFullMeshPeers;
+}
+
+std::vector<PeerEndpoint> PeerRegistry::reportReceivers(TimePoint Now) {
+  if (!isDomainLarge())
+    return ownDomainEndpoints();
+  std::vector<PeerEndpoint> Result;
+  std::size_t Main = 0;
+  for (auto &[Vm, Other] : m_Peers) {
+    if (!isInOwnDomain(Other))
+      continue;
+    const bool IsHeard = Now - Other.LastReportTime < ReachableTime;
+    // Step 1. A daemon that is sent reports and does not answer has failed. It
+    // still gets reports, but the next by name takes its place.
+    const bool IsExpected = Main < MainReceivers && !Other.Stopping;
+    if (!IsExpected)
+      Other.ExpectedSince = TimePoint{};
+    else if (Other.ExpectedSince == TimePoint{})
+      Other.ExpectedSince = Now;
+    const bool HasFailed =
+        Other.UnlistedAt || Now - Other.ExpectedSince >= ReachableTime;
+    if (IsExpected && (IsHeard || !HasFailed))
+      ++Main;
+
+    // Step 2. Answer every daemon that reports.
+    if (IsHeard || (IsExpected && !Other.UnlistedAt))
+      Result.push_back(*Other.Endpoint);
+  }
+  return Result;
+}
+
+std::vector<std::pair<std::string, PeerEndpoint>>
+PeerRegistry::reportingDaemons(TimePoint Now) const {
+  std::vector<std::pair<std::string, PeerEndpoint>> Result;
+  for (const auto &[Vm, Other] : m_Peers)
+    if (isInOwnDomain(Other) && Now - Other.LastReportTime < ReachableTime)
+      Result.emplace_back(Vm, *Other.Endpoint);
+  return Result;
+}
+
 std::vector<PeerEndpoint> PeerRegistry::remoteDomainEndpoints() const {
   std::vector<PeerEndpoint> Result;
   std::map<std::string, std::size_t> Chosen;
@@ -249,6 +307,33 @@
   return Summary;
 }
 
+PeerReport PeerRegistry::summaryWithout(const std::string &Vm,
+                                        const PeerReport &Summary) const {
+  PeerReport Result = Summary;
+  const auto Found = m_Peers.find(Vm);
+  if (Found == m_Peers.end())
+    return Result;
+  Result.DaemonCount -= std::min<std::uint32_t>(Result.DaemonCount, 1);
+  TargetLoads Loads;
+  for (const auto &Load : Summary.Loads)
+    addLoad(Loads, Load);
+  for (const auto &Load : Found->second.LastReport.Loads)
+    if (const auto Sum = Loads.find(Load.Target); Sum != Loads.end()) {
+      Sum->second.Running -= std::min(Sum->second.Running, Load.Running);
+      Sum->second.Prefill -= std::min(Sum->second.Prefill, Load.Prefill);
+    }
+  Result.Loads = listLoads(Loads);
+  return Result;
+}
+
+const PeerRegistry::Peer *PeerRegistry::recentOwnSummary(TimePoint Now) const {
+  const auto Found = m_DomainSummaries.find(m_OwnDomain.Text);
+  return Found != m_DomainSummaries.end() &&
+                 Now - Found->second.LastReportTime <= LoadLifetime
+             ? &Found->second
+             : nullptr;
+}
+
 std::size_t PeerRegistry::daemonCount(TimePoint Now) const {
   std::size_t Count = 1;
   for (const auto &[Vm, Peer] : m_Peers) {
@@ -273,13 +358,21 @@
 
 TargetLoads PeerRegistry::peerLoads(TimePoint Now) const {
   auto Sums = remoteDomainLoads(Now);
-  addRecentLoads(m_Peers, Now, Sums);
+  if (const auto *Summary = recentOwnSummary(Now))
+    for (const auto &Load : Summary->LastReport.Loads)
+      addLoad(Sums, Load);
+  else
+    addRecentLoads(m_Peers, Now, Sums);
   return Sums;
 }
 
 TargetLoads PeerRegistry::remoteDomainLoads(TimePoint Now) const {
   TargetLoads Sums;
-  addRecentLoads(m_DomainSummaries, Now, Sums);
+  for (const auto &[Domain, Summary] : m_DomainSummaries)
+    if (Domain != m_OwnDomain.Text &&
+        Now - Summary.LastReportTime <= LoadLifetime)
+      for (const auto &Load : Summary.LastReport.Loads)
+        addLoad(Sums, Load);
   return Sums;
 }
 
@@ -289,6 +382,8 @@
     if (Peer.LastReport.Domain == m_OwnDomain &&
         Now - Peer.LastReportTime < LoadLifetime)
       ++Count;
+  if (const auto *Summary = recentOwnSummary(Now))
+    Count = std::max<std::size_t>(Count, Summary->LastReport.DaemonCount);
   return Count;
 }
 
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -81,8 +81,10 @@
               ? 0
               : Previous->second.AdmittedUnits;
       Entry.UnitsLeft -= Usage.AdmittedUnits - PreviousUnits;
-      if (!Reported.IsDomainSummary)
+      if (!Reported.IsDomainSummary) {
         Entry.DomainAdmittedUnits += Usage.AdmittedUnits - PreviousUnits;
+        State.DomainUnits[Name] += Usage.AdmittedUnits - PreviousUnits;
+      }
     } else {
       // The counts cannot be compared, but the peer may have charged usage that
       // was never reported to this daemon.
@@ -133,6 +135,9 @@
     auto &Sum = IsReachable ? Demand.Reachable : Demand.Unreachable;
     // Rounding must not leave a negative sum.
     Sum = std::max(0.0, Sum + Sign * Usage.DemandPerSecond);
+    if (IsReachable && !Other.LastUsage.IsDomainSummary)
+      Demand.ReachableInDomain = std::max(
+          0.0, Demand.ReachableInDomain + Sign * Usage.DemandPerSecond);
   }
 }
 
@@ -143,9 +148,11 @@
     const auto Found = Other.LastUsage.Usage.find(Name);
     if (Found == Other.LastUsage.Usage.end())
       continue;
-    if (Other.Counted == Standing::Reachable)
+    if (Other.Counted == Standing::Reachable) {
       Demand.Reachable += Found->second.DemandPerSecond;
-    else if (Other.Counted == Standing::Unreachable)
+      if (!Other.LastUsage.IsDomainSummary)
+        Demand.ReachableInDomain += Found->second.DemandPerSecond;
+    } else if (Other.Counted == Standing::Unreachable)
       Demand.Unreachable += Found->second.DemandPerSecond;
   }
   return Demand;
@@ -259,19 +266,40 @@
 std::map<std::string, QuotaUsage> QuotaLedger::domainUsage(TimePoint Now) {
   auto Result = usage(Now);
   for (auto &[Name, Usage] : Result) {
-    Usage.AdmittedUnits = m_Accounts.at(Name).DomainAdmittedUnits;
-    for (const auto &[Id, Peer] : m_Peers) {
-      if (Peer.LastUsage.IsDomainSummary ||
-          Now - Peer.LastReportTime > ReachableTimeout)
-        continue;
-      const auto Found = Peer.LastUsage.Usage.find(Name);
-      if (Found != Peer.LastUsage.Usage.end())
-        Usage.DemandPerSecond += Found->second.DemandPerSecond;
-    }
+    const auto &State = m_Accounts.at(Name);
+    Usage.AdmittedUnits = State.DomainAdmittedUnits;
+    Usage.DemandPerSecond += State.OthersDemand.ReachableInDomain;
   }
   return Result;
 }
 
+std::map<std::string, QuotaUsage>
+QuotaLedger::domainUsageWithout(const std::string &Source, TimePoint Now) {
+  auto Result = domainUsage(Now);
+  const auto Found = m_Peers.find(Source);
+  if (Found == m_Peers.end())
+    return Result;
+  const auto &Excluded = Found->second;
+  for (const auto &[Name, Units] : Excluded.DomainUnits)
+    if (const auto Entry = Result.find(Name); Entry != Result.end())
+      Entry->second.AdmittedUnits -= Units;
+  if (Excluded.Counted == Standing::Reachable)
+    for (const auto &[Name, Usage] : Excluded.LastUsage.Usage)
+      if (const auto Entry = Result.find(Name); Entry != Result.end())
+        Entry->second.DemandPerSecond = std::max(
+            0.0, Entry->second.DemandPerSecond - Usage.DemandPerSecond);
+  return Result;
+}
+
+void QuotaLedger::forgetPeers() {
+  m_Peers.clear();
+  m_ReachableDaemons = 0;
+  m_UnreachableDaemons = 0;
+  m_NextStandingChange = TimePoint::max();
+  for (auto &[Name, State] : m_Accounts)
+    State.OthersDemand = PeerDemand();
+}
+
 std::map<std::string, QuotaUsage> QuotaLedger::usage(TimePoint Now) {
   refreshStandings(Now);
   std::map<std::string, QuotaUsage> Result;
--- a/packages/gateway/test/peerregistry_test.cpp
+++ b/packages/gateway/test/peerregistry_test.cpp
@@ -14,6 +14,13 @@
   CPPUNIT_TEST(isDelegate_firstReachableByName_nextAfterTimeout);
   CPPUNIT_TEST(accept_summaryOfOtherDelegate_onlyAfterTimeout);
   CPPUNIT_TEST(accept_olderReport_isRejected);
+  CPPUNIT_TEST(reportReceivers_smallDomain_areAll);
+  CPPUNIT_TEST(reportReceivers_largeDomain_areFirstAndThoseThatReport);
+  CPPUNIT_TEST(reportReceivers_firstOnesFail_nextTakeTheirPlace);
+  CPPUNIT_TEST(reportReceivers_stoppingDaemon_isReplaced);
+  CPPUNIT_TEST(reports_largeDomain_delegateHearsAllAndOthersFew);
+  CPPUNIT_TEST(summaryWithout_daemon_excludesItsLoads);
+  CPPUNIT_TEST(peerLoads_ownSummary_replacesReports);
   CPPUNIT_TEST(peerLoads_expiredReports_areExcluded);
   CPPUNIT_TEST(remoteDomainLoads_ownDomainReport_isExcluded);
   CPPUNIT_TEST_SUITE_END();
@@ -32,7 +39,129 @@
 
   const TimePoint m_Now{std::chrono::hours(1)};
 
+  static std::string vmName(int Number) {
+    return "vm" + std::to_string(100 + Number);
+  }
+
+  /// The registry of daemon \p Own of \p Count in one domain. The port of a
+  /// daemon is its number.
+  static PeerRegistry registryOf(int Own, int Count) {
+    PeerRegistry Registry(vmName(Own), FailureDomain("x"));
+    for (int I = 0; I < Count; ++I)
+      if (I != Own)
+        Registry.markListed(
+            vmName(I),
+            {"10.0.0.1", static_cast<std::uint16_t>(I), FailureDomain("x")});
+    return Registry;
+  }
+
+  static std::vector<int> portsOf(const std::vector<PeerEndpoint> &Peers) {
+    std::vector<int> Ports;
+    for (const auto &Peer : Peers)
+      Ports.push_back(Peer.Port);
+    return Ports;
+  }
+
 public:
+  void reportReceivers_smallDomain_areAll() {
+    auto Registry = registryOf(0, 5);
+    CPPUNIT_ASSERT(portsOf(Registry.reportReceivers(m_Now)) ==
+                   (std::vector{1, 2, 3, 4}));
+  }
+
+  void reportReceivers_largeDomain_areFirstAndThoseThatReport() {
+    auto Registry = registryOf(20, 40);
+    CPPUNIT_ASSERT(portsOf(Registry.reportReceivers(m_Now)) ==
+                   (std::vector{0, 1, 2}));
+    Registry.accept(reportOf(vmName(30), 1, 1), m_Now);
+    CPPUNIT_ASSERT(portsOf(Registry.reportReceivers(m_Now)) ==
+                   (std::vector{0, 1, 2, 30}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Registry.reportingDaemons(m_Now).size());
+  }
+
+  void reportReceivers_firstOnesFail_nextTakeTheirPlace() {
+    auto Registry = registryOf(20, 40);
+    Registry.reportReceivers(m_Now);
+    Registry.accept(reportOf(vmName(1), 1, 1), m_Now + 900ms);
+    // Daemons 0 and 2 have not answered; they are tried on.
+    CPPUNIT_ASSERT(portsOf(Registry.reportReceivers(m_Now + 1s)) ==
+                   (std::vector{0, 1, 2, 3, 4}));
+    Registry.markUnlisted(vmName(0), m_Now + 1s);
+    CPPUNIT_ASSERT(portsOf(Registry.reportReceivers(m_Now + 1100ms)) ==
+                   (std::vector{1, 2, 3, 4}));
+    Registry.accept(reportOf(vmName(2), 1, 1), m_Now + 1200ms);
+    CPPUNIT_ASSERT(portsOf(Registry.reportReceivers(m_Now + 1200ms)) ==
+                   (std::vector{1, 2, 3}));
+  }
+
+  void reportReceivers_stoppingDaemon_isReplaced() {
+    auto Registry = registryOf(20, 40);
+    auto Stopping = reportOf(vmName(1), 1, 1);
+    Stopping.Stopping = true;
+    Registry.accept(Stopping, m_Now);
+    CPPUNIT_ASSERT(portsOf(Registry.reportReceivers(m_Now)) ==
+                   (std::vector{0, 1, 2, 3}));
+  }
+
+  /// A domain of 60 daemons of which the first four are dead: after a while the
+  /// next one hears from all, and the others send and receive few messages.
+  void reports_largeDomain_delegateHearsAllAndOthersFew() {
+    constexpr int Count = 60;
+    constexpr int Dead = 4;
+    std::vector<PeerRegistry> Daemons;
+    for (int I = 0; I < Count; ++I)
+      Daemons.push_back(registryOf(I, Count));
+    std::vector<int> Received(Count);
+    std::uint64_t Sequence = 0;
+    auto Now = m_Now;
+    for (int Period = 0; Period < 40; ++Period, Now += 200ms) {
+      std::fill(Received.begin(), Received.end(), 0);
+      ++Sequence;
+      for (int From = Dead; From < Count; ++From)
+        for (const auto To : portsOf(
+                 Daemons[static_cast<std::size_t>(From)].reportReceivers(Now)))
+          if (To >= Dead) {
+            ++Received[static_cast<std::size_t>(To)];
+            Daemons[static_cast<std::size_t>(To)].accept(
+                reportOf(vmName(From), 1, Sequence), Now);
+          }
+    }
+    CPPUNIT_ASSERT(Daemons[Dead].isDelegate(Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(Count - Dead - 1),
+                         Daemons[Dead].countReachableInOwnDomain(Now));
+    for (std::size_t I = Dead + 4; I < Count; ++I) {
+      CPPUNIT_ASSERT_EQUAL(vmName(Dead), Daemons[I].delegate(Now)->Vm);
+      CPPUNIT_ASSERT(Received[I] <= 4);
+    }
+  }
+
+  void summaryWithout_daemon_excludesItsLoads() {
+    auto Registry = registryOf(0, 3);
+    Registry.accept(reportOf(vmName(1), 1, 1), m_Now);
+    Registry.accept(reportOf(vmName(2), 1, 1), m_Now);
+    const auto Summary =
+        Registry.summarizeDomain(reportOf(vmName(0), 1, 1), m_Now);
+    const auto ForPeer = Registry.summaryWithout(vmName(1), Summary);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), ForPeer.DaemonCount);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), ForPeer.Loads.at(0).Running);
+    CPPUNIT_ASSERT_EQUAL(TokenCount(1000), ForPeer.Loads.at(0).Prefill);
+  }
+
+  void peerLoads_ownSummary_replacesReports() {
+    auto Registry = registryOf(0, 3);
+    Registry.accept(reportOf(vmName(1), 1, 1), m_Now);
+    auto Summary = reportOf(vmName(1), 1, 2);
+    Summary.IsDomainSummary = true;
+    Summary.DaemonCount = 40;
+    Summary.Loads = {{7, 11, 0}};
+    Registry.accept(Summary, m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(11),
+                         Registry.peerLoads(m_Now).at(7).Running);
+    CPPUNIT_ASSERT(Registry.remoteDomainLoads(m_Now).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(40),
+                         Registry.countReachableInOwnDomain(m_Now));
+  }
   void encodeReport_thenDecodeReport_preservesFields() {
     auto Report = reportOf("a", 5, 9);
     Report.Usage["x"] = {100, 20, -3};
--- a/packages/gateway/test/quotaledger_test.cpp
+++ b/packages/gateway/test/quotaledger_test.cpp
@@ -50,6 +50,14 @@
     m_Partitioned[I] = Partitioned;
   }
 
+  /// From now on the daemons report to the daemon \p I alone, which sends each
+  /// a summary of the others.
+  void setDelegate(std::size_t I) {
+    m_Delegate = I;
+    for (auto &Ledger : m_Ledgers)
+      Ledger->forgetPeers();
+  }
+
   /// Sends requests of \p Cost units, \p PerSecond units per second, to random
   /// daemons for \p Span.
   void sendRequests(Duration Span, double PerSecond, double Cost) {
@@ -93,6 +101,8 @@
   void exchangeReports() {
     for (auto &Ledger : m_Ledgers)
       Ledger->startReportPeriod(m_PeriodSteps * 10ms);
+    if (m_Delegate)
+      return exchangeByDelegate();
     for (std::size_t From = 0; From < m_Ledgers.size(); ++From) {
       const auto Usage = m_Ledgers[From]->usage(m_Now);
       for (std::size_t To = 0; To < m_Ledgers.size(); ++To)
@@ -104,6 +114,24 @@
     }
   }
 
+  void exchangeByDelegate() {
+    auto &Delegate = *m_Ledgers[*m_Delegate];
+    for (std::size_t I = 0; I < m_Ledgers.size(); ++I)
+      if (I != *m_Delegate)
+        Delegate.onPeerUsage({"vm" + std::to_string(I), m_Incarnation[I], 1,
+                              false, false, m_Ledgers[I]->usage(m_Now)},
+                             m_Now);
+    const auto Others = static_cast<std::uint32_t>(m_Ledgers.size() - 1);
+    for (std::size_t I = 0; I < m_Ledgers.size(); ++I)
+      if (I != *m_Delegate)
+        m_Ledgers[I]->onPeerUsage(
+            {"domain", m_Incarnation[*m_Delegate] + *m_Delegate, Others, true,
+             false,
+             Delegate.domainUsageWithout("vm" + std::to_string(I), m_Now)},
+            m_Now);
+  }
+
+  std::optional<std::size_t> m_Delegate;
   int m_PeriodSteps; ///< Steps of 10 ms between reports.
   RoutePlan m_Plan;
   SeededRandom m_LedgerRandom{11};
@@ -131,6 +159,8 @@
   CPPUNIT_TEST(charge_requestsLargeComparedToBurst_areAdmittedWithinLimit);
   CPPUNIT_TEST(charge_overloadOfAllDaemons_staysWithinBound);
   CPPUNIT_TEST(charge_overloadOfManyDaemonsWithRareReports_staysWithinBound);
+  CPPUNIT_TEST(charge_overloadReportedByDelegate_staysWithinBound);
+  CPPUNIT_TEST(charge_delegateChanges_staysWithinBound);
   CPPUNIT_TEST(charge_daemonsRestartInTurn_staysWithinBound);
   CPPUNIT_TEST(charge_allDaemonsRestartUnderOverload_staysWithinBound);
   CPPUNIT_TEST(charge_daemonsStopGracefully_staysWithinBound);
@@ -170,6 +200,25 @@
     CPPUNIT_ASSERT(Daemons.maxAdmittedWithin(8s) > UnitsPerSecond * 8 * 0.8);
   }
 
+  void charge_overloadReportedByDelegate_staysWithinBound() {
+    Cluster Daemons(60, UnitsPerSecond, 40);
+    Daemons.setDelegate(0);
+    Daemons.sendRequests(5s, UnitsPerSecond * 0.5, 12000);
+    Daemons.sendRequests(12s, UnitsPerSecond * 4, 12000);
+    CPPUNIT_ASSERT(Daemons.maxAdmittedWithin(8s) < MaxAdmittedUnits);
+    CPPUNIT_ASSERT(Daemons.maxAdmittedWithin(8s) > UnitsPerSecond * 8 * 0.8);
+  }
+
+  void charge_delegateChanges_staysWithinBound() {
+    Cluster Daemons(60, UnitsPerSecond, 40);
+    Daemons.setDelegate(0);
+    Daemons.sendRequests(5s, UnitsPerSecond * 3, 12000);
+    Daemons.setDelegate(1);
+    Daemons.sendRequests(10s, UnitsPerSecond * 3, 12000);
+    CPPUNIT_ASSERT(Daemons.maxAdmittedWithin(8s) < MaxAdmittedUnits);
+    CPPUNIT_ASSERT(Daemons.totalAdmitted() > UnitsPerSecond * 15 * 0.8);
+  }
+
   void charge_daemonsRestartInTurn_staysWithinBound() {
     Cluster Daemons(8, UnitsPerSecond);
     Daemons.sendRequests(5s, UnitsPerSecond * 0.5, 12000);
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -175,7 +175,7 @@
     case 3:
       return anyTarget().leaveByAnswers();
     case 4:
-      return anyTarget().rejectFor(milliseconds(800 + m_Random() % 2200));
+      return anyTarget().rejectFor(milliseconds(800 + m_Random() % 7200));
     case 5:
       return m_Store.saveCopy();
     case 6:
