gateway: a daemon without waiting requests wakes up ten times a second

Change: while no request waits for a slot the tick comes every half report period, at most every 100 ms; a request that begins to wait shortens it. The size of the own domain is kept. New metrics: ticks, connections to targets opened and reused, messages and bytes between daemons.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -228,6 +228,11 @@
   /// Draws a service of the route by the weights of its shares.
   ServiceName pickService(const Route &Matched);
   void tick();
+  /// Time until the next tick.
+  Duration tickPeriod() const;
+  void scheduleTick(TimePoint When);
+  /// Lets the next tick come within TickPeriod, since a request waits now.
+  void hastenTick(TimePoint Now);
   /// Takes the steps of a graceful stop that are due.
   void continueStop(TimePoint Now);
   bool listen(asio::ip::tcp::acceptor &Acceptor, std::uint16_t Port,
@@ -286,6 +291,8 @@
   bool m_Stopping = false;
   bool m_ListenerClosed = false;
   TimePoint m_StopStartedAt{};
+  TimePoint m_NextTickAt{};
+  std::uint64_t m_TickCount = 0;
   TimePoint m_LastReportAt{};
   TimePoint m_LastRefreshAt{};
   TimePoint m_LastSlowTickAt{};
--- a/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
+++ b/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
@@ -34,6 +34,8 @@
   void countSend(std::string_view Service, std::string_view Reason);
   /// A call to the store ended.
   void countStoreCall(std::string_view Call, std::string_view Outcome);
+  /// A datagram to or from another daemon; \p Direction is sent or received.
+  void countPeerMessage(std::string_view Direction, std::size_t Bytes);
   void setGauge(std::string_view Name, double Value);
   /// All metrics in the text format.
   std::string serialize() const;
@@ -46,6 +48,8 @@
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Counter> &m_Sends;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
+  prometheus::Family<prometheus::Counter> &m_PeerMessages;
+  prometheus::Family<prometheus::Counter> &m_PeerBytes;
   prometheus::Family<prometheus::Histogram> &m_FirstEventLatency;
   prometheus::Family<prometheus::Histogram> &m_RequestLatency;
   prometheus::Family<prometheus::Histogram> &m_SlotWait;
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -111,7 +111,7 @@
   /// Endpoints of all other daemons of the own failure domain.
   std::vector<PeerEndpoint> ownDomainEndpoints() const;
   /// Number of other daemons of the own failure domain with an endpoint.
-  std::size_t ownDomainSize() const;
+  std::size_t ownDomainSize() const { return m_OwnDomainSize; }
   /// Whether the own failure domain is so large that its daemons do not all
   /// report to each other.
   bool isDomainLarge() const;
@@ -185,6 +185,7 @@
   std::string m_OwnVm;
   FailureDomain m_OwnDomain;
   std::map<std::string, Peer> m_Peers; ///< Daemons by VM name.
+  std::size_t m_OwnDomainSize = 0;     ///< Of m_Peers.
   /// Sender and last summary by failure domain.
   std::map<std::string, Peer> m_DomainSummaries;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -13,6 +13,9 @@
 /// Period of the main tick, which checks time limits: a tenth of the shortest
 /// pause that has to be detected.
 constexpr Duration TickPeriod = 25ms;
+/// Period of the main tick while no request waits for a slot: the time limits
+/// of running requests need not be met as closely.
+constexpr Duration IdleTickPeriod = 100ms;
 /// Period of the reports to the other daemons of the failure domain while
 /// there are at most DaemonsAtFullRate of them. It grows in proportion to
 /// their number beyond that, so that the message rate of a daemon does not.
@@ -387,6 +390,7 @@
   if (Ticket.LatestStart < Now && Waiting->hasStreamStarted())
     Ticket.LatestStart = Ticket.ExpiresAt;
   m_Services[Waiting->service().Text].Queue.push(Ticket);
+  hastenTick(Now);
 }
 
 void Gateway::scheduleDispatch(const ServiceName &Service) {
@@ -536,6 +540,7 @@
     Pending->second.RefuseIfLate = RefuseIfLate;
   }
   Pending->second.LastSent = Now;
+  hastenTick(Now);
   SlotRequest Request;
   Request.Vm = m_Settings.Vm;
   Request.Number = Waiting->number();
@@ -571,7 +576,10 @@
   if (const auto *Request = std::get_if<SlotRequest>(&Message)) {
     // After a change of the broker, daemons may disagree on which one it is.
     // Answer even if another daemon is the broker in this daemon's view.
-    return m_LocalBroker.requestSlot(*Request, Now);
+    m_LocalBroker.requestSlot(*Request, Now);
+    if (m_LocalBroker.waitingCount() > 0)
+      hastenTick(Now);
+    return;
   }
   if (const auto *Decision = std::get_if<SlotDecision>(&Message))
     return handleDecision(*Decision);
@@ -883,6 +891,7 @@
           return;
         const auto Now = steadyNow();
         const std::string_view Bytes(m_PeerBuffer.data(), Error ? 0 : Size);
+        m_Metrics.countPeerMessage("received", Bytes.size());
         if (const auto Changes = decodeRelayedChanges(Bytes)) {
           if (OnRelayedChanges)
             OnRelayedChanges(*Changes);
@@ -968,6 +977,7 @@
     if (!Error)
       m_PeerSocket.send_to(asio::buffer(Bytes.data(), Bytes.size()),
                            {Address, Peer.Port}, 0, Error);
+    m_Metrics.countPeerMessage("sent", Bytes.size());
   }
 }
 
@@ -1048,6 +1058,7 @@
 
 void Gateway::tick() {
   const auto Now = steadyNow();
+  ++m_TickCount;
   if (const auto Suspended = m_SuspensionDetector.check();
       Suspended > Duration{0}) {
     m_Log.write("woken", {{"stood_still_ms", toMs(Suspended)}});
@@ -1091,19 +1102,46 @@
     m_Pool.prune(Now);
     m_Metrics.setGauge("in_flight",
                        static_cast<double>(m_ExchangeByNumber.size()));
+    m_Metrics.setGauge("ticks", static_cast<double>(m_TickCount));
+    m_Metrics.setGauge("target_connections_opened",
+                       static_cast<double>(m_Pool.opened()));
+    m_Metrics.setGauge("target_connections_reused",
+                       static_cast<double>(m_Pool.reused()));
     m_Metrics.setGauge("log_dropped",
                        static_cast<double>(m_Log.droppedLines()));
     m_Log.flush();
   }
   if (m_Stopping)
     continueStop(Now);
-  m_TickTimer.expires_after(TickPeriod);
+  scheduleTick(Now + tickPeriod());
+}
+
+Duration Gateway::tickPeriod() const {
+  const bool HasWaiting =
+      !m_PendingSlotRequests.empty() || m_LocalBroker.waitingCount() > 0 ||
+      std::any_of(m_Services.begin(), m_Services.end(), [](const auto &Entry) {
+        return !Entry.second.Queue.empty();
+      });
+  // Reports are sent at a tick.
+  return HasWaiting ? TickPeriod
+                    : std::clamp<Duration>(reportPeriod() / 2, TickPeriod,
+                                           IdleTickPeriod);
+}
+
+void Gateway::scheduleTick(TimePoint When) {
+  m_NextTickAt = When;
+  m_TickTimer.expires_at(When);
   m_TickTimer.async_wait([this](std::error_code Error) {
     if (!Error)
       tick();
   });
 }
 
+void Gateway::hastenTick(TimePoint Now) {
+  if (m_NextTickAt > Now + TickPeriod)
+    scheduleTick(Now + TickPeriod);
+}
+
 void Gateway::stop() {
   if (m_Stopping)
     return;
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -33,6 +33,11 @@
                                "Requests sent to targets, by reason.")),
       m_StoreCalls(registerCounters(*m_Registry, "mangodeck_store_calls_total",
                                     "Calls to the store by outcome.")),
+      m_PeerMessages(registerCounters(*m_Registry,
+                                      "mangodeck_peer_messages_total",
+                                      "Datagrams between daemons.")),
+      m_PeerBytes(registerCounters(*m_Registry, "mangodeck_peer_bytes_total",
+                                   "Bytes of datagrams between daemons.")),
       m_FirstEventLatency(registerHistograms(
           *m_Registry, "mangodeck_first_event_seconds",
           "From the first byte of a request to the first event "
@@ -86,6 +91,13 @@
       .Increment();
 }
 
+void GatewayMetrics::countPeerMessage(std::string_view Direction,
+                                      std::size_t Bytes) {
+  const prometheus::Labels Labels = {{"direction", std::string(Direction)}};
+  m_PeerMessages.Add(Labels).Increment();
+  m_PeerBytes.Add(Labels).Increment(static_cast<double>(Bytes));
+}
+
 void GatewayMetrics::setGauge(std::string_view Name, double Value) {
   m_Gauges.Add({{"name", std::string(Name)}}).Set(Value);
 }
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -147,7 +147,9 @@
 void PeerRegistry::markListed(const std::string &Vm,
                               const PeerEndpoint &Endpoint) {
   auto &Peer = m_Peers[Vm];
+  m_OwnDomainSize -= isInOwnDomain(Peer) ? 1 : 0;
   Peer.Endpoint = Endpoint;
+  m_OwnDomainSize += isInOwnDomain(Peer) ? 1 : 0;
   Peer.UnlistedAt.reset();
   Peer.Stopping = false;
 }
@@ -187,13 +189,6 @@
   return Result;
 }
 
-std::size_t PeerRegistry::ownDomainSize() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
-        return isInOwnDomain(Entry.second);
-      }));
-}
-
 bool PeerRegistry::isDomainLarge() const {
   return ownDomainSize() > MaxFullMeshPeers;
 }
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -165,6 +165,7 @@
   CPPUNIT_TEST(broker_grantsDrainingTarget_targetIsNotUsed);
   CPPUNIT_TEST(broker_silent_requestIsServedWithoutBroker);
   CPPUNIT_TEST(broker_refuses_callerGetsRetryAfter);
+  CPPUNIT_TEST(tick_nothingWaits_isRare);
   CPPUNIT_TEST(relaying_delegateWithPeers_relaysUntilReplaced);
   CPPUNIT_TEST(localBroker_otherDaemonRequests_freeSlotsAreGranted);
   CPPUNIT_TEST_SUITE_END();
@@ -614,6 +615,16 @@
     CPPUNIT_ASSERT(m_TargetA->Requests.empty());
   }
 
+  void tick_nothingWaits_isRare() {
+    for (int Number = 0; Number < 60; ++Number)
+      m_Gateway->onPeerUpdated("w-" + std::to_string(Number),
+                               {"127.0.0.1", 9, FailureDomain("own-domain")});
+    runLoopFor(300ms);
+    const auto Before = gauge("ticks");
+    runLoopFor(1s);
+    CPPUNIT_ASSERT(gauge("ticks") - Before <= 14);
+  }
+
   void relaying_delegateWithPeers_relaysUntilReplaced() {
     const auto AddPeer = [&](int Number) {
       m_Gateway->onPeerUpdated("w-" + std::to_string(Number),
@@ -727,6 +738,14 @@
     int m_ReportsReceived = 0;
   };
 
+  /// The value of a gauge in the metrics.
+  double gauge(const std::string &Name) const {
+    const auto Text = m_Metrics->serialize();
+    const auto Label = "{name=\"" + Name + "\"} ";
+    const auto At = Text.find(Label);
+    return At == Text.npos ? 0 : std::stod(Text.substr(At + Label.size()));
+  }
+
   static std::uint64_t targetHash(const char *Id) {
     TargetEntry Entry;
     Entry.Id = TargetName(Id);
