gateway: a value that the relay leaves out while a watch is due is read at once

Cause: a daemon that was about to watch, but had heard from the relay before, went on to follow the relay although a message had left out a value, and read it only after the next message, a second later.

Change: a gap or a missing value makes the relay count as stale, also while a call is due.

Measured: relay_valueOmittedDuringWatch_isReadFromStore failed before; 169 tests of gateway passed.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -44,9 +44,9 @@
 ///
 /// In a large failure domain one daemon watches and relays the changes to the
 /// others, since with a watch of each daemon the calls to the store would grow
-/// with daemons times changes.
-/// The relay only saves calls: a daemon that has missed a message, or gets none
-/// for some time, watches by itself from the revision that it has.
+/// with daemons times changes. The relay only saves calls: a daemon that has
+/// missed a message, or gets none for some time, watches by itself from the
+/// revision that it has.
 class KeyFollower : public StoreEraObserver {
 public:
   /// \p ChangeDeadline: time after a write within which the daemons must act on
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -192,8 +192,8 @@
 
 void KeyFollower::onRelayedChanges(const RelayedChanges &Message) {
   const auto Now = steadyNow();
-  // Step 1. Ignore what an earlier era or a repeated message tells, and what
-  // arrives before the first listing or while this daemon lists or relays.
+  // Step 1. Ignore the message if it is of an earlier era, or if this daemon
+  // relays itself or is listing all keys.
   if (!m_IsListed || m_Relay.isRelaying() || Message.To.Era < m_Revision.Era)
     return;
 
@@ -204,10 +204,9 @@
         return Relayed.ValueOmitted && Relayed.Change.Revision > m_Revision;
       });
   if (Message.From > m_Revision || MissesValue) {
-    if (m_FollowsRelay) {
-      m_RelayConfirmedAt = TimePoint{};
+    m_RelayConfirmedAt = TimePoint{};
+    if (m_FollowsRelay)
       watch();
-    }
     return;
   }
 
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(relay_outdatedItself_isReplacedByWatch);
   CPPUNIT_TEST(relay_gap_isFilledFromStore);
   CPPUNIT_TEST(relay_valueOmitted_isReadFromStore);
+  CPPUNIT_TEST(relay_valueOmittedDuringWatch_isReadFromStore);
   CPPUNIT_TEST(relay_repeatedOrEarlierEra_isIgnored);
   CPPUNIT_TEST(relay_removal_isReportedWithItsOutage);
   CPPUNIT_TEST(relaying_changes_areSentWithoutHeartbeats);
@@ -281,6 +282,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("1"), m_Observer.Values["a"]);
   }
 
+  void relay_valueOmittedDuringWatch_isReadFromStore() {
+    answerFirstList();
+    m_Follower->onRelayedChanges({{0, 8}, {0, 12}, 0ms, {}});
+    auto Omitted = change("a", "", 17);
+    Omitted.ValueOmitted = true;
+    m_Follower->onRelayedChanges({{0, 10}, {0, 18}, 0ms, {Omitted}});
+    const auto Watches = m_Store.Watches.size();
+    m_Store.answerWatch(KeyChanges{{}, {0, 12}});
+    runTimers();
+    CPPUNIT_ASSERT_EQUAL(Watches + 1, m_Store.Watches.size());
+  }
+
   void relay_repeatedOrEarlierEra_isIgnored() {
     m_Store.answerList(KeyPage{{{"a", "1", {2, 5}, false}}, false, {2, 10}});
     m_Follower->onRelayedChanges(
