gateway: the relay sends each change once, and bulk changes not at all

Change: a message holds the changes since the last one; a lost one is noticed by the gap. What does not fit into one datagram is left out, so that the receivers read it from the store.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -3,7 +3,6 @@
 
 #include "mangodeck/gateway/keyvaluestore.h"
 
-#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,11 +46,13 @@
   virtual void sendToDomain(std::string_view Bytes) = 0;
 };
 
-/// The changes of the last second, as a relay sends them. Each message repeats
-/// them, so that a receiver misses a change only if several datagrams in a row
-/// are lost, and then notices by From.
+/// The changes since the last message of a relay. A receiver that has lost a
+/// message notices by From of the next one. If there are more changes than fit
+/// into a datagram, as when all targets register, they are left out, and the
+/// receivers read them from the store: relayed to each, they would take more of
+/// the relay's link than it has.
 ///
-/// Heartbeats, which make no difference to the daemons, are left out.
+/// Heartbeats, which make no difference to the daemons, are left out, too.
 class RelayWindow {
 public:
   /// Forgets all changes. The next message starts at \p Known.
@@ -59,29 +60,20 @@
   /// Records a change that makes a difference. If it removes a key, the last
   /// heartbeat of that key is recorded before it, so that receivers know the
   /// last registration of a target that has left.
-  void record(const KeyChange &Change, bool AfterOutage, TimePoint Now);
+  void record(const KeyChange &Change, bool AfterOutage);
   /// Records an update that makes no difference.
   void recordHeartbeat(const KeyChange &Change);
-  /// The store has confirmed that there is no other change up to \p Known.
-  void advance(StoreRevision Known, TimePoint Now);
-  /// The messages for the changes in the window, in order. Each fits into a
-  /// datagram.
-  std::vector<RelayedChanges> messages(TimePoint Now) const;
+  /// The message on the changes since the last one; the store has confirmed
+  /// that there is no other up to \p Known.
+  RelayedChanges takeMessage(StoreRevision Known);
 
 private:
-  struct Entry {
-    RelayedChange Relayed;
-    TimePoint RecordedAt{};
-  };
-  /// The store's revision at the time of an answer.
-  struct Confirmation {
-    StoreRevision Known;
-    TimePoint At{};
-  };
-  std::deque<Entry> m_Changes; ///< In the order of their revisions.
+  void append(RelayedChange Relayed);
+
+  StoreRevision m_From; ///< The next message starts here.
+  std::vector<RelayedChange> m_Changes;
+  std::size_t m_Bytes = 0; ///< Of m_Changes, and of those left out.
   std::unordered_map<std::string, KeyChange> m_LastHeartbeats; ///< By key.
-  /// Of the last second, and the last one before it.
-  std::deque<Confirmation> m_Confirmations;
 };
 
 } // namespace mangodeck
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -79,8 +79,8 @@
   void onChanges(Expected<KeyChanges> Answer);
   /// Reports the change if it is newer than what was reported of its key.
   void apply(const KeyChange &Change, bool AfterOutage);
-  /// Sends the changes of the last second to the other daemons if this daemon
-  /// is the relay.
+  /// Sends the changes since the last message to the other daemons if this
+  /// daemon is the relay.
   void publish();
   /// Waits until the next watch is due. While the relay is fresh none is.
   void awaitNextWatch();
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -1,6 +1,7 @@
 #include "mangodeck/gateway/changerelay.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace mangodeck {
 
@@ -13,8 +14,6 @@
 /// First byte of a MessagePack array of RelayFields elements.
 constexpr unsigned char ArrayMarker = 0x96;
 constexpr std::size_t RelayFields = 6;
-/// Time for which each message repeats a change.
-constexpr Duration WindowLength = 1s;
 /// Values above this size are left out of messages.
 constexpr std::size_t MaxRelayedValueBytes = 2048;
 /// Size of the keys and values in a message; a datagram of this size and the
@@ -77,23 +76,30 @@
 }
 
 void RelayWindow::restart(StoreRevision Known) {
+  m_From = Known;
   m_Changes.clear();
+  m_Bytes = 0;
   m_LastHeartbeats.clear();
-  m_Confirmations = {{Known, TimePoint{}}};
 }
 
-void RelayWindow::record(const KeyChange &Change, bool AfterOutage,
-                         TimePoint Now) {
+void RelayWindow::append(RelayedChange Relayed) {
+  m_Bytes += sizeOf(Relayed);
+  if (m_Bytes <= MaxMessageBytes)
+    m_Changes.push_back(std::move(Relayed));
+}
+
+void RelayWindow::record(const KeyChange &Change, bool AfterOutage) {
   const auto Heartbeat = m_LastHeartbeats.find(Change.Key);
   if (Heartbeat != m_LastHeartbeats.end()) {
     if (Change.Removed)
-      m_Changes.push_back({{Heartbeat->second, false, false}, Now});
+      append({Heartbeat->second, false, false});
     m_LastHeartbeats.erase(Heartbeat);
   }
-  const bool Omitted = Change.Value.size() > MaxRelayedValueBytes;
-  m_Changes.push_back({{Change, Omitted, AfterOutage}, Now});
-  if (Omitted)
-    m_Changes.back().Relayed.Change.Value.clear();
+  RelayedChange Relayed{Change, Change.Value.size() > MaxRelayedValueBytes,
+                        AfterOutage};
+  if (Relayed.ValueOmitted)
+    Relayed.Change.Value.clear();
+  append(std::move(Relayed));
 }
 
 void RelayWindow::recordHeartbeat(const KeyChange &Change) {
@@ -101,39 +107,18 @@
     m_LastHeartbeats[Change.Key] = Change;
 }
 
-void RelayWindow::advance(StoreRevision Known, TimePoint Now) {
-  m_Confirmations.push_back({Known, Now});
-  while (m_Confirmations.size() > 1 &&
-         m_Confirmations[1].At < Now - WindowLength)
-    m_Confirmations.pop_front();
-  while (!m_Changes.empty() && m_Changes.front().Relayed.Change.Revision <=
-                                   m_Confirmations.front().Known)
-    m_Changes.pop_front();
-}
-
-std::vector<RelayedChanges> RelayWindow::messages(TimePoint Now) const {
-  std::vector<RelayedChanges> Messages;
-  if (m_Confirmations.empty())
-    return Messages;
-  const auto &Last = m_Confirmations.back();
+RelayedChanges RelayWindow::takeMessage(StoreRevision Known) {
   RelayedChanges Message;
-  Message.From = m_Confirmations.front().Known;
-  Message.Age = Now - Last.At;
-  std::size_t Size = 0;
-  for (const auto &[Relayed, RecordedAt] : m_Changes) {
-    Size += sizeOf(Relayed);
-    if (Size > MaxMessageBytes && !Message.Changes.empty()) {
-      Message.To = Message.Changes.back().Change.Revision;
-      Messages.push_back(Message);
-      Message.From = Message.To;
-      Message.Changes.clear();
-      Size = sizeOf(Relayed);
-    }
-    Message.Changes.push_back(Relayed);
+  Message.From = m_From;
+  Message.To = Known;
+  Message.Changes = std::exchange(m_Changes, {});
+  if (m_Bytes > MaxMessageBytes) {
+    Message.From = Known; // Receivers notice a gap.
+    Message.Changes.clear();
   }
-  Message.To = Last.Known;
-  Messages.push_back(std::move(Message));
-  return Messages;
+  m_From = Known;
+  m_Bytes = 0;
+  return Message;
 }
 
 } // namespace mangodeck
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -149,7 +149,6 @@
     if (Change.Revision > m_Revision) // Else the relay has told it.
       apply(Change, isAfterOutage(steadyNow()));
   m_Revision = std::max(m_Revision, Answer->AsOf);
-  m_Window.advance(m_Revision, steadyNow());
   publish();
   awaitNextWatch();
 }
@@ -183,11 +182,11 @@
 }
 
 void KeyFollower::publish() {
-  const auto Now = steadyNow();
-  if (!m_Relay.isRelaying())
-    return;
-  for (const auto &Message : m_Window.messages(Now))
-    m_Relay.sendToDomain(encodeRelayedChanges(Message));
+  if (m_Relay.isRelaying())
+    m_Relay.sendToDomain(
+        encodeRelayedChanges(m_Window.takeMessage(m_Revision)));
+  else
+    m_Window.restart(m_Revision);
 }
 
 void KeyFollower::onRelayedChanges(const RelayedChanges &Message) {
@@ -236,13 +235,13 @@
   if (!Change.Removed) {
     m_Revisions[Change.Key] = Change.Revision;
     if (m_Observer.onKeyUpdated(Change))
-      m_Window.record(Change, AfterOutage, steadyNow());
+      m_Window.record(Change, AfterOutage);
     else
       m_Window.recordHeartbeat(Change);
   } else if (Reported != m_Revisions.end()) {
     m_Revisions.erase(Reported);
     m_Observer.onKeyRemoved(Change, AfterOutage);
-    m_Window.record(Change, AfterOutage, steadyNow());
+    m_Window.record(Change, AfterOutage);
   }
 }
 
