gateway: a daemon becomes the delegate only when most of its domain hears it

Change: in a large domain a daemon says in its reports that it is joining until it hears nine tenths of the listed daemons; a joining daemon is passed over as long as another one is not joining.

Measured: delegate_restartedDaemon_isAdoptedByAllAtOnce failed without the threshold; 173 tests of gateway passed.

--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -65,6 +65,9 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
   bool Stopping = false;
+  /// The sender does not hear most of its large failure domain yet, so it must
+  /// not become the delegate while another daemon can be.
+  bool Joining = false;
   /// Empty in a domain summary.
   std::vector<ReportedRequest> RunningRequests;
   std::vector<TargetLoad> Loads;           ///< One per target.
@@ -128,10 +131,18 @@
   /// Endpoints of some daemons of each remote failure domain, which receive
   /// the domain summaries.
   std::vector<PeerEndpoint> remoteDomainEndpoints() const;
+  /// Notes whether this daemon hears most of its failure domain. From then on
+  /// it is no longer joining.
+  void updateJoining(TimePoint Now);
+  /// See PeerReport::Joining.
+  bool isJoining() const { return m_Joining && isDomainLarge(); }
   /// Whether this daemon is the delegate of its failure domain.
   bool isDelegate(TimePoint Now) const;
   /// The daemon that makes the domain summaries and hands out the slots of its
-  /// failure domain: the first by name of the reachable daemons.
+  /// failure domain: the first by name of the reachable daemons that are not
+  /// joining, or of all if there is none. A daemon that has just started is
+  /// heard by few at first; as the delegate of those few it would hand out
+  /// slots that another one hands out, too.
   struct Delegate {
     std::string Vm;
     std::uint64_t Incarnation = 0;
@@ -186,6 +197,7 @@
   FailureDomain m_OwnDomain;
   std::map<std::string, Peer> m_Peers; ///< Daemons by VM name.
   std::size_t m_OwnDomainSize = 0;     ///< Of m_Peers.
+  bool m_Joining = true;
   /// Sender and last summary by failure domain.
   std::map<std::string, Peer> m_DomainSummaries;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1009,6 +1009,8 @@
   Report.Incarnation = m_Settings.Incarnation;
   Report.Sequence = ++m_ReportSequence;
   Report.Stopping = m_Stopping;
+  m_Peers.updateJoining(Now);
+  Report.Joining = m_Peers.isJoining();
   for (const auto &[Number, Each] : m_ExchangeByNumber)
     if (const auto Reported = Each->reportedRequest())
       Report.RunningRequests.push_back(*Reported);
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -30,6 +30,9 @@
 /// Daemons of a large failure domain that exchange reports with all others: the
 /// delegate, and those that replace it at once when it fails.
 constexpr std::size_t MainReceivers = 3;
+/// Share of the listed daemons of a large failure domain that a daemon must
+/// hear before it can become the delegate.
+constexpr double MinHeardShare = 0.9;
 
 std::vector<TargetLoad> listLoads(const TargetLoads &Sums) {
   std::vector<TargetLoad> Loads;
@@ -68,6 +71,8 @@
   Message["s"] = Report.Sequence;
   if (Report.Stopping)
     Message["x"] = true;
+  if (Report.Joining)
+    Message["j"] = true;
   auto &Loads = Message["t"] = nlohmann::json::array();
   if (Report.IsDomainSummary)
     for (const auto &Load : Report.Loads)
@@ -107,6 +112,7 @@
     Report.Incarnation = Message.at("i").get<std::uint64_t>();
     Report.Sequence = Message.at("s").get<std::uint64_t>();
     Report.Stopping = Message.value("x", false);
+    Report.Joining = Message.value("j", false);
     for (const auto &Load : Message.at("t"))
       if (Report.IsDomainSummary)
         Report.Loads.push_back({Load.at(0).get<std::uint64_t>(),
@@ -241,21 +247,49 @@
   return Result;
 }
 
+void PeerRegistry::updateJoining(TimePoint Now) {
+  std::size_t Listed = 0;
+  std::size_t Heard = 0;
+  for (const auto &[Vm, Other] : m_Peers) {
+    if (!isInOwnDomain(Other) || Other.UnlistedAt)
+      continue;
+    ++Listed;
+    Heard += Now - Other.LastReportTime < ReachableTime ? 1 : 0;
+  }
+  if (static_cast<double>(Heard) >= MinHeardShare * static_cast<double>(Listed))
+    m_Joining = false;
+}
+
 bool PeerRegistry::isDelegate(TimePoint Now) const { return !delegate(Now); }
 
 std::optional<PeerRegistry::Delegate>
 PeerRegistry::delegate(TimePoint Now) const {
-  const auto Found =
-      std::find_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
-        const auto &Peer = Entry.second;
-        return Entry.first >= m_OwnVm ||
-               (Peer.LastReport.Domain == m_OwnDomain && !Peer.Stopping &&
-                Now - Peer.LastReportTime < ReachableTime);
-      });
-  if (Found == m_Peers.end() || Found->first >= m_OwnVm)
+  const auto IsHeard = [&](const Peer &Other) {
+    return Other.LastReport.Domain == m_OwnDomain && !Other.Stopping &&
+           Now - Other.LastReportTime < ReachableTime;
+  };
+  // Step 1. Find the first by name of those that are not joining, and of all.
+  const std::pair<const std::string, Peer> *Established = nullptr;
+  const std::pair<const std::string, Peer> *First = nullptr;
+  for (const auto &Entry : m_Peers) {
+    if (!IsHeard(Entry.second))
+      continue;
+    if (!First)
+      First = &Entry;
+    if (!Entry.second.LastReport.Joining) {
+      Established = &Entry;
+      break;
+    }
+  }
+
+  // Step 2. A daemon that is joining leaves the role to any that is not. Among
+  // equals the first by name has it.
+  const auto *Best = Established ? Established : First;
+  const bool IsEqual = isJoining() == (Established == nullptr);
+  if (!Best || (IsEqual ? m_OwnVm < Best->first : !isJoining()))
     return std::nullopt;
-  return Delegate{Found->first, Found->second.LastReport.Incarnation,
-                  Found->second.Endpoint};
+  return Delegate{Best->first, Best->second.LastReport.Incarnation,
+                  Best->second.Endpoint};
 }
 
 std::optional<PeerEndpoint>
--- a/packages/gateway/test/peerregistry_test.cpp
+++ b/packages/gateway/test/peerregistry_test.cpp
@@ -19,6 +19,9 @@
   CPPUNIT_TEST(reportReceivers_firstOnesFail_nextTakeTheirPlace);
   CPPUNIT_TEST(reportReceivers_stoppingDaemon_isReplaced);
   CPPUNIT_TEST(reports_largeDomain_delegateHearsAllAndOthersFew);
+  CPPUNIT_TEST(delegate_joiningDaemon_isPassedOver);
+  CPPUNIT_TEST(delegate_onlyJoiningDaemons_isFirstByName);
+  CPPUNIT_TEST(delegate_restartedDaemon_isAdoptedByAllAtOnce);
   CPPUNIT_TEST(summaryWithout_daemon_excludesItsLoads);
   CPPUNIT_TEST(peerLoads_ownSummary_replacesReports);
   CPPUNIT_TEST(peerLoads_expiredReports_areExcluded);
@@ -62,6 +65,51 @@
     return Ports;
   }
 
+  /// Daemons of one failure domain that exchange reports.
+  struct Fleet {
+    explicit Fleet(int Count) : IsAlive(Count, true), Received(Count) {
+      for (int I = 0; I < Count; ++I)
+        Registries.push_back(registryOf(I, Count));
+    }
+    /// The daemon \p At learns that daemon \p Other has registered.
+    void list(std::size_t At, int Other) {
+      Registries[At].markListed(
+          vmName(Other),
+          {"10.0.0.1", static_cast<std::uint16_t>(Other), FailureDomain("x")});
+    }
+    void run(int Periods) {
+      for (; Periods > 0; --Periods, Now += 200ms) {
+        std::fill(Received.begin(), Received.end(), 0);
+        ++Sequence;
+        for (std::size_t From = 0; From < Registries.size(); ++From) {
+          if (!IsAlive[From])
+            continue;
+          auto Report = reportOf(vmName(static_cast<int>(From)), 1, Sequence);
+          Registries[From].updateJoining(Now);
+          Report.Joining = Registries[From].isJoining();
+          for (const auto Port :
+               portsOf(Registries[From].reportReceivers(Now))) {
+            const auto To = static_cast<std::size_t>(Port);
+            if (!IsAlive[To])
+              continue;
+            ++Received[To];
+            Registries[To].accept(Report, Now);
+          }
+        }
+      }
+    }
+    std::string delegateOf(std::size_t At) const {
+      const auto Found = Registries[At].delegate(Now);
+      return Found ? Found->Vm : vmName(static_cast<int>(At));
+    }
+
+    std::vector<PeerRegistry> Registries;
+    std::vector<bool> IsAlive;
+    std::vector<int> Received; ///< Reports in the last period.
+    std::uint64_t Sequence = 0;
+    TimePoint Now{std::chrono::hours(1)};
+  };
+
 public:
   void reportReceivers_smallDomain_areAll() {
     auto Registry = registryOf(0, 5);
@@ -104,38 +152,71 @@
                    (std::vector{0, 1, 2, 3}));
   }
 
+  void delegate_joiningDaemon_isPassedOver() {
+    auto Registry = registryOf(20, 40);
+    auto Joining = reportOf(vmName(0), 1, 1);
+    Joining.Joining = true;
+    Registry.accept(Joining, m_Now);
+    Registry.accept(reportOf(vmName(30), 1, 1), m_Now);
+    CPPUNIT_ASSERT_EQUAL(vmName(30), Registry.delegate(m_Now)->Vm);
+    Joining.Joining = false;
+    Joining.Sequence = 2;
+    Registry.accept(Joining, m_Now);
+    CPPUNIT_ASSERT_EQUAL(vmName(0), Registry.delegate(m_Now)->Vm);
+  }
+
+  void delegate_onlyJoiningDaemons_isFirstByName() {
+    auto Registry = registryOf(20, 40);
+    auto Joining = reportOf(vmName(30), 1, 1);
+    Joining.Joining = true;
+    Registry.accept(Joining, m_Now);
+    CPPUNIT_ASSERT(Registry.isDelegate(m_Now));
+    Joining.Vm = vmName(3);
+    Registry.accept(Joining, m_Now);
+    CPPUNIT_ASSERT_EQUAL(vmName(3), Registry.delegate(m_Now)->Vm);
+  }
+
   /// A domain of 60 daemons of which the first four are dead: after a while the
   /// next one hears from all, and the others send and receive few messages.
   void reports_largeDomain_delegateHearsAllAndOthersFew() {
-    constexpr int Count = 60;
+    Fleet Daemons(60);
     constexpr int Dead = 4;
-    std::vector<PeerRegistry> Daemons;
-    for (int I = 0; I < Count; ++I)
-      Daemons.push_back(registryOf(I, Count));
-    std::vector<int> Received(Count);
-    std::uint64_t Sequence = 0;
-    auto Now = m_Now;
-    for (int Period = 0; Period < 40; ++Period, Now += 200ms) {
-      std::fill(Received.begin(), Received.end(), 0);
-      ++Sequence;
-      for (int From = Dead; From < Count; ++From)
-        for (const auto To : portsOf(
-                 Daemons[static_cast<std::size_t>(From)].reportReceivers(Now)))
-          if (To >= Dead) {
-            ++Received[static_cast<std::size_t>(To)];
-            Daemons[static_cast<std::size_t>(To)].accept(
-                reportOf(vmName(From), 1, Sequence), Now);
-          }
-    }
-    CPPUNIT_ASSERT(Daemons[Dead].isDelegate(Now));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(Count - Dead - 1),
-                         Daemons[Dead].countReachableInOwnDomain(Now));
-    for (std::size_t I = Dead + 4; I < Count; ++I) {
-      CPPUNIT_ASSERT_EQUAL(vmName(Dead), Daemons[I].delegate(Now)->Vm);
-      CPPUNIT_ASSERT(Received[I] <= 4);
+    for (int I = 0; I < Dead; ++I)
+      Daemons.IsAlive[I] = false;
+    Daemons.run(40);
+    CPPUNIT_ASSERT(Daemons.Registries[Dead].isDelegate(Daemons.Now));
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(60 - Dead - 1),
+        Daemons.Registries[Dead].countReachableInOwnDomain(Daemons.Now));
+    for (std::size_t I = Dead + 4; I < 60; ++I) {
+      CPPUNIT_ASSERT_EQUAL(vmName(Dead), Daemons.delegateOf(I));
+      CPPUNIT_ASSERT(Daemons.Received[I] <= 4);
     }
   }
 
+  /// While the restarted first daemon is known to a part of the others, all
+  /// keep the delegate that they have.
+  void delegate_restartedDaemon_isAdoptedByAllAtOnce() {
+    Fleet Daemons(60);
+    Daemons.IsAlive[0] = false;
+    for (std::size_t I = 1; I < 60; ++I)
+      Daemons.Registries[I].markUnlisted(vmName(0), m_Now);
+    Daemons.run(20);
+    Daemons.IsAlive[0] = true;
+    Daemons.Registries[0] = registryOf(0, 60);
+    // Half of the others learn of its registration later.
+    for (std::size_t I = 1; I < 30; ++I)
+      Daemons.list(I, 0);
+    Daemons.run(4);
+    for (std::size_t I = 0; I < 60; ++I)
+      CPPUNIT_ASSERT_EQUAL(vmName(1), Daemons.delegateOf(I));
+    for (std::size_t I = 30; I < 60; ++I)
+      Daemons.list(I, 0);
+    Daemons.run(3);
+    for (std::size_t I = 0; I < 60; ++I)
+      CPPUNIT_ASSERT_EQUAL(vmName(0), Daemons.delegateOf(I));
+  }
+
   void summaryWithout_daemon_excludesItsLoads() {
     auto Registry = registryOf(0, 3);
     Registry.accept(reportOf(vmName(1), 1, 1), m_Now);
