--- a/packages/gateway/include/mangodeck/gateway/keyvaluestore.h
+++ b/packages/gateway/include/mangodeck/gateway/keyvaluestore.h
@@ -19,7 +19,10 @@
 struct StoreRevision {
   std::uint64_t Era = 0; ///< 0 if the store states no era.
   std::int64_t Number = 0;
-  auto operator<=>(const StoreRevision &) const = default;
+  bool operator==(const StoreRevision &) const = default;
+  std::strong_ordering operator<=>(const StoreRevision &Other) const {
+    return Era != Other.Era ? Era <=> Other.Era : Number <=> Other.Number;
+  }
 };
 
 /// A key with its value, or the removal of a key.
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -41,7 +41,11 @@
   /// TargetEntry::Sequence of the registration with which it left. A later
   /// registration brings it back.
   std::uint64_t Sequence = 0;
-  auto operator<=>(const LeavingTarget &) const = default;
+  bool operator==(const LeavingTarget &) const = default;
+  bool operator<(const LeavingTarget &Other) const {
+    return Target != Other.Target ? Target < Other.Target
+                                  : Sequence < Other.Sequence;
+  }
 };
 
 /// The state of a daemon, which the daemon sends to the others of its failure
