--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@echo "make stop          stop what make run started"
 	@echo "make fuzz          build and run the fuzz targets, a fixed number of runs"
 	@echo "make bench         measure speeds (not part of the tests)"
-	@echo "make capacity      measure the slopes quoted in docs/CAPACITY.md"
+	@echo "make capacity      measure the slopes of the daemon mangodeckd"
 	@echo "make format        format the sources in place"
 	@echo "make format-check  fail if a source is not formatted"
 	@echo "make lint          run clang-tidy on all sources"
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures the slopes that docs/CAPACITY.md quotes and prints them as one table:
+# Measures the slopes of the daemon mangodeckd and prints them as one table:
 # role, size measured at, what, value, unit. Runs one program at a time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
