--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -69,8 +69,9 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
   bool Stopping = false;
-  /// The sender does not hear most of its large failure domain yet, so it must
-  /// not become the delegate while another daemon can be.
+  /// The sender does not receive the reports of most of its large failure
+  /// domain yet, so it must not become the delegate while another daemon can
+  /// be.
   bool Joining = false;
   /// Empty in a domain summary.
   std::vector<ReportedRequest> RunningRequests;
@@ -125,8 +126,8 @@
   /// Endpoints of the daemons that receive this daemon's reports. In a large
   /// failure domain these are the first ones by name, passing over those that
   /// stop or have not answered for some time, and all whose reports arrive. So
-  /// the first ones, of which one is the delegate, hear from all and are heard
-  /// by all, and the others send and receive few messages.
+  /// the first ones, of which one is the delegate, exchange reports with all,
+  /// and the others send and receive few messages.
   std::vector<PeerEndpoint> reportReceivers(TimePoint Now);
   /// The own daemons' names and endpoints to which the delegate of a large
   /// domain sends a summary: those whose reports arrive.
@@ -135,8 +136,8 @@
   /// Endpoints of some daemons of each remote failure domain, which receive
   /// the domain summaries.
   std::vector<PeerEndpoint> remoteDomainEndpoints() const;
-  /// Notes whether this daemon hears most of its failure domain. From then on
-  /// it is no longer joining.
+  /// Ends the joining of this daemon once it receives the reports of most of
+  /// its failure domain.
   void updateJoining(TimePoint Now);
   /// See PeerReport::Joining.
   bool isJoining() const { return m_Joining && isDomainLarge(); }
@@ -145,8 +146,8 @@
   /// The daemon that makes the domain summaries and hands out the slots of its
   /// failure domain: the first by name of the reachable daemons that are not
   /// joining, or of all if there is none. A daemon that has just started is
-  /// heard by few at first; as the delegate of those few it would hand out
-  /// slots that another one hands out, too.
+  /// known to few others at first; as the delegate of those few it would hand
+  /// out slots that another one hands out, too.
   struct Delegate {
     std::string Vm;
     std::uint64_t Incarnation = 0;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -25,7 +25,7 @@
 /// silent daemon counts as unreachable.
 constexpr Duration MaxReportPeriod = 500ms;
 /// A daemon relays only after it has been the delegate for this long: at their
-/// start all daemons are, until they hear from each other.
+/// start all daemons are, until they receive reports.
 constexpr Duration RelayStartDelay = 1s;
 /// Period of the maintenance work that is not urgent.
 constexpr Duration SlowTickPeriod = 250ms;
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -30,9 +30,9 @@
 /// Daemons of a large failure domain that exchange reports with all others: the
 /// delegate, and those that replace it at once when it fails.
 constexpr std::size_t MainReceivers = 3;
-/// Share of the listed daemons of a large failure domain that a daemon must
-/// hear before it can become the delegate.
-constexpr double MinHeardShare = 0.9;
+/// Share of the listed daemons of a large failure domain whose reports a daemon
+/// must receive before it can become the delegate.
+constexpr double MinReportingShare = 0.9;
 
 std::vector<TargetLoad> listLoads(const TargetLoads &Sums) {
   std::vector<TargetLoad> Loads;
@@ -207,7 +207,7 @@
   for (auto &[Vm, Other] : m_Peers) {
     if (!isInOwnDomain(Other))
       continue;
-    const bool IsHeard = Now - Other.LastReportTime < ReachableTime;
+    const bool HasRecentReport = Now - Other.LastReportTime < ReachableTime;
     // Step 1. A daemon that is sent reports and does not answer has failed. It
     // still gets reports, but the next by name takes its place.
     const bool IsExpected = Main < MainReceivers && !Other.Stopping;
@@ -217,11 +217,11 @@
       Other.ExpectedSince = Now;
     const bool HasFailed =
         Other.UnlistedAt || Now - Other.ExpectedSince >= ReachableTime;
-    if (IsExpected && (IsHeard || !HasFailed))
+    if (IsExpected && (HasRecentReport || !HasFailed))
       ++Main;
 
     // Step 2. Answer every daemon that reports.
-    if (IsHeard || (IsExpected && !Other.UnlistedAt))
+    if (HasRecentReport || (IsExpected && !Other.UnlistedAt))
       Result.push_back(*Other.Endpoint);
   }
   return Result;
@@ -249,14 +249,15 @@
 
 void PeerRegistry::updateJoining(TimePoint Now) {
   std::size_t Listed = 0;
-  std::size_t Heard = 0;
+  std::size_t Reporting = 0;
   for (const auto &[Vm, Other] : m_Peers) {
     if (!isInOwnDomain(Other) || Other.UnlistedAt)
       continue;
     ++Listed;
-    Heard += Now - Other.LastReportTime < ReachableTime ? 1 : 0;
+    Reporting += Now - Other.LastReportTime < ReachableTime ? 1 : 0;
   }
-  if (static_cast<double>(Heard) >= MinHeardShare * static_cast<double>(Listed))
+  if (static_cast<double>(Reporting) >=
+      MinReportingShare * static_cast<double>(Listed))
     m_Joining = false;
 }
 
@@ -264,7 +265,7 @@
 
 std::optional<PeerRegistry::Delegate>
 PeerRegistry::delegate(TimePoint Now) const {
-  const auto IsHeard = [&](const Peer &Other) {
+  const auto HasRecentReport = [&](const Peer &Other) {
     return Other.LastReport.Domain == m_OwnDomain && !Other.Stopping &&
            Now - Other.LastReportTime < ReachableTime;
   };
@@ -272,7 +273,7 @@
   const std::pair<const std::string, Peer> *Established = nullptr;
   const std::pair<const std::string, Peer> *First = nullptr;
   for (const auto &Entry : m_Peers) {
-    if (!IsHeard(Entry.second))
+    if (!HasRecentReport(Entry.second))
       continue;
     if (!First)
       First = &Entry;
