gateway: a target's rate limit is shown in logs and metrics

Cause: the logs of the incident cannot tell whether a daemon read a target's rate limit, when, and how many requests it sent under it. Change: the statement is read and kept (TargetRateLimit), with a line target_limit when it changes, the limit in force at the send in request_end, the gauge rate_limited_targets and the counter mangodeck_limited_sends_total. No decision uses it yet. An answer without the field lifts the limit only if its request was sent after the limit was last stated. ScriptedTarget moves into a header of its own for tests with several gateways.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -49,6 +49,10 @@
   virtual void onOtherTargetLeaving(const TargetPtr &Expected) = 0;
   /// \p Target has rejected a request and wants no other for some time.
   virtual void onTargetPaused(const TargetPtr &Target) = 0;
+  /// An answer of \p Target states its rate limit, or that there is none any
+  /// longer.
+  virtual void onTargetRateLimit(const TargetPtr &Target,
+                                 const RateLimitStatement &Statement) = 0;
   /// Time after which the caller of a refused request should retry.
   virtual Duration retryAfter(const Exchange &Refused) = 0;
 };
@@ -141,6 +145,11 @@
   std::string serializeFor(const TrackedTarget &Target, TimePoint Now) const;
   /// Acts on what the head of an answer states about the target itself.
   void recordTargetState(const http::ResponseHead &Head, TimePoint Now);
+  /// Records the rate limit that the head of an answer to this request states.
+  /// An answer without one lifts the limit if the request was sent after the
+  /// limit was last stated: answers on different connections can arrive in
+  /// another order than they were made.
+  void recordTargetRateLimit(const http::ResponseHead &Head, TimePoint Now);
   /// Relays the events of the stream that are complete.
   void relayEvents();
   /// Relays one event; false if its id does not follow the id before it.
@@ -223,6 +232,8 @@
   TimePoint m_FirstEventAt{};
   Duration m_ExpectedTimeToFirstEvent{0}; ///< After m_SentAt.
   std::uint32_t m_RunningAtSend = 0;      ///< Requests already at the target.
+  /// The target's rate limit in force when the request was sent.
+  std::optional<double> m_RateLimitAtSend;
   Duration m_LongestEventGap{0};
 };
 
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -144,6 +144,8 @@
   void onTargetLeaving(const TargetPtr &Target) override;
   void onOtherTargetLeaving(const TargetPtr &Expected) override;
   void onTargetPaused(const TargetPtr &Target) override;
+  void onTargetRateLimit(const TargetPtr &Target,
+                         const RateLimitStatement &Statement) override;
   Duration retryAfter(const Exchange &Refused) override;
 
   // Messages to and from the slot broker of this failure domain.
--- a/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
+++ b/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
@@ -33,6 +33,8 @@
   /// A request was sent to a target of \p Service.
   void countSend(std::string_view Service, std::string_view Reason);
   /// A call to the store ended.
+  /// Counts a request sent to a target whose rate limit is in force.
+  void countLimitedSend(std::string_view Service);
   void countStoreCall(std::string_view Call, std::string_view Outcome);
   /// A datagram to or from another daemon; \p Direction is sent or received.
   void countPeerMessage(std::string_view Direction, std::size_t Bytes);
@@ -47,6 +49,7 @@
   std::shared_ptr<prometheus::Registry> m_Registry;
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Counter> &m_Sends;
+  prometheus::Family<prometheus::Counter> &m_LimitedSends;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
   prometheus::Family<prometheus::Counter> &m_PeerMessages;
   prometheus::Family<prometheus::Counter> &m_PeerBytes;
--- a/packages/gateway/include/mangodeck/gateway/headernames.h
+++ b/packages/gateway/include/mangodeck/gateway/headernames.h
@@ -21,6 +21,8 @@
   std::string ResponseStamp;  ///< A target's proof that it made the answer.
   std::string TargetLoad;     ///< "RUNNING,WAITING,SLOTS" of a target.
   std::string TargetLeaving;  ///< "1" in the answers of a target that leaves.
+  /// Requests per second that a target accepts from all daemons together.
+  std::string TargetRateLimit;
   /// Seconds after which a caller should retry, and for which a target that
   /// rejects a request wants none from this daemon.
   std::string RetryAfter;
--- a/packages/gateway/include/mangodeck/gateway/requestfacts.h
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -47,6 +47,11 @@
 /// Pause after a value that cannot be read.
 inline constexpr Duration DefaultTargetPause = 1s;
 
+/// Requests per second that a target accepts from all daemons together, from
+/// the header field HeaderNames::TargetRateLimit, a decimal number;
+/// std::nullopt if \p Field is malformed or negative.
+std::optional<double> parseTargetRateLimit(std::string_view Field);
+
 /// The work that a request is expected to cause at a target.
 RequestWork expectedWork(const RequestFacts &Facts,
                          const PlannedService *Service);
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
+#include "mangodeck/gateway/targetratelimit.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -78,6 +79,8 @@
   bool AnnouncedLeaving = false;
   /// The target has asked this daemon to send nothing before this time.
   TimePoint PausedUntil{};
+  /// Requests per second that the target accepts from all daemons.
+  TargetRateLimit RateLimit;
   /// The target is not used before this time, after failures.
   TimePoint AvoidUntil{};
   std::uint32_t ConsecutiveFailures = 0;
@@ -149,6 +152,8 @@
     return m_ByService;
   }
   std::size_t size() const { return m_ById.size(); }
+  /// Number of targets whose rate limit is in force.
+  std::size_t countRateLimited() const;
 
 private:
   /// A target whose registration was removed or replaced.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -42,6 +42,8 @@
 constexpr int FirstEventFactor = 2;
 /// Events that a send needs for a measurement of the target's pace.
 constexpr std::uint32_t MinEventsForPace = 4;
+/// Bytes of an unreadable header field that are logged.
+constexpr std::size_t MaxLoggedFieldBytes = 40;
 
 /// Whether \p Status tells the caller that its request has not been run.
 bool promisesNotExecuted(int Status) {
@@ -105,6 +107,7 @@
   m_Target = Chosen.Target;
   m_ExpectedTimeToFirstEvent = Chosen.TimeToFirstEvent;
   m_RunningAtSend = m_Target->running();
+  m_RateLimitAtSend = m_Target->RateLimit.lastStatement().PerSecond;
   m_Target->OwnRunning += 1;
   if (m_Target->Allowance > 0)
     m_Target->Allowance -= 1;
@@ -153,6 +156,8 @@
   ++m_PossibleRuns;
   m_Context.Metrics.countSend(m_Service.view(),
                               m_SendCount == 1 ? "first" : "again");
+  if (m_Target->RateLimit.isActive())
+    m_Context.Metrics.countLimitedSend(m_Service.view());
   m_Connection->exchange(serializeFor(*m_Target, Now),
                          m_Request.Head.Method == "HEAD", *this);
 }
@@ -200,6 +205,8 @@
   if (Head.Fields.find("Content-Encoding") ||
       (Success && !Head.Fields.find(Names.ResponseStamp)))
     m_AnswerInvalid = true;
+  if (!m_AnswerInvalid && Head.Status != 421)
+    recordTargetRateLimit(Head, Now);
   m_Rejected = Head.Status == 421 || Head.Fields.find(Names.NotExecuted);
   m_IsStream = Success && !m_AnswerInvalid &&
                Head.Fields.get("Content-Type").starts_with("text/event-stream");
@@ -229,6 +236,22 @@
   m_Context.Control.onTargetPaused(m_Target);
 }
 
+void Exchange::recordTargetRateLimit(const http::ResponseHead &Head,
+                                     TimePoint Now) {
+  const auto *Field = Head.Fields.find(m_Context.Names.TargetRateLimit);
+  const auto &Limit = m_Target->RateLimit;
+  if (!Field) {
+    if (Limit.isActive() && m_SentAt > Limit.lastStatement().StatedAt)
+      m_Context.Control.onTargetRateLimit(m_Target, {std::nullopt, Now});
+    return;
+  }
+  const auto PerSecond = parseTargetRateLimit(*Field);
+  if (!PerSecond)
+    return logEvent("target_limit_unreadable",
+                    std::string_view(*Field).substr(0, MaxLoggedFieldBytes));
+  m_Context.Control.onTargetRateLimit(m_Target, {PerSecond, Now});
+}
+
 void Exchange::onAnswerBody(std::string_view Bytes) {
   m_LastByteAt = m_Target->LastByteAt = std::chrono::steady_clock::now();
   if (m_IsStream) {
@@ -572,6 +595,7 @@
        {"wait_ms", msSinceArrival(m_FirstSentAt)},
        {"expected_first_ms", toMs(m_ExpectedTimeToFirstEvent)},
        {"running_at_send", m_RunningAtSend},
+       {"target_limit", m_RateLimitAtSend.value_or(-1)},
        {"first_ms", msSinceArrival(m_FirstEventAt)},
        {"whole_ms", ageMs(m_Arrival, Now)},
        {"prompt", m_Facts.PromptTokens},
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -771,6 +771,16 @@
   scheduleDispatch(Target->Entry.Service);
 }
 
+void Gateway::onTargetRateLimit(const TargetPtr &Target,
+                                const RateLimitStatement &Statement) {
+  const auto Previous = Target->RateLimit.lastStatement().PerSecond;
+  if (Target->RateLimit.apply(Statement))
+    m_Log.write("target_limit", {{"target", Target->Entry.Id.Text},
+                                 {"per_s", Statement.PerSecond.value_or(-1)},
+                                 {"before", Previous.value_or(-1)},
+                                 {"told_by", "its answer"}});
+}
+
 void Gateway::onCallerLeft(http::CallerConnection &Connection) {
   const auto Found = m_ExchangeByCaller.find(&Connection);
   if (Found == m_ExchangeByCaller.end())
@@ -1104,6 +1114,8 @@
     m_Pool.prune(Now);
     m_Metrics.setGauge("in_flight",
                        static_cast<double>(m_ExchangeByNumber.size()));
+    m_Metrics.setGauge("rate_limited_targets",
+                       static_cast<double>(m_Targets.countRateLimited()));
     m_Metrics.setGauge("ticks", static_cast<double>(m_TickCount));
     m_Metrics.setGauge("target_connections_opened",
                        static_cast<double>(m_Pool.opened()));
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -31,6 +31,9 @@
                                   "Requests by route and outcome.")),
       m_Sends(registerCounters(*m_Registry, "mangodeck_sends_total",
                                "Requests sent to targets, by reason.")),
+      m_LimitedSends(registerCounters(
+          *m_Registry, "mangodeck_limited_sends_total",
+          "Requests sent to targets whose rate limit is in force.")),
       m_StoreCalls(registerCounters(*m_Registry, "mangodeck_store_calls_total",
                                     "Calls to the store by outcome.")),
       m_PeerMessages(registerCounters(*m_Registry,
@@ -84,6 +87,10 @@
       .Increment();
 }
 
+void GatewayMetrics::countLimitedSend(std::string_view Service) {
+  m_LimitedSends.Add({{"service", std::string(Service)}}).Increment();
+}
+
 void GatewayMetrics::countStoreCall(std::string_view Call,
                                     std::string_view Outcome) {
   m_StoreCalls
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -23,6 +23,18 @@
   return Value;
 }
 
+/// A decimal number of at least 0, without an exponent.
+std::optional<double> parseDecimal(std::string_view Text) {
+  double Value = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto [At, Error] =
+      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+  if (Error != std::errc() || At != End || !std::isfinite(Value) ||
+      std::signbit(Value))
+    return std::nullopt;
+  return Value;
+}
+
 } // namespace
 
 RequestFacts parseRequestFacts(const http::Request &Message,
@@ -72,14 +84,14 @@
 bool parseTargetLeaving(std::string_view Field) { return Field == "1"; }
 
 std::optional<Duration> parseTargetPause(std::string_view Field) {
-  double Seconds = 0;
-  const auto *End = Field.data() + Field.size();
-  const auto [At, Error] =
-      std::from_chars(Field.data(), End, Seconds, std::chars_format::fixed);
-  if (Error != std::errc() || At != End || !std::isfinite(Seconds) ||
-      Seconds < 0)
+  const auto Seconds = parseDecimal(Field);
+  if (!Seconds)
     return std::nullopt;
-  return fromSeconds(std::min(Seconds, toSeconds(MaxTargetPause)));
+  return fromSeconds(std::min(*Seconds, toSeconds(MaxTargetPause)));
+}
+
+std::optional<double> parseTargetRateLimit(std::string_view Field) {
+  return parseDecimal(Field);
 }
 
 RequestWork expectedWork(const RequestFacts &Facts,
--- a/packages/gateway/src/targetregistry.cpp
+++ b/packages/gateway/src/targetregistry.cpp
@@ -130,6 +130,7 @@
   // What the target asked of this daemon holds until the target restarts.
   New->AnnouncedLeaving = Departed.Target->AnnouncedLeaving;
   New->PausedUntil = Departed.Target->PausedUntil;
+  New->RateLimit = Departed.Target->RateLimit;
   return New;
 }
 
@@ -170,6 +171,13 @@
   return Found == m_ByHash.end() ? nullptr : Found->second;
 }
 
+std::size_t TargetRegistry::countRateLimited() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_ById.begin(), m_ById.end(), [](const auto &Entry) {
+        return Entry.second->RateLimit.isActive();
+      }));
+}
+
 std::span<const TargetPtr>
 TargetRegistry::targetsOf(const ServiceName &Service) const {
   const auto Found = m_ByService.find(Service.Text);
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include "mangodeck/gateway/gateway.h"
 
+#include "gatewaysupport.h"
 #include "mangodeck/common/random.h"
 
 #include <asio/connect.hpp>
@@ -10,122 +11,6 @@
 
 namespace mangodeck {
 
-namespace {
-
-HeaderNames testNames() {
-  HeaderNames Names;
-  Names.AttemptId = "X-Attempt";
-  Names.RemainingTime = "X-Left";
-  Names.TokenCounts = "X-Tokens";
-  Names.OutputHint = "X-Hint";
-  Names.LastEventId = "Last-Event-Id";
-  Names.Authorization = "Authorization";
-  Names.AuthScheme = "Bearer";
-  Names.Customer = "X-Customer";
-  Names.ExpectedTarget = "X-Expect";
-  Names.NotExecuted = "X-Not-Executed";
-  Names.ResponseStamp = "X-Stamp";
-  Names.TargetLoad = "X-Load";
-  Names.TargetLeaving = "X-Leaving";
-  Names.RetryAfter = "Retry-After";
-  Names.Reserved = {"X-Customer", "X-Expect"};
-  return Names;
-}
-
-/// A target that answers each request with the next of its scripts. Requests
-/// beyond the last script get no answer.
-class ScriptedTarget {
-public:
-  struct Script {
-    std::string Bytes;
-    bool Close = false; ///< Close the connection afterwards.
-    bool Reset = false; ///< Close it with a reset.
-  };
-
-  explicit ScriptedTarget(asio::io_context &Loop)
-      : m_Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), 0}) {
-    accept();
-  }
-
-  std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
-  void close() { m_Acceptor.close(); }
-
-  std::vector<Script> Scripts;
-  std::vector<std::string> Requests;
-
-private:
-  struct Session {
-    explicit Session(asio::ip::tcp::socket S) : Socket(std::move(S)) {}
-    asio::ip::tcp::socket Socket;
-    std::array<char, 4096> Buffer;
-    std::string Read;
-  };
-
-  void accept() {
-    m_Acceptor.async_accept(
-        [this](std::error_code Error, asio::ip::tcp::socket Socket) {
-          if (Error)
-            return;
-          read(std::make_shared<Session>(std::move(Socket)));
-          accept();
-        });
-  }
-
-  void read(std::shared_ptr<Session> Client) {
-    Client->Socket.async_read_some(
-        asio::buffer(Client->Buffer),
-        [this, Client](std::error_code Error, std::size_t Size) {
-          if (Error)
-            return;
-          Client->Read.append(Client->Buffer.data(), Size);
-          if (Client->Read.find("\r\n\r\n") != std::string::npos)
-            answer(Client);
-          else
-            read(Client);
-        });
-  }
-
-  void answer(const std::shared_ptr<Session> &Client) {
-    const auto Index = Requests.size();
-    Requests.push_back(Client->Read);
-    Client->Read.clear();
-    if (Index >= Scripts.size())
-      return read(Client);
-    const auto &Next = Scripts[Index];
-    std::error_code Ignored;
-    asio::write(Client->Socket, asio::buffer(Next.Bytes), Ignored);
-    if (Next.Reset)
-      Client->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
-    if (Next.Close || Next.Reset)
-      Client->Socket.close(Ignored);
-    else
-      read(Client);
-  }
-
-  asio::ip::tcp::acceptor m_Acceptor;
-};
-
-std::string plainAnswer(const std::string &Id, int Status = 200,
-                        const std::string &ExtraFields = "X-Stamp: r\r\n") {
-  return "HTTP/1.1 " + std::to_string(Status) + " S\r\nX-Attempt: " + Id +
-         "\r\n" + ExtraFields + "Content-Length: 2\r\n\r\nok";
-}
-
-std::string streamHead(const std::string &Id) {
-  return "HTTP/1.1 200 OK\r\nX-Attempt: " + Id +
-         "\r\nX-Stamp: r\r\nContent-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string eventChunk(int Id) {
-  const auto Text = "id: " + std::to_string(Id) + "\ndata: x\n\n";
-  std::string Out;
-  http::appendChunk(Out, Text);
-  return Out;
-}
-
-} // namespace
-
 /// A complete gateway between a caller and two scripted targets, on one event
 /// loop over loopback. Waits are bounded and end when their condition holds.
 class GatewayTest : public CppUnit::TestFixture {
@@ -156,6 +41,8 @@
   CPPUNIT_TEST(target_unreadableRetryAfter_pausesForDefault);
   CPPUNIT_TEST(allTargets_pause_callerIsRefusedWithTimeOfPause);
   CPPUNIT_TEST(retryAfter_ofTarget_isParsedWithinBounds);
+  CPPUNIT_TEST(rateLimit_ofTarget_isParsed);
+  CPPUNIT_TEST(target_statesRateLimit_isShownUntilItIsLifted);
   CPPUNIT_TEST(customer_overLimit_gets429WithRetryAfter);
   CPPUNIT_TEST(caller_disconnects_targetConnectionIsClosed);
   CPPUNIT_TEST(plan_older_isIgnored);
@@ -496,6 +383,33 @@
       CPPUNIT_ASSERT_MESSAGE(Invalid, !parseTargetPause(Invalid));
   }
 
+  void rateLimit_ofTarget_isParsed() {
+    CPPUNIT_ASSERT_EQUAL(2.5, parseTargetRateLimit("2.5").value());
+    CPPUNIT_ASSERT_EQUAL(0.0, parseTargetRateLimit("0").value());
+    for (const char *Unreadable : {"", "-1", "1e3", "nan", "inf", "soon", "1 "})
+      CPPUNIT_ASSERT(!parseTargetRateLimit(Unreadable));
+  }
+
+  void target_statesRateLimit_isShownUntilItIsLifted() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    const auto WithLimit = [](const char *Id, const std::string &Limit) {
+      return plainAnswer(Id, 200, "X-Stamp: r\r\nX-Limit: " + Limit + "\r\n");
+    };
+    m_TargetA->Scripts = {{WithLimit("1", "50")},
+                          {WithLimit("2", "unreadable")},
+                          {plainAnswer("3")}};
+    sendRequest(requestText("1"));
+    runLoopFor(300ms);
+    CPPUNIT_ASSERT_EQUAL(1.0, gauge("rate_limited_targets"));
+    sendRequest(requestText("2"));
+    runLoopFor(300ms);
+    CPPUNIT_ASSERT_EQUAL(1.0, gauge("rate_limited_targets"));
+    sendRequest(requestText("3"));
+    runLoopFor(300ms);
+    CPPUNIT_ASSERT_EQUAL(0.0, gauge("rate_limited_targets"));
+  }
+
   void customer_overLimit_gets429WithRetryAfter() {
     configure(RouteKind::Idempotent, 1, false, 2);
     addTarget("a", *m_TargetA);
@@ -752,13 +666,6 @@
     return TrackedTarget(Entry).Hash;
   }
 
-  static std::uint16_t freePort() {
-    asio::io_context Loop;
-    asio::ip::tcp::acceptor Acceptor(Loop,
-                                     {asio::ip::make_address("127.0.0.1"), 0});
-    return Acceptor.local_endpoint().port();
-  }
-
   static std::string requestText(const std::string &Id) {
     return "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt: " + Id +
            "\r\nX-Left: 5000\r\nAuthorization: Bearer k\r\n\r\n";
--- /dev/null
+++ b/packages/gateway/test/gatewaysupport.h
@@ -0,0 +1,149 @@
+#ifndef MANGODECK_GATEWAY_TEST_GATEWAYSUPPORT_H
+#define MANGODECK_GATEWAY_TEST_GATEWAYSUPPORT_H
+
+#include "mangodeck/gateway/headernames.h"
+#include "mangodeck/http/message.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangodeck {
+
+inline HeaderNames testNames() {
+  HeaderNames Names;
+  Names.AttemptId = "X-Attempt";
+  Names.RemainingTime = "X-Left";
+  Names.TokenCounts = "X-Tokens";
+  Names.OutputHint = "X-Hint";
+  Names.LastEventId = "Last-Event-Id";
+  Names.Authorization = "Authorization";
+  Names.AuthScheme = "Bearer";
+  Names.Customer = "X-Customer";
+  Names.ExpectedTarget = "X-Expect";
+  Names.NotExecuted = "X-Not-Executed";
+  Names.ResponseStamp = "X-Stamp";
+  Names.TargetLoad = "X-Load";
+  Names.TargetLeaving = "X-Leaving";
+  Names.TargetRateLimit = "X-Limit";
+  Names.RetryAfter = "Retry-After";
+  Names.Reserved = {"X-Customer", "X-Expect"};
+  return Names;
+}
+
+/// A target that answers each request with the next of its scripts, and those
+/// beyond the last script by \p Answer; without it they get no answer.
+class ScriptedTarget {
+public:
+  struct Script {
+    std::string Bytes;
+    bool Close = false; ///< Close the connection afterwards.
+    bool Reset = false; ///< Close it with a reset.
+  };
+
+  explicit ScriptedTarget(asio::io_context &Loop)
+      : m_Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+
+  std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
+  void close() { m_Acceptor.close(); }
+
+  std::vector<Script> Scripts;
+  std::function<std::string(const std::string &Request)> Answer;
+  std::vector<std::string> Requests;
+
+private:
+  struct Session {
+    explicit Session(asio::ip::tcp::socket S) : Socket(std::move(S)) {}
+    asio::ip::tcp::socket Socket;
+    std::array<char, 4096> Buffer;
+    std::string Read;
+  };
+
+  void accept() {
+    m_Acceptor.async_accept(
+        [this](std::error_code Error, asio::ip::tcp::socket Socket) {
+          if (Error)
+            return;
+          read(std::make_shared<Session>(std::move(Socket)));
+          accept();
+        });
+  }
+
+  void read(std::shared_ptr<Session> Client) {
+    Client->Socket.async_read_some(
+        asio::buffer(Client->Buffer),
+        [this, Client](std::error_code Error, std::size_t Size) {
+          if (Error)
+            return;
+          Client->Read.append(Client->Buffer.data(), Size);
+          if (Client->Read.find("\r\n\r\n") != std::string::npos)
+            answer(Client);
+          else
+            read(Client);
+        });
+  }
+
+  void answer(const std::shared_ptr<Session> &Client) {
+    const auto Index = Requests.size();
+    Requests.push_back(Client->Read);
+    Client->Read.clear();
+    if (Index >= Scripts.size()) {
+      std::error_code Ignored;
+      if (Answer)
+        asio::write(Client->Socket, asio::buffer(Answer(Requests.back())),
+                    Ignored);
+      return read(Client);
+    }
+    const auto &Next = Scripts[Index];
+    std::error_code Ignored;
+    asio::write(Client->Socket, asio::buffer(Next.Bytes), Ignored);
+    if (Next.Reset)
+      Client->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    if (Next.Close || Next.Reset)
+      Client->Socket.close(Ignored);
+    else
+      read(Client);
+  }
+
+  asio::ip::tcp::acceptor m_Acceptor;
+};
+
+inline std::string
+plainAnswer(const std::string &Id, int Status = 200,
+            const std::string &ExtraFields = "X-Stamp: r\r\n") {
+  return "HTTP/1.1 " + std::to_string(Status) + " S\r\nX-Attempt: " + Id +
+         "\r\n" + ExtraFields + "Content-Length: 2\r\n\r\nok";
+}
+
+inline std::string streamHead(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt: " + Id +
+         "\r\nX-Stamp: r\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string eventChunk(int Id) {
+  const auto Text = "id: " + std::to_string(Id) + "\ndata: x\n\n";
+  std::string Out;
+  http::appendChunk(Out, Text);
+  return Out;
+}
+
+/// A port that no socket of 127.0.0.1 uses.
+inline std::uint16_t freePort() {
+  asio::io_context Loop;
+  asio::ip::tcp::acceptor Acceptor(Loop,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  return Acceptor.local_endpoint().port();
+}
+
+} // namespace mangodeck
+
+#endif
