gateway: failing tests of a target's rate limit

Change: tests of one daemon and of six daemons in two failure domains before a target that states a limit.

--- /dev/null
+++ b/packages/gateway/test/ratelimit_test.cpp
@@ -0,0 +1,270 @@
+#include "gatewaysupport.h"
+#include "mangodeck/common/random.h"
+#include "mangodeck/gateway/gateway.h"
+#include "mangodeck/http/parser.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+
+namespace mangodeck {
+
+namespace {
+
+/// The platform's bound on the requests to a target that has stated a limit:
+/// in any LimitWindow at most LimitFactor times what the limit allows and
+/// LimitSlack requests, of the daemons that were told LearningTime before.
+constexpr Duration LimitWindow = 4s;
+constexpr double LimitFactor = 1.5;
+constexpr double LimitSlack = 5;
+constexpr Duration LearningTime = 500ms;
+
+/// The largest number of \p Arrivals, which are in order, in one LimitWindow.
+std::size_t mostInWindow(const std::vector<TimePoint> &Arrivals) {
+  std::size_t Most = 0;
+  for (auto First = Arrivals.begin(); First != Arrivals.end(); ++First) {
+    const auto End =
+        std::lower_bound(First, Arrivals.end(), *First + LimitWindow);
+    Most = std::max(Most, static_cast<std::size_t>(End - First));
+  }
+  return Most;
+}
+
+std::size_t maxInWindow(double PerSecond) {
+  return static_cast<std::size_t>(
+      LimitFactor * PerSecond * toSeconds(LimitWindow) + LimitSlack);
+}
+
+/// A gateway with its own addresses.
+struct FleetDaemon {
+  FleetDaemon(asio::io_context &Loop, const HeaderNames &Names,
+              const std::string &Vm, const std::string &Domain,
+              std::uint64_t Seed)
+      : Random(Seed), Log(-1, Vm, "1", 10000) {
+    Settings.Vm = Vm;
+    Settings.Incarnation = 1;
+    Settings.Domain = FailureDomain(Domain);
+    Settings.Ip = "127.0.0.1";
+    Settings.CallerPort = freePort();
+    Settings.ReadyPort = freePort();
+    Settings.PeerPort = freePort();
+    Settings.ReadyPath = "/ready";
+    Server.emplace(Loop, Settings, Names, Log, Metrics, Random);
+    CPPUNIT_ASSERT(!Server->start());
+  }
+
+  SeededRandom Random;
+  EventLog Log;
+  GatewayMetrics Metrics;
+  GatewaySettings Settings;
+  std::optional<Gateway> Server;
+};
+
+/// A caller that sends one request after another to one daemon.
+class SteadyCaller : private http::MessageSink {
+public:
+  SteadyCaller(asio::io_context &Loop, std::uint16_t Port, std::string Name,
+               Duration Pause)
+      : m_Socket(Loop), m_Timer(Loop), m_Parser(*this), m_Name(std::move(Name)),
+        m_Pause(Pause) {
+    m_Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+    send();
+  }
+
+  std::size_t Served = 0;
+  std::size_t Failed = 0;
+
+private:
+  void onHead() override {}
+  void onBody(std::string_view) override {}
+
+  void send() {
+    m_Parser.reset(false);
+    m_Request = "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt: " + m_Name + "-" +
+                std::to_string(++m_Sent) + "\r\nX-Left: 2000\r\n\r\n";
+    asio::write(m_Socket, asio::buffer(m_Request));
+    read();
+  }
+
+  void read() {
+    m_Socket.async_read_some(
+        asio::buffer(m_Buffer),
+        [this](std::error_code Error, std::size_t Size) {
+          if (Error)
+            return;
+          m_Parser.feed({m_Buffer.data(), Size});
+          if (!m_Parser.isComplete())
+            return read();
+          ++(m_Parser.head().Status == 200 ? Served : Failed);
+          m_Timer.expires_after(m_Pause);
+          m_Timer.async_wait([this](std::error_code Cancelled) {
+            if (!Cancelled)
+              send();
+          });
+        });
+  }
+
+  asio::ip::tcp::socket m_Socket;
+  asio::steady_timer m_Timer;
+  http::ResponseParser m_Parser;
+  std::string m_Name;
+  Duration m_Pause;
+  std::string m_Request;
+  std::array<char, 4096> m_Buffer;
+  std::uint64_t m_Sent = 0;
+};
+
+} // namespace
+
+/// Daemons of two failure domains on one event loop. Target "limited" states a
+/// rate limit in all answers; "near", in the same domain, and "far" do not.
+class RateLimitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RateLimitTest);
+  CPPUNIT_TEST(limit_oneDaemon_isKept);
+  CPPUNIT_TEST(limit_daemonsOfTwoDomains_isKeptInSum);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    m_Loop.emplace();
+    for (auto *Target : {&m_Limited, &m_Near, &m_Far}) {
+      Target->emplace(*m_Loop);
+      (*Target)->Answer = [](const std::string &Request) {
+        return plainAnswer(attemptOf(Request));
+      };
+    }
+  }
+
+  void tearDown() override {
+    m_Callers.clear();
+    m_Daemons.clear();
+    m_Limited.reset();
+    m_Near.reset();
+    m_Far.reset();
+    m_Loop.reset();
+  }
+
+  void limit_oneDaemon_isKept() {
+    const double PerSecond = 1;
+    startFleet({"a-1"}, PerSecond);
+    runLoopFor(LimitWindow + 2s);
+    assertKept(PerSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), failedRequests());
+  }
+
+  void limit_daemonsOfTwoDomains_isKeptInSum() {
+    const double PerSecond = 4;
+    startFleet({"a-1", "a-2", "a-3", "b-1", "b-2", "b-3"}, PerSecond);
+    runLoopFor(LimitWindow + 2s);
+    assertKept(PerSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), failedRequests());
+  }
+
+private:
+  static std::string attemptOf(const std::string &Request) {
+    const auto At = Request.find("X-Attempt: ") + 11;
+    return Request.substr(At, Request.find('\r', At) - At);
+  }
+
+  /// Starts daemons, whose failure domain is the first letter of their names,
+  /// with two callers each.
+  void startFleet(const std::vector<std::string> &Vms, double PerSecond) {
+    for (const auto &Vm : Vms)
+      m_Daemons.push_back(std::make_unique<FleetDaemon>(
+          *m_Loop, m_Names, Vm, Vm.substr(0, 1), m_Daemons.size()));
+    m_Limited->Answer = [this, PerSecond](const std::string &Request) {
+      const auto Attempt = attemptOf(Request);
+      const auto Now = std::chrono::steady_clock::now();
+      const auto Vm = Attempt.substr(0, 3);
+      const auto Told = m_ToldAt.try_emplace(Vm, Now).first->second;
+      if (Now - Told >= LearningTime)
+        m_ArrivalsOfTold.push_back(Now);
+      return plainAnswer(Attempt, 200,
+                         "X-Stamp: r\r\nX-Limit: " + std::to_string(PerSecond) +
+                             "\r\n");
+    };
+    for (auto &Each : m_Daemons) {
+      for (const auto &Other : m_Daemons)
+        Each->Server->onPeerUpdated(
+            Other->Settings.Vm,
+            {"127.0.0.1", Other->Settings.PeerPort, Other->Settings.Domain});
+      Each->Server->onPlan(plan());
+      for (const auto &[Id, Target, Domain] :
+           {std::tuple("limited", &m_Limited, "a"),
+            std::tuple("near", &m_Near, "a"), std::tuple("far", &m_Far, "b")})
+        Each->Server->onTargetUpdated(entry(Id, **Target, Domain));
+      Each->Server->onDirectoryComplete();
+    }
+    runLoopFor(500ms); // The daemons exchange reports.
+    for (const auto &Each : m_Daemons)
+      for (int Number = 0; Number < 2; ++Number)
+        m_Callers.push_back(std::make_unique<SteadyCaller>(
+            *m_Loop, Each->Settings.CallerPort,
+            Each->Settings.Vm + "-" + std::to_string(Number), 25ms));
+  }
+
+  static RoutePlanPtr plan() {
+    auto Plan = std::make_shared<RoutePlan>();
+    Plan->Version = 1;
+    Route Only;
+    Only.Name = "r";
+    Only.Host = "h";
+    Only.Prefix = "/p/";
+    Only.Kind = RouteKind::Idempotent;
+    Only.Timeout = 2s;
+    Only.LatencyTarget = 1s;
+    Only.Attempts = 2;
+    Only.Shares = {{ServiceName("s"), 1}};
+    Plan->Routes = {Only};
+    Plan->index();
+    return Plan;
+  }
+
+  static TargetEntry entry(const char *Id, const ScriptedTarget &Target,
+                           const char *Domain) {
+    TargetEntry Entry;
+    Entry.Id = TargetName(Id);
+    Entry.Service = ServiceName("s");
+    Entry.Domain = FailureDomain(Domain);
+    Entry.Ip = "127.0.0.1";
+    Entry.Port = Target.port();
+    Entry.Slots = 4;
+    return Entry;
+  }
+
+  void runLoopFor(Duration Span) {
+    m_Loop->restart();
+    m_Loop->run_for(Span);
+  }
+
+  void assertKept(double PerSecond) const {
+    const auto Most = mostInWindow(m_ArrivalsOfTold);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Most) + " requests in one window, " +
+                               std::to_string(maxInWindow(PerSecond)) +
+                               " allowed",
+                           Most <= maxInWindow(PerSecond));
+  }
+
+  std::size_t failedRequests() const {
+    std::size_t Sum = 0;
+    for (const auto &Each : m_Callers)
+      Sum += Each->Failed;
+    return Sum;
+  }
+
+  const HeaderNames m_Names = testNames();
+  std::optional<asio::io_context> m_Loop;
+  std::optional<ScriptedTarget> m_Limited;
+  std::optional<ScriptedTarget> m_Near;
+  std::optional<ScriptedTarget> m_Far;
+  std::vector<std::unique_ptr<FleetDaemon>> m_Daemons;
+  std::vector<std::unique_ptr<SteadyCaller>> m_Callers;
+  /// Arrival of the first request of each daemon at the limited target.
+  std::map<std::string, TimePoint> m_ToldAt;
+  /// Arrivals at the limited target from daemons told LearningTime before.
+  std::vector<TimePoint> m_ArrivalsOfTold;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitTest);
+
+} // namespace mangodeck
