gateway: targets' rate limits are kept by all daemons together

Callers saw nothing; a target in need was sent up to 18 requests in 4 s under a limit of 1 a second. Class: a constraint on the sum over all daemons that no daemon knew of. Change: the slot broker of the target's failure domain grants from a token bucket of the whole limit. It has the whole only while more than half of the domain's daemons, by their reports, take it for the broker, so that two at once cannot both; smaller sides and daemons without a broker have small shares, and a share below a token yields permits by chance that expire. A grant without a permit is not used for a target that has told this daemon its limit. Limits travel in reports with their age; an answer without one lifts it.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -34,9 +34,10 @@
 };
 
 /// Chooses a target for a request; std::nullopt if no usable target has a free
-/// slot. A request is sent only to a target that can start it without delay.
-/// Engines differ in speed and know no priorities, so during bursts the
-/// waiting requests stay in the daemons, which order them by rank.
+/// slot and a permit under its rate limit. A request is sent only to a target
+/// that can start it without delay. Engines differ in speed and know no
+/// priorities, so during bursts the waiting requests stay in the daemons, which
+/// order them by rank.
 ///
 /// Targets that are expected to meet the latency target are preferred, then
 /// those where the prompt does not stall the streams of other requests, then
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -184,6 +184,13 @@
   void receivePeerMessage();
   /// Applies what another daemon reports of targets that leave.
   void applyLeavingTargets(const PeerReport &Report);
+  /// Applies what another daemon reports of targets' rate limits.
+  void applyRateLimits(const PeerReport &Report, TimePoint Now);
+  /// Applies a statement on a target's rate limit, and logs a change.
+  /// \p Source names the daemon that reported it, or the target's answer.
+  void applyRateLimit(TrackedTarget &Target,
+                      const RateLimitStatement &Statement,
+                      std::string_view Source);
   void handleReport(PeerReport Report, TimePoint Now);
   void sendTo(std::span<const PeerEndpoint> Peers, std::string_view Bytes);
   void updateDaemonCount(TimePoint Now);
@@ -199,6 +206,8 @@
   bool usesOwnSummary() const {
     return m_RemoteBroker.has_value() && m_Peers.isDomainLarge();
   }
+  /// Updates this daemon's share of the targets' rate limits.
+  void updateRateLimitShares(TimePoint Now);
   /// Updates, once per reportPeriod(), the load that other daemons cause at
   /// each target and the requests that this daemon may send there.
   void refreshTargetLoads(TimePoint Now);
@@ -278,6 +287,10 @@
   /// Targets that stated in an answer that they leave, by TrackedTarget::Hash,
   /// and since when; named in the reports to other daemons.
   std::map<std::uint64_t, TimePoint> m_AnnouncedLeaving;
+  /// The last statement on its rate limit in an answer of a target to this
+  /// daemon, by TrackedTarget::Hash; included in the reports to other daemons.
+  /// What others reported is not, since each hop adds its delay to the time.
+  std::map<std::uint64_t, RateLimitStatement> m_OwnRateLimitStatements;
   std::vector<ExpiredTarget> m_ExpiredTargets;
   std::unordered_map<const http::CallerConnection *,
                      std::shared_ptr<http::CallerConnection>>
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -48,6 +48,13 @@
   }
 };
 
+/// The last statement of a target on its rate limit.
+struct ReportedRateLimit {
+  std::uint64_t Target = 0; ///< TrackedTarget::Hash.
+  std::optional<double> PerSecond;
+  Duration Age{0}; ///< Since the statement; the clocks of two daemons differ.
+};
+
 /// The state of a daemon, which the daemon sends to the others of its failure
 /// domain once per Gateway::reportPeriod(). A domain summary holds the sums of
 /// all daemons of a failure domain; the delegate of the domain makes it and
@@ -81,6 +88,10 @@
   std::vector<LeavingTarget> LeavingTargets;
   /// TrackedTarget::Hash of targets that stated in an answer that they leave.
   std::vector<std::uint64_t> AnnouncedLeaving;
+  /// Statements in answers to the sender.
+  std::vector<ReportedRateLimit> RateLimits;
+  /// The daemon that the sender takes for the delegate of its failure domain.
+  std::string Delegate;
 };
 
 /// Sums the requests of a daemon by target.
@@ -157,6 +168,17 @@
   };
   /// The delegate of the own failure domain; std::nullopt if it is this daemon.
   std::optional<Delegate> delegate(TimePoint Now) const;
+  /// How many of the daemons of the own failure domain that may be serving,
+  /// this one included, take this daemon for the delegate.
+  struct DelegateSupport {
+    std::size_t Supporters = 1;
+    std::size_t Daemons = 1;
+    /// More than half of the daemons, or half of them with the first by name.
+    /// Each daemon supports one other at a time, so this can hold for two only
+    /// while reports are under way.
+    bool IsMajority = false;
+  };
+  DelegateSupport delegateSupport(TimePoint Now) const;
   /// The last listed endpoint of a daemon; std::nullopt if the store never
   /// listed it.
   std::optional<PeerEndpoint> endpointOf(const std::string &Vm) const;
@@ -191,6 +213,9 @@
     TimePoint ExpectedSince{};
   };
   bool isInOwnDomain(const Peer &Other) const;
+  /// Whether the daemon may be serving. One that is unlisted or silent still
+  /// counts for a grace period.
+  static bool mayBeServing(const Peer &Other, TimePoint Now);
   /// The summary of the own domain that the delegate has sent recently; null if
   /// there is none.
   const Peer *recentOwnSummary(TimePoint Now) const;
--- a/packages/gateway/include/mangodeck/gateway/slotbroker.h
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -79,6 +79,7 @@
     std::uint64_t Target = 0; ///< TrackedTarget::Hash.
     TokenCount PrefillTokens = 0;
     TimePoint GrantedAt{};
+    bool HasPermit = false; ///< See SlotDecision.
   };
   struct ServiceState {
     DispatchQueue Queue;
--- a/packages/gateway/include/mangodeck/gateway/slotmessages.h
+++ b/packages/gateway/include/mangodeck/gateway/slotmessages.h
@@ -44,6 +44,8 @@
   /// Estimated time until every request in the broker's queue of the service
   /// has been dispatched; 0 if granted.
   Duration BacklogTime{0};
+  /// If granted: the grant has taken a permit under the target's rate limit.
+  bool HasPermit = false;
 };
 
 /// How a request ended at its target.
--- a/packages/gateway/include/mangodeck/gateway/targetratelimit.h
+++ b/packages/gateway/include/mangodeck/gateway/targetratelimit.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/common/units.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace mangodeck {
@@ -14,7 +15,17 @@
   TimePoint StatedAt{};            ///< Arrival of the answer.
 };
 
-/// The rate limit of one target.
+/// The rate limit of one target, and this daemon's permits to send under it.
+///
+/// Dividing a limit among the daemons in advance would waste most of it: of one
+/// request a second, each of 295 daemons would get one in five minutes. So the
+/// slot broker of the target's failure domain grants permits from one token
+/// bucket that holds the whole limit. Every other daemon has a small share for
+/// requests on which no broker decides.
+///
+/// The burst is divided like the rate. A share that cannot hold a whole token
+/// yields permits at random, at its mean rate, and an unused permit expires:
+/// saved permits of many daemons would arrive at the target together.
 class TargetRateLimit {
 public:
   /// Applies a statement unless it is older than the last one. Returns whether
@@ -23,10 +34,43 @@
   const RateLimitStatement &lastStatement() const { return m_Last; }
   bool isActive() const { return m_Last.PerSecond.has_value(); }
 
+  /// Sets the share of the limit that this daemon may use, from 0 to 1. A
+  /// larger share starts with an empty bucket, since the daemon that had it
+  /// before may have used the burst.
+  void setShare(double Share, TimePoint Now);
+  /// For a share that cannot hold a whole token: draws whether the time since
+  /// the last draw yields a permit. \p Draw is uniform in [0, 1).
+  void drawPermit(double Draw, TimePoint Now);
+
+  /// Whether a request may be sent; true without a limit.
+  bool hasPermit(TimePoint Now) const;
+  /// Takes a permit; there must be one.
+  void takePermit(TimePoint Now);
+
 private:
+  double ratePerSecond() const;
+  /// Permits that the bucket holds at most.
+  double capacity() const;
+  double permitsAt(TimePoint Now) const;
+
   RateLimitStatement m_Last;
+  double m_Share = 0;
+  double m_Permits = 0; ///< At m_UpdatedAt.
+  /// Of a share that cannot hold a whole token: time of the last permit.
+  TimePoint m_UpdatedAt{};
+  TimePoint m_DrawnAt{};
 };
 
+/// Share of a limit from which the slot broker of the target's failure domain
+/// grants. \p Supporters of the \p Daemons there take it for the broker. Only
+/// one broker can have the majority; the others get less than half, since the
+/// daemons may be cut off from each other or disagree on the broker.
+double brokerShare(std::size_t Supporters, std::size_t Daemons,
+                   bool HasMajority);
+
+/// Share of a limit that one of \p Daemons daemons may use without a broker.
+double soloShare(std::size_t Daemons);
+
 } // namespace mangodeck
 
 #endif
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -83,6 +83,7 @@
     // Step 1. Skip targets that must not be used or have no free slot.
     if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
         Target->running() >= maxRunning(*Target) ||
+        !Target->RateLimit.hasPermit(Now) ||
         (Input.Work.IsEngine && !Input.LoadsAreExact && Target->Allowance == 0))
       continue;
     const bool IsRemote = Target->Entry.Domain != Input.OwnDomain;
@@ -139,7 +140,7 @@
 TargetCapacity capacityOf(std::span<const TargetPtr> Targets, TimePoint Now) {
   TargetCapacity Result;
   for (const auto &Target : Targets) {
-    if (!Target->isUsable(Now))
+    if (!Target->isUsable(Now) || !Target->RateLimit.hasPermit(Now))
       continue;
     ++Result.UsableTargets;
     const auto Limit = maxRunning(*Target);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -29,9 +29,9 @@
 constexpr Duration RelayStartDelay = 1s;
 /// Period of the maintenance work that is not urgent.
 constexpr Duration SlowTickPeriod = 250ms;
-/// Time for which the reports to other daemons name a target that leaves or
-/// was removed.
-constexpr Duration LeavingReportPeriod = 5s;
+/// Time for which the reports to other daemons name a target that leaves, was
+/// removed or has stated its rate limit.
+constexpr Duration StatementReportPeriod = 5s;
 /// A target whose registration expired during an outage of the store is removed
 /// only after this time, so that it can register again. Stays within the time
 /// allowed for noticing that a target has left.
@@ -74,12 +74,12 @@
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
 /// Removes the targets from \p Leaving that have been reported for
-/// LeavingReportPeriod, and returns the others.
+/// StatementReportPeriod, and returns the others.
 template <typename Name>
 std::vector<Name> recentlyLeaving(std::map<Name, TimePoint> &Leaving,
                                   TimePoint Now) {
   std::erase_if(Leaving, [&](const auto &Entry) {
-    return Now - Entry.second > LeavingReportPeriod;
+    return Now - Entry.second > StatementReportPeriod;
   });
   std::vector<Name> Names;
   for (const auto &[Target, Since] : Leaving)
@@ -422,6 +422,7 @@
     return false;
   m_Services[Waiting->service().Text].Rate.recordDispatch(Now);
   m_Metrics.observeSlotWait(Waiting->route().Name, Now - Waiting->arrival());
+  Chosen->Target->RateLimit.takePermit(Now);
   Waiting->dispatch(*Chosen, Now);
   return true;
 }
@@ -528,6 +529,7 @@
     Pending.FirstSent = Now;
     Pending.LastSent = TimePoint{};
   }
+  updateRateLimitShares(Now);
   // Send a report now: the new broker learns the running requests from it.
   m_LastReportAt = TimePoint{};
 }
@@ -624,10 +626,13 @@
     State.BrokerBacklog = Decision.BacklogTime;
 
   // Step 2. Use a granted slot, unless this daemon knows that the target is
-  // unusable.
+  // unusable or has a rate limit.
   if (Decision.Result == SlotDecision::Kind::Granted) {
     const auto Target = m_Targets.findByHash(Decision.Target);
-    if (!Target || !Target->isUsable(Now)) {
+    // A broker that does not know the target's rate limit yet takes no permit.
+    const bool LacksPermit =
+        Target && Target->RateLimit.isActive() && !Decision.HasPermit;
+    if (!Target || !Target->isUsable(Now) || LacksPermit) {
       withdrawSlotRequest(Decision.Number, Now);
       return scheduleDispatch(Waiting->service());
     }
@@ -773,12 +778,49 @@
 
 void Gateway::onTargetRateLimit(const TargetPtr &Target,
                                 const RateLimitStatement &Statement) {
-  const auto Previous = Target->RateLimit.lastStatement().PerSecond;
-  if (Target->RateLimit.apply(Statement))
-    m_Log.write("target_limit", {{"target", Target->Entry.Id.Text},
-                                 {"per_s", Statement.PerSecond.value_or(-1)},
-                                 {"before", Previous.value_or(-1)},
-                                 {"told_by", "its answer"}});
+  m_OwnRateLimitStatements[Target->Hash] = Statement;
+  applyRateLimit(*Target, Statement, "its answer");
+}
+
+void Gateway::applyRateLimit(TrackedTarget &Target,
+                             const RateLimitStatement &Statement,
+                             std::string_view Source) {
+  const auto Previous = Target.RateLimit.lastStatement().PerSecond;
+  if (!Target.RateLimit.apply(Statement))
+    return;
+  m_Log.write("target_limit", {{"target", Target.Entry.Id.Text},
+                               {"per_s", Statement.PerSecond.value_or(-1)},
+                               {"before", Previous.value_or(-1)},
+                               {"told_by", Source}});
+  updateRateLimitShares(steadyNow());
+}
+
+void Gateway::applyRateLimits(const PeerReport &Report, TimePoint Now) {
+  for (const auto &Limit : Report.RateLimits)
+    if (const auto Target = m_Targets.findByHash(Limit.Target))
+      applyRateLimit(*Target, {Limit.PerSecond, Now - Limit.Age}, Report.Vm);
+}
+
+void Gateway::updateRateLimitShares(TimePoint Now) {
+  if (m_Targets.countRateLimited() == 0)
+    return;
+  const auto Support = m_Peers.delegateSupport(Now);
+  const auto Solo = soloShare(m_Peers.daemonCount(Now));
+  const auto Broker =
+      brokerShare(Support.Supporters, Support.Daemons, Support.IsMajority);
+  for (const auto &[Name, Targets] : m_Targets.targetsByService())
+    for (const auto &Target : Targets) {
+      if (!Target->RateLimit.isActive())
+        continue;
+      const bool IsBroker =
+          !m_RemoteBroker && Target->Entry.Domain == m_Settings.Domain;
+      // Before the directory is complete, the number of daemons is unknown.
+      Target->RateLimit.setShare(!m_DirectoryComplete ? 0
+                                 : IsBroker           ? Broker
+                                                      : Solo,
+                                 Now);
+      Target->RateLimit.drawPermit(m_Random.uniform(), Now);
+    }
 }
 
 void Gateway::onCallerLeft(http::CallerConnection &Connection) {
@@ -914,6 +956,7 @@
           for (const auto &Record : Report->CrashRecords)
             m_CrashGuard.record(Record, Now);
           applyLeavingTargets(*Report);
+          applyRateLimits(*Report, Now);
           handleReport(std::move(*Report), Now);
         }
         receivePeerMessage();
@@ -1029,6 +1072,13 @@
   Report.CrashRecords = m_CrashGuard.recentRecords(Now);
   Report.LeavingTargets = recentlyLeaving(m_LeavingTargets, Now);
   Report.AnnouncedLeaving = recentlyLeaving(m_AnnouncedLeaving, Now);
+  std::erase_if(m_OwnRateLimitStatements, [&](const auto &Entry) {
+    return Now - Entry.second.StatedAt > StatementReportPeriod;
+  });
+  for (const auto &[Hash, Statement] : m_OwnRateLimitStatements)
+    Report.RateLimits.push_back(
+        {Hash, Statement.PerSecond, Now - Statement.StatedAt});
+  Report.Delegate = m_RemoteBroker ? m_RemoteBroker->Vm : m_Settings.Vm;
   sendTo(Peers, encodeReport(Report));
   if (!m_Peers.isDelegate(Now))
     return;
@@ -1045,6 +1095,7 @@
   if (Now - m_LastRefreshAt < reportPeriod())
     return;
   m_LastRefreshAt = Now;
+  updateRateLimitShares(Now);
   m_Quotas.startReportPeriod(reportPeriod());
   // If this daemon is the broker, the grants of its SlotBroker are more recent
   // than the reports of the daemons of its domain.
@@ -1076,6 +1127,10 @@
     m_Log.write("woken", {{"stood_still_ms", toMs(Suspended)}});
     m_Pool.closeIdle();
     m_LocalBroker.clear();
+    // Another daemon may have granted the permits of this time.
+    for (const auto &[Name, Targets] : m_Targets.targetsByService())
+      for (const auto &Target : Targets)
+        Target->RateLimit.setShare(0, Now);
     if (OnResumed)
       OnResumed();
   }
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -34,6 +34,9 @@
 /// must receive before it can become the delegate.
 constexpr double MinReportingShare = 0.9;
 
+/// Encodes the absence of a limit in a report.
+constexpr double NoRateLimit = -1;
+
 std::vector<TargetLoad> listLoads(const TargetLoads &Sums) {
   std::vector<TargetLoad> Loads;
   Loads.reserve(Sums.size());
@@ -92,6 +95,13 @@
   }
   for (const auto Target : Report.AnnouncedLeaving)
     Message["a"].push_back(Target);
+  for (const auto &Limit : Report.RateLimits)
+    Message["r"].push_back(
+        {Limit.Target, Limit.PerSecond.value_or(NoRateLimit),
+         std::chrono::duration_cast<std::chrono::milliseconds>(Limit.Age)
+             .count()});
+  if (!Report.Delegate.empty())
+    Message["b"] = Report.Delegate;
   std::string Bytes;
   nlohmann::json::to_msgpack(Message, Bytes);
   return Bytes;
@@ -141,6 +151,16 @@
                                     : 0});
     if (Message.contains("a"))
       Report.AnnouncedLeaving = Message["a"].get<std::vector<std::uint64_t>>();
+    if (Message.contains("r"))
+      for (const auto &Limit : Message["r"]) {
+        const auto PerSecond = Limit.at(1).get<double>();
+        Report.RateLimits.push_back(
+            {Limit.at(0).get<std::uint64_t>(),
+             PerSecond < 0 ? std::nullopt : std::optional(PerSecond),
+             std::chrono::milliseconds(
+                 std::max<std::int64_t>(0, Limit.at(2).get<std::int64_t>()))});
+      }
+    Report.Delegate = Message.value("b", std::string());
     return Report;
   } catch (const nlohmann::json::exception &) {
     return std::nullopt;
@@ -313,11 +333,22 @@
                                          Own.LeavingTargets.end());
   std::set<std::uint64_t> AnnouncedLeaving(Own.AnnouncedLeaving.begin(),
                                            Own.AnnouncedLeaving.end());
+  std::map<std::uint64_t, ReportedRateLimit> RateLimits;
+  const auto AddRateLimits = [&](const PeerReport &Report, Duration Delay) {
+    for (auto Limit : Report.RateLimits) {
+      Limit.Age += Delay;
+      const auto At = RateLimits.try_emplace(Limit.Target, Limit).first;
+      if (Limit.Age < At->second.Age)
+        At->second = Limit;
+    }
+  };
+  AddRateLimits(Own, Duration{0});
   for (const auto &[Vm, Peer] : m_Peers) {
     if (Peer.LastReport.Domain != m_OwnDomain ||
         Now - Peer.LastReportTime > ReachableTime)
       continue;
     ++Summary.DaemonCount;
+    AddRateLimits(Peer.LastReport, Now - Peer.LastReportTime);
     for (const auto &Load : Peer.LastReport.Loads)
       addLoad(Loads, Load);
     for (const auto &Record : Peer.LastReport.CrashRecords)
@@ -334,6 +365,9 @@
   Summary.LeavingTargets.assign(LeavingTargets.begin(), LeavingTargets.end());
   Summary.AnnouncedLeaving.assign(AnnouncedLeaving.begin(),
                                   AnnouncedLeaving.end());
+  Summary.RateLimits.clear();
+  for (const auto &[Target, Limit] : RateLimits)
+    Summary.RateLimits.push_back(Limit);
   return Summary;
 }
 
@@ -366,18 +400,40 @@
 
 std::size_t PeerRegistry::daemonCount(TimePoint Now) const {
   std::size_t Count = 1;
-  for (const auto &[Vm, Peer] : m_Peers) {
-    const bool IsListed = Peer.Endpoint && !Peer.UnlistedAt;
-    const bool IsInGracePeriod =
-        (Peer.UnlistedAt && Now - *Peer.UnlistedAt < UnlistedGracePeriod) ||
-        (Peer.LastReportTime != TimePoint{} &&
-         Now - Peer.LastReportTime < UnlistedGracePeriod);
-    if (!Peer.Stopping && (IsListed || IsInGracePeriod))
-      ++Count;
-  }
+  for (const auto &[Vm, Peer] : m_Peers)
+    Count += mayBeServing(Peer, Now) ? 1 : 0;
   return Count;
 }
 
+bool PeerRegistry::mayBeServing(const Peer &Other, TimePoint Now) {
+  const bool IsListed = Other.Endpoint && !Other.UnlistedAt;
+  const bool IsInGracePeriod =
+      (Other.UnlistedAt && Now - *Other.UnlistedAt < UnlistedGracePeriod) ||
+      (Other.LastReportTime != TimePoint{} &&
+       Now - Other.LastReportTime < UnlistedGracePeriod);
+  return !Other.Stopping && (IsListed || IsInGracePeriod);
+}
+
+PeerRegistry::DelegateSupport
+PeerRegistry::delegateSupport(TimePoint Now) const {
+  DelegateSupport Support;
+  bool IsFirst = true;
+  for (const auto &[Vm, Other] : m_Peers) {
+    const bool IsInDomain =
+        isInOwnDomain(Other) || Other.LastReport.Domain == m_OwnDomain;
+    if (!IsInDomain || !mayBeServing(Other, Now))
+      continue;
+    ++Support.Daemons;
+    IsFirst = IsFirst && m_OwnVm < Vm;
+    if (Now - Other.LastReportTime < ReachableTime &&
+        Other.LastReport.Delegate == m_OwnVm)
+      ++Support.Supporters;
+  }
+  Support.IsMajority = 2 * Support.Supporters > Support.Daemons ||
+                       (2 * Support.Supporters == Support.Daemons && IsFirst);
+  return Support;
+}
+
 void PeerRegistry::addRecentLoads(const std::map<std::string, Peer> &Table,
                                   TimePoint Now, TargetLoads &Sums) {
   for (const auto &[Name, Peer] : Table)
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -46,7 +46,8 @@
                   Held->second.Target) == Request.ExcludedTargets.end())
       return m_Sink.onSlotDecision(Request.Vm,
                                    {Request.Number, SlotDecision::Kind::Granted,
-                                    Held->second.Target, Duration{0}});
+                                    Held->second.Target, Duration{0},
+                                    Held->second.HasPermit});
     release(RequestKey);
   }
   auto &State = m_Services[Request.Service.Text];
@@ -101,13 +102,15 @@
   if (!Chosen)
     return false;
   m_Services[Request.Service.Text].Rate.recordDispatch(Now);
-  m_Grants[Key(Request.Vm, Request.Number)] = {Chosen->Target->Hash,
-                                               Request.Work.PromptTokens, Now};
+  const bool HasPermit = Chosen->Target->RateLimit.isActive();
+  Chosen->Target->RateLimit.takePermit(Now);
+  m_Grants[Key(Request.Vm, Request.Number)] = {
+      Chosen->Target->Hash, Request.Work.PromptTokens, Now, HasPermit};
   Chosen->Target->PeerRunning += 1;
   Chosen->Target->PeerPrefillTokens += Request.Work.PromptTokens;
   m_Sink.onSlotDecision(Request.Vm,
                         {Request.Number, SlotDecision::Kind::Granted,
-                         Chosen->Target->Hash, Duration{0}});
+                         Chosen->Target->Hash, Duration{0}, HasPermit});
   return true;
 }
 
--- a/packages/gateway/src/slotmessages.cpp
+++ b/packages/gateway/src/slotmessages.cpp
@@ -41,8 +41,12 @@
 }
 
 nlohmann::json fieldsOf(const SlotDecision &Decision) {
-  return {DecisionTag, Decision.Number, static_cast<int>(Decision.Result),
-          Decision.Target, toMicros(Decision.BacklogTime)};
+  return {DecisionTag,
+          Decision.Number,
+          static_cast<int>(Decision.Result),
+          Decision.Target,
+          toMicros(Decision.BacklogTime),
+          Decision.HasPermit};
 }
 
 nlohmann::json fieldsOf(const SlotUpdate &Update) {
@@ -93,6 +97,8 @@
   Decision.Result = *Result;
   Decision.Target = Fields.at(3).get<std::uint64_t>();
   Decision.BacklogTime = fromMicros(Fields.at(4));
+  // A daemon of an earlier version sends no such field.
+  Decision.HasPermit = Fields.size() > 5 && Fields[5].get<bool>();
   return Decision;
 }
 
--- a/packages/gateway/test/peerregistry_test.cpp
+++ b/packages/gateway/test/peerregistry_test.cpp
@@ -22,6 +22,10 @@
   CPPUNIT_TEST(delegate_joiningDaemon_isPassedOver);
   CPPUNIT_TEST(delegate_onlyJoiningDaemons_isFirstByName);
   CPPUNIT_TEST(delegate_restartedDaemon_isAdoptedByAllAtOnce);
+  CPPUNIT_TEST(delegateSupport_domainSplit_onlyOneSideHasMajority);
+  CPPUNIT_TEST(delegateSupport_daemonsDisagree_onlyOneHasMajority);
+  CPPUNIT_TEST(delegateSupport_silentDaemon_countsForGracePeriod);
+  CPPUNIT_TEST(summarizeDomain_rateLimits_newestStatementIsKept);
   CPPUNIT_TEST(summaryWithout_daemon_excludesItsLoads);
   CPPUNIT_TEST(peerLoads_ownSummary_replacesReports);
   CPPUNIT_TEST(peerLoads_expiredReports_areExcluded);
@@ -58,6 +62,20 @@
     return Registry;
   }
 
+  /// The support of daemon \p Own of \p Count if it hears the daemons from
+  /// \p Begin to before \p End, and these take it for the delegate.
+  PeerRegistry::DelegateSupport supportOf(int Own, int Begin, int End,
+                                          int Count) const {
+    auto Registry = registryOf(Own, Count);
+    for (int I = Begin; I < End; ++I) {
+      auto Report = reportOf(vmName(I), 1, 1);
+      Report.Delegate = vmName(Own);
+      if (I != Own)
+        Registry.accept(Report, m_Now);
+    }
+    return Registry.delegateSupport(m_Now);
+  }
+
   static std::vector<int> portsOf(const std::vector<PeerEndpoint> &Peers) {
     std::vector<int> Ports;
     for (const auto &Peer : Peers)
@@ -217,6 +235,65 @@
       CPPUNIT_ASSERT_EQUAL(vmName(0), Daemons.delegateOf(I));
   }
 
+  void delegateSupport_domainSplit_onlyOneSideHasMajority() {
+    for (const int Daemons : {1, 2, 3, 4, 8, 59})
+      for (int First = 1; First <= Daemons; ++First) {
+        // Daemons 0 to First - 1 are cut off from the others.
+        const auto Left = supportOf(0, 0, First, Daemons);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(First), Left.Supporters);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(Daemons), Left.Daemons);
+        if (First == Daemons) {
+          CPPUNIT_ASSERT(Left.IsMajority);
+          continue;
+        }
+        const auto Right = supportOf(First, First, Daemons, Daemons);
+        CPPUNIT_ASSERT(Left.IsMajority != Right.IsMajority);
+      }
+  }
+
+  void delegateSupport_daemonsDisagree_onlyOneHasMajority() {
+    // Daemons 0 and 1 take themselves for the delegate, and all hear them; the
+    // other three support daemon 0.
+    auto First = registryOf(0, 5);
+    auto Second = registryOf(1, 5);
+    for (int I = 0; I < 5; ++I) {
+      auto Report = reportOf(vmName(I), 1, 1);
+      Report.Delegate = vmName(I == 1 ? 1 : 0);
+      if (I != 0)
+        First.accept(Report, m_Now);
+      if (I != 1)
+        Second.accept(Report, m_Now);
+    }
+    CPPUNIT_ASSERT(First.delegateSupport(m_Now).IsMajority);
+    CPPUNIT_ASSERT(!Second.delegateSupport(m_Now).IsMajority);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Second.delegateSupport(m_Now).Supporters);
+  }
+
+  void delegateSupport_silentDaemon_countsForGracePeriod() {
+    auto Registry = registryOf(1, 2);
+    Registry.accept(reportOf(vmName(0), 1, 1), m_Now);
+    Registry.markUnlisted(vmName(0), m_Now + 5s);
+    CPPUNIT_ASSERT(!Registry.delegateSupport(m_Now + 19s).IsMajority);
+    CPPUNIT_ASSERT(Registry.delegateSupport(m_Now + 21s).IsMajority);
+  }
+
+  void summarizeDomain_rateLimits_newestStatementIsKept() {
+    auto Registry = registryOf(0, 3);
+    auto Report = reportOf(vmName(1), 1, 1);
+    Report.RateLimits = {{7, 2.0, 100ms}, {8, 1.0, 100ms}};
+    Registry.accept(Report, m_Now);
+    Report = reportOf(vmName(2), 1, 1);
+    Report.RateLimits = {{7, std::nullopt, 150ms}};
+    Registry.accept(Report, m_Now + 200ms);
+    const auto Summary =
+        Registry.summarizeDomain(reportOf(vmName(0), 1, 1), m_Now + 300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Summary.RateLimits.size());
+    CPPUNIT_ASSERT(!Summary.RateLimits.at(0).PerSecond);
+    CPPUNIT_ASSERT(Summary.RateLimits.at(0).Age == 250ms);
+    CPPUNIT_ASSERT(Summary.RateLimits.at(1).Age == 400ms);
+  }
+
   void summaryWithout_daemon_excludesItsLoads() {
     auto Registry = registryOf(0, 3);
     Registry.accept(reportOf(vmName(1), 1, 1), m_Now);
@@ -249,6 +326,8 @@
     Report.CrashRecords.push_back({11, 12});
     Report.LeavingTargets.push_back({13, 3});
     Report.AnnouncedLeaving.push_back(14);
+    Report.RateLimits = {{15, 2.5, 30ms}, {16, std::nullopt, 0ms}};
+    Report.Delegate = "b";
     Report.Stopping = true;
     const auto Decoded = decodeReport(encodeReport(Report));
     CPPUNIT_ASSERT(Decoded.has_value());
@@ -259,6 +338,10 @@
     CPPUNIT_ASSERT(Decoded->CrashRecords.at(0) == (CrashRecord{11, 12}));
     CPPUNIT_ASSERT(Decoded->LeavingTargets.at(0) == (LeavingTarget{13, 3}));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(14), Decoded->AnnouncedLeaving.at(0));
+    CPPUNIT_ASSERT_EQUAL(2.5, Decoded->RateLimits.at(0).PerSecond.value());
+    CPPUNIT_ASSERT(Decoded->RateLimits.at(0).Age == 30ms);
+    CPPUNIT_ASSERT(!Decoded->RateLimits.at(1).PerSecond);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Decoded->Delegate);
   }
 
   void decodeReport_invalidBytes_returnsNothing() {
--- a/packages/gateway/test/ratelimit_test.cpp
+++ b/packages/gateway/test/ratelimit_test.cpp
@@ -149,6 +149,7 @@
     startFleet({"a-1"}, PerSecond);
     runLoopFor(LimitWindow + 2s);
     assertKept(PerSecond);
+    assertUsed(PerSecond);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), failedRequests());
   }
 
@@ -157,6 +158,7 @@
     startFleet({"a-1", "a-2", "a-3", "b-1", "b-2", "b-3"}, PerSecond);
     runLoopFor(LimitWindow + 2s);
     assertKept(PerSecond);
+    assertUsed(PerSecond);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), failedRequests());
   }
 
@@ -245,6 +247,18 @@
                            Most <= maxInWindow(PerSecond));
   }
 
+  /// The callers always ask for more than the limit, so nearly all of it is to
+  /// be used.
+  void assertUsed(double PerSecond) const {
+    const auto Seconds =
+        toSeconds(m_ArrivalsOfTold.back() - m_ArrivalsOfTold.front());
+    const auto Allowed = static_cast<std::size_t>(PerSecond * Seconds);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(m_ArrivalsOfTold.size()) +
+                               " requests, " + std::to_string(Allowed) +
+                               " allowed by the limit",
+                           10 * m_ArrivalsOfTold.size() >= 9 * Allowed);
+  }
+
   std::size_t failedRequests() const {
     std::size_t Sum = 0;
     for (const auto &Each : m_Callers)
--- a/packages/gateway/test/slotbroker_test.cpp
+++ b/packages/gateway/test/slotbroker_test.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(failures_ofTwoDaemons_avoidTarget);
   CPPUNIT_TEST(target_onTrial_getsOneRequest);
   CPPUNIT_TEST(eventGap_ofOneDaemon_affectsAllDaemons);
+  CPPUNIT_TEST(rateLimit_manyDaemons_grantsFollowItInSum);
+  CPPUNIT_TEST(rateLimit_repeatedRequest_takesOnePermit);
+  CPPUNIT_TEST(rateLimit_unknownToBroker_grantHasNoPermit);
   CPPUNIT_TEST(saturation_manyDaemons_fillsSlotsAndServesHighRank);
   CPPUNIT_TEST_SUITE_END();
 
@@ -55,7 +58,8 @@
     CPPUNIT_ASSERT(ReadRequest.TimeToExpiry == Request.TimeToExpiry);
     CPPUNIT_ASSERT(ReadRequest.Work.IsEngine);
     const auto ReadDecision = decode<SlotDecision>(
-        SlotDecision{7, SlotDecision::Kind::Refused, 9, 20ms});
+        SlotDecision{7, SlotDecision::Kind::Refused, 9, 20ms, true});
+    CPPUNIT_ASSERT(ReadDecision.HasPermit);
     CPPUNIT_ASSERT(ReadDecision.Result == SlotDecision::Kind::Refused);
     CPPUNIT_ASSERT(ReadDecision.BacklogTime == 20ms);
     SlotUpdate Update = makeUpdate("vm", 7, SlotUpdate::Kind::Ended, 11);
@@ -326,6 +330,49 @@
     CPPUNIT_ASSERT(Started[1] > 0.3 * Requested[1]);
   }
 
+  void rateLimit_manyDaemons_grantsFollowItInSum() {
+    for (const int Daemons : {2, 60, 295}) {
+      setUp();
+      const auto Limited = addLimitedTarget(2.0);
+      TicketNumber Number = 1;
+      std::size_t Granted = 0;
+      // Each request waits for 400 ms, so some daemon always waits.
+      for (int Step = 0; Step < 400; ++Step, m_Now += 50ms) {
+        m_Decisions.clear();
+        requestSlot("vm" + std::to_string(Step % Daemons), Number);
+        m_Vms[Number++] = "vm" + std::to_string(Step % Daemons);
+        m_Broker->dispatchAllWaiting(m_Now);
+        for (const auto &Decision :
+             std::vector<SlotDecision>(std::exchange(m_Decisions, {})))
+          if (Decision.Result == SlotDecision::Kind::Granted) {
+            CPPUNIT_ASSERT(Decision.HasPermit);
+            ++Granted;
+            endRequest(m_Vms[Decision.Number], Decision.Number, Limited);
+          }
+      }
+      CPPUNIT_ASSERT(Granted >= 38 && Granted <= 42); // 20 s.
+    }
+  }
+
+  void rateLimit_repeatedRequest_takesOnePermit() {
+    const auto Limited = addLimitedTarget(1.0);
+    m_Now += 1s;
+    requestSlot("vm", 1);
+    m_Now += 40ms;
+    requestSlot("vm", 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Decisions.size());
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
+    CPPUNIT_ASSERT(lastDecision().HasPermit);
+    CPPUNIT_ASSERT(Limited->RateLimit.hasPermit(m_Now + 960ms));
+  }
+
+  void rateLimit_unknownToBroker_grantHasNoPermit() {
+    addTarget("a", 2);
+    requestSlot("vm", 1);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
+    CPPUNIT_ASSERT(!lastDecision().HasPermit);
+  }
+
   void onSlotDecision(const std::string &,
                       const SlotDecision &Decision) override {
     m_Decisions.push_back(Decision);
@@ -349,6 +396,15 @@
     return m_Targets.update(Entry);
   }
 
+  /// A target that has just stated a rate limit, all of which this broker
+  /// grants.
+  TargetPtr addLimitedTarget(double PerSecond) {
+    const auto Target = addTarget("limited", 4);
+    Target->RateLimit.apply({PerSecond, m_Now});
+    Target->RateLimit.setShare(1, m_Now);
+    return Target;
+  }
+
   static SlotRequest makeRequest(const std::string &Vm, TicketNumber Number) {
     SlotRequest Request;
     Request.Vm = Vm;
@@ -406,6 +462,7 @@
   TargetRegistry m_Targets;
   std::optional<SlotBroker> m_Broker;
   std::vector<SlotDecision> m_Decisions;
+  std::map<TicketNumber, std::string> m_Vms; ///< Daemon by request.
   TimePoint m_Now{};
 };
 
