gateway: permits for rate-limited targets of other failure domains

Callers of a failure domain without targets of a service, or with busy ones, were refused while a rate-limited target of another domain had permits left. Cause: only the target's own domain could use the broker's bucket; the others had a twentieth of the limit among them. Change: a daemon requests a permit for one such target from the broker of its domain, which grants it at once or says when to request again. That time grows with the refusals since the last permit, so that requests for permits stay near the rate of the limit however many daemons ask.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -19,6 +19,9 @@
   /// Consider no targets of the own failure domain: the slot broker decides on
   /// those.
   bool RemoteDomainsOnly = false;
+  /// Consider only targets for which this daemon has no permit under their rate
+  /// limit and may request one from their slot broker.
+  bool NeedsPermit = false;
   /// The load of each target is known exactly, so that
   /// TrackedTarget::Allowance need not be observed.
   bool LoadsAreExact = false;
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -117,6 +117,14 @@
     bool RefuseIfLate = false; ///< See requestSlot().
     bool Answered = false;     ///< The broker has replied at least once.
   };
+  /// A request for which this daemon has requested a permit under the rate
+  /// limit of a target in another failure domain.
+  struct PendingPermit {
+    std::uint64_t Target = 0; ///< TrackedTarget::Hash.
+    TimePoint SentAt{};
+    /// The broker of the own failure domain has refused the request.
+    bool RefuseIfDenied = false;
+  };
   /// A target whose registration expired during an outage of the store. It is
   /// removed at \p Until unless it registers again before.
   struct ExpiredTarget {
@@ -165,6 +173,23 @@
   /// of the first time holds for all.
   void requestSlot(const ExchangePtr &Waiting, bool RefuseIfLate,
                    TimePoint Now);
+  /// The request as its broker needs it, apart from what requestSlot() adds.
+  SlotRequest describe(const Exchange &Waiting, TimePoint Now) const;
+  /// Requests a permit for a target of another failure domain that is expected
+  /// to meet the latency target; false if there is none. \p RefuseIfDenied:
+  /// refuse the request without a permit, else it waits on.
+  bool requestPermit(const ExchangePtr &Waiting, bool RefuseIfDenied,
+                     TimePoint Now);
+  /// Handles the decision on a permit. A permit that is no longer needed is
+  /// lost.
+  void handlePermit(const SlotDecision &Decision, const TargetPtr &Target);
+  /// Gives up permits that were requested BrokerTimeout ago.
+  void checkPermits(TimePoint Now);
+  /// The request gets no permit: refuses it, or lets it wait on.
+  void denyPermit(TicketNumber Number);
+  /// Sends a request to the target that a broker has granted.
+  void dispatchGranted(const ExchangePtr &Granted, const TargetPtr &Target,
+                       TimePoint Now);
   void sendToBroker(const SlotMessage &Message, TimePoint Now);
   void handleSlotMessage(const SlotMessage &Message, TimePoint Now);
   /// Resends slot requests whose answer may be lost. If the broker has not
@@ -231,6 +256,7 @@
   /// Dispatches the waiting requests of a service, and refuses those that have
   /// waited too long.
   void dispatchWaiting(const ServiceName &Service);
+  TargetChoiceInput choiceInput(const Exchange &Waiting, TimePoint Now) const;
   /// Sends the request to a target that this daemon chooses; false if none is
   /// suitable. \p RemoteDomainsOnly: considers only targets of other failure
   /// domains, and only if they are expected to meet the latency target.
@@ -280,6 +306,7 @@
   /// Until this time the broker counts as unreachable.
   TimePoint m_DecideLocallyUntil{};
   std::unordered_map<TicketNumber, PendingSlotRequest> m_PendingSlotRequests;
+  std::unordered_map<TicketNumber, PendingPermit> m_PendingPermits;
   std::map<std::string, ServiceState> m_Services;
   /// Targets that leave or were removed, and since when; named in the reports
   /// to other daemons.
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -179,6 +179,10 @@
     bool IsMajority = false;
   };
   DelegateSupport delegateSupport(TimePoint Now) const;
+  /// Endpoint of the delegate of a remote failure domain, from whose recent
+  /// summary it is known.
+  std::optional<PeerEndpoint> remoteDelegate(const FailureDomain &Domain,
+                                             TimePoint Now) const;
   /// The last listed endpoint of a daemon; std::nullopt if the store never
   /// listed it.
   std::optional<PeerEndpoint> endpointOf(const std::string &Vm) const;
--- a/packages/gateway/include/mangodeck/gateway/slotbroker.h
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -89,6 +89,15 @@
   std::vector<TargetPtr> domainTargets(const ServiceName &Service) const;
   bool tryGrant(const Waiting &Waiter, std::span<const TargetPtr> Targets,
                 TimePoint Now);
+  /// Chooses a target for \p Request, which has waited for \p Waited.
+  std::optional<ChosenTarget> choose(const SlotRequest &Request,
+                                     Duration Waited,
+                                     std::span<const TargetPtr> Targets,
+                                     TimePoint Now) const;
+  /// Grants or refuses a permit under a target's rate limit to a daemon of
+  /// another failure domain. The slot that it takes is known from the loads
+  /// which that domain reports.
+  void decideOnPermit(const SlotRequest &Request, TimePoint Now);
   /// Frees the slot of a request, if it has one.
   void release(const Key &RequestKey);
   /// Takes a request out of the queue, if it waits.
--- a/packages/gateway/include/mangodeck/gateway/slotmessages.h
+++ b/packages/gateway/include/mangodeck/gateway/slotmessages.h
@@ -33,6 +33,10 @@
   bool RefuseIfLate = false; ///< Refuse rather than wait past the latest start.
   std::vector<std::uint64_t>
       ExcludedTargets; ///< TrackedTarget::Hash of targets not to be granted.
+  /// If not 0: TrackedTarget::Hash of the only target to be granted. It has a
+  /// rate limit and is in another failure domain than the daemon. The broker
+  /// grants a permit at once or refuses it.
+  std::uint64_t OnlyTarget = 0;
 };
 
 /// The broker's decision on a SlotRequest.
@@ -40,9 +44,12 @@
   enum class Kind : std::uint8_t { Granted, Queued, Refused };
   TicketNumber Number = 0;
   Kind Result = Kind::Queued;
-  std::uint64_t Target = 0; ///< TrackedTarget::Hash, if granted.
-  /// Estimated time until every request in the broker's queue of the service
-  /// has been dispatched; 0 if granted.
+  /// TrackedTarget::Hash, if granted or if the request names one target.
+  std::uint64_t Target = 0;
+  /// If the request names one target and is refused: time after which to
+  /// request a permit for it again. Otherwise the estimated time until every
+  /// request in the broker's queue of the service has been dispatched; 0 if
+  /// granted.
   Duration BacklogTime{0};
   /// If granted: the grant has taken a permit under the target's rate limit.
   bool HasPermit = false;
--- a/packages/gateway/include/mangodeck/gateway/targetratelimit.h
+++ b/packages/gateway/include/mangodeck/gateway/targetratelimit.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/units.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace mangodeck {
@@ -46,6 +47,10 @@
   bool hasPermit(TimePoint Now) const;
   /// Takes a permit; there must be one.
   void takePermit(TimePoint Now);
+  /// Returns the time after which a daemon that was refused a permit should
+  /// request one again. Grows with the refusals since the last permit, so that
+  /// the rate of requests does not grow with the number of daemons.
+  Duration refusePermit();
 
 private:
   double ratePerSecond() const;
@@ -59,6 +64,7 @@
   /// Of a share that cannot hold a whole token: time of the last permit.
   TimePoint m_UpdatedAt{};
   TimePoint m_DrawnAt{};
+  std::uint32_t m_Refusals = 0; ///< Since the last permit was taken.
 };
 
 /// Share of a limit from which the slot broker of the target's failure domain
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -81,6 +81,9 @@
   TimePoint PausedUntil{};
   /// Requests per second that the target accepts from all daemons.
   TargetRateLimit RateLimit;
+  /// Of a target in another failure domain: time from which on this daemon may
+  /// request a permit from the slot broker there.
+  TimePoint RequestPermitAfter{};
   /// The target is not used before this time, after failures.
   TimePoint AvoidUntil{};
   std::uint32_t ConsecutiveFailures = 0;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -83,7 +83,8 @@
     // Step 1. Skip targets that must not be used or have no free slot.
     if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
         Target->running() >= maxRunning(*Target) ||
-        !Target->RateLimit.hasPermit(Now) ||
+        Target->RateLimit.hasPermit(Now) == Input.NeedsPermit ||
+        (Input.NeedsPermit && Target->RequestPermitAfter > Now) ||
         (Input.Work.IsEngine && !Input.LoadsAreExact && Target->Allowance == 0))
       continue;
     const bool IsRemote = Target->Entry.Domain != Input.OwnDomain;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -406,15 +406,21 @@
     });
 }
 
-bool Gateway::tryDispatch(const ExchangePtr &Waiting, bool RemoteDomainsOnly,
-                          TimePoint Now) {
+TargetChoiceInput Gateway::choiceInput(const Exchange &Waiting,
+                                       TimePoint Now) const {
   TargetChoiceInput Input;
-  Input.Work = Waiting->work();
+  Input.Work = Waiting.work();
   Input.OwnDomain = m_Settings.Domain;
-  Input.TimeToLatencyTarget = Waiting->latencyDeadline() - Now;
-  Input.TimeToDeadline = Waiting->deadline() - Now;
-  Input.GapTarget = Waiting->route().GapTarget;
-  Input.Excluded = Waiting->triedTargets();
+  Input.TimeToLatencyTarget = Waiting.latencyDeadline() - Now;
+  Input.TimeToDeadline = Waiting.deadline() - Now;
+  Input.GapTarget = Waiting.route().GapTarget;
+  Input.Excluded = Waiting.triedTargets();
+  return Input;
+}
+
+bool Gateway::tryDispatch(const ExchangePtr &Waiting, bool RemoteDomainsOnly,
+                          TimePoint Now) {
+  auto Input = choiceInput(*Waiting, Now);
   Input.RemoteDomainsOnly = RemoteDomainsOnly;
   const auto Chosen =
       chooseTarget(m_Targets.targetsOf(Waiting->service()), Input, Now);
@@ -464,6 +470,8 @@
   std::set<TicketNumber> Skipped;
   for (const auto &[Number, Pending] : m_PendingSlotRequests)
     Skipped.insert(Number);
+  for (const auto &[Number, Pending] : m_PendingPermits)
+    Skipped.insert(Number);
   while (const auto Next = State.Queue.next(Now, Skipped)) {
     const auto Found = m_ExchangeByNumber.find(Next->Number);
     if (Found == m_ExchangeByNumber.end()) {
@@ -543,29 +551,117 @@
   }
   Pending->second.LastSent = Now;
   hastenTick(Now);
-  SlotRequest Request;
-  Request.Vm = m_Settings.Vm;
-  Request.Number = Waiting->number();
-  Request.Service = Waiting->service();
-  Request.Rank = Waiting->hasStreamStarted() ? RequestRank() : Waiting->rank();
-  Request.Work = Waiting->work();
-  Request.TimeToLatencyTarget = Waiting->latencyDeadline() - Now;
-  Request.TimeToDeadline = Waiting->deadline() - Now;
-  Request.TimeToLatestStart =
-      (Waiting->hasStreamStarted() ? Waiting->slotWaitDeadline()
-                                   : Waiting->latestStart()) -
-      Now;
-  Request.TimeToExpiry = Waiting->slotWaitDeadline() - Now;
-  Request.GapTarget = Waiting->route().GapTarget;
+  auto Request = describe(*Waiting, Now);
   Request.RefuseIfLate = Pending->second.RefuseIfLate;
-  for (const auto &Tried : Waiting->triedTargets())
-    Request.ExcludedTargets.push_back(Tried->Hash);
   for (const auto &Target : m_Targets.targetsOf(Waiting->service()))
     if (Target->Entry.Domain == m_Settings.Domain && !Target->isUsable(Now))
       Request.ExcludedTargets.push_back(Target->Hash);
   sendToBroker(Request, Now);
 }
 
+SlotRequest Gateway::describe(const Exchange &Waiting, TimePoint Now) const {
+  SlotRequest Request;
+  Request.Vm = m_Settings.Vm;
+  Request.Number = Waiting.number();
+  Request.Service = Waiting.service();
+  Request.Rank = Waiting.hasStreamStarted() ? RequestRank() : Waiting.rank();
+  Request.Work = Waiting.work();
+  Request.TimeToLatencyTarget = Waiting.latencyDeadline() - Now;
+  Request.TimeToDeadline = Waiting.deadline() - Now;
+  Request.TimeToLatestStart =
+      (Waiting.hasStreamStarted() ? Waiting.slotWaitDeadline()
+                                  : Waiting.latestStart()) -
+      Now;
+  Request.TimeToExpiry = Waiting.slotWaitDeadline() - Now;
+  Request.GapTarget = Waiting.route().GapTarget;
+  for (const auto &Tried : Waiting.triedTargets())
+    Request.ExcludedTargets.push_back(Tried->Hash);
+  return Request;
+}
+
+bool Gateway::requestPermit(const ExchangePtr &Waiting, bool RefuseIfDenied,
+                            TimePoint Now) {
+  if (const auto Pending = m_PendingPermits.find(Waiting->number());
+      Pending != m_PendingPermits.end()) {
+    Pending->second.RefuseIfDenied |= RefuseIfDenied;
+    return true;
+  }
+  auto Input = choiceInput(*Waiting, Now);
+  Input.RemoteDomainsOnly = true;
+  Input.NeedsPermit = true;
+  const auto Chosen =
+      chooseTarget(m_Targets.targetsOf(Waiting->service()), Input, Now);
+  if (!Chosen || !Chosen->MeetsLatencyTarget)
+    return false;
+  const auto Broker = m_Peers.remoteDelegate(Chosen->Target->Entry.Domain, Now);
+  if (!Broker)
+    return false;
+  auto Request = describe(*Waiting, Now);
+  Request.OnlyTarget = Chosen->Target->Hash;
+  m_PendingPermits[Waiting->number()] = {Request.OnlyTarget, Now,
+                                         RefuseIfDenied};
+  sendTo(std::span(&*Broker, 1), encodeSlotMessage(Request));
+  return true;
+}
+
+void Gateway::handlePermit(const SlotDecision &Decision,
+                           const TargetPtr &Target) {
+  const auto Now = steadyNow();
+  const bool IsGranted =
+      Decision.Result == SlotDecision::Kind::Granted && Decision.HasPermit;
+  if (!IsGranted)
+    Target->RequestPermitAfter = Now + Decision.BacklogTime;
+  const auto Pending = m_PendingPermits.find(Decision.Number);
+  if (Pending == m_PendingPermits.end() ||
+      Pending->second.Target != Decision.Target)
+    return;
+  const auto Found = m_ExchangeByNumber.find(Decision.Number);
+  if (Found == m_ExchangeByNumber.end() || !Found->second->isWaiting()) {
+    m_PendingPermits.erase(Pending);
+    return;
+  }
+  if (!IsGranted || !Target->isUsable(Now))
+    return denyPermit(Decision.Number);
+  m_PendingPermits.erase(Pending);
+  if (m_PendingSlotRequests.contains(Decision.Number))
+    withdrawSlotRequest(Decision.Number, Now);
+  dispatchGranted(Found->second, Target, Now);
+}
+
+void Gateway::denyPermit(TicketNumber Number) {
+  const auto Pending = m_PendingPermits.extract(Number);
+  const auto Found = m_ExchangeByNumber.find(Number);
+  if (Pending.empty() || !Pending.mapped().RefuseIfDenied ||
+      Found == m_ExchangeByNumber.end() || !Found->second->isWaiting())
+    return;
+  const auto Refused = Found->second;
+  Refused->refuse(503, "no slot within the latency target",
+                  retryAfter(*Refused));
+}
+
+void Gateway::checkPermits(TimePoint Now) {
+  std::vector<TicketNumber> Unanswered;
+  for (const auto &[Number, Pending] : m_PendingPermits)
+    if (Now - Pending.SentAt > BrokerTimeout) {
+      Unanswered.push_back(Number);
+      if (const auto Target = m_Targets.findByHash(Pending.Target))
+        Target->RequestPermitAfter = Now + LocalDecisionPeriod;
+    }
+  for (const auto Number : Unanswered)
+    denyPermit(Number);
+}
+
+void Gateway::dispatchGranted(const ExchangePtr &Granted,
+                              const TargetPtr &Target, TimePoint Now) {
+  m_Services[Granted->service().Text].Queue.remove(Granted->number());
+  m_Metrics.observeSlotWait(Granted->route().Name, Now - Granted->arrival());
+  const auto TimeToFirstEvent =
+      expectedTimeToFirstEvent(*Target, Granted->work());
+  Granted->dispatch({Target, TimeToFirstEvent,
+                     TimeToFirstEvent <= Granted->latencyDeadline() - Now},
+                    Now);
+}
+
 void Gateway::sendToBroker(const SlotMessage &Message, TimePoint Now) {
   if (!m_RemoteBroker)
     return handleSlotMessage(Message, Now);
@@ -604,6 +700,10 @@
 
 void Gateway::handleDecision(const SlotDecision &Decision) {
   const auto Now = steadyNow();
+  // Decisions on targets of other failure domains concern permits.
+  if (const auto Target = m_Targets.findByHash(Decision.Target);
+      Target && Target->Entry.Domain != m_Settings.Domain)
+    return handlePermit(Decision, Target);
   const auto Found = m_ExchangeByNumber.find(Decision.Number);
   const auto Pending = m_PendingSlotRequests.find(Decision.Number);
   // Step 1. Ignore the decision if its request has ended or no longer waits for
@@ -637,16 +737,9 @@
       return scheduleDispatch(Waiting->service());
     }
     m_PendingSlotRequests.erase(Pending);
-    Queue.remove(Decision.Number);
     if (!m_RemoteBroker) // From here on counted by TrackedTarget::OwnRunning.
       withdrawSlotRequest(Decision.Number, Now);
-    m_Metrics.observeSlotWait(Waiting->route().Name, Now - Waiting->arrival());
-    const auto TimeToFirstEvent =
-        expectedTimeToFirstEvent(*Target, Waiting->work());
-    return Waiting->dispatch(
-        {Target, TimeToFirstEvent,
-         TimeToFirstEvent <= Waiting->latencyDeadline() - Now},
-        Now);
+    return dispatchGranted(Waiting, Target, Now);
   }
 
   // Step 3. No slot yet: look for a target of another failure domain that is
@@ -654,9 +747,12 @@
   Queue.remove(Decision.Number);
   if (tryDispatch(Waiting, true, Now))
     return withdrawSlotRequest(Decision.Number, Now);
-  if (Decision.Result == SlotDecision::Kind::Queued)
+  const bool IsRefused = Decision.Result == SlotDecision::Kind::Refused;
+  const bool AwaitsPermit = requestPermit(Waiting, IsRefused, Now);
+  if (IsRefused)
+    m_PendingSlotRequests.erase(Pending);
+  if (!IsRefused || AwaitsPermit)
     return enqueue(Waiting);
-  m_PendingSlotRequests.erase(Pending);
   Waiting->refuse(503, "no slot within the latency target",
                   retryAfter(*Waiting));
 }
@@ -726,6 +822,7 @@
   m_Services[Ended.service().Text].Queue.remove(Ended.number());
   if (m_PendingSlotRequests.contains(Ended.number()))
     withdrawSlotRequest(Ended.number(), steadyNow());
+  m_PendingPermits.erase(Ended.number());
   m_BufferedBytes -= Ended.bodyBytes();
   const auto Found = m_ExchangeByNumber.find(Ended.number());
   if (Found == m_ExchangeByNumber.end())
@@ -1140,6 +1237,7 @@
   sendReports(Now);
   refreshTargetLoads(Now);
   checkSlotRequests(Now);
+  checkPermits(Now);
   std::vector<ExchangePtr> Running;
   Running.reserve(m_ExchangeByNumber.size());
   for (const auto &[Number, Each] : m_ExchangeByNumber)
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -313,6 +313,15 @@
                   Best->second.Endpoint};
 }
 
+std::optional<PeerEndpoint>
+PeerRegistry::remoteDelegate(const FailureDomain &Domain, TimePoint Now) const {
+  const auto Found = m_DomainSummaries.find(Domain.Text);
+  if (Found == m_DomainSummaries.end() ||
+      Now - Found->second.LastReportTime > LoadLifetime)
+    return std::nullopt;
+  return endpointOf(Found->second.LastReport.Vm);
+}
+
 std::optional<PeerEndpoint>
 PeerRegistry::endpointOf(const std::string &Vm) const {
   const auto Found = m_Peers.find(Vm);
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -36,6 +36,8 @@
 }
 
 void SlotBroker::requestSlot(const SlotRequest &Request, TimePoint Now) {
+  if (Request.OnlyTarget != 0)
+    return decideOnPermit(Request, Now);
   const Key RequestKey(Request.Vm, Request.Number);
   m_LastMessageAt[Request.Vm] = Now;
   // Step 1. Repeat the decision on a request that already has a slot or waits.
@@ -82,10 +84,9 @@
                                      0, backlogTime(State, Now)});
 }
 
-bool SlotBroker::tryGrant(const Waiting &Waiter,
-                          std::span<const TargetPtr> Targets, TimePoint Now) {
-  const auto &Request = Waiter.Request;
-  const auto Waited = Now - Waiter.RequestedAt;
+std::optional<ChosenTarget>
+SlotBroker::choose(const SlotRequest &Request, Duration Waited,
+                   std::span<const TargetPtr> Targets, TimePoint Now) const {
   std::vector<TargetPtr> Excluded;
   for (const auto Hash : Request.ExcludedTargets)
     if (auto Target = m_Targets.findByHash(Hash))
@@ -98,7 +99,32 @@
   Input.GapTarget = Request.GapTarget;
   Input.Excluded = Excluded;
   Input.LoadsAreExact = true;
-  const auto Chosen = chooseTarget(Targets, Input, Now);
+  return chooseTarget(Targets, Input, Now);
+}
+
+void SlotBroker::decideOnPermit(const SlotRequest &Request, TimePoint Now) {
+  const auto Target = m_Targets.findByHash(Request.OnlyTarget);
+  SlotDecision Decision;
+  Decision.Number = Request.Number;
+  Decision.Target = Request.OnlyTarget;
+  const bool IsOurs = Target && Target->Entry.Domain == m_Domain &&
+                      Target->RateLimit.isActive();
+  if (IsOurs && choose(Request, Duration{0}, std::span(&Target, 1), Now)) {
+    Target->RateLimit.takePermit(Now);
+    Decision.Result = SlotDecision::Kind::Granted;
+    Decision.HasPermit = true;
+  } else {
+    Decision.Result = SlotDecision::Kind::Refused;
+    if (IsOurs)
+      Decision.BacklogTime = Target->RateLimit.refusePermit();
+  }
+  m_Sink.onSlotDecision(Request.Vm, Decision);
+}
+
+bool SlotBroker::tryGrant(const Waiting &Waiter,
+                          std::span<const TargetPtr> Targets, TimePoint Now) {
+  const auto &Request = Waiter.Request;
+  const auto Chosen = choose(Request, Now - Waiter.RequestedAt, Targets, Now);
   if (!Chosen)
     return false;
   m_Services[Request.Service.Text].Rate.recordDispatch(Now);
--- a/packages/gateway/src/slotmessages.cpp
+++ b/packages/gateway/src/slotmessages.cpp
@@ -37,7 +37,8 @@
           toMicros(Request.TimeToExpiry),
           toMicros(Request.GapTarget),
           Request.RefuseIfLate,
-          Request.ExcludedTargets};
+          Request.ExcludedTargets,
+          Request.OnlyTarget};
 }
 
 nlohmann::json fieldsOf(const SlotDecision &Decision) {
@@ -85,6 +86,9 @@
   Request.GapTarget = fromMicros(Fields.at(13));
   Request.RefuseIfLate = Fields.at(14).get<bool>();
   Request.ExcludedTargets = Fields.at(15).get<std::vector<std::uint64_t>>();
+  // A daemon of an earlier version sends no such field.
+  if (Fields.size() > 16)
+    Request.OnlyTarget = Fields[16].get<std::uint64_t>();
   return Request;
 }
 
--- a/packages/gateway/src/targetratelimit.cpp
+++ b/packages/gateway/src/targetratelimit.cpp
@@ -17,6 +17,9 @@
 constexpr double BurstSeconds = 0.1;
 /// Time after which a permit that was drawn and not used expires.
 constexpr Duration PermitLifetime = 1s;
+/// Bounds of the time after which a refused permit is requested again.
+constexpr Duration MinRequestPause = 100ms;
+constexpr Duration MaxRequestPause = 4s;
 
 /// Shares of the limit beside that of the broker of a majority. Together with
 /// its whole limit and all bursts they stay below the one and a half times of
@@ -104,6 +107,15 @@
     return;
   m_Permits = permitsAt(Now) - 1;
   m_UpdatedAt = Now;
+  m_Refusals = 0;
+}
+
+Duration TargetRateLimit::refusePermit() {
+  ++m_Refusals;
+  const double Seconds =
+      m_Refusals / std::max(ratePerSecond(), 1 / toSeconds(MaxRequestPause));
+  return fromSeconds(std::clamp(Seconds, toSeconds(MinRequestPause),
+                                toSeconds(MaxRequestPause)));
 }
 
 } // namespace mangodeck
--- a/packages/gateway/test/ratelimit_test.cpp
+++ b/packages/gateway/test/ratelimit_test.cpp
@@ -122,11 +122,13 @@
   CPPUNIT_TEST_SUITE(RateLimitTest);
   CPPUNIT_TEST(limit_oneDaemon_isKept);
   CPPUNIT_TEST(limit_daemonsOfTwoDomains_isKeptInSum);
+  CPPUNIT_TEST(limit_demandInOtherDomainOnly_isKeptAndUsed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void setUp() override {
     m_Loop.emplace();
+    m_OnlyLimited = false;
     for (auto *Target : {&m_Limited, &m_Near, &m_Far}) {
       Target->emplace(*m_Loop);
       (*Target)->Answer = [](const std::string &Request) {
@@ -162,6 +164,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), failedRequests());
   }
 
+  void limit_demandInOtherDomainOnly_isKeptAndUsed() {
+    const double PerSecond = 4;
+    m_OnlyLimited = true;
+    startFleet({"a-1", "a-2", "b-1", "b-2", "b-3"}, PerSecond, "b");
+    runLoopFor(LimitWindow + 2s);
+    assertKept(PerSecond);
+    assertUsed(PerSecond);
+  }
+
 private:
   static std::string attemptOf(const std::string &Request) {
     const auto At = Request.find("X-Attempt: ") + 11;
@@ -169,8 +180,9 @@
   }
 
   /// Starts daemons, whose failure domain is the first letter of their names,
-  /// with two callers each.
-  void startFleet(const std::vector<std::string> &Vms, double PerSecond) {
+  /// with two callers each, or only in \p CallersIn.
+  void startFleet(const std::vector<std::string> &Vms, double PerSecond,
+                  std::string_view CallersIn = "") {
     for (const auto &Vm : Vms)
       m_Daemons.push_back(std::make_unique<FleetDaemon>(
           *m_Loop, m_Names, Vm, Vm.substr(0, 1), m_Daemons.size()));
@@ -194,12 +206,14 @@
       for (const auto &[Id, Target, Domain] :
            {std::tuple("limited", &m_Limited, "a"),
             std::tuple("near", &m_Near, "a"), std::tuple("far", &m_Far, "b")})
-        Each->Server->onTargetUpdated(entry(Id, **Target, Domain));
+        if (!m_OnlyLimited || Target == &m_Limited)
+          Each->Server->onTargetUpdated(entry(Id, **Target, Domain));
       Each->Server->onDirectoryComplete();
     }
     runLoopFor(500ms); // The daemons exchange reports.
     for (const auto &Each : m_Daemons)
-      for (int Number = 0; Number < 2; ++Number)
+      for (int Number = 0;
+           Number < 2 && Each->Settings.Vm.starts_with(CallersIn); ++Number)
         m_Callers.push_back(std::make_unique<SteadyCaller>(
             *m_Loop, Each->Settings.CallerPort,
             Each->Settings.Vm + "-" + std::to_string(Number), 25ms));
@@ -251,7 +265,7 @@
   /// be used.
   void assertUsed(double PerSecond) const {
     const auto Seconds =
-        toSeconds(m_ArrivalsOfTold.back() - m_ArrivalsOfTold.front());
+        toSeconds(std::chrono::steady_clock::now() - m_ArrivalsOfTold.front());
     const auto Allowed = static_cast<std::size_t>(PerSecond * Seconds);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(m_ArrivalsOfTold.size()) +
                                " requests, " + std::to_string(Allowed) +
@@ -267,6 +281,7 @@
   }
 
   const HeaderNames m_Names = testNames();
+  bool m_OnlyLimited = false; ///< There is no other target.
   std::optional<asio::io_context> m_Loop;
   std::optional<ScriptedTarget> m_Limited;
   std::optional<ScriptedTarget> m_Near;
--- a/packages/gateway/test/slotbroker_test.cpp
+++ b/packages/gateway/test/slotbroker_test.cpp
@@ -33,6 +33,9 @@
   CPPUNIT_TEST(rateLimit_manyDaemons_grantsFollowItInSum);
   CPPUNIT_TEST(rateLimit_repeatedRequest_takesOnePermit);
   CPPUNIT_TEST(rateLimit_unknownToBroker_grantHasNoPermit);
+  CPPUNIT_TEST(permit_forDaemonOfOtherDomain_isGrantedAtOnceOrRefused);
+  CPPUNIT_TEST(permit_manyDaemonsRefused_requestsAreSpread);
+  CPPUNIT_TEST(permit_targetWithoutLimitOrOfOtherDomain_isRefused);
   CPPUNIT_TEST(saturation_manyDaemons_fillsSlotsAndServesHighRank);
   CPPUNIT_TEST_SUITE_END();
 
@@ -48,11 +51,13 @@
     auto Request = makeRequest("vm", 7);
     Request.Rank = {1, 2};
     Request.ExcludedTargets = {5, 6};
+    Request.OnlyTarget = 8;
     Request.TimeToLatencyTarget = -3ms;
     const auto ReadRequest = decode<SlotRequest>(Request);
     CPPUNIT_ASSERT_EQUAL(std::string("vm"), ReadRequest.Vm);
     CPPUNIT_ASSERT(ReadRequest.Rank == Request.Rank);
     CPPUNIT_ASSERT(ReadRequest.ExcludedTargets == Request.ExcludedTargets);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), ReadRequest.OnlyTarget);
     CPPUNIT_ASSERT(ReadRequest.TimeToLatencyTarget ==
                    Request.TimeToLatencyTarget);
     CPPUNIT_ASSERT(ReadRequest.TimeToExpiry == Request.TimeToExpiry);
@@ -373,6 +378,41 @@
     CPPUNIT_ASSERT(!lastDecision().HasPermit);
   }
 
+  void permit_forDaemonOfOtherDomain_isGrantedAtOnceOrRefused() {
+    const auto Limited = addLimitedTarget(1.0);
+    m_Now += 1s;
+    requestPermit("remote", 1, Limited->Hash);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
+    CPPUNIT_ASSERT(lastDecision().HasPermit);
+    CPPUNIT_ASSERT_EQUAL(Limited->Hash, lastDecision().Target);
+    requestPermit("remote", 2, Limited->Hash);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Refused);
+    CPPUNIT_ASSERT(lastDecision().BacklogTime == 1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Broker->waitingCount());
+  }
+
+  void permit_manyDaemonsRefused_requestsAreSpread() {
+    const auto Limited = addLimitedTarget(10.0);
+    requestPermit("d1", 1, Limited->Hash);
+    CPPUNIT_ASSERT(lastDecision().BacklogTime == 100ms);
+    requestPermit("d2", 1, Limited->Hash);
+    CPPUNIT_ASSERT(lastDecision().BacklogTime == 200ms);
+    for (int I = 0; I < 300; ++I)
+      requestPermit("d" + std::to_string(I), 1, Limited->Hash);
+    CPPUNIT_ASSERT(lastDecision().BacklogTime == 4s);
+  }
+
+  void permit_targetWithoutLimitOrOfOtherDomain_isRefused() {
+    requestPermit("remote", 1, addTarget("free", 4)->Hash);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Refused);
+    const auto Foreign = addTarget("foreign", 4, "other");
+    Foreign->RateLimit.apply({1.0, m_Now});
+    Foreign->RateLimit.setShare(1, m_Now);
+    m_Now += 1s;
+    requestPermit("remote", 2, Foreign->Hash);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Refused);
+  }
+
   void onSlotDecision(const std::string &,
                       const SlotDecision &Decision) override {
     m_Decisions.push_back(Decision);
@@ -426,6 +466,13 @@
     m_Broker->requestSlot(Request, m_Now);
   }
 
+  void requestPermit(const std::string &Vm, TicketNumber Number,
+                     std::uint64_t Target) {
+    auto Request = makeRequest(Vm, Number);
+    Request.OnlyTarget = Target;
+    m_Broker->requestSlot(Request, m_Now);
+  }
+
   static SlotUpdate makeUpdate(const std::string &Vm, TicketNumber Number,
                                SlotUpdate::Kind Change, std::uint64_t Target) {
     SlotUpdate Update;
