gateway: a stream that sends bytes but no events counts as silent

Callers waited on a stalled stream until its time limit or until they left. Cause: every byte counted as progress, so a target that sent a comment or a part of an event now and then was never given up. Change: only the head and events with an id or data count as progress of a stream. Measured: stream_bytesWithoutEvents_isResumedAtOtherTarget fails on the code before (no second send within 5 s); now the stream goes on after 1.6 s.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -226,7 +226,8 @@
   /// ones.
   Duration m_LowEventGap{0};
   TimePoint m_SentAt{};
-  TimePoint m_LastByteAt{};
+  /// Last event of a stream, or bytes of another answer; the send at first.
+  TimePoint m_LastProgressAt{};
   TimePoint m_LastEventAt{};
   TimePoint m_FirstSentAt{};
   TimePoint m_FirstEventAt{};
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -21,8 +21,8 @@
 /// length if the target has sent nothing on any other connection either.
 constexpr Duration TargetSilenceTimeout = 700ms;
 /// A repeatable stream request is sent to another target after a pause of this
-/// length even if the target answers other requests. Before the first event
-/// both timeouts are extended by twice the expected time to it.
+/// length between events even if the target sends other bytes. Before the first
+/// event both timeouts are extended by twice the expected time to it.
 constexpr Duration RequestSilenceTimeout = 1600ms;
 /// Multiple of the latency target after which an idempotent request without an
 /// answer is sent to another target.
@@ -98,7 +98,7 @@
   const auto StreamTimeout =
       std::max({MinStreamTimeout, m_Route.LatencyTarget * LatencyTimeoutFactor,
                 m_Route.GapTarget * GapTimeoutFactor});
-  const auto Since = m_StreamStarted ? m_LastByteAt : m_Arrival;
+  const auto Since = m_StreamStarted ? m_LastProgressAt : m_Arrival;
   return std::min(m_Deadline, Since + StreamTimeout);
 }
 
@@ -149,7 +149,7 @@
   }
   m_Phase = Phase::Sent;
   m_Connection = std::move(Ready);
-  m_SentAt = m_LastByteAt = Now;
+  m_SentAt = m_LastProgressAt = Now;
   if (m_FirstSentAt == TimePoint{})
     m_FirstSentAt = Now;
   ++m_SendCount;
@@ -191,7 +191,7 @@
 
 void Exchange::onAnswerHead(const http::ResponseHead &Head) {
   const auto Now = std::chrono::steady_clock::now();
-  m_LastByteAt = m_Target->LastByteAt = Now;
+  m_LastProgressAt = m_Target->LastByteAt = Now;
   m_AnswerHead = Head;
   const auto &Names = m_Context.Names;
   recordTargetState(Head, Now);
@@ -253,7 +253,9 @@
 }
 
 void Exchange::onAnswerBody(std::string_view Bytes) {
-  m_LastByteAt = m_Target->LastByteAt = std::chrono::steady_clock::now();
+  m_Target->LastByteAt = std::chrono::steady_clock::now();
+  if (!m_IsStream)
+    m_LastProgressAt = m_Target->LastByteAt;
   if (m_IsStream) {
     m_Frames.append(Bytes);
     relayEvents();
@@ -287,6 +289,11 @@
   if (Id)
     m_LastEventId = Id;
 
+  // A comment or a part of an event keeps the connection alive, but the
+  // request has made no progress.
+  if (Id || !findSseField(Event, "data").empty())
+    m_LastProgressAt = Now;
+
   // Step 2. The first event of a send ends the prefill, and the first event of
   // the request starts the stream to the caller.
   if (m_PendingPrefillTokens > 0) {
@@ -486,7 +493,7 @@
 }
 
 bool Exchange::isTargetSilent(TimePoint Now) const {
-  const auto RequestPause = Now - m_LastByteAt;
+  const auto RequestPause = Now - m_LastProgressAt;
   const auto TargetPause = Now - m_Target->LastByteAt;
   if (m_Route.Kind != RouteKind::Stream)
     return m_Route.LatencyTarget > Duration{0} &&
@@ -517,7 +524,7 @@
       m_Context.Budget.remaining(m_Service, Now) >= 1) {
     recordTargetFailure(Now);
     logEvent("silent",
-             fmt::format("quiet for {} ms", ageMs(m_LastByteAt, Now)));
+             fmt::format("quiet for {} ms", ageMs(m_LastProgressAt, Now)));
     releaseTarget(false);
     handleSendFailure(SendFailure::MayHaveRun, "target silent");
   }
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(stream_interrupted_isResumedAfterLastEvent);
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
   CPPUNIT_TEST(stream_eventMissing_laterEventIsNotRelayed);
+  CPPUNIT_TEST(stream_bytesWithoutEvents_isResumedAtOtherTarget);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
   CPPUNIT_TEST(target_announcesLeaving_isReportedToPeers);
@@ -251,6 +252,25 @@
     CPPUNIT_ASSERT(Answer.find(http::LastChunk) == Answer.npos);
   }
 
+  void stream_bytesWithoutEvents_isResumedAtOtherTarget() {
+    configure(RouteKind::Stream, 2, true);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB);
+    m_TargetA->Scripts = {{streamHead("1") + eventChunk(1)}};
+    for (int I = 0; I < 60; ++I) { // Comments, then the parts of an event.
+      std::string Chunk;
+      http::appendChunk(Chunk, I < 10 ? ": alive\n\n" : "x");
+      m_TargetA->Scripts[0].Drips.push_back(Chunk);
+    }
+    m_TargetB->Scripts = {{streamHead("1") + eventChunk(2) + "0\r\n\r\n"}};
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetB->Requests.size());
+    CPPUNIT_ASSERT(m_TargetB->Requests[0].find("Last-Event-Id: 1") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(Answer.find("id: 2\n") != Answer.npos);
+    CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
+  }
+
   void target_draining_getsNoRequests() {
     configure(RouteKind::Idempotent);
     addTarget("a", *m_TargetA);
--- a/packages/gateway/test/gatewaysupport.h
+++ b/packages/gateway/test/gatewaysupport.h
@@ -1,12 +1,14 @@
 #ifndef MANGODECK_GATEWAY_TEST_GATEWAYSUPPORT_H
 #define MANGODECK_GATEWAY_TEST_GATEWAYSUPPORT_H
 
+#include "mangodeck/common/units.h"
 #include "mangodeck/gateway/headernames.h"
 #include "mangodeck/http/message.h"
 
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <cstdint>
 #include <functional>
@@ -45,6 +47,8 @@
     std::string Bytes;
     bool Close = false; ///< Close the connection afterwards.
     bool Reset = false; ///< Close it with a reset.
+    /// Sent one after the other, DripPause apart, after \p Bytes.
+    std::vector<std::string> Drips = {};
   };
 
   explicit ScriptedTarget(asio::io_context &Loop)
@@ -56,6 +60,7 @@
   void close() { m_Acceptor.close(); }
 
   std::vector<Script> Scripts;
+  Duration DripPause = 100ms;
   std::function<std::string(const std::string &Request)> Answer;
   std::vector<std::string> Requests;
 
@@ -111,6 +116,22 @@
       Client->Socket.close(Ignored);
     else
       read(Client);
+    drip(Client, std::make_shared<std::vector<std::string>>(Next.Drips), 0);
+  }
+
+  void drip(const std::shared_ptr<Session> &Client,
+            const std::shared_ptr<std::vector<std::string>> &Drips,
+            std::size_t Index) {
+    if (Index >= Drips->size())
+      return;
+    auto Timer = std::make_shared<asio::steady_timer>(
+        Client->Socket.get_executor(), DripPause);
+    Timer->async_wait([this, Timer, Client, Drips, Index](std::error_code) {
+      std::error_code Error;
+      asio::write(Client->Socket, asio::buffer((*Drips)[Index]), Error);
+      if (!Error)
+        drip(Client, Drips, Index + 1);
+    });
   }
 
   asio::ip::tcp::acceptor m_Acceptor;
