gateway: a stream that goes on may use other failure domains

Callers lost a stream whose target stalled if no target of the own failure domain was free. Cause: targets of other domains were taken only if they met the latency target, which has passed for a stream that goes on. Change: the deadline of such a stream is the time until which its caller waits. Measured: stream_silentAfterLatencyTarget_isResumedInOtherDomain fails on the code before, passes now.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -107,7 +107,7 @@
   TimePoint arrival() const { return m_Arrival; }
   TimePoint deadline() const { return m_Deadline; }
   /// Latest time of the first event, or of the answer, that meets the latency
-  /// target.
+  /// target; of a stream that goes on, latestUsefulStart().
   TimePoint latencyDeadline() const;
   /// Latest start that is likely to meet the latency target.
   TimePoint latestStart() const;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -80,6 +80,8 @@
 }
 
 TimePoint Exchange::latencyDeadline() const {
+  if (m_StreamStarted)
+    return latestUsefulStart();
   if (m_Route.LatencyTarget <= Duration{0})
     return m_Deadline;
   return m_Arrival + m_Route.LatencyTarget;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
   CPPUNIT_TEST(stream_eventMissing_laterEventIsNotRelayed);
   CPPUNIT_TEST(stream_bytesWithoutEvents_isResumedAtOtherTarget);
+  CPPUNIT_TEST(stream_silentAfterLatencyTarget_isResumedInOtherDomain);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
   CPPUNIT_TEST(target_announcesLeaving_isReportedToPeers);
@@ -271,6 +272,19 @@
     CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
   }
 
+  void stream_silentAfterLatencyTarget_isResumedInOtherDomain() {
+    configure(RouteKind::Stream, 2, true);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    m_TargetA->Scripts = {{streamHead("1") + eventChunk(1)}};
+    std::string Comment;
+    http::appendChunk(Comment, ": alive\n\n");
+    m_TargetA->Scripts[0].Drips.assign(60, Comment);
+    m_TargetB->Scripts = {{streamHead("1") + eventChunk(2) + "0\r\n\r\n"}};
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
+  }
+
   void target_draining_getsNoRequests() {
     configure(RouteKind::Idempotent);
     addTarget("a", *m_TargetA);
