gateway: a slow stream is given up only for another target

Callers lost slow but sound streams. Cause: after 1.6 s without an event the send was given up whether or not another target could take the request; without one the stream was broken off. The time did not follow the pace that the route expects. Change: a send is given up for silence only if another target could take the request now. A pause below two gap targets, or four for the request alone, never counts as silence. Measured: stream_slowWithoutOtherTarget_isCompleted fails on the code before, passes now.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -28,6 +28,8 @@
 class ExchangeControl {
 public:
   virtual ~ExchangeControl() = default;
+  /// Whether a target that \p Running has not tried could take it now.
+  virtual bool hasOtherTarget(const Exchange &Running) const = 0;
   /// Queues the exchange until a slot is free.
   virtual void waitForSlot(const ExchangePtr &Waiting) = 0;
   /// The first event of the answer has arrived.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -24,6 +24,10 @@
 /// length between events even if the target sends other bytes. Before the first
 /// event both timeouts are extended by twice the expected time to it.
 constexpr Duration RequestSilenceTimeout = 1600ms;
+/// Multiples of the gap target below which a pause between events never counts
+/// as silence: of the target, and of the request.
+constexpr int TargetSilenceGaps = 2;
+constexpr int RequestSilenceGaps = 4;
 /// Multiple of the latency target after which an idempotent request without an
 /// answer is sent to another target.
 constexpr int IdempotentTimeoutFactor = 2;
@@ -502,9 +506,13 @@
            RequestPause > m_Route.LatencyTarget * IdempotentTimeoutFactor;
   const auto FirstEventGrace =
       m_EventCount == 0 ? 2 * m_ExpectedTimeToFirstEvent : Duration{0};
-  return (RequestPause > FirstEventGrace + TargetSilenceTimeout &&
-          TargetPause > TargetSilenceTimeout) ||
-         RequestPause > FirstEventGrace + RequestSilenceTimeout;
+  const auto TargetTimeout = std::max<Duration>(
+      TargetSilenceTimeout, m_Route.GapTarget * TargetSilenceGaps);
+  const auto RequestTimeout = std::max<Duration>(
+      RequestSilenceTimeout, m_Route.GapTarget * RequestSilenceGaps);
+  return (RequestPause > FirstEventGrace + TargetTimeout &&
+          TargetPause > TargetTimeout) ||
+         RequestPause > FirstEventGrace + RequestTimeout;
 }
 
 void Exchange::checkTimeouts(TimePoint Now) {
@@ -523,7 +531,8 @@
   }
   if (m_Phase == Phase::Sent && m_Route.mayRepeat() &&
       m_SendCount < m_Route.Attempts && isTargetSilent(Now) &&
-      m_Context.Budget.remaining(m_Service, Now) >= 1) {
+      m_Context.Budget.remaining(m_Service, Now) >= 1 &&
+      m_Context.Control.hasOtherTarget(*this)) {
     recordTargetFailure(Now);
     logEvent("silent",
              fmt::format("quiet for {} ms", ageMs(m_LastProgressAt, Now)));
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -368,6 +368,17 @@
   enqueue(New);
 }
 
+bool Gateway::hasOtherTarget(const Exchange &Running) const {
+  const auto Now = steadyNow();
+  auto Input = choiceInput(Running, Now);
+  std::vector<TargetPtr> Excluded(Input.Excluded.begin(), Input.Excluded.end());
+  Excluded.push_back(Running.target());
+  Input.Excluded = Excluded;
+  Input.LoadsAreExact = true; // The broker decides, which knows them.
+  return chooseTarget(m_Targets.targetsOf(Running.service()), Input, Now)
+      .has_value();
+}
+
 void Gateway::waitForSlot(const ExchangePtr &Waiting) {
   const auto Now = steadyNow();
   if (!Waiting->hasStreamStarted() && refuseIfPaused(Waiting, Now))
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
   CPPUNIT_TEST(stream_eventMissing_laterEventIsNotRelayed);
   CPPUNIT_TEST(stream_bytesWithoutEvents_isResumedAtOtherTarget);
+  CPPUNIT_TEST(stream_slowWithoutOtherTarget_isCompleted);
   CPPUNIT_TEST(stream_silentAfterLatencyTarget_isResumedInOtherDomain);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
@@ -272,6 +273,17 @@
     CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
   }
 
+  void stream_slowWithoutOtherTarget_isCompleted() {
+    configure(RouteKind::Stream, 2, true);
+    addTarget("a", *m_TargetA);
+    m_TargetA->DripPause = 1900ms;
+    m_TargetA->Scripts = {{streamHead("1") + eventChunk(1)}};
+    m_TargetA->Scripts[0].Drips = {eventChunk(2) + "0\r\n\r\n"};
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT(Answer.find("id: 2\n") != Answer.npos);
+    CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
+  }
+
   void stream_silentAfterLatencyTarget_isResumedInOtherDomain() {
     configure(RouteKind::Stream, 2, true);
     addTarget("a", *m_TargetA);
