gateway: silence is counted anew after a suspension

Work that ran at a sound target was started again at another one after this process had been suspended. Cause: the first tick after the suspension counted its time as the target's silence, before the bytes that had come meanwhile were read. Change: after a suspension the silence of running requests starts at 0. Measured: stream_processSuspended_isNotSentAgain fails on the code before, passes now.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -92,6 +92,9 @@
   /// Enforces the time limits of a request that is at a target; called on every
   /// tick of the gateway.
   void checkTimeouts(TimePoint Now);
+  /// Counts the silence of the target from \p Now on: this process was
+  /// suspended, and what the target sent meanwhile is not read yet.
+  void restartSilence(TimePoint Now);
   /// Ends the exchange with an error: the daemon stops, or the caller no longer
   /// reads or waits for the stream.
   void terminate();
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -498,6 +498,12 @@
   fail("cut off");
 }
 
+void Exchange::restartSilence(TimePoint Now) {
+  m_LastProgressAt = Now;
+  if (m_Target)
+    m_Target->LastByteAt = Now;
+}
+
 bool Exchange::isTargetSilent(TimePoint Now) const {
   const auto RequestPause = Now - m_LastProgressAt;
   const auto TargetPause = Now - m_Target->LastByteAt;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1234,6 +1234,8 @@
       Suspended > Duration{0}) {
     m_Log.write("woken", {{"stood_still_ms", toMs(Suspended)}});
     m_Pool.closeIdle();
+    for (const auto &[Number, Each] : m_ExchangeByNumber)
+      Each->restartSilence(Now);
     m_LocalBroker.clear();
     // Another daemon may have granted the permits of this time.
     for (const auto &[Name, Targets] : m_Targets.targetsByService())
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <optional>
+#include <thread>
 
 namespace mangodeck {
 
@@ -34,6 +35,7 @@
   CPPUNIT_TEST(stream_bytesWithoutEvents_isResumedAtOtherTarget);
   CPPUNIT_TEST(stream_slowWithoutOtherTarget_isCompleted);
   CPPUNIT_TEST(stream_silentAfterLatencyTarget_isResumedInOtherDomain);
+  CPPUNIT_TEST(stream_processSuspended_isNotSentAgain);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
   CPPUNIT_TEST(target_announcesLeaving_isReportedToPeers);
@@ -297,6 +299,22 @@
     CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
   }
 
+  void stream_processSuspended_isNotSentAgain() {
+    configure(RouteKind::Stream, 2, true);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB);
+    m_TargetA->DripPause = 300ms;
+    m_TargetA->Scripts = {{streamHead("1") + eventChunk(1)}};
+    m_TargetA->Scripts[0].Drips = {eventChunk(2), eventChunk(3) + "0\r\n\r\n"};
+    sendBytes(requestText("1"));
+    waitFor([&] { return m_TargetA->Requests.size() == 1; });
+    runLoopFor(100ms);
+    std::this_thread::sleep_for(2s); // The whole process stands still.
+    const auto Answer = sendRequest("", http::LastChunk);
+    CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
+    CPPUNIT_ASSERT(m_TargetB->Requests.empty());
+  }
+
   void target_draining_getsNoRequests() {
     configure(RouteKind::Idempotent);
     addTarget("a", *m_TargetA);
