gateway: an answer without an id on a reused connection promises nothing

Found by reading, after reports from similar systems: a late second copy of an answer is taken for the answer to the next request on the connection. Cause: a different id showed such a copy, a missing one did not. A copy of a rejection could tell a caller that its request had not run while it ran. Change: on a connection that has carried a request before, an answer must return the id of its request; else the request may have run. Measured: nonIdempotent_answerWithoutIdOnReusedConnection_getsNoPromise: 503 before, 502 now.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -204,8 +204,11 @@
   const auto *ReturnedId = Head.Fields.find(Names.AttemptId);
   // Targets return the attempt id. A different one shows that the answer
   // belongs to another request, e.g. an earlier one on this connection.
-  if (ReturnedId && !m_Facts.AttemptId.empty() &&
-      *ReturnedId != m_Facts.AttemptId)
+  // Without an id, only the first answer on a connection is certainly its own:
+  // a later one may be a second copy of the answer before it.
+  if (!m_Facts.AttemptId.empty() &&
+      (ReturnedId ? *ReturnedId != m_Facts.AttemptId
+                  : m_Connection->isReused()))
     m_AnswerInvalid = true;
   const bool Success = Head.Status / 100 == 2;
   if (Head.Fields.find("Content-Encoding") ||
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(stream_slowWithoutOtherTarget_isCompleted);
   CPPUNIT_TEST(stream_silentAfterLatencyTarget_isResumedInOtherDomain);
   CPPUNIT_TEST(stream_processSuspended_isNotSentAgain);
+  CPPUNIT_TEST(nonIdempotent_answerWithoutIdOnReusedConnection_getsNoPromise);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
   CPPUNIT_TEST(target_announcesLeaving_isReportedToPeers);
@@ -315,6 +316,16 @@
     CPPUNIT_ASSERT(m_TargetB->Requests.empty());
   }
 
+  void nonIdempotent_answerWithoutIdOnReusedConnection_getsNoPromise() {
+    configure(RouteKind::NonIdempotent, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {{plainAnswer("1")},
+                          {"HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\n"
+                           "Content-Length: 2\r\n\r\nno"}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 502"));
+  }
+
   void target_draining_getsNoRequests() {
     configure(RouteKind::Idempotent);
     addTarget("a", *m_TargetA);
--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -57,6 +57,8 @@
   void close();
 
   bool isOpen() const { return m_Open; }
+  /// Whether the connection has carried a request before the current one.
+  bool isReused() const { return m_ExchangeNumber > 1; }
   bool isBusy() const { return m_Handler != nullptr; }
   /// Whether the connection is open and idle, for less than half of the
   /// server's idle time-out if that is known.
