gateway: a repeated grant of a tried target is not used

Found while looking at hand-overs of the broker: a request could be sent a second time to a target that had rejected it. Cause: a copy of an earlier grant, or one of the former broker, was taken for the answer to the new slot request. Change: a grant of a target that the request has tried is returned. Measured: broker_repeatsGrantOfTriedTarget_targetIsNotUsed fails on the code before, passes now.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -743,7 +743,11 @@
     // A broker that does not know the target's rate limit yet takes no permit.
     const bool LacksPermit =
         Target && Target->RateLimit.isActive() && !Decision.HasPermit;
-    if (!Target || !Target->isUsable(Now) || LacksPermit) {
+    // A copy of an earlier grant may name a target that the request has tried.
+    const auto Tried = Waiting->triedTargets();
+    const bool IsTried =
+        std::find(Tried.begin(), Tried.end(), Target) != Tried.end();
+    if (!Target || !Target->isUsable(Now) || LacksPermit || IsTried) {
       withdrawSlotRequest(Decision.Number, Now);
       return scheduleDispatch(Waiting->service());
     }
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(stream_silentAfterLatencyTarget_isResumedInOtherDomain);
   CPPUNIT_TEST(stream_processSuspended_isNotSentAgain);
   CPPUNIT_TEST(nonIdempotent_answerWithoutIdOnReusedConnection_getsNoPromise);
+  CPPUNIT_TEST(broker_repeatsGrantOfTriedTarget_targetIsNotUsed);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
   CPPUNIT_TEST(target_announcesLeaving_isReportedToPeers);
@@ -326,6 +327,23 @@
     CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 502"));
   }
 
+  void broker_repeatsGrantOfTriedTarget_targetIsNotUsed() {
+    configure(RouteKind::NonIdempotent, 3);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB);
+    PeerStub Broker(*m_Loop, *m_Gateway, m_PeerPort, "a-first");
+    Broker.Decide = [&](const SlotRequest &Request) {
+      return SlotDecision{Request.Number, SlotDecision::Kind::Granted,
+                          targetHash("a"), Duration{0}};
+    };
+    waitFor([&] { return Broker.hasExchangedReports(); });
+    m_TargetA->Scripts.assign(3,
+                              {plainAnswer("1", 503, "X-Not-Executed: 1\r\n")});
+    m_TargetB->Scripts = {{plainAnswer("1")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+  }
+
   void target_draining_getsNoRequests() {
     configure(RouteKind::Idempotent);
     addTarget("a", *m_TargetA);
