gateway, http: a stop answers requests that have already arrived

During a planned stop under load, callers whose connection or request was in the kernel's queues got a reset. Cause: closing the listener resets the connections in its backlog, and an idle connection was closed without a look at its unread bytes, also right after it was accepted. Change: the backlog is accepted before the listener is closed; a connection with unread bytes, or used less than 100 ms ago, is not closed as idle. Its request gets 503 with a Retry-After, or its answer. caller_closedWhileIdle_laterRequestIsNotRead now lets the connection be idle for 150 ms first, since a younger one is no longer idle; what it checks is the same.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -203,6 +203,10 @@
 
   void onSlotFreed(const ServiceName &Service);
   void acceptCallers();
+  void startCaller(asio::ip::tcp::socket Socket);
+  /// Accepts the connections that the kernel has queued. Closing the listener
+  /// would reset them.
+  void acceptPending();
   void acceptReadiness(asio::ip::tcp::acceptor &Acceptor);
   /// Answers readiness checks and requests for the metrics.
   void serveReadiness(std::shared_ptr<asio::ip::tcp::socket> Socket);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -154,25 +154,39 @@
       [this](std::error_code Error, asio::ip::tcp::socket Socket) {
         if (Error == asio::error::operation_aborted)
           return;
-        if (!Error) {
-          http::CallerBounds Bounds;
-          if (m_Plan) {
-            const auto &Limits = m_Plan->Limits;
-            Bounds.MaxHeadBytes = Limits.MaxHeadBytes;
-            Bounds.MaxBodyBytes = Limits.MaxBodyBytes;
-            Bounds.HeadTimeout = Limits.HeadTimeout;
-            Bounds.IdleTimeout = Limits.IdleTimeout;
-          }
-          auto New = std::make_shared<http::CallerConnection>(
-              std::move(Socket),
-              static_cast<http::CallerConnectionHandler &>(*this), Bounds);
-          m_Callers.emplace(New.get(), New);
-          New->start();
-        }
+        if (!Error)
+          startCaller(std::move(Socket));
         acceptCallers();
       });
 }
 
+void Gateway::startCaller(asio::ip::tcp::socket Socket) {
+  http::CallerBounds Bounds;
+  if (m_Plan) {
+    const auto &Limits = m_Plan->Limits;
+    Bounds.MaxHeadBytes = Limits.MaxHeadBytes;
+    Bounds.MaxBodyBytes = Limits.MaxBodyBytes;
+    Bounds.HeadTimeout = Limits.HeadTimeout;
+    Bounds.IdleTimeout = Limits.IdleTimeout;
+  }
+  auto New = std::make_shared<http::CallerConnection>(
+      std::move(Socket), static_cast<http::CallerConnectionHandler &>(*this),
+      Bounds);
+  m_Callers.emplace(New.get(), New);
+  New->start();
+}
+
+void Gateway::acceptPending() {
+  std::error_code Error;
+  m_Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    asio::ip::tcp::socket Socket(m_Loop);
+    m_Acceptor.accept(Socket, Error);
+    if (!Error)
+      startCaller(std::move(Socket));
+  }
+}
+
 void Gateway::acceptReadiness(asio::ip::tcp::acceptor &Acceptor) {
   Acceptor.async_accept(
       [this, &Acceptor](std::error_code Error, asio::ip::tcp::socket Socket) {
@@ -1346,6 +1360,7 @@
   // Step 2. Accept no new connections, and close those without a request.
   if (!m_ListenerClosed) {
     m_ListenerClosed = true;
+    acceptPending();
     std::error_code Ignored; // The process ends in any case.
     m_Acceptor.close(Ignored);
   }
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(stream_silentAfterLatencyTarget_isResumedInOtherDomain);
   CPPUNIT_TEST(stream_processSuspended_isNotSentAgain);
   CPPUNIT_TEST(nonIdempotent_answerWithoutIdOnReusedConnection_getsNoPromise);
+  CPPUNIT_TEST(stop_requestInListenBacklog_isAnswered);
+  CPPUNIT_TEST(stop_requestNotReadYet_isAnswered);
   CPPUNIT_TEST(broker_repeatsGrantOfTriedTarget_targetIsNotUsed);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
@@ -327,6 +329,42 @@
     CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 502"));
   }
 
+  void stop_requestInListenBacklog_isAnswered() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    m_Gateway->stop();
+    runLoopFor(2300ms);
+    std::vector<asio::ip::tcp::socket> Others;
+    for (int I = 0; I < 20; ++I) {
+      Others.emplace_back(*m_Loop);
+      Others.back().connect(
+          {asio::ip::make_address("127.0.0.1"), m_CallerPort});
+      asio::write(Others.back(), asio::buffer(requestText("o")));
+    }
+    std::this_thread::sleep_for(500ms); // The next tick closes the listener.
+    runLoopFor(500ms);
+    for (auto &Other : Others) {
+      std::array<char, 512> Buffer;
+      std::error_code Error;
+      const auto Size = Other.read_some(asio::buffer(Buffer), Error);
+      CPPUNIT_ASSERT(
+          std::string_view(Buffer.data(), Size).starts_with("HTTP/1.1 503"));
+    }
+  }
+
+  void stop_requestNotReadYet_isAnswered() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {{plainAnswer("1")}};
+    sendRequest(requestText("1"));
+    m_Gateway->stop();
+    runLoopFor(2300ms);
+    std::this_thread::sleep_for(500ms);
+    const auto Answer = sendRequest(requestText("2"));
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(Answer.find("Connection: close") != Answer.npos);
+  }
+
   void broker_repeatsGrantOfTriedTarget_targetIsNotUsed() {
     configure(RouteKind::NonIdempotent, 3);
     addTarget("a", *m_TargetA);
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -15,6 +15,10 @@
 /// then lose the answer.
 constexpr Duration LingerTime = 1s;
 
+/// A connection is closed as idle only after this time, several round trips to
+/// a caller.
+constexpr Duration MinIdleBeforeClose = 100ms;
+
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
 int statusOf(ParseFault Fault) {
@@ -248,6 +252,12 @@
   if (m_Phase != Phase::Reading || m_Parser.hasStarted() ||
       !m_Unparsed.empty() || m_WritePending)
     return;
+  // A request that has arrived and is not read yet is answered, and so is one
+  // that the caller sends right after connecting.
+  std::error_code Error;
+  if (m_Socket.available(Error) > 0 ||
+      steadyNow() - m_LastActivity < MinIdleBeforeClose)
+    return;
   // The connection is closed without another read: a request that is in transit
   // is then never executed, and its caller can safely send it again.
   close();
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -6,6 +6,7 @@
 #include <asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
+#include <thread>
 
 namespace mangodeck::http {
 
@@ -49,6 +50,8 @@
   CPPUNIT_TEST(caller_closesWhileWaiting_handlerIsNotified);
   CPPUNIT_TEST(caller_streamAborted_doesNotLookComplete);
   CPPUNIT_TEST(caller_closedWhileIdle_laterRequestIsNotRead);
+  CPPUNIT_TEST(caller_justConnected_isNotClosedAsIdle);
+  CPPUNIT_TEST(caller_requestNotReadYet_isNotClosedAsIdle);
   CPPUNIT_TEST(caller_daemonLeaving_answerHasConnectionClose);
   CPPUNIT_TEST_SUITE_END();
 
@@ -125,6 +128,7 @@
 
   void caller_closedWhileIdle_laterRequestIsNotRead() {
     runUntilIdle();
+    std::this_thread::sleep_for(150ms);
     m_Server->closeIfIdle();
     std::error_code Ignored; // The server may have reset the connection.
     asio::write(*m_Client,
@@ -135,6 +139,22 @@
     CPPUNIT_ASSERT(m_Handler.Paths.empty());
   }
 
+  void caller_justConnected_isNotClosedAsIdle() {
+    runUntilIdle();
+    m_Server->closeIfIdle();
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    CPPUNIT_ASSERT(receiveUntil("/1/").starts_with("HTTP/1.1 200"));
+  }
+
+  void caller_requestNotReadYet_isNotClosedAsIdle() {
+    runUntilIdle();
+    std::this_thread::sleep_for(150ms);
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(20ms); // The bytes reach the socket.
+    m_Server->closeIfIdle();
+    CPPUNIT_ASSERT(receiveUntil("/1/").starts_with("HTTP/1.1 200"));
+  }
+
   void caller_daemonLeaving_answerHasConnectionClose() {
     m_Handler.Leaving = true;
     send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
