soak: rate limits of targets, and requests cut off by a stop before the head

Change: targets draw a rate limit and state it in all answers; the soak checks the sum over the daemons that were told. A request that a target has begun to run and that a planned stop ends without any answer now counts as cut off. Rejections of the stand-in return the id of the request, as the platform's do.

--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -165,7 +165,7 @@
 
   /// Draws a step of planned work, which excuses nothing.
   void doPlannedWork() {
-    switch (m_Random() % 8) {
+    switch (m_Random() % 9) {
     case 0:
       return restartGracefully(anyDaemon());
     case 1:
@@ -180,6 +180,8 @@
       return m_Store.saveCopy();
     case 6:
       return m_Store.restoreCopy(milliseconds(m_Random() % 600));
+    case 7:
+      return anyTarget().limitRate(static_cast<unsigned>(m_Random() % 6));
     default:
       return configure();
     }
@@ -199,6 +201,7 @@
     for (auto &Each : m_Targets) {
       Each->link().setFault(LinkFault::None);
       Each->setSpoiled(0);
+      Each->limitRate(0);
       Each->announce(false);
     }
   }
--- a/testing/soak/soakcaller.cpp
+++ b/testing/soak/soakcaller.cpp
@@ -97,7 +97,8 @@
   if (Kind == 3 && Answer.Parser.isComplete())
     checkGeneration(Newest, Answer.Parser.head().Status != 404);
   if (!Answer.Parser.isComplete() && m_Calm && !Answer.TimedOut &&
-      m_Daemon->isPlannedStop() && Answer.Parser.hasHead())
+      m_Daemon->isPlannedStop() &&
+      (Answer.Parser.hasHead() || m_Ledger.hasRun(Id)))
     m_Ledger.noteBroken(
         fmt::format("graceful stop: {} {} cut off after {} ms", Path, Id,
                     std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/testing/soak/soakledger.cpp
+++ b/testing/soak/soakledger.cpp
@@ -25,6 +25,11 @@
   Entry.MayRepeat = MayRepeat;
 }
 
+bool SoakLedger::hasRun(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Runs.contains(Id);
+}
+
 void SoakLedger::notePromise(const std::string &Id) {
   const std::lock_guard Lock(m_Mutex);
   m_Promised.insert(Id);
--- a/testing/soak/soakledger.h
+++ b/testing/soak/soakledger.h
@@ -23,6 +23,8 @@
   std::string daemonOf(const std::string &Id);
   /// A target began to run a request.
   void noteRun(const std::string &Id, bool MayRepeat);
+  /// Whether a target has begun to run a request.
+  bool hasRun(const std::string &Id);
   /// A caller was told that its request has not run.
   void notePromise(const std::string &Id);
   void noteAnswer() { count(m_Answered); }
--- a/testing/soak/soaktarget.cpp
+++ b/testing/soak/soaktarget.cpp
@@ -18,10 +18,24 @@
 constexpr milliseconds PauseLeadTime{500};
 constexpr unsigned MaxRequestsInPause = 2;
 
-std::string headOf(const std::string &Id, const std::string &Leaving) {
+/// The platform's bound on the requests from daemons that were told a rate
+/// limit LimitLeadTime before: in LimitWindow one and a half times the limit
+/// and LimitSlack requests.
+constexpr std::chrono::seconds LimitWindow{4};
+constexpr milliseconds LimitLeadTime{500};
+constexpr std::size_t LimitSlack = 5;
+
+std::string headOf(const std::string &Id, const std::string &State) {
   return fmt::format("HTTP/1.1 200 OK\r\nX-Mangodeck-Attempt-Id: {}\r\n"
                      "X-Mangodeck-Response-Stamp: {}\r\n{}",
-                     Id, Id, Leaving);
+                     Id, Id, State);
+}
+
+std::string rejectionOf(const std::string &Id, const std::string &Fields) {
+  return fmt::format("HTTP/1.1 503 S\r\nX-Mangodeck-Attempt-Id: {}\r\n"
+                     "X-Mangodeck-Not-Executed: 1\r\n{}"
+                     "Content-Length: 0\r\n\r\n",
+                     Id, Fields);
 }
 
 } // namespace
@@ -43,6 +57,7 @@
     const std::lock_guard Lock(m_Mutex);
     m_LeavingByAnswers = false;
     m_Told.clear();
+    m_LimitedArrivals.clear();
     ++m_Start;
     m_Sequence = 0;
   }
@@ -62,6 +77,30 @@
   m_RejectUntil = (Clock::now() + Pause).time_since_epoch().count();
 }
 
+void SoakTarget::limitRate(unsigned PerSecond) {
+  const std::lock_guard Lock(m_Mutex);
+  m_LimitPerSecond = PerSecond;
+  m_LimitedArrivals.clear();
+  for (auto &[Daemon, Told] : m_Told)
+    Told.LimitSince = Clock::time_point{};
+}
+
+void SoakTarget::checkRate(const std::string &Id, const Told &Teller) {
+  const auto Now = Clock::now();
+  if (m_LimitPerSecond == 0 || Teller.LimitSince == Clock::time_point{} ||
+      Now < Teller.LimitSince + LimitLeadTime)
+    return;
+  m_LimitedArrivals.push_back(Now);
+  while (m_LimitedArrivals.front() <= Now - LimitWindow)
+    m_LimitedArrivals.pop_front();
+  const auto Allowed = LimitWindow.count() * m_LimitPerSecond * 3 / 2;
+  if (m_LimitedArrivals.size() > Allowed + LimitSlack)
+    m_Ledger.noteBroken(fmt::format("rate limit: {} is request {} in 4 s at {},"
+                                    " limit {} a second",
+                                    Id, m_LimitedArrivals.size(), m_Id,
+                                    m_LimitPerSecond));
+}
+
 void SoakTarget::checkTold(const std::string &Id) {
   const auto Now = Clock::now();
   const auto Daemon = m_Ledger.daemonOf(Id);
@@ -70,6 +109,7 @@
   if (Found == m_Told.end() || !m_Calm)
     return;
   auto &Told = Found->second;
+  checkRate(Id, Told);
   if (Told.LeavingSince != Clock::time_point{} &&
       Now > Told.LeavingSince + DrainBound)
     m_Ledger.noteBroken("drain by answer: " + Id + " reached " + m_Id);
@@ -78,16 +118,25 @@
     m_Ledger.noteBroken("pause: " + Id + " reached " + m_Id);
 }
 
-std::string SoakTarget::leavingField(const std::string &Id) {
-  if (!m_LeavingByAnswers)
-    return "";
+std::string SoakTarget::stateFields(const std::string &Id) {
   const auto Daemon = m_Ledger.daemonOf(Id);
   const std::lock_guard Lock(m_Mutex);
+  auto &Told = m_Told[Daemon];
   // An answer that is sent while links fail may not reach the daemon.
-  auto &Since = m_Told[Daemon].LeavingSince;
-  if (m_Calm && Since == Clock::time_point{})
-    Since = Clock::now();
-  return "Server-Leaving: 1\r\n";
+  const auto NoteTold = [&](Clock::time_point &Since) {
+    if (m_Calm && Since == Clock::time_point{})
+      Since = Clock::now();
+  };
+  std::string Fields;
+  if (m_LeavingByAnswers) {
+    NoteTold(Told.LeavingSince);
+    Fields += "Server-Leaving: 1\r\n";
+  }
+  if (m_LimitPerSecond > 0) {
+    NoteTold(Told.LimitSince);
+    Fields += fmt::format("Server-Limit: {}\r\n", m_LimitPerSecond);
+  }
+  return Fields;
 }
 
 bool SoakTarget::reject(Socket &Caller, const std::string &Id) {
@@ -106,10 +155,8 @@
     }
   }
   const auto Left = std::chrono::duration<double>(Until - Now).count();
-  writeAll(Caller, fmt::format("HTTP/1.1 503 S\r\nX-Mangodeck-Not-Executed: 1"
-                               "\r\nRetry-After: {:.3f}\r\n"
-                               "Content-Length: 0\r\n\r\n",
-                               Left));
+  writeAll(Caller, rejectionOf(Id, fmt::format("Retry-After: {:.3f}\r\n{}",
+                                               Left, stateFields(Id))));
   return true;
 }
 
@@ -145,10 +192,9 @@
     return true;
   const unsigned Fault = draw(100) < m_Spoiled ? 1 + draw(5) : 0;
   if (Fault == 5) // Rejected, and truly not run.
-    return writeAll(Caller, "HTTP/1.1 503 S\r\nX-Mangodeck-Not-Executed: 1\r\n"
-                            "Content-Length: 0\r\n\r\n");
+    return writeAll(Caller, rejectionOf(Id, stateFields(Id)));
   m_Ledger.noteRun(Id, MayRepeat);
-  const auto Head = headOf(Id, leavingField(Id));
+  const auto Head = headOf(Id, stateFields(Id));
   if (IsStream) {
     const auto Last = Fields.get("Last-Event-Id");
     return stream(Caller, Head, Id,
--- a/testing/soak/soaktarget.h
+++ b/testing/soak/soaktarget.h
@@ -5,6 +5,7 @@
 #include "soakledger.h"
 #include "soakstore.h"
 
+#include <deque>
 #include <random>
 
 namespace mangodeck::soak {
@@ -28,6 +29,9 @@
   void leaveByAnswers() { m_LeavingByAnswers = true; }
   /// Rejects all requests for \p Pause with a Retry-After of that length.
   void rejectFor(std::chrono::milliseconds Pause);
+  /// States in all answers that it accepts this many requests a second from all
+  /// daemons; 0 ends that.
+  void limitRate(unsigned PerSecond);
 
 private:
   /// What one daemon was told by answers, by its address.
@@ -36,12 +40,15 @@
     Clock::time_point PauseSince{};
     Clock::time_point PauseUntil{};
     unsigned RequestsInPause = 0;
+    Clock::time_point LimitSince{};
   };
   /// Checks that the daemon which sends request \p Id heeds earlier answers.
   void checkTold(const std::string &Id);
-  /// Notes that the daemon is told now that the target leaves. Returns the
-  /// header field that says so; empty if the target does not leave.
-  std::string leavingField(const std::string &Id);
+  /// Notes what the daemon is told now of the target's leaving and rate limit.
+  /// Returns the header fields that say so.
+  std::string stateFields(const std::string &Id);
+  /// Checks that the daemons that were told the rate limit keep it in sum.
+  void checkRate(const std::string &Id, const Told &Teller);
   /// Rejects the request if the target rejects all; false if it does not.
   bool reject(Socket &Caller, const std::string &Id);
   void serve(Socket &Caller);
@@ -64,6 +71,9 @@
   std::atomic<std::uint64_t> m_Sequence{0};
   std::atomic<std::int64_t> m_Start{1}; ///< Number of the current start.
   std::map<std::string, Told> m_Told;   ///< By the daemon's name.
+  unsigned m_LimitPerSecond = 0;
+  /// Arrivals within LimitWindow from daemons that were told the rate limit.
+  std::deque<Clock::time_point> m_LimitedArrivals;
   ThreadedServer m_Server;
   FaultProxy m_Link;
 };
