--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1298,6 +1298,12 @@
     m_Pool.prune(Now);
     m_Metrics.setGauge("in_flight",
                        static_cast<double>(m_ExchangeByNumber.size()));
+    const auto Support = m_Peers.delegateSupport(Now);
+    m_Metrics.setGauge("broker_share",
+                       m_RemoteBroker
+                           ? 0
+                           : brokerShare(Support.Supporters, Support.Daemons,
+                                         Support.IsMajority));
     m_Metrics.setGauge("rate_limited_targets",
                        static_cast<double>(m_Targets.countRateLimited()));
     m_Metrics.setGauge("ticks", static_cast<double>(m_TickCount));
