--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -36,6 +36,9 @@
 
 /// Encodes the absence of a limit in a report.
 constexpr double NoRateLimit = -1;
+/// Upper bound of the age of a statement in a report. Daemons report statements
+/// for some seconds only.
+constexpr std::chrono::milliseconds MaxStatementAge = std::chrono::minutes(1);
 
 std::vector<TargetLoad> listLoads(const TargetLoads &Sums) {
   std::vector<TargetLoad> Loads;
@@ -154,11 +157,12 @@
     if (Message.contains("r"))
       for (const auto &Limit : Message["r"]) {
         const auto PerSecond = Limit.at(1).get<double>();
+        const std::chrono::milliseconds Age(std::clamp<std::int64_t>(
+            Limit.at(2).get<std::int64_t>(), 0, MaxStatementAge.count()));
+        // Written so that a value that is no number is no limit.
         Report.RateLimits.push_back(
             {Limit.at(0).get<std::uint64_t>(),
-             PerSecond < 0 ? std::nullopt : std::optional(PerSecond),
-             std::chrono::milliseconds(
-                 std::max<std::int64_t>(0, Limit.at(2).get<std::int64_t>()))});
+             PerSecond >= 0 ? std::optional(PerSecond) : std::nullopt, Age});
       }
     Report.Delegate = Message.value("b", std::string());
     return Report;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -829,19 +829,6 @@
     m_Gateway->onDirectoryComplete();
   }
 
-  static TargetEntry entry(const char *Id, const ScriptedTarget &Target,
-                           const char *Domain, bool Draining) {
-    TargetEntry Entry;
-    Entry.Id = TargetName(Id);
-    Entry.Service = ServiceName("s");
-    Entry.Domain = FailureDomain(Domain);
-    Entry.Ip = "127.0.0.1";
-    Entry.Port = Target.port();
-    Entry.Slots = 4;
-    Entry.Draining = Draining;
-    return Entry;
-  }
-
   void addTarget(const char *Id, const ScriptedTarget &Target,
                  const char *Domain = "own-domain") {
     m_Gateway->onTargetUpdated(entry(Id, Target, Domain, false));
--- a/packages/gateway/test/gatewaysupport.h
+++ b/packages/gateway/test/gatewaysupport.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/common/units.h"
 #include "mangodeck/gateway/headernames.h"
+#include "mangodeck/gateway/targetregistry.h"
 #include "mangodeck/http/message.h"
 
 #include <array>
@@ -157,6 +158,20 @@
   return Out;
 }
 
+/// The registration of \p Target for service "s".
+inline TargetEntry entry(const char *Id, const ScriptedTarget &Target,
+                         const char *Domain, bool Draining = false) {
+  TargetEntry Entry;
+  Entry.Id = TargetName(Id);
+  Entry.Service = ServiceName("s");
+  Entry.Domain = FailureDomain(Domain);
+  Entry.Ip = "127.0.0.1";
+  Entry.Port = Target.port();
+  Entry.Slots = 4;
+  Entry.Draining = Draining;
+  return Entry;
+}
+
 /// A port that no socket of 127.0.0.1 uses.
 inline std::uint16_t freePort() {
   asio::io_context Loop;
--- a/packages/gateway/test/peerregistry_test.cpp
+++ b/packages/gateway/test/peerregistry_test.cpp
@@ -1,5 +1,6 @@
 #include "mangodeck/gateway/peerregistry.h"
 
+#include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace mangodeck {
@@ -8,6 +9,7 @@
   CPPUNIT_TEST_SUITE(PeerRegistryTest);
   CPPUNIT_TEST(encodeReport_thenDecodeReport_preservesFields);
   CPPUNIT_TEST(decodeReport_invalidBytes_returnsNothing);
+  CPPUNIT_TEST(decodeReport_rateLimitOutOfRange_isBounded);
   CPPUNIT_TEST(ownDomainEndpoints_stoppingPeer_isIncluded);
   CPPUNIT_TEST(daemonCount_unlistedPeer_countsForGracePeriod);
   CPPUNIT_TEST(summarizeDomain_ownDomainDaemons_areSummedWithoutRemoteOnes);
@@ -344,6 +346,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), Decoded->Delegate);
   }
 
+  void decodeReport_rateLimitOutOfRange_isBounded() {
+    auto Report = reportOf("a", 5, 9);
+    Report.RateLimits = {{1, std::nan(""), -5s},
+                         {2, 3.0, std::chrono::hours(9000)}};
+    const auto Decoded = decodeReport(encodeReport(Report));
+    CPPUNIT_ASSERT(Decoded.has_value());
+    CPPUNIT_ASSERT(!Decoded->RateLimits.at(0).PerSecond);
+    CPPUNIT_ASSERT(Decoded->RateLimits.at(0).Age == 0s);
+    CPPUNIT_ASSERT(Decoded->RateLimits.at(1).Age == 60s);
+  }
+
   void decodeReport_invalidBytes_returnsNothing() {
     CPPUNIT_ASSERT(!decodeReport(""));
     CPPUNIT_ASSERT(!decodeReport("hello"));
--- a/packages/gateway/test/ratelimit_test.cpp
+++ b/packages/gateway/test/ratelimit_test.cpp
@@ -236,18 +236,6 @@
     return Plan;
   }
 
-  static TargetEntry entry(const char *Id, const ScriptedTarget &Target,
-                           const char *Domain) {
-    TargetEntry Entry;
-    Entry.Id = TargetName(Id);
-    Entry.Service = ServiceName("s");
-    Entry.Domain = FailureDomain(Domain);
-    Entry.Ip = "127.0.0.1";
-    Entry.Port = Target.port();
-    Entry.Slots = 4;
-    return Entry;
-  }
-
   void runLoopFor(Duration Span) {
     m_Loop->restart();
     m_Loop->run_for(Span);
