gateway: only a silent target is given up while all others are busy

Cause: found by reading the change before: with every other target busy, a request at a dead target was held until one was free for a moment, instead of joining the queue for slots. Change: silence of the target on all its connections gives the request up if another usable target exists; silence of one stream at a target that answers others only if another target could take it now.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -28,8 +28,9 @@
 class ExchangeControl {
 public:
   virtual ~ExchangeControl() = default;
-  /// Whether a target that \p Running has not tried could take it now.
-  virtual bool hasOtherTarget(const Exchange &Running) const = 0;
+  /// Whether there is a usable target that \p Running has not tried, and, if
+  /// \p IsFree, one that could take it now.
+  virtual bool hasOtherTarget(const Exchange &Running, bool IsFree) const = 0;
   /// Queues the exchange until a slot is free.
   virtual void waitForSlot(const ExchangePtr &Waiting) = 0;
   /// The first event of the answer has arrived.
@@ -185,7 +186,15 @@
                     std::optional<Duration> RetryAfter);
   void end(std::string_view Outcome, std::string_view Reason, int Status);
   void logEvent(std::string_view Event, std::string_view Reason);
+  /// The target has sent nothing on any connection for some time. For a request
+  /// that is no stream: it has not answered in time.
   bool isTargetSilent(TimePoint Now) const;
+  /// The stream has had no event for some time.
+  bool isRequestSilent(TimePoint Now) const;
+  /// Time by which silence before the first event is accepted longer.
+  Duration firstEventGrace() const;
+  /// The target is silent, and the request can and may be sent to another one.
+  bool isToBeSentAgain(TimePoint Now) const;
   /// Milliseconds from the arrival to \p Time; -1 if \p Time is not set.
   std::int64_t msSinceArrival(TimePoint Time) const;
 
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -142,7 +142,7 @@
   bool mayBuffer(std::size_t Bytes) const override;
 
   // Exchanges.
-  bool hasOtherTarget(const Exchange &Running) const override;
+  bool hasOtherTarget(const Exchange &Running, bool IsFree) const override;
   void waitForSlot(const ExchangePtr &Waiting) override;
   void onFirstEvent(const Exchange &Running) override;
   void onTargetReleased(const Exchange &Released,
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -509,19 +509,38 @@
 
 bool Exchange::isTargetSilent(TimePoint Now) const {
   const auto RequestPause = Now - m_LastProgressAt;
-  const auto TargetPause = Now - m_Target->LastByteAt;
   if (m_Route.Kind != RouteKind::Stream)
     return m_Route.LatencyTarget > Duration{0} &&
            RequestPause > m_Route.LatencyTarget * IdempotentTimeoutFactor;
-  const auto FirstEventGrace =
-      m_EventCount == 0 ? 2 * m_ExpectedTimeToFirstEvent : Duration{0};
-  const auto TargetTimeout = std::max<Duration>(
+  const auto Timeout = std::max<Duration>(
       TargetSilenceTimeout, m_Route.GapTarget * TargetSilenceGaps);
-  const auto RequestTimeout = std::max<Duration>(
+  return RequestPause > firstEventGrace() + Timeout &&
+         Now - m_Target->LastByteAt > Timeout;
+}
+
+bool Exchange::isRequestSilent(TimePoint Now) const {
+  const auto Timeout = std::max<Duration>(
       RequestSilenceTimeout, m_Route.GapTarget * RequestSilenceGaps);
-  return (RequestPause > FirstEventGrace + TargetTimeout &&
-          TargetPause > TargetTimeout) ||
-         RequestPause > FirstEventGrace + RequestTimeout;
+  return m_Route.Kind == RouteKind::Stream &&
+         Now - m_LastProgressAt > firstEventGrace() + Timeout;
+}
+
+Duration Exchange::firstEventGrace() const {
+  return m_EventCount == 0 ? 2 * m_ExpectedTimeToFirstEvent : Duration{0};
+}
+
+bool Exchange::isToBeSentAgain(TimePoint Now) const {
+  if (m_Phase != Phase::Sent || !m_Route.mayRepeat() ||
+      m_SendCount >= m_Route.Attempts ||
+      m_Context.Budget.remaining(m_Service, Now) < 1)
+    return false;
+  // A target that answers others may still complete a slow stream, which is
+  // given up only if another one can take it now. A silent target may be dead;
+  // then the request also waits for a slot.
+  return (isTargetSilent(Now) &&
+          m_Context.Control.hasOtherTarget(*this, false)) ||
+         (isRequestSilent(Now) &&
+          m_Context.Control.hasOtherTarget(*this, true));
 }
 
 void Exchange::checkTimeouts(TimePoint Now) {
@@ -538,10 +557,7 @@
     return answerCaller(WasSent || m_PossibleRuns > 0 ? 504 : 503,
                         "time limit passed", std::nullopt);
   }
-  if (m_Phase == Phase::Sent && m_Route.mayRepeat() &&
-      m_SendCount < m_Route.Attempts && isTargetSilent(Now) &&
-      m_Context.Budget.remaining(m_Service, Now) >= 1 &&
-      m_Context.Control.hasOtherTarget(*this)) {
+  if (isToBeSentAgain(Now)) {
     recordTargetFailure(Now);
     logEvent("silent",
              fmt::format("quiet for {} ms", ageMs(m_LastProgressAt, Now)));
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -372,15 +372,21 @@
   enqueue(New);
 }
 
-bool Gateway::hasOtherTarget(const Exchange &Running) const {
+bool Gateway::hasOtherTarget(const Exchange &Running, bool IsFree) const {
   const auto Now = steadyNow();
   auto Input = choiceInput(Running, Now);
   std::vector<TargetPtr> Excluded(Input.Excluded.begin(), Input.Excluded.end());
   Excluded.push_back(Running.target());
+  const auto Targets = m_Targets.targetsOf(Running.service());
+  if (!IsFree)
+    return std::any_of(Targets.begin(), Targets.end(), [&](const auto &Target) {
+      return Target->isUsable(Now) &&
+             std::find(Excluded.begin(), Excluded.end(), Target) ==
+                 Excluded.end();
+    });
   Input.Excluded = Excluded;
   Input.LoadsAreExact = true; // The broker decides, which knows them.
-  return chooseTarget(m_Targets.targetsOf(Running.service()), Input, Now)
-      .has_value();
+  return chooseTarget(Targets, Input, Now).has_value();
 }
 
 void Gateway::waitForSlot(const ExchangePtr &Waiting) {
