gateway: a permit refused for an unknown limit is not requested again at once

Cause: found by reading: a broker that does not know a target's limit refused permits without a time, so that each decision of the own broker asked anew. Change: such a request is repeated after a second.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -236,7 +236,8 @@
   bool usesOwnSummary() const {
     return m_RemoteBroker.has_value() && m_Peers.isDomainLarge();
   }
-  /// Updates this daemon's share of the targets' rate limits.
+  /// Updates this daemon's shares of the targets' rate limits, and draws
+  /// permits for those that cannot hold a whole token.
   void updateRateLimitShares(TimePoint Now);
   /// Updates, once per reportPeriod(), the load that other daemons cause at
   /// each target and the requests that this daemon may send there.
--- a/packages/gateway/include/mangodeck/gateway/targetratelimit.h
+++ b/packages/gateway/include/mangodeck/gateway/targetratelimit.h
@@ -61,9 +61,10 @@
   RateLimitStatement m_Last;
   double m_Share = 0;
   double m_Permits = 0; ///< At m_UpdatedAt.
-  /// Of a share that cannot hold a whole token: time of the last permit.
+  /// Time of m_Permits. If the share cannot hold a whole token, the time at
+  /// which the permit was drawn or taken.
   TimePoint m_UpdatedAt{};
-  TimePoint m_DrawnAt{};
+  TimePoint m_DrawnAt{}; ///< Of the last call of drawPermit().
   std::uint32_t m_Refusals = 0; ///< Since the last permit was taken.
 };
 
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -15,6 +15,10 @@
 /// period of reports.
 constexpr Duration DaemonTimeout = 2s;
 
+/// Time after which a permit is requested again from a broker that does not
+/// know the target or its rate limit. It learns of them with the next reports.
+constexpr Duration UnknownLimitPause = 1s;
+
 } // namespace
 
 SlotBroker::SlotBroker(FailureDomain Domain, const TargetRegistry &Targets,
@@ -115,8 +119,8 @@
     Decision.HasPermit = true;
   } else {
     Decision.Result = SlotDecision::Kind::Refused;
-    if (IsOurs)
-      Decision.BacklogTime = Target->RateLimit.refusePermit();
+    Decision.BacklogTime =
+        IsOurs ? Target->RateLimit.refusePermit() : UnknownLimitPause;
   }
   m_Sink.onSlotDecision(Request.Vm, Decision);
 }
--- a/packages/gateway/test/slotbroker_test.cpp
+++ b/packages/gateway/test/slotbroker_test.cpp
@@ -405,6 +405,7 @@
   void permit_targetWithoutLimitOrOfOtherDomain_isRefused() {
     requestPermit("remote", 1, addTarget("free", 4)->Hash);
     CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Refused);
+    CPPUNIT_ASSERT(lastDecision().BacklogTime == 1s);
     const auto Foreign = addTarget("foreign", 4, "other");
     Foreign->RateLimit.apply({1.0, m_Now});
     Foreign->RateLimit.setShare(1, m_Now);
