--- a/packages/gateway/include/mangodeck/gateway/targetratelimit.h
+++ b/packages/gateway/include/mangodeck/gateway/targetratelimit.h
@@ -64,7 +64,7 @@
   /// Time of m_Permits. If the share cannot hold a whole token, the time at
   /// which the permit was drawn or taken.
   TimePoint m_UpdatedAt{};
-  TimePoint m_DrawnAt{}; ///< Of the last call of drawPermit().
+  TimePoint m_DrawnAt{};        ///< Of the last call of drawPermit().
   std::uint32_t m_Refusals = 0; ///< Since the last permit was taken.
 };
 
