gateway: crash evidence in the logs: prompt parts, events and the probe's error

Cause: the logs of the incident can't tell which prompt parts the requests at a crashed target shared, nor whether an answer had begun. Change: the daemon reads the shared parts of a prompt; crash_mark names the request, its parts, the events received and the error of the connection attempt after the crash. No functional change.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -42,9 +42,10 @@
   /// The exchange has ended. \p MayHaveRun is false if certainly no target has
   /// run the request.
   virtual void onExchangeEnded(Exchange &Ended, bool MayHaveRun) = 0;
-  /// The connection to \p Target broke before the answer was complete.
-  virtual void onIncompleteAnswer(const TargetPtr &Target,
-                                  std::uint64_t Fingerprint) = 0;
+  /// The connection of \p Broken to \p Target broke before the answer was
+  /// complete.
+  virtual void onIncompleteAnswer(const Exchange &Broken,
+                                  const TargetPtr &Target) = 0;
   /// An answer of \p Target states that the target leaves.
   virtual void onTargetLeaving(const TargetPtr &Target) = 0;
   /// An answer states that the target at the address of \p Expected leaves,
@@ -124,6 +125,8 @@
   TimePoint latestUsefulStart() const;
   /// The caller has been sent the head of a stream.
   bool hasStreamStarted() const { return m_StreamStarted; }
+  /// Events received from the current or last target.
+  std::uint32_t eventCount() const { return m_EventCount; }
   bool isWaiting() const { return m_Phase == Phase::Waiting; }
   void setWaiting() { m_Phase = Phase::Waiting; }
   bool hasEnded() const { return m_Phase == Phase::Ended; }
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -148,8 +148,8 @@
   void onTargetReleased(const Exchange &Released,
                         const SlotUpdate &Update) override;
   void onExchangeEnded(Exchange &Ended, bool MayHaveRun) override;
-  void onIncompleteAnswer(const TargetPtr &Target,
-                          std::uint64_t Fingerprint) override;
+  void onIncompleteAnswer(const Exchange &Broken,
+                          const TargetPtr &Target) override;
   void onTargetLeaving(const TargetPtr &Target) override;
   void onOtherTargetLeaving(const TargetPtr &Expected) override;
   void onTargetPaused(const TargetPtr &Target) override;
--- a/packages/gateway/include/mangodeck/gateway/headernames.h
+++ b/packages/gateway/include/mangodeck/gateway/headernames.h
@@ -8,9 +8,13 @@
 
 /// Names of the header fields that callers, the daemon and targets exchange.
 struct HeaderNames {
-  std::string AttemptId;      ///< Id of one attempt of a caller.
-  std::string RemainingTime;  ///< Milliseconds that the sender waits at most.
-  std::string TokenCounts;    ///< "PROMPT,OUTPUT" tokens; OUTPUT is a maximum.
+  std::string AttemptId;     ///< Id of one attempt of a caller.
+  std::string RemainingTime; ///< Milliseconds that the sender waits at most.
+  std::string TokenCounts;   ///< "PROMPT,OUTPUT" tokens; OUTPUT is a maximum.
+  /// Parts of the prompt in order, as comma-separated "ID:TOKENS" entries with
+  /// a hexadecimal ID. Requests share parts; the last part is the request's
+  /// own.
+  std::string PromptParts;
   std::string OutputHint;     ///< Caller's estimate of output tokens.
   std::string LastEventId;    ///< A stream is resumed after this event.
   std::string Authorization;  ///< Carries the caller's key.
--- a/packages/gateway/include/mangodeck/gateway/requestfacts.h
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -8,9 +8,13 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mangodeck {
 
+/// Identifies a part of a prompt that several requests may share.
+using PromptPartId = std::uint64_t;
+
 /// What a daemon reads from a request before it decides how to serve it.
 struct RequestFacts {
   std::string AttemptId;
@@ -20,12 +24,19 @@
   TokenCount PromptTokens = 0;
   TokenCount MaxOutputTokens = 0;
   std::optional<TokenCount> OutputHint;
+  /// The shared parts of the prompt: all but the last.
+  std::vector<PromptPartId> SharedParts;
   std::uint64_t Fingerprint = 0; ///< Hash of path, key and body.
 };
 
 RequestFacts parseRequestFacts(const http::Request &Message,
                                const HeaderNames &Names);
 
+/// The shared parts of a prompt, from the header field
+/// HeaderNames::PromptParts: all but the last, without repetitions. Entries
+/// without a hexadecimal id are left out.
+std::vector<PromptPartId> parseSharedParts(std::string_view Field);
+
 /// The numeric id of an event of a stream; std::nullopt if it has none.
 std::optional<std::int64_t> parseEventId(std::string_view Event);
 
--- a/packages/gateway/include/mangodeck/gateway/targetconnectionpool.h
+++ b/packages/gateway/include/mangodeck/gateway/targetconnectionpool.h
@@ -44,9 +44,10 @@
   /// be used again, if the target is draining, or if the target has its maximum
   /// of idle connections.
   void release(const TargetPtr &Target, Connection Used);
-  /// Calls \p Done with whether the target accepts a connection. The pool keeps
-  /// the connection.
-  void probe(const TargetPtr &Target, std::function<void(bool)> Done);
+  /// Calls \p Done without an error if the target accepts a connection. The
+  /// pool keeps the connection.
+  void probe(const TargetPtr &Target,
+             std::function<void(std::error_code)> Done);
   /// Closes connections that reached the idle limit or cannot be used again,
   /// and all connections to targets that are draining or were removed.
   void prune(TimePoint Now);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -422,7 +422,7 @@
   }
   releaseTarget(false);
   if (!Failure.Malformed)
-    m_Context.Control.onIncompleteAnswer(BrokenTarget, m_Facts.Fingerprint);
+    m_Context.Control.onIncompleteAnswer(*this, BrokenTarget);
   handleSendFailure(SendFailure::MayHaveRun, Failure.Error.message());
 }
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -58,11 +58,20 @@
 /// Bytes of a rejected request's first line that are logged. The header fields
 /// are not logged, since they may hold API keys.
 constexpr std::size_t MaxLoggedLineBytes = 120;
+/// Prompt parts of a request that are logged.
+constexpr std::size_t MaxLoggedParts = 8;
 /// Connections that the kernel queues until they are accepted.
 constexpr int ListenBacklog = 512;
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
+/// The first ids of \p Parts, separated by commas.
+std::string formatParts(std::span<const PromptPartId> Parts) {
+  const auto Shown = Parts.first(std::min(Parts.size(), MaxLoggedParts));
+  return fmt::format("{:x}{}", fmt::join(Shown, ","),
+                     Shown.size() < Parts.size() ? ",..." : "");
+}
+
 /// Removes the targets from \p Leaving that have been reported for
 /// StatementReportPeriod, and returns the others.
 template <typename Name>
@@ -586,20 +595,26 @@
   m_ExchangeByNumber.erase(Found);
 }
 
-void Gateway::onIncompleteAnswer(const TargetPtr &Target,
-                                 std::uint64_t Fingerprint) {
+void Gateway::onIncompleteAnswer(const Exchange &Broken,
+                                 const TargetPtr &Target) {
   // If the target still accepts connections, only this answer was lost.
   // Otherwise it has crashed together with every request that it ran.
-  m_Pool.probe(Target, [this, Target, Fingerprint](bool Listens) {
-    if (Listens)
+  m_Pool.probe(Target, [this, Target, Facts = Broken.facts(),
+                        Events = Broken.eventCount()](std::error_code Error) {
+    if (!Error)
       return;
     const auto Now = steadyNow();
     Target->recordFailure(Now);
-    if (m_CrashGuard.record({Fingerprint, Target->Hash}, Now))
-      m_Log.write("crash_mark",
-                  {{"target", Target->Entry.Id.Text},
-                   {"fingerprint", Fingerprint},
-                   {"refused", m_CrashGuard.isRefused(Fingerprint, Now)}});
+    if (m_CrashGuard.record({Facts.Fingerprint, Target->Hash}, Now))
+      m_Log.write(
+          "crash_mark",
+          {{"id", Facts.AttemptId},
+           {"target", Target->Entry.Id.Text},
+           {"probe", Error.message()},
+           {"events", Events},
+           {"parts", formatParts(Facts.SharedParts)},
+           {"fingerprint", Facts.Fingerprint},
+           {"refused", m_CrashGuard.isRefused(Facts.Fingerprint, Now)}});
   });
 }
 
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -23,6 +23,16 @@
   return Value;
 }
 
+/// A hexadecimal number without prefix. One of more than 64 bits is hashed.
+std::optional<std::uint64_t> parseHexadecimal(std::string_view Text) {
+  std::uint64_t Value = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto [At, Error] = std::from_chars(Text.data(), End, Value, 16);
+  if (At != End || Error == std::errc::invalid_argument)
+    return std::nullopt;
+  return Error == std::errc() ? Value : XXH3_64bits(Text.data(), Text.size());
+}
+
 /// A decimal number of at least 0, without an exponent.
 std::optional<double> parseDecimal(std::string_view Text) {
   double Value = 0;
@@ -56,6 +66,7 @@
     Facts.MaxOutputTokens = parseNumber(Counts.substr(Comma + 1)).value_or(0);
   }
   Facts.OutputHint = parseNumber(Fields.get(Names.OutputHint));
+  Facts.SharedParts = parseSharedParts(Fields.get(Names.PromptParts));
 
   for (const std::string_view Input :
        {std::string_view(Message.Head.Target), std::string_view(Facts.ApiKey),
@@ -65,6 +76,21 @@
   return Facts;
 }
 
+std::vector<PromptPartId> parseSharedParts(std::string_view Field) {
+  std::vector<PromptPartId> Parts;
+  for (auto Comma = Field.find(','); Comma != Field.npos;
+       Comma = Field.find(',')) {
+    auto Entry = Field.substr(0, Comma);
+    Field.remove_prefix(Comma + 1);
+    Entry.remove_prefix(std::min(Entry.find_first_not_of(" \t"), Entry.size()));
+    if (const auto Id = parseHexadecimal(Entry.substr(0, Entry.find(':'))))
+      Parts.push_back(*Id);
+  }
+  std::sort(Parts.begin(), Parts.end());
+  Parts.erase(std::unique(Parts.begin(), Parts.end()), Parts.end());
+  return Parts;
+}
+
 std::optional<std::int64_t> parseEventId(std::string_view Event) {
   return parseNumber(findSseField(Event, "id"));
 }
--- a/packages/gateway/src/targetconnectionpool.cpp
+++ b/packages/gateway/src/targetconnectionpool.cpp
@@ -104,12 +104,12 @@
 }
 
 void TargetConnectionPool::probe(const TargetPtr &Target,
-                                 std::function<void(bool)> Done) {
+                                 std::function<void(std::error_code)> Done) {
   connect(Target, [this, Target, Done = std::move(Done)](std::error_code Error,
                                                          Connection Opened) {
     if (!Error)
       release(Target, std::move(Opened));
-    Done(!Error);
+    Done(Error);
   });
 }
 
--- a/packages/gateway/test/gatewaysupport.h
+++ b/packages/gateway/test/gatewaysupport.h
@@ -24,6 +24,7 @@
   Names.AttemptId = "X-Attempt";
   Names.RemainingTime = "X-Left";
   Names.TokenCounts = "X-Tokens";
+  Names.PromptParts = "X-Parts";
   Names.OutputHint = "X-Hint";
   Names.LastEventId = "Last-Event-Id";
   Names.Authorization = "Authorization";
--- a/scripts/boundary-check.sh
+++ b/scripts/boundary-check.sh
@@ -3,7 +3,7 @@
 # its protocol stands in other sources, and none includes a header of it.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-names='X-Mangodeck-(Attempt-Id|Request-Deadline|Token-Count|Length-Hint|Tenant-Id|Expect-Instance|Expect-Version|Not-Executed|Response-Stamp|Server-Load|Hold|Pin-Duration|Kv-Backup)'
+names='X-Mangodeck-(Attempt-Id|Request-Deadline|Token-Count|Prefix-Hash|Length-Hint|Tenant-Id|Expect-Instance|Expect-Version|Not-Executed|Response-Stamp|Server-Load|Hold|Pin-Duration|Kv-Backup)'
 names+='|/kv-(key|range|watch|txn|lease|keep)|"(AsOf|Precondition|AfterRevision|TtlMs|NodeName|MachineClass|TargetLatencyMs|AuthExempt|TrafficSplit|ApiKeys)"'
 names+='|"op/config"|"servers/|MANGODECK_CONFIG'
 headers='include "(directory|headers|settingsfile|storeclient)\.h"'
