gateway: failing tests of a prompt part that crashes targets

Requests that share one part of their prompts, and nothing else, crash target after target; the guard against crashing requests compares whole requests. Change: a fleet on one event loop whose targets end when they begin to answer such a request. FleetDaemon and SteadyCaller move to fleetsupport.h. No functional change.

--- a/packages/gateway/test/gatewaysupport.h
+++ b/packages/gateway/test/gatewaysupport.h
@@ -54,16 +54,37 @@
   };
 
   explicit ScriptedTarget(asio::io_context &Loop)
-      : m_Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), 0}) {
+      : m_Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), 0}),
+        m_Port(m_Acceptor.local_endpoint().port()) {
     accept();
   }
 
-  std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
+  std::uint16_t port() const { return m_Port; }
   void close() { m_Acceptor.close(); }
+  /// Closes the listener and all connections, as the end of a process does.
+  void crash() {
+    m_Acceptor.close();
+    for (const auto &Weak : m_Sessions)
+      if (const auto Open = Weak.lock())
+        Open->Socket.close();
+    m_Sessions.clear();
+  }
+  /// Listens again at the same port.
+  void restart() {
+    const asio::ip::tcp::endpoint Local(asio::ip::make_address("127.0.0.1"),
+                                        m_Port);
+    m_Acceptor.open(Local.protocol());
+    m_Acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_Acceptor.bind(Local);
+    m_Acceptor.listen();
+    accept();
+  }
 
   std::vector<Script> Scripts;
   Duration DripPause = 100ms;
   std::function<std::string(const std::string &Request)> Answer;
+  /// Time after which \p Answer is called.
+  Duration AnswerDelay{0};
   std::vector<std::string> Requests;
 
 private:
@@ -79,7 +100,9 @@
         [this](std::error_code Error, asio::ip::tcp::socket Socket) {
           if (Error)
             return;
-          read(std::make_shared<Session>(std::move(Socket)));
+          const auto New = std::make_shared<Session>(std::move(Socket));
+          m_Sessions.push_back(New);
+          read(New);
           accept();
         });
   }
@@ -102,13 +125,8 @@
     const auto Index = Requests.size();
     Requests.push_back(Client->Read);
     Client->Read.clear();
-    if (Index >= Scripts.size()) {
-      std::error_code Ignored;
-      if (Answer)
-        asio::write(Client->Socket, asio::buffer(Answer(Requests.back())),
-                    Ignored);
-      return read(Client);
-    }
+    if (Index >= Scripts.size())
+      return answerLater(Client, Requests.back());
     const auto &Next = Scripts[Index];
     std::error_code Ignored;
     asio::write(Client->Socket, asio::buffer(Next.Bytes), Ignored);
@@ -121,6 +139,22 @@
     drip(Client, std::make_shared<std::vector<std::string>>(Next.Drips), 0);
   }
 
+  void answerLater(const std::shared_ptr<Session> &Client,
+                   const std::string &Request) {
+    if (!Answer)
+      return read(Client);
+    auto Timer = std::make_shared<asio::steady_timer>(
+        Client->Socket.get_executor(), AnswerDelay);
+    Timer->async_wait([this, Timer, Client, Request](std::error_code) {
+      if (!Client->Socket.is_open())
+        return;
+      const auto Bytes = Answer(Request);
+      std::error_code Ignored;
+      asio::write(Client->Socket, asio::buffer(Bytes), Ignored);
+      read(Client);
+    });
+  }
+
   void drip(const std::shared_ptr<Session> &Client,
             const std::shared_ptr<std::vector<std::string>> &Drips,
             std::size_t Index) {
@@ -137,6 +171,8 @@
   }
 
   asio::ip::tcp::acceptor m_Acceptor;
+  std::uint16_t m_Port;
+  std::vector<std::weak_ptr<Session>> m_Sessions;
 };
 
 inline std::string
--- a/packages/gateway/test/ratelimit_test.cpp
+++ b/packages/gateway/test/ratelimit_test.cpp
@@ -1,11 +1,7 @@
-#include "gatewaysupport.h"
-#include "mangodeck/common/random.h"
-#include "mangodeck/gateway/gateway.h"
-#include "mangodeck/http/parser.h"
+#include "fleetsupport.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
-#include <optional>
 
 namespace mangodeck {
 
@@ -35,85 +31,6 @@
       LimitFactor * PerSecond * toSeconds(LimitWindow) + LimitSlack);
 }
 
-/// A gateway with its own addresses.
-struct FleetDaemon {
-  FleetDaemon(asio::io_context &Loop, const HeaderNames &Names,
-              const std::string &Vm, const std::string &Domain,
-              std::uint64_t Seed)
-      : Random(Seed), Log(-1, Vm, "1", 10000) {
-    Settings.Vm = Vm;
-    Settings.Incarnation = 1;
-    Settings.Domain = FailureDomain(Domain);
-    Settings.Ip = "127.0.0.1";
-    Settings.CallerPort = freePort();
-    Settings.ReadyPort = freePort();
-    Settings.PeerPort = freePort();
-    Settings.ReadyPath = "/ready";
-    Server.emplace(Loop, Settings, Names, Log, Metrics, Random);
-    CPPUNIT_ASSERT(!Server->start());
-  }
-
-  SeededRandom Random;
-  EventLog Log;
-  GatewayMetrics Metrics;
-  GatewaySettings Settings;
-  std::optional<Gateway> Server;
-};
-
-/// A caller that sends one request after another to one daemon.
-class SteadyCaller : private http::MessageSink {
-public:
-  SteadyCaller(asio::io_context &Loop, std::uint16_t Port, std::string Name,
-               Duration Pause)
-      : m_Socket(Loop), m_Timer(Loop), m_Parser(*this), m_Name(std::move(Name)),
-        m_Pause(Pause) {
-    m_Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
-    send();
-  }
-
-  std::size_t Served = 0;
-  std::size_t Failed = 0;
-
-private:
-  void onHead() override {}
-  void onBody(std::string_view) override {}
-
-  void send() {
-    m_Parser.reset(false);
-    m_Request = "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt: " + m_Name + "-" +
-                std::to_string(++m_Sent) + "\r\nX-Left: 2000\r\n\r\n";
-    asio::write(m_Socket, asio::buffer(m_Request));
-    read();
-  }
-
-  void read() {
-    m_Socket.async_read_some(
-        asio::buffer(m_Buffer),
-        [this](std::error_code Error, std::size_t Size) {
-          if (Error)
-            return;
-          m_Parser.feed({m_Buffer.data(), Size});
-          if (!m_Parser.isComplete())
-            return read();
-          ++(m_Parser.head().Status == 200 ? Served : Failed);
-          m_Timer.expires_after(m_Pause);
-          m_Timer.async_wait([this](std::error_code Cancelled) {
-            if (!Cancelled)
-              send();
-          });
-        });
-  }
-
-  asio::ip::tcp::socket m_Socket;
-  asio::steady_timer m_Timer;
-  http::ResponseParser m_Parser;
-  std::string m_Name;
-  Duration m_Pause;
-  std::string m_Request;
-  std::array<char, 4096> m_Buffer;
-  std::uint64_t m_Sent = 0;
-};
-
 } // namespace
 
 /// Daemons of two failure domains on one event loop. Target "limited" states a
@@ -174,11 +91,6 @@
   }
 
 private:
-  static std::string attemptOf(const std::string &Request) {
-    const auto At = Request.find("X-Attempt: ") + 11;
-    return Request.substr(At, Request.find('\r', At) - At);
-  }
-
   /// Starts daemons, whose failure domain is the first letter of their names,
   /// with two callers each, or only in \p CallersIn.
   void startFleet(const std::vector<std::string> &Vms, double PerSecond,
@@ -216,7 +128,15 @@
            Number < 2 && Each->Settings.Vm.starts_with(CallersIn); ++Number)
         m_Callers.push_back(std::make_unique<SteadyCaller>(
             *m_Loop, Each->Settings.CallerPort,
-            Each->Settings.Vm + "-" + std::to_string(Number), 25ms));
+            requestsOf(Each->Settings.Vm + "-" + std::to_string(Number)),
+            25ms));
+  }
+
+  static SteadyCaller::RequestMaker requestsOf(const std::string &Name) {
+    return [Name](unsigned Number) {
+      return "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt: " + Name + "-" +
+             std::to_string(Number) + "\r\nX-Left: 2000\r\n\r\n";
+    };
   }
 
   static RoutePlanPtr plan() {
