gateway: a prompt part that crashes targets is found and refused by all daemons

Cause: the guard against crashing requests compared whole requests (path, caller, body). Requests that share one part of their prompts differ in all of these, so none of them was ever seen in two crashes. Callers beside them lost their streams with each crashed target. Ruled out: lost reports between daemons (crash_mark of one daemon reached the others); repeats alone (192 of 198 fingerprints occur at one target). Change: CrashingParts. Each shared part of a request without an answer is a suspect of the crash; an answer that begins later and goes on refutes its parts; the part in most unrefuted crashes, of two distinct requests or more, explains them. Daemons exchange sightings and refutations. Requests with the part are refused (503, not run), those under way are ended, and a request that was at a crashed target waits for the connection probe before it is repeated.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -43,9 +43,15 @@
   /// run the request.
   virtual void onExchangeEnded(Exchange &Ended, bool MayHaveRun) = 0;
   /// The connection of \p Broken to \p Target broke before the answer was
-  /// complete.
-  virtual void onIncompleteAnswer(const Exchange &Broken,
-                                  const TargetPtr &Target) = 0;
+  /// complete. Calls Broken->repeatAfterCrash(), with \p Reason, later if that
+  /// is to wait until it is known whether the target has crashed; else returns
+  /// false.
+  virtual bool onIncompleteAnswer(const ExchangePtr &Broken,
+                                  const TargetPtr &Target,
+                                  std::string_view Reason) = 0;
+  /// A target has answered the request and went on. \p Begun is the time at
+  /// which the answer began.
+  virtual void onSoundAnswer(const Exchange &Running, TimePoint Begun) = 0;
   /// An answer of \p Target states that the target leaves.
   virtual void onTargetLeaving(const TargetPtr &Target) = 0;
   /// An answer states that the target at the address of \p Expected leaves,
@@ -89,6 +95,12 @@
   /// Answers a request that no target has run or will run. \p Status is 429 or
   /// 503.
   void refuse(int Status, std::string_view Reason, Duration RetryAfter);
+  /// Continues after onIncompleteAnswer(): sends the request again if possible,
+  /// else ends it.
+  void repeatAfterCrash(std::string_view Reason);
+  /// Ends a request whose prompt has a part that crashes targets, unless its
+  /// answer has begun.
+  void stopCrashing();
   /// The caller has disconnected: releases the target and ends the exchange.
   void cancel();
   /// Enforces the time limits of a request that is at a target; called on every
@@ -127,6 +139,10 @@
   bool hasStreamStarted() const { return m_StreamStarted; }
   /// Events received from the current or last target.
   std::uint32_t eventCount() const { return m_EventCount; }
+  /// The current or last target has answered and went on, so the request is not
+  /// one that crashes targets.
+  bool isAnswerSound() const { return m_AnswerSound; }
+  bool mayHaveRun() const { return m_PossibleRuns > 0; }
   bool isWaiting() const { return m_Phase == Phase::Waiting; }
   void setWaiting() { m_Phase = Phase::Waiting; }
   bool hasEnded() const { return m_Phase == Phase::Ended; }
@@ -179,6 +195,8 @@
   /// used for other requests.
   void releaseTarget(bool KeepConnection);
   void recordTargetFailure(TimePoint Now);
+  /// Reports, once per send, that the answer that began at \p Begun is sound.
+  void recordSoundAnswer(TimePoint Begun);
   void recordTargetSuccess(TimePoint Now);
   /// The request occupies a slot of its target.
   bool isAtTarget() const {
@@ -235,6 +253,7 @@
   /// The answer belongs to another request, lacks the response stamp, is
   /// encoded, or is too large.
   bool m_AnswerInvalid = false;
+  bool m_AnswerSound = false;   ///< See isAnswerSound().
   bool m_StreamStarted = false; ///< Towards the caller.
   SseFrames m_Frames;
   std::optional<std::int64_t> m_LastEventId;
@@ -246,6 +265,7 @@
   /// Last event of a stream, or bytes of another answer; the send at first.
   TimePoint m_LastProgressAt{};
   TimePoint m_LastEventAt{};
+  TimePoint m_AnswerBegunAt{}; ///< Head of the answer, or its first event.
   TimePoint m_FirstSentAt{};
   TimePoint m_FirstEventAt{};
   Duration m_ExpectedTimeToFirstEvent{0}; ///< After m_SentAt.
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/random.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/crashguard.h"
+#include "mangodeck/gateway/crashingparts.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peerregistry.h"
@@ -148,8 +149,9 @@
   void onTargetReleased(const Exchange &Released,
                         const SlotUpdate &Update) override;
   void onExchangeEnded(Exchange &Ended, bool MayHaveRun) override;
-  void onIncompleteAnswer(const Exchange &Broken,
-                          const TargetPtr &Target) override;
+  bool onIncompleteAnswer(const ExchangePtr &Broken, const TargetPtr &Target,
+                          std::string_view Reason) override;
+  void onSoundAnswer(const Exchange &Running, TimePoint Begun) override;
   void onTargetLeaving(const TargetPtr &Target) override;
   void onOtherTargetLeaving(const TargetPtr &Expected) override;
   void onTargetPaused(const TargetPtr &Target) override;
@@ -201,6 +203,21 @@
   /// needed.
   void withdrawSlotRequest(TicketNumber Number, TimePoint Now);
 
+  // Requests that crash targets.
+  /// \p Target closed its port as its connection to \p Broken broke at
+  /// \p BrokenAt.
+  void recordCrash(const Exchange &Broken, const TrackedTarget &Target,
+                   std::string_view ProbeError, std::uint32_t EventCount,
+                   TimePoint BrokenAt);
+  /// Refuses a new request that is known to crash targets; std::nullopt if it
+  /// is not.
+  std::optional<std::string_view>
+  reasonToRefuseCrashing(const RequestFacts &Facts, TimePoint Now);
+  /// Updates the refused prompt parts, ends the requests that have them, and
+  /// exchanges evidence with the other daemons.
+  void updateCrashingParts(TimePoint Now);
+  void sendCrashEvidence(TimePoint Now);
+
   void onSlotFreed(const ServiceName &Service);
   void acceptCallers();
   void startCaller(asio::ip::tcp::socket Socket);
@@ -301,6 +318,8 @@
   RetryBudget m_RetryBudget;
   QuotaLedger m_Quotas;
   CrashGuard m_CrashGuard;
+  CrashingParts m_CrashingParts;
+  TimePoint m_LastEvidenceAt{};
   PeerRegistry m_Peers;
   SuspensionDetector m_SuspensionDetector;
   SlotBroker m_LocalBroker;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <utility>
 
 namespace mangodeck {
 
@@ -46,6 +47,9 @@
 constexpr int FirstEventFactor = 2;
 /// Events that a send needs for a measurement of the target's pace.
 constexpr std::uint32_t MinEventsForPace = 4;
+/// Time after its first event from which on a stream counts as sound. A target
+/// that crashes over a request does so as it begins to answer.
+constexpr Duration SoundStreamTime = 300ms;
 /// Bytes of an unreadable header field that are logged.
 constexpr std::size_t MaxLoggedFieldBytes = 40;
 
@@ -124,7 +128,7 @@
   m_AnswerHead = http::ResponseHead();
   m_AnswerBody.clear();
   m_Frames.clear();
-  m_IsStream = m_Rejected = m_AnswerInvalid = false;
+  m_IsStream = m_Rejected = m_AnswerInvalid = m_AnswerSound = false;
   m_EventCount = 0;
   m_LowEventGap = Duration{0};
   const auto Epoch = ++m_SendEpoch;
@@ -197,7 +201,7 @@
 
 void Exchange::onAnswerHead(const http::ResponseHead &Head) {
   const auto Now = std::chrono::steady_clock::now();
-  m_LastProgressAt = m_Target->LastByteAt = Now;
+  m_LastProgressAt = m_Target->LastByteAt = m_AnswerBegunAt = Now;
   m_AnswerHead = Head;
   const auto &Names = m_Context.Names;
   recordTargetState(Head, Now);
@@ -325,7 +329,10 @@
                                               Weight * (Gap - m_LowEventGap));
   }
   m_LastEventAt = Now;
-  ++m_EventCount;
+  if (++m_EventCount == 1)
+    m_AnswerBegunAt = Now;
+  else if (Now - m_AnswerBegunAt >= SoundStreamTime)
+    recordSoundAnswer(m_AnswerBegunAt);
 
   // Step 4. Send the event to the caller. Terminate the stream of a caller that
   // reads too slowly.
@@ -353,6 +360,7 @@
   const auto Now = std::chrono::steady_clock::now();
   if (m_IsStream && m_Frames.pendingBytes() == 0) {
     recordTargetSuccess(Now);
+    recordSoundAnswer(m_AnswerBegunAt);
     if (m_EventCount >= MinEventsForPace)
       if (const auto *Planned = m_Plan->findService(m_Service))
         m_Target->recordEventGap(m_LowEventGap, Planned->TokensPerEvent);
@@ -379,6 +387,8 @@
   }
   if (m_AnswerHead.Status < 500 && !promisesNotExecuted(m_AnswerHead.Status))
     recordTargetSuccess(Now);
+  if (m_AnswerHead.Status / 100 == 2)
+    recordSoundAnswer(m_AnswerBegunAt);
   releaseTarget(true);
   deliver();
 }
@@ -421,9 +431,21 @@
                              "connection closed before the request");
   }
   releaseTarget(false);
-  if (!Failure.Malformed)
-    m_Context.Control.onIncompleteAnswer(*this, BrokenTarget);
-  handleSendFailure(SendFailure::MayHaveRun, Failure.Error.message());
+  const auto Reason = Failure.Error.message();
+  if (Failure.Malformed || !m_Context.Control.onIncompleteAnswer(
+                               shared_from_this(), BrokenTarget, Reason))
+    handleSendFailure(SendFailure::MayHaveRun, Reason);
+}
+
+void Exchange::repeatAfterCrash(std::string_view Reason) {
+  handleSendFailure(SendFailure::MayHaveRun, Reason);
+}
+
+void Exchange::stopCrashing() {
+  if (m_Phase == Phase::Ended || m_StreamStarted || m_AnswerSound)
+    return;
+  releaseTarget(false);
+  fail("prompt part crashes targets");
 }
 
 bool Exchange::mayRetry(SendFailure Failure) const {
@@ -600,6 +622,11 @@
   m_SendOutcome = SlotOutcome::Failure;
 }
 
+void Exchange::recordSoundAnswer(TimePoint Begun) {
+  if (!std::exchange(m_AnswerSound, true))
+    m_Context.Control.onSoundAnswer(*this, Begun);
+}
+
 void Exchange::recordTargetSuccess(TimePoint Now) {
   m_Target->recordSuccess(Now);
   m_SendOutcome = SlotOutcome::Success;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -58,20 +58,11 @@
 /// Bytes of a rejected request's first line that are logged. The header fields
 /// are not logged, since they may hold API keys.
 constexpr std::size_t MaxLoggedLineBytes = 120;
-/// Prompt parts of a request that are logged.
-constexpr std::size_t MaxLoggedParts = 8;
 /// Connections that the kernel queues until they are accepted.
 constexpr int ListenBacklog = 512;
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
-/// The first ids of \p Parts, separated by commas.
-std::string formatParts(std::span<const PromptPartId> Parts) {
-  const auto Shown = Parts.first(std::min(Parts.size(), MaxLoggedParts));
-  return fmt::format("{:x}{}", fmt::join(Shown, ","),
-                     Shown.size() < Parts.size() ? ",..." : "");
-}
-
 /// Removes the targets from \p Leaving that have been reported for
 /// StatementReportPeriod, and returns the others.
 template <typename Name>
@@ -96,7 +87,7 @@
       m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
       m_TickTimer(Loop), m_Pool(Loop.get_executor()),
       m_RetryBudget(m_Settings.RetryLimits), m_Quotas(Random),
-      m_Peers(m_Settings.Vm, m_Settings.Domain),
+      m_CrashingParts(m_Settings.Vm), m_Peers(m_Settings.Vm, m_Settings.Domain),
       m_LocalBroker(m_Settings.Domain, m_Targets, *this) {}
 
 Gateway::~Gateway() = default;
@@ -311,8 +302,8 @@
     return RefuseRequest(503, "stopping", StoppingRetryAfter);
 
   // Step 5. Refuse a request that has crashed the targets that ran it.
-  if (m_CrashGuard.isRefused(Facts.Fingerprint, Now))
-    return RefuseRequest(503, "crashes targets", MaxRetryAfter);
+  if (const auto Reason = reasonToRefuseCrashing(Facts, Now))
+    return RefuseRequest(503, *Reason, MaxRetryAfter);
 
   // Step 6. Charge the request to its customer's limit.
   if (Customer) {
@@ -400,6 +391,11 @@
 
 void Gateway::waitForSlot(const ExchangePtr &Waiting) {
   const auto Now = steadyNow();
+  const auto &Parts = Waiting->facts().SharedParts;
+  if (!Waiting->hasStreamStarted() &&
+      (Waiting->mayHaveRun() ? m_CrashingParts.isRepeatRefused(Parts, Now)
+                             : m_CrashingParts.isRefused(Parts, Now)))
+    return Waiting->stopCrashing();
   if (!Waiting->hasStreamStarted() && refuseIfPaused(Waiting, Now))
     return;
   enqueue(Waiting);
@@ -595,29 +591,6 @@
   m_ExchangeByNumber.erase(Found);
 }
 
-void Gateway::onIncompleteAnswer(const Exchange &Broken,
-                                 const TargetPtr &Target) {
-  // If the target still accepts connections, only this answer was lost.
-  // Otherwise it has crashed together with every request that it ran.
-  m_Pool.probe(Target, [this, Target, Facts = Broken.facts(),
-                        Events = Broken.eventCount()](std::error_code Error) {
-    if (!Error)
-      return;
-    const auto Now = steadyNow();
-    Target->recordFailure(Now);
-    if (m_CrashGuard.record({Facts.Fingerprint, Target->Hash}, Now))
-      m_Log.write(
-          "crash_mark",
-          {{"id", Facts.AttemptId},
-           {"target", Target->Entry.Id.Text},
-           {"probe", Error.message()},
-           {"events", Events},
-           {"parts", formatParts(Facts.SharedParts)},
-           {"fingerprint", Facts.Fingerprint},
-           {"refused", m_CrashGuard.isRefused(Facts.Fingerprint, Now)}});
-  });
-}
-
 void Gateway::onTargetLeaving(const TargetPtr &Target) {
   if (std::exchange(Target->AnnouncedLeaving, true))
     return;
@@ -764,6 +737,10 @@
             OnRelayedChanges(*Changes);
           return receivePeerMessage();
         }
+        if (const auto Evidence = decodeCrashEvidence(Bytes)) {
+          m_CrashingParts.merge(*Evidence, Now);
+          return receivePeerMessage();
+        }
         if (const auto Message = decodeSlotMessage(Bytes))
           handleSlotMessage(*Message, Now);
         auto Report = decodeReport(Bytes);
@@ -955,6 +932,7 @@
   if (std::exchange(m_UsedOwnSummary, usesOwnSummary()) != usesOwnSummary())
     m_Quotas.forgetPeers();
   sendReports(Now);
+  updateCrashingParts(Now);
   refreshTargetLoads(Now);
   checkSlotRequests(Now);
   checkPermits(Now);
@@ -993,6 +971,10 @@
                            ? 0
                            : brokerShare(Support.Supporters, Support.Daemons,
                                          Support.IsMajority));
+    m_Metrics.setGauge("refused_parts",
+                       static_cast<double>(m_CrashingParts.refusals().size()));
+    m_Metrics.setGauge("suspect_parts",
+                       static_cast<double>(m_CrashingParts.suspectCount()));
     m_Metrics.setGauge("rate_limited_targets",
                        static_cast<double>(m_Targets.countRateLimited()));
     m_Metrics.setGauge("ticks", static_cast<double>(m_TickCount));
--- a/packages/gateway/test/crashingprompt_test.cpp
+++ b/packages/gateway/test/crashingprompt_test.cpp
@@ -89,10 +89,11 @@
 
   SteadyCaller::RequestMaker crashingRequests(const std::string &Name) const {
     return [Name, First = m_CrashingPartFirst](unsigned Number) {
-      return requestText(
-          fmt::format("bad-{}-{}", Name, Number),
-          fmt::format("{}:400,{}:60,{:x}:80", First ? CrashingPart : SharedPart,
-                      First ? SharedPart : CrashingPart, Number));
+      return requestText(fmt::format("bad-{}-{}", Name, Number),
+                         fmt::format("{}:400,{}:60,{:x}:80",
+                                     First ? CrashingPart : SharedPart,
+                                     First ? SharedPart : CrashingPart,
+                                     std::hash<std::string>()(Name) + Number));
     };
   }
 
