gateway: a stream without length that ends before its first event is broken off

Cause: an answer with neither a length nor chunks ends with its connection. A target that crashes as it begins to answer closes the connection cleanly after the head; such a stream counted as complete, the caller got an empty success, and the crash left no evidence. Change: such a stream is whole only after a whole event; one that is not whole is checked for a crash like a broken connection. Measured: stream_withoutLengthEndsBeforeFirstEvent_gets502 failed before (200) and passes; the five other tests of answers without length (clean close, inside an event, reset, resumed, plain) passed before and pass.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -358,7 +358,12 @@
 
 void Exchange::onAnswerEnd() {
   const auto Now = std::chrono::steady_clock::now();
-  if (m_IsStream && m_Frames.pendingBytes() == 0) {
+  // The end of the connection ends a stream without length only after a whole
+  // event: a target that crashes before the first closes it, too.
+  const bool IsStreamWhole =
+      m_Frames.pendingBytes() == 0 &&
+      (m_EventCount > 0 || !m_AnswerHead.IsCloseDelimited);
+  if (m_IsStream && IsStreamWhole) {
     recordTargetSuccess(Now);
     recordSoundAnswer(m_AnswerBegunAt);
     if (m_EventCount >= MinEventsForPace)
@@ -371,9 +376,14 @@
     return end("answered", "", m_AnswerHead.Status);
   }
   if (m_IsStream || m_AnswerInvalid) {
+    const auto BrokenTarget = m_Target;
+    const bool MayHaveCrashed = m_IsStream && m_AnswerHead.IsCloseDelimited;
     releaseTarget(false);
-    return handleSendFailure(SendFailure::MayHaveRun,
-                             "answer not whole or not ours");
+    constexpr std::string_view Reason = "answer not whole or not ours";
+    if (!MayHaveCrashed || !m_Context.Control.onIncompleteAnswer(
+                               shared_from_this(), BrokenTarget, Reason))
+      handleSendFailure(SendFailure::MayHaveRun, Reason);
+    return;
   }
   if (m_Rejected) {
     const bool Misdirected = m_AnswerHead.Status == 421;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -28,6 +28,12 @@
   CPPUNIT_TEST(answer_withoutResponseStamp_isNotDelivered);
   CPPUNIT_TEST(answer_surplusBytes_connectionIsNotReused);
   CPPUNIT_TEST(answer_withoutLengthThenReset_isNotDelivered);
+  CPPUNIT_TEST(answer_withoutLengthThenClose_isDelivered);
+  CPPUNIT_TEST(stream_withoutLengthThenClose_isCompleted);
+  CPPUNIT_TEST(stream_withoutLengthEndsInsideEvent_isBrokenOff);
+  CPPUNIT_TEST(stream_withoutLengthEndsInsideEvent_isResumed);
+  CPPUNIT_TEST(stream_withoutLengthThenReset_isBrokenOff);
+  CPPUNIT_TEST(stream_withoutLengthEndsBeforeFirstEvent_gets502);
   CPPUNIT_TEST(stream_events_areRelayedInOrder);
   CPPUNIT_TEST(stream_interrupted_isResumedAfterLastEvent);
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
@@ -214,6 +220,112 @@
     CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 502"));
   }
 
+  void answer_withoutLengthThenClose_isDelivered() {
+    configure(RouteKind::NonIdempotent, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {{unframedHead("text/plain") + "whole", true}};
+    const auto Answer = sendRequest(requestText("1"));
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(Answer.ends_with("whole"));
+  }
+
+  void stream_withoutLengthThenClose_isCompleted() {
+    configure(RouteKind::Stream, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {
+        {unframedHead("text/event-stream") + eventText(1) + eventText(2),
+         true}};
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(Answer.find("id: 2") != Answer.npos);
+    CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
+  }
+
+  void stream_withoutLengthEndsInsideEvent_isBrokenOff() {
+    configure(RouteKind::Stream, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {
+        {unframedHead("text/event-stream") + eventText(1) + "id: 2\ndata: x\n",
+         true}};
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT(Answer.find("id: 1") != Answer.npos);
+    CPPUNIT_ASSERT(Answer.find("id: 2") == Answer.npos);
+    CPPUNIT_ASSERT(!Answer.ends_with(http::LastChunk));
+  }
+
+  void stream_withoutLengthEndsInsideEvent_isResumed() {
+    configure(RouteKind::Stream, 2, true);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    m_TargetA->Scripts = {
+        {unframedHead("text/event-stream") + eventText(1) + "id: 2", true}};
+    m_TargetB->Scripts = {
+        {unframedHead("text/event-stream") + eventText(2), true}};
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT(Answer.find("id: 2") != Answer.npos);
+    CPPUNIT_ASSERT(Answer.ends_with(http::LastChunk));
+    CPPUNIT_ASSERT(m_TargetB->Requests.at(0).find("Last-Event-Id: 1\r\n") !=
+                   std::string::npos);
+  }
+
+  void stream_withoutLengthThenReset_isBrokenOff() {
+    configure(RouteKind::Stream, 1);
+    addTarget("a", *m_TargetA);
+    // A reset discards what is not read yet, so it comes after a pause.
+    m_TargetA->Scripts = {{unframedHead("text/event-stream") + eventText(1),
+                           false,
+                           false,
+                           {eventText(2)}}};
+    m_TargetA->ResetAfterDrips = true;
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT(Answer.find("id: 1") != Answer.npos);
+    CPPUNIT_ASSERT(!Answer.ends_with(http::LastChunk));
+  }
+
+  void stream_withoutLengthEndsBeforeFirstEvent_gets502() {
+    configure(RouteKind::Stream, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {{unframedHead("text/event-stream"), true}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 502"));
+  }
+
+  void answer_headWithoutEnd_costsOneConnection() {
+    assertEndlessIsGivenUp(RouteKind::Idempotent, "HTTP/1.1 200 OK\r\nX-Fill: ",
+                           std::string(1024, 'x'));
+  }
+
+  void answer_interimHeadsWithoutEnd_costOneConnection() {
+    assertEndlessIsGivenUp(RouteKind::Idempotent, "",
+                           "HTTP/1.1 100 Continue\r\n\r\n");
+  }
+
+  void answer_bodyWithoutEnd_costsOneConnection() {
+    assertEndlessIsGivenUp(RouteKind::Idempotent, unframedHead("text/plain"),
+                           std::string(1024, 'x'));
+  }
+
+  void answer_notOursWithoutEnd_costsOneConnection() {
+    assertEndlessIsGivenUp(RouteKind::Idempotent,
+                           "HTTP/1.1 200 OK\r\nX-Attempt: other\r\n\r\n",
+                           std::string(1024, 'x'), 64 << 10);
+  }
+
+  void stream_eventWithoutEnd_costsOneConnection() {
+    assertEndlessIsGivenUp(
+        RouteKind::Stream,
+        unframedHead("text/event-stream") + "data: ", std::string(1024, 'x'));
+  }
+
+  void stream_commentsWithoutEnd_costOneConnection() {
+    configure(RouteKind::Stream, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {{unframedHead("text/event-stream") + eventText(1)}};
+    m_TargetA->Scripts.back().Endless = ": " + std::string(1024, 'x') + "\n\n";
+    const auto Answer = sendRequest(requestText("1"), http::LastChunk);
+    CPPUNIT_ASSERT(!Answer.ends_with(http::LastChunk));
+    CPPUNIT_ASSERT(Answer.size() < MaxEndlessBytes);
+  }
+
   void stream_events_areRelayedInOrder() {
     configure(RouteKind::Stream);
     addTarget("a", *m_TargetA);
@@ -797,6 +909,48 @@
     return TrackedTarget(Entry).Hash;
   }
 
+  /// Bytes that a target without end may have written: those that the daemon
+  /// reads before it closes the connection, and the socket buffers.
+  static constexpr std::size_t MaxEndlessBytes = 8 << 20;
+
+  /// A target that sends \p Endless without end after \p Start loses its
+  /// connection after a bounded number of bytes, and the request is served by
+  /// the other target.
+  void assertEndlessIsGivenUp(RouteKind Kind, const std::string &Start,
+                              const std::string &Endless,
+                              std::size_t MaxReadBytes = 2 << 20) {
+    configure(Kind, 2, true);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    m_TargetA->Scripts = {{Start}};
+    m_TargetA->Scripts.back().Endless = Endless;
+    m_TargetB->Scripts = {
+        {Kind == RouteKind::Stream
+             ? unframedHead("text/event-stream") + eventText(1)
+             : plainAnswer("1"),
+         Kind == RouteKind::Stream}};
+    const auto Began = std::chrono::steady_clock::now();
+    const auto Answer = sendRequest(
+        requestText("1"), Kind == RouteKind::Stream ? http::LastChunk : "");
+    const auto Took = std::chrono::steady_clock::now() - Began;
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetB->Requests.size());
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(m_TargetA->EndlessBytes) + " bytes",
+                           m_TargetA->EndlessBytes <
+                               MaxReadBytes + MaxEndlessBytes);
+    CPPUNIT_ASSERT(Took < 1s);
+  }
+
+  /// Head of an answer to request 1 with neither a length nor chunks.
+  static std::string unframedHead(const std::string &Type) {
+    return "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Stamp: r\r\nContent-Type: " +
+           Type + "\r\n\r\n";
+  }
+
+  static std::string eventText(int Id) {
+    return "id: " + std::to_string(Id) + "\ndata: x\n\n";
+  }
+
   static std::string requestText(const std::string &Id) {
     return "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt: " + Id +
            "\r\nX-Left: 5000\r\nAuthorization: Bearer k\r\n\r\n";
--- a/packages/gateway/test/gatewaysupport.h
+++ b/packages/gateway/test/gatewaysupport.h
@@ -51,6 +51,8 @@
     bool Reset = false; ///< Close it with a reset.
     /// Sent one after the other, DripPause apart, after \p Bytes.
     std::vector<std::string> Drips = {};
+    /// Sent again and again after \p Bytes until the connection is closed.
+    std::string Endless = {};
   };
 
   explicit ScriptedTarget(asio::io_context &Loop)
@@ -82,10 +84,12 @@
 
   std::vector<Script> Scripts;
   Duration DripPause = 100ms;
+  bool ResetAfterDrips = false; ///< Reset the connection after the last one.
   std::function<std::string(const std::string &Request)> Answer;
   /// Time after which \p Answer is called.
   Duration AnswerDelay{0};
   std::vector<std::string> Requests;
+  std::size_t EndlessBytes = 0; ///< Sent by Script::Endless.
 
 private:
   struct Session {
@@ -137,6 +141,18 @@
     else
       read(Client);
     drip(Client, std::make_shared<std::vector<std::string>>(Next.Drips), 0);
+    if (!Next.Endless.empty())
+      sendEndlessly(Client, std::make_shared<std::string>(Next.Endless));
+  }
+
+  void sendEndlessly(const std::shared_ptr<Session> &Client,
+                     const std::shared_ptr<std::string> &Bytes) {
+    asio::async_write(Client->Socket, asio::buffer(*Bytes),
+                      [this, Client, Bytes](std::error_code Error, auto Size) {
+                        EndlessBytes += Size;
+                        if (!Error)
+                          sendEndlessly(Client, Bytes);
+                      });
   }
 
   void answerLater(const std::shared_ptr<Session> &Client,
@@ -158,8 +174,14 @@
   void drip(const std::shared_ptr<Session> &Client,
             const std::shared_ptr<std::vector<std::string>> &Drips,
             std::size_t Index) {
-    if (Index >= Drips->size())
+    if (Index >= Drips->size()) {
+      std::error_code Ignored;
+      if (!Drips->empty() && ResetAfterDrips) {
+        Client->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+        Client->Socket.close(Ignored);
+      }
       return;
+    }
     auto Timer = std::make_shared<asio::steady_timer>(
         Client->Socket.get_executor(), DripPause);
     Timer->async_wait([this, Timer, Client, Drips, Index](std::error_code) {
