gateway, http: answers without end cost one connection of their target

Cause: bytes that are no answer may come without end. A body beyond the buffer's limit, an answer to another request, interim heads and a stream without a whole event were read on until the request's time limit; the buffer of a stream had no bound, so that one target could use up the memory of the daemon. Change: the heads of an answer together are bounded to 64 KiB, the bytes between two events to 1 MiB, and all buffered answers share the memory limit of the request bodies. An answer that is not the request's own is given up at its head. Beyond a bound the connection is closed and the request is sent again if it may be, else its caller gets 502 at once.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -63,6 +63,10 @@
   /// longer.
   virtual void onTargetRateLimit(const TargetPtr &Target,
                                  const RateLimitStatement &Statement) = 0;
+  /// Counts \p Bytes of an answer against the limit of all buffered bytes;
+  /// false if they exceed it. releaseBuffer() takes them off again.
+  virtual bool bufferAnswer(std::size_t Bytes) = 0;
+  virtual void releaseBuffer(std::size_t Bytes) = 0;
   /// Time after which the caller of a refused request should retry.
   virtual Duration retryAfter(const Exchange &Refused) = 0;
 };
@@ -175,6 +179,11 @@
   /// limit was last stated: answers on different connections can arrive in
   /// another order than they were made.
   void recordTargetRateLimit(const http::ResponseHead &Head, TimePoint Now);
+  /// Closes the connection of an answer that is not used, and treats the send
+  /// as failed.
+  void giveUpAnswer(std::string_view Reason);
+  /// Releases what is buffered of the answer.
+  void clearAnswer();
   /// Relays the events of the stream that are complete.
   void relayEvents();
   /// Relays one event; false if its id does not follow the id before it.
@@ -256,6 +265,7 @@
   bool m_AnswerSound = false;   ///< See isAnswerSound().
   bool m_StreamStarted = false; ///< Towards the caller.
   SseFrames m_Frames;
+  std::size_t m_BytesSinceEvent = 0; ///< Of the stream, since the last event.
   std::optional<std::int64_t> m_LastEventId;
   std::uint32_t m_EventCount = 0; ///< Of the current send.
   /// Decaying mean of the pauses between events, weighted towards the shorter
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -157,6 +157,8 @@
   void onTargetPaused(const TargetPtr &Target) override;
   void onTargetRateLimit(const TargetPtr &Target,
                          const RateLimitStatement &Statement) override;
+  bool bufferAnswer(std::size_t Bytes) override;
+  void releaseBuffer(std::size_t Bytes) override { m_BufferedBytes -= Bytes; }
   Duration retryAfter(const Exchange &Refused) override;
 
   // Messages to and from the slot broker of this failure domain.
@@ -353,7 +355,7 @@
   std::vector<ServiceName> m_ServicesToDispatch;
   TicketNumber m_NextTicketNumber = 1;
   std::uint64_t m_ReportSequence = 0;
-  std::size_t m_BufferedBytes = 0; ///< Request bodies.
+  std::size_t m_BufferedBytes = 0; ///< Bodies of requests and answers.
   bool m_DirectoryComplete = false;
   bool m_Stopping = false;
   bool m_ListenerClosed = false;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -14,6 +14,8 @@
 
 /// Largest answer, other than a stream, that is buffered until it is complete.
 constexpr std::size_t MaxBufferedAnswerBytes = 4 << 20;
+/// Bytes of a stream without a whole event after which the stream is given up.
+constexpr std::size_t MaxBytesBetweenEvents = 1 << 20;
 /// Unread bytes at which the stream of a slow caller is terminated.
 constexpr std::size_t MaxUnreadStreamBytes = 1 << 20;
 /// Time limit of a request whose caller sends none.
@@ -126,8 +128,7 @@
   m_Target->OwnPrefillTokens += m_PendingPrefillTokens;
   m_SentAt = Now;
   m_AnswerHead = http::ResponseHead();
-  m_AnswerBody.clear();
-  m_Frames.clear();
+  clearAnswer();
   m_IsStream = m_Rejected = m_AnswerInvalid = m_AnswerSound = false;
   m_EventCount = 0;
   m_LowEventGap = Duration{0};
@@ -143,6 +144,13 @@
       });
 }
 
+void Exchange::clearAnswer() {
+  m_Context.Control.releaseBuffer(m_AnswerBody.size());
+  m_AnswerBody.clear();
+  m_Frames.clear();
+  m_BytesSinceEvent = 0;
+}
+
 void Exchange::onConnected(std::error_code Error,
                            TargetConnectionPool::Connection Ready) {
   const auto Now = std::chrono::steady_clock::now();
@@ -218,7 +226,10 @@
   if (Head.Fields.find("Content-Encoding") ||
       (Success && !Head.Fields.find(Names.ResponseStamp)))
     m_AnswerInvalid = true;
-  if (!m_AnswerInvalid && Head.Status != 421)
+  // Nothing of such an answer is used, and its body may have no end.
+  if (m_AnswerInvalid)
+    return giveUpAnswer("answer not ours");
+  if (Head.Status != 421)
     recordTargetRateLimit(Head, Now);
   m_Rejected = Head.Status == 421 || Head.Fields.find(Names.NotExecuted);
   m_IsStream = Success && !m_AnswerInvalid &&
@@ -267,16 +278,28 @@
 
 void Exchange::onAnswerBody(std::string_view Bytes) {
   m_Target->LastByteAt = std::chrono::steady_clock::now();
-  if (!m_IsStream)
-    m_LastProgressAt = m_Target->LastByteAt;
   if (m_IsStream) {
+    m_BytesSinceEvent += Bytes.size();
+    if (m_BytesSinceEvent > MaxBytesBetweenEvents) {
+      recordTargetFailure(m_Target->LastByteAt);
+      return giveUpAnswer("too many bytes without an event");
+    }
     m_Frames.append(Bytes);
-    relayEvents();
-  } else if (m_AnswerBody.size() + Bytes.size() > MaxBufferedAnswerBytes) {
-    m_AnswerInvalid = true;
-  } else {
-    m_AnswerBody.append(Bytes);
+    return relayEvents();
+  }
+  m_LastProgressAt = m_Target->LastByteAt;
+  if (m_AnswerBody.size() + Bytes.size() > MaxBufferedAnswerBytes ||
+      !m_Context.Control.bufferAnswer(Bytes.size())) {
+    recordTargetFailure(m_Target->LastByteAt);
+    return giveUpAnswer("answer too large");
   }
+  m_AnswerBody.append(Bytes);
+}
+
+void Exchange::giveUpAnswer(std::string_view Reason) {
+  logEvent("answer_given_up", Reason);
+  releaseTarget(false);
+  handleSendFailure(SendFailure::MayHaveRun, Reason);
 }
 
 void Exchange::relayEvents() {
@@ -305,7 +328,7 @@
   // A comment or a part of an event keeps the connection alive, but the
   // request has made no progress.
   if (Id || !findSseField(Event, "data").empty())
-    m_LastProgressAt = Now;
+    m_LastProgressAt = Now, m_BytesSinceEvent = 0;
 
   // Step 2. The first event of a send ends the prefill, and the first event of
   // the request starts the stream to the caller.
@@ -658,6 +681,7 @@
     return;
   const auto Now = std::chrono::steady_clock::now();
   m_Phase = Phase::Ended;
+  clearAnswer();
   m_Context.Metrics.countRequest(m_Route.Name, Outcome);
   m_Context.Metrics.observeRequest(m_Route.Name, Now - m_Arrival);
   const bool IsOrdinary = Outcome == "answered" || Outcome == "caller_left";
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -641,6 +641,13 @@
          MaxBodyMemoryShare * static_cast<double>(m_Settings.MemoryLimitBytes);
 }
 
+bool Gateway::bufferAnswer(std::size_t Bytes) {
+  if (!mayBuffer(Bytes))
+    return false;
+  m_BufferedBytes += Bytes;
+  return true;
+}
+
 void Gateway::onPlan(RoutePlanPtr Plan) {
   if (m_Plan && Plan->Version <= m_Plan->Version)
     return;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -34,6 +34,12 @@
   CPPUNIT_TEST(stream_withoutLengthEndsInsideEvent_isResumed);
   CPPUNIT_TEST(stream_withoutLengthThenReset_isBrokenOff);
   CPPUNIT_TEST(stream_withoutLengthEndsBeforeFirstEvent_gets502);
+  CPPUNIT_TEST(answer_headWithoutEnd_costsOneConnection);
+  CPPUNIT_TEST(answer_interimHeadsWithoutEnd_costOneConnection);
+  CPPUNIT_TEST(answer_bodyWithoutEnd_costsOneConnection);
+  CPPUNIT_TEST(answer_notOursWithoutEnd_costsOneConnection);
+  CPPUNIT_TEST(stream_eventWithoutEnd_costsOneConnection);
+  CPPUNIT_TEST(stream_commentsWithoutEnd_costOneConnection);
   CPPUNIT_TEST(stream_events_areRelayedInOrder);
   CPPUNIT_TEST(stream_interrupted_isResumedAfterLastEvent);
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
--- a/packages/http/include/mangodeck/http/parser.h
+++ b/packages/http/include/mangodeck/http/parser.h
@@ -99,6 +99,7 @@
   MessageSink &m_Sink;
   std::unique_ptr<Impl> m_Impl;
   ResponseHead m_Head;
+  std::size_t m_HeadBytes = 0; ///< Received before the end of the head.
   bool m_IsHeadRequest = false;
   bool m_Started = false;
   bool m_HasHead = false;
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Largest size of the heads of an answer, the interim ones included.
+constexpr std::size_t MaxAnswerHeadBytes = 64 << 10;
+
 bool isTokenChar(unsigned char C) {
   static constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
   return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
@@ -343,6 +346,7 @@
   m_Impl->Interim = false;
   m_Head = ResponseHead();
   m_IsHeadRequest = IsHeadRequest;
+  m_HeadBytes = 0;
   m_Started = m_HasHead = m_Complete = m_Malformed = false;
 }
 
@@ -357,6 +361,8 @@
     m_Malformed = true;
   if (m_Impl->Parser.upgrade && !m_Complete)
     m_Malformed = true;
+  if (!m_HasHead && (m_HeadBytes += Used) > MaxAnswerHeadBytes)
+    m_Malformed = true;
   return Used;
 }
 
