gateway: a first part shared by the requests of two crashing parts is not refused

Cause: the part in most crashes was taken for their cause. With two crashing parts at once, the first part of all requests is in more crashes than either of them; while most targets were down, nothing refuted it. Change: parts that were answered at some earlier time are considered last.

--- a/packages/gateway/include/mangodeck/gateway/crashingparts.h
+++ b/packages/gateway/include/mangodeck/gateway/crashingparts.h
@@ -23,8 +23,9 @@
 /// many callers share, and requests that only ran beside. What tells them apart
 /// is that a part which crashes targets is never answered. An answer that has
 /// begun after a crash, while its target went on, refutes all its parts for
-/// that crash. Of the parts that are left, the one in most crashes explains
-/// these, so that no other part is suspected for them; those that occur in
+/// that crash. Of the parts that are left, and first of those that were never
+/// answered, the one in most crashes explains these, so that no other part is
+/// suspected for them; those that occur in
 /// exactly the same crashes are refused only together, since any of them may be
 /// sound.
 ///
--- a/packages/gateway/src/crashingparts.cpp
+++ b/packages/gateway/src/crashingparts.cpp
@@ -308,8 +308,9 @@
   std::vector<Refusal> Found;
   std::vector<std::uint64_t> Explained;
   while (Found.size() < MaxRefusals) {
-    // Step 1. Find the part that explains most crashes; among equals, one that
-    // was never answered.
+    // Step 1. Find the part that explains most crashes. Parts that were
+    // answered earlier come last: one that many requests share is in the
+    // crashes of several causes.
     std::vector<Candidate> Candidates;
     for (const auto &[Part, Entry] : m_Suspects)
       if (const auto Each = makeCandidate(Part, Entry, Explained, Now))
@@ -317,8 +318,8 @@
     const auto Best =
         std::max_element(Candidates.begin(), Candidates.end(),
                          [](const Candidate &A, const Candidate &B) {
-                           return std::pair(A.Crashes.size(), !A.KnownSound) <
-                                  std::pair(B.Crashes.size(), !B.KnownSound);
+                           return std::pair(!A.KnownSound, A.Crashes.size()) <
+                                  std::pair(!B.KnownSound, B.Crashes.size());
                          });
     if (Best == Candidates.end())
       break;
