gateway: identical sound requests are not refused after crashes of other causes

The guard against crashing requests refused a request (path, key, body) that was at two crashed targets for 60 s, whatever targets answered to identical requests before and after. Callers that send the same request often, such as a look-up, were refused by all daemons. Change: whole requests are possible causes like prompt parts, and the same evidence decides: answers refute them. CrashCauses (before: CrashingParts) replaces CrashGuard and its records in the reports between daemons. A request that crashed two targets and was never answered is refused at once, as before. Tests: the three of CrashGuard are replaced by request_crashesOfTwoTargets_isRefusedAtOnceForAWhile and request_crashOfOneTargetSeenTwice_isAccepted of CrashCausesTest, which check the same on the code that runs; the codec of the evidence has its own test.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -21,6 +21,10 @@
 
 namespace mangodeck {
 
+/// Reason in the answer to a request that is known to crash targets.
+inline constexpr std::string_view CrashingRequestReason =
+    "request crashes targets";
+
 class Exchange;
 using ExchangePtr = std::shared_ptr<Exchange>;
 
@@ -102,8 +106,8 @@
   /// Continues after onIncompleteAnswer(): sends the request again if possible,
   /// else ends it.
   void repeatAfterCrash(std::string_view Reason);
-  /// Ends a request whose prompt has a part that crashes targets, unless its
-  /// answer has begun.
+  /// Ends a request that is known to crash targets, unless its answer has
+  /// begun.
   void stopCrashing();
   /// The caller has disconnected: releases the target and ends the exchange.
   void cancel();
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -3,8 +3,7 @@
 
 #include "mangodeck/common/random.h"
 #include "mangodeck/gateway/changerelay.h"
-#include "mangodeck/gateway/crashguard.h"
-#include "mangodeck/gateway/crashingparts.h"
+#include "mangodeck/gateway/crashcauses.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peerregistry.h"
@@ -206,18 +205,9 @@
   void withdrawSlotRequest(TicketNumber Number, TimePoint Now);
 
   // Requests that crash targets.
-  /// \p Target closed its port as its connection to \p Broken broke at
-  /// \p BrokenAt.
-  void recordCrash(const Exchange &Broken, const TrackedTarget &Target,
-                   std::string_view ProbeError, std::uint32_t EventCount,
-                   TimePoint BrokenAt);
-  /// Refuses a new request that is known to crash targets; std::nullopt if it
-  /// is not.
-  std::optional<std::string_view>
-  reasonToRefuseCrashing(const RequestFacts &Facts, TimePoint Now);
-  /// Updates the refused prompt parts, ends the requests that have them, and
+  /// Updates the refused causes, ends the requests that have them, and
   /// exchanges evidence with the other daemons.
-  void updateCrashingParts(TimePoint Now);
+  void updateCrashCauses(TimePoint Now);
   void sendCrashEvidence(TimePoint Now);
 
   void onSlotFreed(const ServiceName &Service);
@@ -319,8 +309,7 @@
   TargetConnectionPool m_Pool;
   RetryBudget m_RetryBudget;
   QuotaLedger m_Quotas;
-  CrashGuard m_CrashGuard;
-  CrashingParts m_CrashingParts;
+  CrashCauses m_CrashCauses;
   TimePoint m_LastEvidenceAt{};
   PeerRegistry m_Peers;
   SuspensionDetector m_SuspensionDetector;
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -3,7 +3,6 @@
 
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
-#include "mangodeck/gateway/crashguard.h"
 #include "mangodeck/gateway/quotaledger.h"
 
 #include <cstdint>
@@ -84,7 +83,6 @@
   std::vector<ReportedRequest> RunningRequests;
   std::vector<TargetLoad> Loads;           ///< One per target.
   std::map<std::string, QuotaUsage> Usage; ///< By customer.
-  std::vector<CrashRecord> CrashRecords;
   std::vector<LeavingTarget> LeavingTargets;
   /// TrackedTarget::Hash of targets that stated in an answer that they leave.
   std::vector<std::uint64_t> AnnouncedLeaving;
--- a/packages/gateway/include/mangodeck/gateway/requestfacts.h
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -12,8 +12,9 @@
 
 namespace mangodeck {
 
-/// Identifies a part of a prompt that several requests may share.
-using PromptPartId = std::uint64_t;
+/// Identifies what may make a request crash targets: a part of its prompt that
+/// other requests share, or the whole request.
+using CauseId = std::uint64_t;
 
 /// What a daemon reads from a request before it decides how to serve it.
 struct RequestFacts {
@@ -25,8 +26,10 @@
   TokenCount MaxOutputTokens = 0;
   std::optional<TokenCount> OutputHint;
   /// The shared parts of the prompt: all but the last.
-  std::vector<PromptPartId> SharedParts;
-  std::uint64_t Fingerprint = 0; ///< Hash of path, key and body.
+  std::vector<CauseId> SharedParts;
+  CauseId Fingerprint = 0; ///< Hash of path, key and body.
+  /// SharedParts and Fingerprint, sorted.
+  std::vector<CauseId> PossibleCauses;
 };
 
 RequestFacts parseRequestFacts(const http::Request &Message,
@@ -35,7 +38,7 @@
 /// The shared parts of a prompt, from the header field
 /// HeaderNames::PromptParts: all but the last, without repetitions. Entries
 /// without a hexadecimal id are left out.
-std::vector<PromptPartId> parseSharedParts(std::string_view Field);
+std::vector<CauseId> parseSharedParts(std::string_view Field);
 
 /// The numeric id of an event of a stream; std::nullopt if it has none.
 std::optional<std::int64_t> parseEventId(std::string_view Event);
--- a/packages/gateway/src/crashingparts.cpp
+++ b/packages/gateway/src/crashcauses.cpp
@@ -1,4 +1,4 @@
-#include "mangodeck/gateway/crashingparts.h"
+#include "mangodeck/gateway/crashcauses.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,22 +9,22 @@
 
 namespace {
 
-/// Settled crashes from which on a part is refused, and distinct requests that
+/// Settled crashes from which on a cause is refused, and distinct requests that
 /// must have had it. One crash may be a coincidence, and one request alone does
 /// not show which of its parts is the cause.
 constexpr std::size_t MinCrashes = 2;
 constexpr std::size_t MinRequests = 2;
-/// The same for a part that targets have answered at an earlier time: it is
+/// The same for a suspect that targets have answered at an earlier time: it is
 /// more likely that it only was beside the cause.
 constexpr std::size_t MinCrashesOfKnownSound = 4;
 constexpr std::size_t MinRequestsOfKnownSound = 3;
 /// Unrefuted crashes from which on a request is not repeated.
 constexpr std::size_t MinCrashesToStopRepeats = 2;
 
-/// Time for which a part is refused after its last crash, by the number of its
+/// Time for which a cause is refused after its last crash, by the number of its
 /// crashes from MinCrashes on.
 constexpr Duration RefusalTimes[] = {10s, 30s, 120s};
-/// Time over which the daemons try a part again, in parts of the refusal time.
+/// Time over which the daemons try a cause again, in parts of the refusal time.
 constexpr double TrySpread = 0.5;
 /// Time between two trials of a daemon: the outcome of the first is known.
 constexpr Duration TryPeriod = 3s;
@@ -39,23 +39,24 @@
 
 constexpr std::size_t MaxSuspects = 1024;
 constexpr std::size_t MaxRefusals = 16;
-/// Parts of a request that become suspects, or are remembered as sound.
-constexpr std::size_t MaxPartsPerRequest = 32;
+/// Possible causes of a request that become suspects, or are remembered as
+/// sound.
+constexpr std::size_t MaxCausesPerRequest = 32;
 constexpr std::size_t MaxRememberedSound = 4096;
 
-/// At most MaxPartsPerRequest of \p Parts, drawn by \p Seed.
-std::vector<PromptPartId> sampleParts(std::span<const PromptPartId> Parts,
-                                      std::uint64_t Seed) {
-  std::vector<PromptPartId> Sample(Parts.begin(), Parts.end());
-  if (Sample.size() <= MaxPartsPerRequest)
+/// At most MaxCausesPerRequest of \p Causes, drawn by \p Seed.
+std::vector<CauseId> sampleCauses(std::span<const CauseId> Causes,
+                                  std::uint64_t Seed) {
+  std::vector<CauseId> Sample(Causes.begin(), Causes.end());
+  if (Sample.size() <= MaxCausesPerRequest)
     return Sample;
-  const auto Rank = [Seed](PromptPartId Part) {
-    return XXH3_64bits_withSeed(&Part, sizeof(Part), Seed);
+  const auto Rank = [Seed](CauseId Cause) {
+    return XXH3_64bits_withSeed(&Cause, sizeof(Cause), Seed);
   };
-  std::nth_element(
-      Sample.begin(), Sample.begin() + MaxPartsPerRequest, Sample.end(),
-      [&](PromptPartId A, PromptPartId B) { return Rank(A) < Rank(B); });
-  Sample.resize(MaxPartsPerRequest);
+  std::nth_element(Sample.begin(), Sample.begin() + MaxCausesPerRequest,
+                   Sample.end(),
+                   [&](CauseId A, CauseId B) { return Rank(A) < Rank(B); });
+  Sample.resize(MaxCausesPerRequest);
   return Sample;
 }
 
@@ -74,12 +75,11 @@
 
 } // namespace
 
-CrashingParts::CrashingParts(std::string_view Vm)
+CrashCauses::CrashCauses(std::string_view Vm)
     : m_OrderSeed(XXH3_64bits(Vm.data(), Vm.size())) {}
 
-CrashingParts::Suspect &CrashingParts::suspect(PromptPartId Part,
-                                               TimePoint Now) {
-  const auto Found = m_Suspects.find(Part);
+CrashCauses::Suspect &CrashCauses::suspect(CauseId Cause, TimePoint Now) {
+  const auto Found = m_Suspects.find(Cause);
   if (Found != m_Suspects.end())
     return Found->second;
   // The entry with the fewest crashes, and of these the oldest, makes room.
@@ -91,13 +91,13 @@
                  std::pair(countUnrefuted(B.second.Sightings),
                            B.second.ChangedAt);
         }));
-  auto &New = m_Suspects[Part];
-  New.KnownSound = m_SoundAt.contains(Part);
+  auto &New = m_Suspects[Cause];
+  New.KnownSound = m_SoundAt.contains(Cause);
   New.ChangedAt = Now;
   return New;
 }
 
-bool CrashingParts::addSighting(Suspect &Entry, const Sighting &Seen) {
+bool CrashCauses::addSighting(Suspect &Entry, const Sighting &Seen) {
   for (auto &Known : Entry.Sightings)
     if (Known.Crash == Seen.Crash) {
       // A report under way only makes a crash look later than it was.
@@ -108,7 +108,7 @@
       Known.Refuted = Known.Refuted || Seen.Refuted;
       return Changes;
     }
-  if (Entry.Sightings.size() < MaxSightingsPerPart) {
+  if (Entry.Sightings.size() < MaxSightingsPerCause) {
     Entry.Sightings.push_back(Seen);
     return true;
   }
@@ -125,32 +125,33 @@
   return true;
 }
 
-void CrashingParts::recordCrash(std::uint64_t Crash, std::uint64_t Request,
-                                std::span<const PromptPartId> Parts,
-                                TimePoint CrashedAt, TimePoint Now) {
+void CrashCauses::recordCrash(std::uint64_t Crash, CauseId Fingerprint,
+                              std::span<const CauseId> Causes,
+                              TimePoint CrashedAt, TimePoint Now) {
   // Of a long prompt, the parts of earlier crashes go before a random sample.
-  std::vector<PromptPartId> Chosen;
-  for (const auto Part : Parts)
-    if (m_Suspects.contains(Part) && Chosen.size() < MaxPartsPerRequest)
-      Chosen.push_back(Part);
-  for (const auto Part : sampleParts(Parts, Crash))
-    if (Chosen.size() < MaxPartsPerRequest &&
-        std::find(Chosen.begin(), Chosen.end(), Part) == Chosen.end())
-      Chosen.push_back(Part);
-  for (const auto Part : Chosen) {
-    auto &Entry = suspect(Part, Now);
-    const auto Sound = m_SoundAt.find(Part);
+  std::vector<CauseId> Chosen;
+  for (const auto Cause : Causes)
+    if (m_Suspects.contains(Cause) && Chosen.size() < MaxCausesPerRequest)
+      Chosen.push_back(Cause);
+  for (const auto Cause : sampleCauses(Causes, Crash))
+    if (Chosen.size() < MaxCausesPerRequest &&
+        std::find(Chosen.begin(), Chosen.end(), Cause) == Chosen.end())
+      Chosen.push_back(Cause);
+  for (const auto Cause : Chosen) {
+    auto &Entry = suspect(Cause, Now);
+    const auto Sound = m_SoundAt.find(Cause);
     const bool Refuted = Sound != m_SoundAt.end() && Sound->second > CrashedAt;
+    const auto Request = Cause == Fingerprint ? Crash : Fingerprint;
     if (addSighting(Entry, {Crash, Request, CrashedAt, Refuted}))
       Entry.ChangedAt = Now;
   }
 }
 
-void CrashingParts::recordSoundAnswer(std::span<const PromptPartId> Parts,
-                                      TimePoint Begun, TimePoint Now) {
+void CrashCauses::recordSoundAnswer(std::span<const CauseId> Causes,
+                                    TimePoint Begun, TimePoint Now) {
   if (!m_Suspects.empty())
-    for (const auto Part : Parts) {
-      const auto Found = m_Suspects.find(Part);
+    for (const auto Cause : Causes) {
+      const auto Found = m_Suspects.find(Cause);
       if (Found == m_Suspects.end())
         continue;
       auto &Entry = Found->second;
@@ -161,13 +162,13 @@
       if (Changed)
         Entry.ChangedAt = Now;
     }
-  rememberSound(Parts, Begun);
+  rememberSound(Causes, Begun);
 }
 
-void CrashingParts::rememberSound(std::span<const PromptPartId> Parts,
-                                  TimePoint Begun) {
-  for (const auto Part : sampleParts(Parts, 0)) {
-    auto &At = m_SoundAt[Part];
+void CrashCauses::rememberSound(std::span<const CauseId> Causes,
+                                TimePoint Begun) {
+  for (const auto Cause : sampleCauses(Causes, 0)) {
+    auto &At = m_SoundAt[Cause];
     At = std::max(At, Begun);
   }
   if (m_SoundAt.size() <= MaxRememberedSound)
@@ -175,7 +176,7 @@
   // Forget the older half at a time, which takes constant time per answer.
   std::vector<TimePoint> Times;
   Times.reserve(m_SoundAt.size());
-  for (const auto &[Part, At] : m_SoundAt)
+  for (const auto &[Cause, At] : m_SoundAt)
     Times.push_back(At);
   const auto Middle =
       Times.begin() + static_cast<std::ptrdiff_t>(Times.size() / 2);
@@ -185,15 +186,15 @@
   });
 }
 
-void CrashingParts::merge(std::span<const PartEvidence> Reported,
-                          TimePoint Now) {
-  for (const auto &Part : Reported) {
-    if (Part.Sightings.empty() && !m_Suspects.contains(Part.Part))
+void CrashCauses::merge(std::span<const CauseEvidence> Reported,
+                        TimePoint Now) {
+  for (const auto &Cause : Reported) {
+    if (Cause.Sightings.empty() && !m_Suspects.contains(Cause.Cause))
       continue;
-    auto &Entry = suspect(Part.Part, Now);
-    bool Changed = Part.KnownSound && !std::exchange(Entry.KnownSound, true);
-    const auto Sound = m_SoundAt.find(Part.Part);
-    for (const auto &Each : Part.Sightings) {
+    auto &Entry = suspect(Cause.Cause, Now);
+    bool Changed = Cause.KnownSound && !std::exchange(Entry.KnownSound, true);
+    const auto Sound = m_SoundAt.find(Cause.Cause);
+    for (const auto &Each : Cause.Sightings) {
       const auto At = Now - Each.Age;
       const bool Refuted =
           Each.Refuted || (Sound != m_SoundAt.end() && Sound->second > At);
@@ -206,36 +207,37 @@
   }
 }
 
-std::vector<PartEvidence> CrashingParts::takeReport(TimePoint Now) {
+std::vector<CauseEvidence> CrashCauses::takeReport(TimePoint Now) {
   // Step 1. Choose the entries that changed or that refusals depend on.
   const bool IsRefresh = Now - m_RefreshedAt >= RefreshPeriod;
   if (IsRefresh)
     m_RefreshedAt = Now;
-  const auto IsRefusedPart = [&](PromptPartId Part) {
-    return std::any_of(
-        m_Refusals.begin(), m_Refusals.end(), [&](const Refusal &Each) {
-          return std::binary_search(Each.Parts.begin(), Each.Parts.end(), Part);
-        });
+  const auto IsRefusedCause = [&](CauseId Cause) {
+    return std::any_of(m_Refusals.begin(), m_Refusals.end(),
+                       [&](const Refusal &Each) {
+                         return std::binary_search(Each.Causes.begin(),
+                                                   Each.Causes.end(), Cause);
+                       });
   };
-  std::vector<std::pair<PromptPartId, const Suspect *>> Chosen;
-  for (const auto &[Part, Entry] : m_Suspects)
+  std::vector<std::pair<CauseId, const Suspect *>> Chosen;
+  for (const auto &[Cause, Entry] : m_Suspects)
     if (Now - Entry.ChangedAt < ReportedTime ||
-        (IsRefresh && IsRefusedPart(Part)))
-      Chosen.emplace_back(Part, &Entry);
+        (IsRefresh && IsRefusedCause(Cause)))
+      Chosen.emplace_back(Cause, &Entry);
 
   // Step 2. If they are too many, those with most crashes go first.
   std::sort(Chosen.begin(), Chosen.end(), [](const auto &A, const auto &B) {
     return std::pair(countUnrefuted(A.second->Sightings), A.second->ChangedAt) >
            std::pair(countUnrefuted(B.second->Sightings), B.second->ChangedAt);
   });
-  std::vector<PartEvidence> Report;
+  std::vector<CauseEvidence> Report;
   std::size_t SightingCount = 0;
-  for (const auto &[Part, Entry] : Chosen) {
+  for (const auto &[Cause, Entry] : Chosen) {
     SightingCount += Entry->Sightings.size();
-    if (Report.size() == MaxReportedParts ||
+    if (Report.size() == MaxReportedCauses ||
         SightingCount > MaxReportedSightings)
       break;
-    PartEvidence Reported{Part, Entry->KnownSound, {}};
+    CauseEvidence Reported{Cause, Entry->KnownSound, {}};
     for (const auto &Each : Entry->Sightings)
       Reported.Sightings.push_back(
           {Each.Crash, Each.Request,
@@ -245,7 +247,7 @@
   return Report;
 }
 
-void CrashingParts::forgetOld(TimePoint Now) {
+void CrashCauses::forgetOld(TimePoint Now) {
   for (auto Next = m_Suspects.begin(); Next != m_Suspects.end();) {
     auto &Sightings = Next->second.Sightings;
     std::erase_if(Sightings, [&](const Sighting &Each) {
@@ -255,14 +257,14 @@
   }
 }
 
-std::optional<CrashingParts::Candidate>
-CrashingParts::makeCandidate(PromptPartId Part, const Suspect &Entry,
-                             std::span<const std::uint64_t> Explained,
-                             TimePoint Now) const {
+std::optional<CrashCauses::Candidate>
+CrashCauses::makeCandidate(CauseId Cause, const Suspect &Entry,
+                           std::span<const std::uint64_t> Explained,
+                           TimePoint Now) const {
   if (Entry.Sightings.size() < MinCrashes)
     return std::nullopt;
   Candidate Result;
-  Result.Part = Part;
+  Result.Cause = Cause;
   Result.KnownSound = Entry.KnownSound;
   std::vector<std::uint64_t> Requests;
   for (const auto &Each : Entry.Sightings) {
@@ -271,7 +273,11 @@
       continue;
     Result.Crashes.push_back(Each.Crash);
     Requests.push_back(Each.Request);
-    Result.SettledCrashes += Now - Each.At >= m_SettleTime ? 1 : 0;
+    // A request that was at two crashed targets is refused at once: its caller
+    // may send it again without a pause.
+    const bool IsSettled =
+        Each.Request == Each.Crash || Now - Each.At >= m_SettleTime;
+    Result.SettledCrashes += IsSettled ? 1 : 0;
     Result.LastCrashAt = std::max(Result.LastCrashAt, Each.At);
   }
   std::sort(Result.Crashes.begin(), Result.Crashes.end());
@@ -286,34 +292,34 @@
   return IsEnough ? std::optional(Result) : std::nullopt;
 }
 
-CrashingParts::Refusal
-CrashingParts::makeRefusal(const Candidate &Cause,
-                           std::vector<PromptPartId> Parts) const {
+CrashCauses::Refusal
+CrashCauses::makeRefusal(const Candidate &Best,
+                         std::vector<CauseId> Causes) const {
   Refusal Result;
-  Result.Parts = std::move(Parts);
-  Result.Crashes = Cause.Crashes.size();
-  Result.LastCrashAt = Cause.LastCrashAt;
+  Result.Causes = std::move(Causes);
+  Result.Crashes = Best.Crashes.size();
+  Result.LastCrashAt = Best.LastCrashAt;
   const auto Time = refusalTime(Result.Crashes);
-  const auto First = Result.Parts.front();
+  const auto First = Result.Causes.front();
   const auto Place = std::ldexp(static_cast<double>(XXH3_64bits_withSeed(
                                     &First, sizeof(First), m_OrderSeed)),
                                 -64);
-  Result.TryAfter = Cause.LastCrashAt + Time +
+  Result.TryAfter = Best.LastCrashAt + Time +
                     fromSeconds(TrySpread * Place * toSeconds(Time));
   return Result;
 }
 
-bool CrashingParts::update(TimePoint Now) {
+bool CrashCauses::update(TimePoint Now) {
   forgetOld(Now);
   std::vector<Refusal> Found;
   std::vector<std::uint64_t> Explained;
   while (Found.size() < MaxRefusals) {
-    // Step 1. Find the part that explains most crashes. Parts that were
+    // Step 1. Find the suspect that explains most crashes. Those that were
     // answered earlier come last: one that many requests share is in the
     // crashes of several causes.
     std::vector<Candidate> Candidates;
-    for (const auto &[Part, Entry] : m_Suspects)
-      if (const auto Each = makeCandidate(Part, Entry, Explained, Now))
+    for (const auto &[Cause, Entry] : m_Suspects)
+      if (const auto Each = makeCandidate(Cause, Entry, Explained, Now))
         Candidates.push_back(*Each);
     const auto Best =
         std::max_element(Candidates.begin(), Candidates.end(),
@@ -324,12 +330,12 @@
     if (Best == Candidates.end())
       break;
 
-    // Step 2. Parts in exactly the same crashes are refused only together.
-    std::vector<PromptPartId> Parts;
+    // Step 2. Causes in exactly the same crashes are refused only together.
+    std::vector<CauseId> Causes;
     for (const auto &Each : Candidates)
       if (Each.Crashes == Best->Crashes && Each.KnownSound == Best->KnownSound)
-        Parts.push_back(Each.Part);
-    Found.push_back(makeRefusal(*Best, std::move(Parts)));
+        Causes.push_back(Each.Cause);
+    Found.push_back(makeRefusal(*Best, std::move(Causes)));
 
     // Step 3. The crashes that they explain make no other part a suspect.
     Explained.insert(Explained.end(), Best->Crashes.begin(),
@@ -337,32 +343,31 @@
   }
   const bool Changed = !std::equal(
       Found.begin(), Found.end(), m_Refusals.begin(), m_Refusals.end(),
-      [](const auto &A, const auto &B) { return A.Parts == B.Parts; });
+      [](const auto &A, const auto &B) { return A.Causes == B.Causes; });
   m_Refusals = std::move(Found);
   if (m_Refusals.empty())
     m_TriedAt.clear();
   return Changed;
 }
 
-bool CrashingParts::isRefused(std::span<const PromptPartId> Parts,
-                              TimePoint Now) const {
+bool CrashCauses::isRefused(std::span<const CauseId> Causes,
+                            TimePoint Now) const {
   return std::any_of(
       m_Refusals.begin(), m_Refusals.end(), [&](const Refusal &Each) {
         return Now < Each.TryAfter &&
-               std::includes(Parts.begin(), Parts.end(), Each.Parts.begin(),
-                             Each.Parts.end());
+               std::includes(Causes.begin(), Causes.end(), Each.Causes.begin(),
+                             Each.Causes.end());
       });
 }
 
-bool CrashingParts::refuseNew(std::span<const PromptPartId> Parts,
-                              TimePoint Now) {
-  if (isRefused(Parts, Now))
+bool CrashCauses::refuseNew(std::span<const CauseId> Causes, TimePoint Now) {
+  if (isRefused(Causes, Now))
     return true;
   for (const auto &Each : m_Refusals) {
-    if (!std::includes(Parts.begin(), Parts.end(), Each.Parts.begin(),
-                       Each.Parts.end()))
+    if (!std::includes(Causes.begin(), Causes.end(), Each.Causes.begin(),
+                       Each.Causes.end()))
       continue;
-    auto &TriedAt = m_TriedAt[Each.Parts.front()];
+    auto &TriedAt = m_TriedAt[Each.Causes.front()];
     if (TriedAt != TimePoint{} && Now - TriedAt < TryPeriod)
       return true;
     TriedAt = Now;
@@ -370,11 +375,11 @@
   return false;
 }
 
-bool CrashingParts::isRepeatRefused(std::span<const PromptPartId> Parts,
-                                    TimePoint Now) const {
-  return isRefused(Parts, Now) ||
-         std::any_of(Parts.begin(), Parts.end(), [&](PromptPartId Part) {
-           const auto Found = m_Suspects.find(Part);
+bool CrashCauses::isRepeatRefused(std::span<const CauseId> Causes,
+                                  TimePoint Now) const {
+  return isRefused(Causes, Now) ||
+         std::any_of(Causes.begin(), Causes.end(), [&](CauseId Cause) {
+           const auto Found = m_Suspects.find(Cause);
            return Found != m_Suspects.end() && !Found->second.KnownSound &&
                   countUnrefuted(Found->second.Sightings) >=
                       MinCrashesToStopRepeats;
--- a/packages/gateway/src/crashevidence.cpp
+++ b/packages/gateway/src/crashevidence.cpp
@@ -31,24 +31,24 @@
 
 } // namespace
 
-std::string encodeCrashEvidence(std::span<const PartEvidence> Evidence) {
-  Json Parts = Json::array();
-  for (const auto &Part : Evidence) {
+std::string encodeCrashEvidence(std::span<const CauseEvidence> Evidence) {
+  Json Causes = Json::array();
+  for (const auto &Cause : Evidence) {
     Json Sightings = Json::array();
-    for (const auto &Each : Part.Sightings)
+    for (const auto &Each : Cause.Sightings)
       Sightings.push_back(
           {Each.Crash, Each.Request,
            std::chrono::duration_cast<milliseconds>(Each.Age).count(),
            Each.Refuted});
-    Parts.push_back(
-        Json::array({Part.Part, Part.KnownSound, std::move(Sightings)}));
+    Causes.push_back(
+        Json::array({Cause.Cause, Cause.KnownSound, std::move(Sightings)}));
   }
   std::string Bytes;
-  Json::to_msgpack(Json::array({EvidenceTag, std::move(Parts)}), Bytes);
+  Json::to_msgpack(Json::array({EvidenceTag, std::move(Causes)}), Bytes);
   return Bytes;
 }
 
-std::optional<std::vector<PartEvidence>>
+std::optional<std::vector<CauseEvidence>>
 decodeCrashEvidence(std::string_view Bytes) {
   if (Bytes.size() < 2 || static_cast<unsigned char>(Bytes[0]) != ArrayMarker ||
       Bytes[1] != EvidenceTag)
@@ -58,15 +58,15 @@
     return std::nullopt;
   // The library throws if a value has the wrong type or is missing.
   try {
-    std::vector<PartEvidence> Evidence;
-    for (const auto &Part : Fields[1]) {
-      if (Evidence.size() == MaxReportedParts)
+    std::vector<CauseEvidence> Evidence;
+    for (const auto &Cause : Fields[1]) {
+      if (Evidence.size() == MaxReportedCauses)
         break;
-      PartEvidence Entry;
-      Entry.Part = Part.at(0).get<PromptPartId>();
-      Entry.KnownSound = Part.at(1).get<bool>();
-      for (const auto &Sighting : Part.at(2))
-        if (Entry.Sightings.size() < MaxSightingsPerPart)
+      CauseEvidence Entry;
+      Entry.Cause = Cause.at(0).get<CauseId>();
+      Entry.KnownSound = Cause.at(1).get<bool>();
+      for (const auto &Sighting : Cause.at(2))
+        if (Entry.Sightings.size() < MaxSightingsPerCause)
           Entry.Sightings.push_back(decodeSighting(Sighting));
       Evidence.push_back(std::move(Entry));
     }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -87,7 +87,7 @@
       m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
       m_TickTimer(Loop), m_Pool(Loop.get_executor()),
       m_RetryBudget(m_Settings.RetryLimits), m_Quotas(Random),
-      m_CrashingParts(m_Settings.Vm), m_Peers(m_Settings.Vm, m_Settings.Domain),
+      m_CrashCauses(m_Settings.Vm), m_Peers(m_Settings.Vm, m_Settings.Domain),
       m_LocalBroker(m_Settings.Domain, m_Targets, *this) {}
 
 Gateway::~Gateway() = default;
@@ -302,8 +302,8 @@
     return RefuseRequest(503, "stopping", StoppingRetryAfter);
 
   // Step 5. Refuse a request that has crashed the targets that ran it.
-  if (const auto Reason = reasonToRefuseCrashing(Facts, Now))
-    return RefuseRequest(503, *Reason, MaxRetryAfter);
+  if (m_CrashCauses.refuseNew(Facts.PossibleCauses, Now))
+    return RefuseRequest(503, CrashingRequestReason, MaxRetryAfter);
 
   // Step 6. Charge the request to its customer's limit.
   if (Customer) {
@@ -391,10 +391,10 @@
 
 void Gateway::waitForSlot(const ExchangePtr &Waiting) {
   const auto Now = steadyNow();
-  const auto &Parts = Waiting->facts().SharedParts;
+  const auto &Causes = Waiting->facts().PossibleCauses;
   if (!Waiting->hasStreamStarted() &&
-      (Waiting->mayHaveRun() ? m_CrashingParts.isRepeatRefused(Parts, Now)
-                             : m_CrashingParts.isRefused(Parts, Now)))
+      (Waiting->mayHaveRun() ? m_CrashCauses.isRepeatRefused(Causes, Now)
+                             : m_CrashCauses.isRefused(Causes, Now)))
     return Waiting->stopCrashing();
   if (!Waiting->hasStreamStarted() && refuseIfPaused(Waiting, Now))
     return;
@@ -745,15 +745,13 @@
           return receivePeerMessage();
         }
         if (const auto Evidence = decodeCrashEvidence(Bytes)) {
-          m_CrashingParts.merge(*Evidence, Now);
+          m_CrashCauses.merge(*Evidence, Now);
           return receivePeerMessage();
         }
         if (const auto Message = decodeSlotMessage(Bytes))
           handleSlotMessage(*Message, Now);
         auto Report = decodeReport(Bytes);
         if (Report && Report->Vm != m_Settings.Vm) {
-          for (const auto &Record : Report->CrashRecords)
-            m_CrashGuard.record(Record, Now);
           applyLeavingTargets(*Report);
           applyRateLimits(*Report, Now);
           handleReport(std::move(*Report), Now);
@@ -868,7 +866,6 @@
       Report.RunningRequests.push_back(*Reported);
   Report.Loads = sumLoadsByTarget(Report.RunningRequests);
   Report.Usage = m_Quotas.usage(Now);
-  Report.CrashRecords = m_CrashGuard.recentRecords(Now);
   Report.LeavingTargets = recentlyLeaving(m_LeavingTargets, Now);
   Report.AnnouncedLeaving = recentlyLeaving(m_AnnouncedLeaving, Now);
   std::erase_if(m_OwnRateLimitStatements, [&](const auto &Entry) {
@@ -939,7 +936,7 @@
   if (std::exchange(m_UsedOwnSummary, usesOwnSummary()) != usesOwnSummary())
     m_Quotas.forgetPeers();
   sendReports(Now);
-  updateCrashingParts(Now);
+  updateCrashCauses(Now);
   refreshTargetLoads(Now);
   checkSlotRequests(Now);
   checkPermits(Now);
@@ -978,10 +975,10 @@
                            ? 0
                            : brokerShare(Support.Supporters, Support.Daemons,
                                          Support.IsMajority));
-    m_Metrics.setGauge("refused_parts",
-                       static_cast<double>(m_CrashingParts.refusals().size()));
-    m_Metrics.setGauge("suspect_parts",
-                       static_cast<double>(m_CrashingParts.suspectCount()));
+    m_Metrics.setGauge("refused_causes",
+                       static_cast<double>(m_CrashCauses.refusals().size()));
+    m_Metrics.setGauge("crash_suspects",
+                       static_cast<double>(m_CrashCauses.suspectCount()));
     m_Metrics.setGauge("rate_limited_targets",
                        static_cast<double>(m_Targets.countRateLimited()));
     m_Metrics.setGauge("ticks", static_cast<double>(m_TickCount));
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -90,8 +90,6 @@
     Message["q"][Customer] = {static_cast<std::int64_t>(Usage.AdmittedUnits),
                               static_cast<std::int64_t>(Usage.DemandPerSecond),
                               static_cast<std::int64_t>(Usage.UnitsLeft)};
-  for (const auto &Record : Report.CrashRecords)
-    Message["c"].push_back({Record.Fingerprint, Record.CrashId});
   for (const auto &Leaving : Report.LeavingTargets) {
     Message["l"].push_back(Leaving.Target);
     Message["ls"].push_back(Leaving.Sequence);
@@ -142,10 +140,6 @@
         Report.Usage[Customer] = {Usage.at(0).get<double>(),
                                   Usage.at(1).get<double>(),
                                   Usage.at(2).get<double>()};
-    if (Message.contains("c"))
-      for (const auto &Record : Message["c"])
-        Report.CrashRecords.push_back({Record.at(0).get<std::uint64_t>(),
-                                       Record.at(1).get<std::uint64_t>()});
     if (Message.contains("l"))
       for (std::size_t I = 0; I < Message["l"].size(); ++I)
         Report.LeavingTargets.push_back(
@@ -339,9 +333,6 @@
   TargetLoads Loads;
   for (const auto &Load : Own.Loads)
     addLoad(Loads, Load);
-  std::set<std::pair<std::uint64_t, std::uint64_t>> CrashRecords;
-  for (const auto &Record : Own.CrashRecords)
-    CrashRecords.insert({Record.Fingerprint, Record.CrashId});
   std::set<LeavingTarget> LeavingTargets(Own.LeavingTargets.begin(),
                                          Own.LeavingTargets.end());
   std::set<std::uint64_t> AnnouncedLeaving(Own.AnnouncedLeaving.begin(),
@@ -364,17 +355,12 @@
     AddRateLimits(Peer.LastReport, Now - Peer.LastReportTime);
     for (const auto &Load : Peer.LastReport.Loads)
       addLoad(Loads, Load);
-    for (const auto &Record : Peer.LastReport.CrashRecords)
-      CrashRecords.insert({Record.Fingerprint, Record.CrashId});
     LeavingTargets.insert(Peer.LastReport.LeavingTargets.begin(),
                           Peer.LastReport.LeavingTargets.end());
     AnnouncedLeaving.insert(Peer.LastReport.AnnouncedLeaving.begin(),
                             Peer.LastReport.AnnouncedLeaving.end());
   }
   Summary.Loads = listLoads(Loads);
-  Summary.CrashRecords.clear();
-  for (const auto &[Fingerprint, Crash] : CrashRecords)
-    Summary.CrashRecords.push_back({Fingerprint, Crash});
   Summary.LeavingTargets.assign(LeavingTargets.begin(), LeavingTargets.end());
   Summary.AnnouncedLeaving.assign(AnnouncedLeaving.begin(),
                                   AnnouncedLeaving.end());
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -73,11 +73,16 @@
         std::string_view(Message.Body)})
     Facts.Fingerprint =
         XXH3_64bits_withSeed(Input.data(), Input.size(), Facts.Fingerprint);
+  Facts.PossibleCauses = Facts.SharedParts;
+  Facts.PossibleCauses.insert(std::upper_bound(Facts.PossibleCauses.begin(),
+                                               Facts.PossibleCauses.end(),
+                                               Facts.Fingerprint),
+                              Facts.Fingerprint);
   return Facts;
 }
 
-std::vector<PromptPartId> parseSharedParts(std::string_view Field) {
-  std::vector<PromptPartId> Parts;
+std::vector<CauseId> parseSharedParts(std::string_view Field) {
+  std::vector<CauseId> Parts;
   for (auto Comma = Field.find(','); Comma != Field.npos;
        Comma = Field.find(',')) {
     auto Entry = Field.substr(0, Comma);
