gateway: a daemon survives the end of its last refusal

Cause: found by the soak. The log line causes_accepted had no fields, which the JSON library rejects with an exception that ended the process. Change: the line has a field.

--- a/packages/gateway/src/gatewaycrash.cpp
+++ b/packages/gateway/src/gatewaycrash.cpp
@@ -88,7 +88,8 @@
                    {"last_crash_ms", ageMs(Each.LastCrashAt, Now)},
                    {"try_after_ms", ageMs(Now, Each.TryAfter)}});
     if (m_CrashCauses.refusals().empty())
-      m_Log.write("causes_accepted", {});
+      m_Log.write("causes_accepted",
+                  {{"suspects", m_CrashCauses.suspectCount()}});
     // Step 2. End the requests that wait, or run without an answer.
     std::vector<ExchangePtr> Crashing;
     for (const auto &[Number, Each] : m_ExchangeByNumber)
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(answer_notOursWithoutEnd_costsOneConnection);
   CPPUNIT_TEST(stream_eventWithoutEnd_costsOneConnection);
   CPPUNIT_TEST(stream_commentsWithoutEnd_costOneConnection);
+  CPPUNIT_TEST(crashEvidence_ofPeer_refusesPartUntilItIsRefuted);
   CPPUNIT_TEST(stream_events_areRelayedInOrder);
   CPPUNIT_TEST(stream_interrupted_isResumedAfterLastEvent);
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
@@ -332,6 +333,32 @@
     CPPUNIT_ASSERT(Answer.size() < MaxEndlessBytes);
   }
 
+  void crashEvidence_ofPeer_refusesPartUntilItIsRefuted() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Answer = [](const std::string &) { return plainAnswer("1"); };
+    PeerStub Peer(*m_Loop, *m_Gateway, m_PeerPort, "z-last");
+    const auto Report = [&](bool Refuted) {
+      CauseEvidence Evidence{0xbad, false, {}};
+      for (std::uint64_t Number = 1; Number <= 4; ++Number)
+        Evidence.Sightings.push_back({Number, 100 + Number, 4s, Refuted});
+      Peer.sendBytes(encodeCrashEvidence(std::span(&Evidence, 1)));
+      runLoopFor(200ms);
+    };
+    const auto Request = [](const std::string &Parts) {
+      auto Text = requestText("1");
+      return Text.insert(Text.size() - 2, "X-Parts: " + Parts + "\r\n");
+    };
+    Report(false);
+    CPPUNIT_ASSERT(
+        sendRequest(Request("bad:9,2:1")).starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(
+        sendRequest(Request("2:1,bad:9")).starts_with("HTTP/1.1 200"));
+    Report(true);
+    CPPUNIT_ASSERT(
+        sendRequest(Request("bad:9,2:1")).starts_with("HTTP/1.1 200"));
+  }
+
   void stream_events_areRelayedInOrder() {
     configure(RouteKind::Stream);
     addTarget("a", *m_TargetA);
