gateway: a registration of a start before the one that left brings no target back

A store that comes back from an older copy can show a target as ready that has restarted since, and leaves now. The registration of the earlier start counted as a restart of the target and replaced the draining one, so that requests went there. Change: a ready registration of an earlier start is outdated if the later start is leaving or has left. Without that it still replaces the known one: a clock may have been set back.

--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -167,6 +167,8 @@
   /// Removes the target from the indexes by hash and service, marks it down,
   /// and remembers its departure.
   void unlink(const TargetPtr &Target, bool HasLeft);
+  /// Whether \p Entry is of a start before the one with which the target left.
+  bool isOfStartBeforeLeaving(const TargetEntry &Entry) const;
   /// Continues or creates the target that \p Entry describes; nullptr if it has
   /// left.
   TargetPtr recallOrCreate(const TargetEntry &Entry);
--- a/packages/gateway/src/targetregistry.cpp
+++ b/packages/gateway/src/targetregistry.cpp
@@ -103,6 +103,8 @@
     Known->MarkedDown = false;
     return Known;
   }
+  if (isOfStartBeforeLeaving(Entry))
+    return nullptr;
   const auto Added = recallOrCreate(Entry);
   if (!Added)
     return nullptr;
@@ -114,6 +116,20 @@
   return Added;
 }
 
+bool TargetRegistry::isOfStartBeforeLeaving(const TargetEntry &Entry) const {
+  const auto IsEarlierThan = [&](const TargetEntry &Left) {
+    return Left.Id == Entry.Id && Entry.StartedUnixMs != 0 &&
+           Entry.StartedUnixMs < Left.StartedUnixMs;
+  };
+  const auto Known = find(Entry.Id);
+  return (Known && Known->isLeaving() && IsEarlierThan(Known->Entry)) ||
+         std::any_of(m_Departures.begin(), m_Departures.end(),
+                     [&](const auto &Each) {
+                       return Each.second.HasLeft &&
+                              IsEarlierThan(Each.second.Target->Entry);
+                     });
+}
+
 TargetPtr TargetRegistry::recallOrCreate(const TargetEntry &Entry) {
   auto New = std::make_shared<TrackedTarget>(Entry);
   const auto Found = m_Departures.find(New->Hash);
--- a/packages/gateway/test/targetregistry_test.cpp
+++ b/packages/gateway/test/targetregistry_test.cpp
@@ -16,6 +16,9 @@
   CPPUNIT_TEST(update_restartOfRemovedTarget_startsClean);
   CPPUNIT_TEST(update_returningTarget_keepsLeavingMarkAndPause);
   CPPUNIT_TEST(update_heartbeat_keepsLeavingMarkAndPause);
+  CPPUNIT_TEST(update_readyEntryOfEarlierStart_draining_staysDraining);
+  CPPUNIT_TEST(update_readyEntryOfEarlierStart_removed_staysRemoved);
+  CPPUNIT_TEST(update_entryOfEarlierStart_ready_isReplaced);
   CPPUNIT_TEST_SUITE_END();
 
   static TargetEntry entry(std::uint64_t Sequence, bool Draining = false,
@@ -44,6 +47,29 @@
     CPPUNIT_ASSERT(Target->isLeaving());
   }
 
+  void update_readyEntryOfEarlierStart_draining_staysDraining() {
+    m_Registry.update(entry(9, false, 1));
+    const auto Target = m_Registry.update(entry(1, true, 2));
+    CPPUNIT_ASSERT(!m_Registry.update(entry(9, false, 1)));
+    CPPUNIT_ASSERT(m_Registry.find(TargetName("t")) == Target);
+    CPPUNIT_ASSERT(Target->isLeaving());
+  }
+
+  void update_readyEntryOfEarlierStart_removed_staysRemoved() {
+    m_Registry.update(entry(9, false, 1));
+    m_Registry.update(entry(1, false, 2));
+    m_Registry.remove(TargetName("t"), true);
+    CPPUNIT_ASSERT(!m_Registry.update(entry(9, false, 1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Registry.size());
+    CPPUNIT_ASSERT(m_Registry.update(entry(1, false, 3)));
+  }
+
+  /// The clock of a VM may step back between two starts of its target.
+  void update_entryOfEarlierStart_ready_isReplaced() {
+    m_Registry.update(entry(9, false, 2));
+    CPPUNIT_ASSERT(m_Registry.update(entry(1, false, 1))->isUsable(m_Now));
+  }
+
   void update_newerReadyEntry_draining_isReady() {
     m_Registry.update(entry(5, true));
     CPPUNIT_ASSERT(m_Registry.update(entry(6))->isUsable(m_Now));
