--- a/packages/gateway/include/mangodeck/gateway/crashcauses.h
+++ b/packages/gateway/include/mangodeck/gateway/crashcauses.h
@@ -70,7 +70,8 @@
     TimePoint LastCrashAt{};
     /// From this time on, this daemon tries requests with them.
     TimePoint TryAfter{};
-    bool operator==(const Refusal &) const = default;
+    /// Whether a request with the causes \p Of, sorted, has all of them.
+    bool covers(std::span<const CauseId> Of) const;
   };
   /// Updates the refusals from the evidence; true if the refused causes have
   /// changed. Forgets old evidence.
@@ -78,9 +79,10 @@
   std::span<const Refusal> refusals() const { return m_Refusals; }
   /// Whether a request with \p Causes, which are sorted, must not be sent.
   bool isRefused(std::span<const CauseId> Causes, TimePoint Now) const;
-  /// The same for a new request, which may be the one by which this daemon
-  /// tries refused causes.
-  bool refuseNew(std::span<const CauseId> Causes, TimePoint Now);
+  /// Time until this daemon may accept a new request with \p Causes;
+  /// std::nullopt if it accepts this one, by which it may try refused causes.
+  std::optional<Duration> refuseNew(std::span<const CauseId> Causes,
+                                    TimePoint Now);
   /// Whether a request with \p Causes that was at a crashed target must not be
   /// sent to another one.
   bool isRepeatRefused(std::span<const CauseId> Causes, TimePoint Now) const;
--- a/packages/gateway/src/crashcauses.cpp
+++ b/packages/gateway/src/crashcauses.cpp
@@ -75,6 +75,10 @@
 
 } // namespace
 
+bool CrashCauses::Refusal::covers(std::span<const CauseId> Of) const {
+  return std::includes(Of.begin(), Of.end(), Causes.begin(), Causes.end());
+}
+
 CrashCauses::CrashCauses(std::string_view Vm)
     : m_OrderSeed(XXH3_64bits(Vm.data(), Vm.size())) {}
 
@@ -345,34 +349,36 @@
       Found.begin(), Found.end(), m_Refusals.begin(), m_Refusals.end(),
       [](const auto &A, const auto &B) { return A.Causes == B.Causes; });
   m_Refusals = std::move(Found);
-  if (m_Refusals.empty())
-    m_TriedAt.clear();
+  std::erase_if(m_TriedAt, [&](const auto &Tried) {
+    return Now - Tried.second > TryPeriod;
+  });
   return Changed;
 }
 
 bool CrashCauses::isRefused(std::span<const CauseId> Causes,
                             TimePoint Now) const {
-  return std::any_of(
-      m_Refusals.begin(), m_Refusals.end(), [&](const Refusal &Each) {
-        return Now < Each.TryAfter &&
-               std::includes(Causes.begin(), Causes.end(), Each.Causes.begin(),
-                             Each.Causes.end());
-      });
+  return std::any_of(m_Refusals.begin(), m_Refusals.end(),
+                     [&](const Refusal &Each) {
+                       return Now < Each.TryAfter && Each.covers(Causes);
+                     });
 }
 
-bool CrashCauses::refuseNew(std::span<const CauseId> Causes, TimePoint Now) {
-  if (isRefused(Causes, Now))
-    return true;
-  for (const auto &Each : m_Refusals) {
-    if (!std::includes(Causes.begin(), Causes.end(), Each.Causes.begin(),
-                       Each.Causes.end()))
-      continue;
-    auto &TriedAt = m_TriedAt[Each.Causes.front()];
-    if (TriedAt != TimePoint{} && Now - TriedAt < TryPeriod)
-      return true;
-    TriedAt = Now;
-  }
-  return false;
+std::optional<Duration> CrashCauses::refuseNew(std::span<const CauseId> Causes,
+                                               TimePoint Now) {
+  TimePoint AcceptedFrom = Now;
+  for (const auto &Each : m_Refusals)
+    if (Each.covers(Causes)) {
+      const auto Tried = m_TriedAt.find(Each.Causes.front());
+      AcceptedFrom = std::max(AcceptedFrom, Each.TryAfter);
+      if (Tried != m_TriedAt.end())
+        AcceptedFrom = std::max(AcceptedFrom, Tried->second + TryPeriod);
+    }
+  if (AcceptedFrom > Now)
+    return AcceptedFrom - Now;
+  for (const auto &Each : m_Refusals)
+    if (Each.covers(Causes))
+      m_TriedAt[Each.Causes.front()] = Now;
+  return std::nullopt;
 }
 
 bool CrashCauses::isRepeatRefused(std::span<const CauseId> Causes,
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -302,8 +302,9 @@
     return RefuseRequest(503, "stopping", StoppingRetryAfter);
 
   // Step 5. Refuse a request that has crashed the targets that ran it.
-  if (m_CrashCauses.refuseNew(Facts.PossibleCauses, Now))
-    return RefuseRequest(503, CrashingRequestReason, MaxRetryAfter);
+  if (const auto Left = m_CrashCauses.refuseNew(Facts.PossibleCauses, Now))
+    return RefuseRequest(503, CrashingRequestReason,
+                         std::max<Duration>(*Left, MinRetryAfter));
 
   // Step 6. Charge the request to its customer's limit.
   if (Customer) {
--- a/packages/gateway/test/crashcauses_test.cpp
+++ b/packages/gateway/test/crashcauses_test.cpp
@@ -334,7 +334,7 @@
     CPPUNIT_ASSERT(Daemon.suspectCount() <= 1024);
     const auto Bytes = encodeCrashEvidence(Daemon.takeReport(m_Now));
     CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes", Bytes.size()),
-                           Bytes.size() <= 8192);
+                           Bytes.size() <= 4096);
   }
 
   void longPrompts_sharingOnePart_partIsFound() {
--- a/packages/gateway/test/crashingprompt_test.cpp
+++ b/packages/gateway/test/crashingprompt_test.cpp
@@ -140,7 +140,7 @@
         Each->Server->onPeerUpdated(
             Other->Settings.Vm,
             {"127.0.0.1", Other->Settings.PeerPort, Other->Settings.Domain});
-      Each->Server->onPlan(plan());
+      Each->Server->onPlan(fleetPlan(3s));
     }
     for (std::size_t Index = 0; Index < TargetCount; ++Index)
       registerTarget(Index);
@@ -185,23 +185,6 @@
     });
   }
 
-  static RoutePlanPtr plan() {
-    auto Plan = std::make_shared<RoutePlan>();
-    Plan->Version = 1;
-    Route Only;
-    Only.Name = "r";
-    Only.Host = "h";
-    Only.Prefix = "/p/";
-    Only.Kind = RouteKind::Idempotent;
-    Only.Timeout = 3s;
-    Only.LatencyTarget = 1s;
-    Only.Attempts = 2;
-    Only.Shares = {{ServiceName("s"), 1}};
-    Plan->Routes = {Only};
-    Plan->index();
-    return Plan;
-  }
-
   void runLoopFor(Duration Span) {
     m_Loop->restart();
     m_Loop->run_for(Span);
--- a/packages/gateway/test/fleetsupport.h
+++ b/packages/gateway/test/fleetsupport.h
@@ -19,6 +19,25 @@
   return Request.substr(At, Request.find('\r', At) - At);
 }
 
+/// A configuration of one idempotent route to service "s", which may send a
+/// request to two targets.
+inline RoutePlanPtr fleetPlan(Duration Timeout) {
+  auto Plan = std::make_shared<RoutePlan>();
+  Plan->Version = 1;
+  Route Only;
+  Only.Name = "r";
+  Only.Host = "h";
+  Only.Prefix = "/p/";
+  Only.Kind = RouteKind::Idempotent;
+  Only.Timeout = Timeout;
+  Only.LatencyTarget = 1s;
+  Only.Attempts = 2;
+  Only.Shares = {{ServiceName("s"), 1}};
+  Plan->Routes = {Only};
+  Plan->index();
+  return Plan;
+}
+
 /// A gateway with its own addresses.
 struct FleetDaemon {
   FleetDaemon(asio::io_context &Loop, const HeaderNames &Names,
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -350,8 +350,12 @@
       return Text.insert(Text.size() - 2, "X-Parts: " + Parts + "\r\n");
     };
     Report(false);
-    CPPUNIT_ASSERT(
-        sendRequest(Request("bad:9,2:1")).starts_with("HTTP/1.1 503"));
+    const auto Refused = sendRequest(Request("bad:9,2:1"));
+    CPPUNIT_ASSERT(Refused.starts_with("HTTP/1.1 503"));
+    const auto At = Refused.find("Retry-After: ");
+    CPPUNIT_ASSERT(At != Refused.npos);
+    // Four crashes; some seconds of the refusal are over.
+    CPPUNIT_ASSERT(std::stod(Refused.substr(At + 13)) > 100);
     CPPUNIT_ASSERT(
         sendRequest(Request("2:1,bad:9")).starts_with("HTTP/1.1 200"));
     Report(true);
--- a/packages/gateway/test/ratelimit_test.cpp
+++ b/packages/gateway/test/ratelimit_test.cpp
@@ -114,7 +114,7 @@
         Each->Server->onPeerUpdated(
             Other->Settings.Vm,
             {"127.0.0.1", Other->Settings.PeerPort, Other->Settings.Domain});
-      Each->Server->onPlan(plan());
+      Each->Server->onPlan(fleetPlan(2s));
       for (const auto &[Id, Target, Domain] :
            {std::tuple("limited", &m_Limited, "a"),
             std::tuple("near", &m_Near, "a"), std::tuple("far", &m_Far, "b")})
@@ -139,23 +139,6 @@
     };
   }
 
-  static RoutePlanPtr plan() {
-    auto Plan = std::make_shared<RoutePlan>();
-    Plan->Version = 1;
-    Route Only;
-    Only.Name = "r";
-    Only.Host = "h";
-    Only.Prefix = "/p/";
-    Only.Kind = RouteKind::Idempotent;
-    Only.Timeout = 2s;
-    Only.LatencyTarget = 1s;
-    Only.Attempts = 2;
-    Only.Shares = {{ServiceName("s"), 1}};
-    Plan->Routes = {Only};
-    Plan->index();
-    return Plan;
-  }
-
   void runLoopFor(Duration Span) {
     m_Loop->restart();
     m_Loop->run_for(Span);
