--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -41,6 +41,10 @@
   CPPUNIT_TEST(stream_eventWithoutEnd_costsOneConnection);
   CPPUNIT_TEST(stream_commentsWithoutEnd_costOneConnection);
   CPPUNIT_TEST(crashEvidence_ofPeer_refusesPartUntilItIsRefuted);
+  CPPUNIT_TEST(crash_requestWithoutAnswer_isEvidence);
+  CPPUNIT_TEST(crash_ofLeavingTarget_isNoEvidence);
+  CPPUNIT_TEST(crash_streamThatWentOn_isNoEvidence);
+  CPPUNIT_TEST(connectionBroken_targetStillListens_isNoEvidence);
   CPPUNIT_TEST(stream_events_areRelayedInOrder);
   CPPUNIT_TEST(stream_interrupted_isResumedAfterLastEvent);
   CPPUNIT_TEST(stream_interruptedAndNotResumable_getsNoLastChunk);
@@ -363,6 +367,35 @@
         sendRequest(Request("bad:9,2:1")).starts_with("HTTP/1.1 200"));
   }
 
+  void crash_requestWithoutAnswer_isEvidence() {
+    crashDuringRequest([this] { m_TargetA->crash(); });
+    CPPUNIT_ASSERT(gauge("crash_suspects") > 0);
+  }
+
+  void crash_ofLeavingTarget_isNoEvidence() {
+    crashDuringRequest([this] {
+      m_Gateway->onTargetUpdated(entry("a", *m_TargetA, "own-domain", true));
+      m_TargetA->crash();
+    });
+    CPPUNIT_ASSERT_EQUAL(0.0, gauge("crash_suspects"));
+  }
+
+  void crash_streamThatWentOn_isNoEvidence() {
+    m_TargetA->Scripts = {{streamHead("1") + eventChunk(1),
+                           false,
+                           false,
+                           {eventChunk(2), eventChunk(3), eventChunk(4)}}};
+    m_TargetA->DripPause = 160ms;
+    crashDuringRequest([this] { m_TargetA->crash(); }, 600ms);
+    CPPUNIT_ASSERT_EQUAL(0.0, gauge("crash_suspects"));
+  }
+
+  void connectionBroken_targetStillListens_isNoEvidence() {
+    m_TargetA->Scripts = {{"", true}};
+    crashDuringRequest([] {});
+    CPPUNIT_ASSERT_EQUAL(0.0, gauge("crash_suspects"));
+  }
+
   void stream_events_areRelayedInOrder() {
     configure(RouteKind::Stream);
     addTarget("a", *m_TargetA);
@@ -978,6 +1011,20 @@
     CPPUNIT_ASSERT(Took < 1s);
   }
 
+  /// Sends a request with prompt parts to the only target, runs \p Crash after
+  /// \p Span, and waits until the evidence shows in the metrics.
+  void crashDuringRequest(const std::function<void()> &Crash,
+                          Duration Span = 100ms) {
+    configure(RouteKind::Stream, 1);
+    addTarget("a", *m_TargetA);
+    auto Text = requestText("1");
+    sendBytes(Text.insert(Text.size() - 2, "X-Parts: a:1,b:2,c:3\r\n"));
+    runLoopFor(Span);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+    Crash();
+    runLoopFor(800ms);
+  }
+
   /// Head of an answer to request 1 with neither a length nor chunks.
   static std::string unframedHead(const std::string &Type) {
     return "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Stamp: r\r\nContent-Type: " +
