--- a/review/harness.hh
+++ b/review/harness.hh
@@ -2,6 +2,7 @@
 // Used by the cases only; no part of the product.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -333,6 +334,16 @@
     const std::lock_guard Lock(m_Mutex);
     change(Key, "", 0, true);
   }
+  /// While the store is down it answers every call with 503 and takes no writes of runners.
+  void setDown(bool IsDown) {
+    const std::lock_guard Lock(m_Mutex);
+    m_Down = IsDown;
+    m_Changed.notify_all();
+  }
+  bool isDown() {
+    const std::lock_guard Lock(m_Mutex);
+    return m_Down;
+  }
   std::size_t count(const std::string &Prefix) {
     const std::lock_guard Lock(m_Mutex);
     std::size_t Number = 0;
@@ -402,10 +413,14 @@
     const auto Space = Asked.Start.find(' ');
     const auto Target = Asked.Start.substr(Space + 1, Asked.Start.rfind(' ') - Space - 1);
     std::unique_lock Lock(m_Mutex);
+    if (m_Down)
+      return {503, Json::object()};
     if (Target.rfind("/kv-watch", 0) == 0) {
       const auto After = std::stol(query(Target, "AfterRevision"));
       m_Changed.wait_for(Lock, std::chrono::milliseconds(std::stol(query(Target, "WaitMs"))),
-                         [&] { return m_Revision > After; });
+                         [&] { return m_Revision > After || m_Down; });
+      if (m_Down)
+        return {503, Json::object()};
       Json Events = Json::array();
       for (auto At = m_History.upper_bound(After); At != m_History.end(); ++At)
         Events.push_back(At->second);
@@ -448,6 +463,7 @@
   std::map<std::string, Item> m_Items;
   std::map<long, Json> m_History;
   std::map<long, std::pair<long, Clock::time_point>> m_Leases;
+  bool m_Down = false;
   long m_Revision = 100;
   long m_LastLease = 7000;
 };
@@ -456,9 +472,9 @@
 class Registration {
 public:
   Registration(Store &Entries, std::string Id, std::string Service, std::string Zone, std::string Ip, int Port,
-               int Slots)
+               int Slots, std::string Version = "v1")
       : m_Store(Entries), m_Id(std::move(Id)), m_Service(std::move(Service)), m_Zone(std::move(Zone)),
-        m_Address(Ip + ":" + std::to_string(Port)), m_Slots(Slots) {
+        m_Address(Ip + ":" + std::to_string(Port)), m_Slots(Slots), m_Version(std::move(Version)) {
     m_Born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                  .count();
     write();
@@ -467,7 +483,7 @@
         sleepMs(100);
         if (m_Stopped)
           return;
-        if (I % 12 == 0)
+        if (I % 12 == 0 || m_IsDue)
           write();
       }
     }).detach();
@@ -478,10 +494,13 @@
 
 private:
   void write() {
+    m_IsDue = m_Store.isDown();
+    if (m_IsDue)
+      return;
     m_Store.put("servers/" + m_Id, Json{{"Service", m_Service},
                                         {"Address", m_Address},
                                         {"Zone", m_Zone},
-                                        {"Version", "v1"},
+                                        {"Version", m_Version},
                                         {"Slots", m_Slots},
                                         {"State", "ready"},
                                         {"ColdRemainingMs", 0},
@@ -492,6 +511,8 @@
   Store &m_Store;
   std::string m_Id, m_Service, m_Zone, m_Address;
   int m_Slots;
+  std::string m_Version;
+  bool m_IsDue = false; ///< A write has failed since the store is down.
   long m_Born = 0;
   long m_Sequence = 0;
   std::atomic<bool> m_Stopped{false};
