--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -279,6 +279,9 @@
                       const RateLimitStatement &Statement,
                       std::string_view Source, int Status);
   void handleReport(PeerReport Report, TimePoint Now);
+  /// Logs, once for each process, that the reports of a process are dropped
+  /// because another one of the same VM is known.
+  void logDroppedReport(const PeerReport &Report);
   void sendTo(std::span<const PeerEndpoint> Peers, std::string_view Bytes);
   void updateDaemonCount(TimePoint Now);
   Duration reportPeriod() const;
@@ -386,6 +389,8 @@
   std::optional<PeerRegistry::Delegate> m_RemoteBroker;
   TimePoint m_BrokerSince{}; ///< Time of the last change of the broker.
   double m_LoggedBrokerShare = 0;
+  /// By VM: the process whose dropped reports were logged last.
+  std::map<std::string, std::uint64_t> m_LoggedDrops;
   bool m_UsedOwnSummary = false; ///< usesOwnSummary() at the last tick.
   /// Until this time the broker counts as unreachable.
   TimePoint m_DecideLocallyUntil{};
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -138,6 +138,10 @@
   /// while the first still sends.
   bool accept(PeerReport Report, TimePoint Now);
 
+  /// The process whose reports of \p Vm are stored; std::nullopt if there are
+  /// none.
+  std::optional<std::uint64_t> incarnationOf(const std::string &Vm) const;
+
   /// Endpoints of all other daemons of the own failure domain.
   std::vector<PeerEndpoint> ownDomainEndpoints() const;
   /// Number of other daemons of the own failure domain with an endpoint.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -829,7 +829,7 @@
   Usage.Stopping = Report.Stopping;
   Usage.Usage = Report.Usage;
   if (!m_Peers.accept(Report, Now))
-    return;
+    return logDroppedReport(Report);
   if (!Report.IsDomainSummary && IsOwnDomain && !m_RemoteBroker)
     m_LocalBroker.reconcile(Report, Now);
   if (Report.IsDomainSummary || !IsOwnDomain || !usesOwnSummary())
@@ -841,6 +841,17 @@
   }
 }
 
+void Gateway::logDroppedReport(const PeerReport &Report) {
+  auto &Logged = m_LoggedDrops[Report.Vm];
+  const auto Known = m_Peers.incarnationOf(Report.Vm);
+  if (Known == Report.Incarnation ||
+      std::exchange(Logged, Report.Incarnation) == Report.Incarnation)
+    return;
+  m_Log.write("report_dropped", {{"peer", Report.Vm},
+                                 {"peer_inc", Report.Incarnation},
+                                 {"known_inc", Known.value_or(0)}});
+}
+
 bool Gateway::isRelaying() const {
   return !m_RemoteBroker && steadyNow() - m_BrokerSince >= RelayStartDelay &&
          m_Peers.ownDomainSize() + 1 >=
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -201,6 +201,14 @@
   return true;
 }
 
+std::optional<std::uint64_t>
+PeerRegistry::incarnationOf(const std::string &Vm) const {
+  const auto Found = m_Peers.find(Vm);
+  return Found == m_Peers.end() || Found->second.LastReportTime == TimePoint{}
+             ? std::nullopt
+             : std::optional(Found->second.LastReport.Incarnation);
+}
+
 bool PeerRegistry::isInOwnDomain(const Peer &Other) const {
   return Other.Endpoint && Other.Endpoint->Domain == m_OwnDomain;
 }
