gateway: processes of a VM are told apart by a random incarnation; grants name them

Cause: the incarnation was the time of day at the start, and everything of a process with an earlier one was dropped. So the broker never learned that the former process had ended, kept its grants by VM and ticket number, and repeated them to requests of the next process, whose numbers begin again. The daemon used a granted target without a look at its service.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -4,6 +4,7 @@
 #include "mangodeck/gateway/targetregistry.h"
 
 #include <span>
+#include <string_view>
 
 namespace mangodeck {
 
@@ -66,6 +67,16 @@
 /// NoVersion, whether a request may begin there.
 bool isOfVersion(const TrackedTarget &Target, VersionId Version);
 
+/// Why a request for \p Service must not be sent to \p Target, for a log line;
+/// empty if it may be. A decision of another process, or of an earlier moment,
+/// is made with an older view of the targets, so what must never happen is
+/// checked where the request is sent. \p Version is the one at which the stream
+/// of the request goes on, \p Tried the targets that it was sent to.
+std::string_view obstacleToSend(const TrackedTarget &Target,
+                                const ServiceName &Service, VersionId Version,
+                                std::span<const TargetPtr> Tried,
+                                TimePoint Now);
+
 /// Expected time to the first event of \p Work on \p Target.
 Duration expectedTimeToFirstEvent(const TrackedTarget &Target,
                                   const RequestWork &Work);
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -29,7 +29,8 @@
 /// Addresses, time limits and memory limits of one gateway process.
 struct GatewaySettings {
   std::string Vm;
-  std::uint64_t Incarnation = 0; ///< Increases with each start.
+  /// Of this process; drawn at random at its start.
+  IncarnationId Incarnation = UnknownIncarnation;
   FailureDomain Domain;
   std::string Ip;
   std::uint16_t CallerPort = 0;
@@ -41,6 +42,9 @@
   Duration ShutdownGrace = 8s; ///< From SIGTERM until the process is killed.
   /// Time after a write to the store within which the daemons must act on it.
   Duration ChangeDeadline = 2s;
+  /// Added to the time of day that this process reads. Tests of clock steps set
+  /// it.
+  std::chrono::milliseconds WallClockOffset{0};
   RetryBudgetLimits RetryLimits;
   std::size_t MemoryLimitBytes = std::size_t(128) << 20;
 };
@@ -203,10 +207,19 @@
   void checkPermits(TimePoint Now);
   /// The request gets no permit: refuses it, or lets it wait on.
   void denyPermit(TicketNumber Number);
+  /// Why \p Waiting must not be sent to \p Target; empty if it may be.
+  std::string_view obstacleToSend(const Exchange &Waiting,
+                                  const TrackedTarget &Target,
+                                  TimePoint Now) const;
+  void logUnusedGrant(const Exchange &Waiting, const SlotDecision &Decision,
+                      std::string_view Reason);
   /// Sends a request to the target that a broker has granted.
   void dispatchGranted(const ExchangePtr &Granted, const TargetPtr &Target,
                        PermitSource Permit, TimePoint Now);
   void sendToBroker(const SlotMessage &Message, TimePoint Now);
+  /// Handles a message of another daemon, unless it is of a process that no
+  /// longer runs, or for one.
+  void handlePeerSlotMessage(SlotMessage Message, TimePoint Now);
   void handleSlotMessage(const SlotMessage &Message, TimePoint Now);
   /// Resends slot requests whose answer may be lost. If the broker has not
   /// answered one within BrokerTimeout, this daemon chooses targets itself for
@@ -243,6 +256,8 @@
   /// and writes them to the store where that is due.
   void updateVersions(TimePoint Now);
   void storeVersions(TimePoint Now);
+  /// The time of day since the Unix epoch; it may step.
+  std::chrono::milliseconds wallClock() const;
   /// Whether the origins of streams are sent to other daemons, since more than
   /// one version is possible. Sends those of before when that begins.
   bool updateOriginSharing(TimePoint Now);
@@ -279,9 +294,11 @@
                       const RateLimitStatement &Statement,
                       std::string_view Source, int Status);
   void handleReport(PeerReport Report, TimePoint Now);
-  /// Logs, once for each process, that the reports of a process are dropped
-  /// because another one of the same VM is known.
-  void logDroppedReport(const PeerReport &Report);
+  /// Records a message of a process on \p Vm. Once a process has taken the
+  /// place of another one, the slots and the waiting requests of that one are
+  /// dropped.
+  IncarnationStanding observePeer(const std::string &Vm,
+                                  IncarnationId Incarnation, TimePoint Now);
   void sendTo(std::span<const PeerEndpoint> Peers, std::string_view Bytes);
   void updateDaemonCount(TimePoint Now);
   Duration reportPeriod() const;
@@ -389,8 +406,6 @@
   std::optional<PeerRegistry::Delegate> m_RemoteBroker;
   TimePoint m_BrokerSince{}; ///< Time of the last change of the broker.
   double m_LoggedBrokerShare = 0;
-  /// By VM: the process whose dropped reports were logged last.
-  std::map<std::string, std::uint64_t> m_LoggedDrops;
   bool m_UsedOwnSummary = false; ///< usesOwnSummary() at the last tick.
   /// Until this time the broker counts as unreachable.
   TimePoint m_DecideLocallyUntil{};
--- a/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
+++ b/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
@@ -40,6 +40,9 @@
   void countPeerMessage(std::string_view Direction, std::size_t Bytes);
   /// A request took up a stream; \p Source tells how its version is known.
   void countResume(std::string_view Source);
+  /// Counts a datagram that was dropped since it is of a process that no longer
+  /// runs, or for one.
+  void countStaleMessage(std::string_view Kind);
   void setGauge(std::string_view Name, double Value);
   /// All metrics in the text format.
   std::string serialize() const;
@@ -56,6 +59,7 @@
   prometheus::Family<prometheus::Counter> &m_PeerMessages;
   prometheus::Family<prometheus::Counter> &m_PeerBytes;
   prometheus::Family<prometheus::Counter> &m_Resumes;
+  prometheus::Family<prometheus::Counter> &m_StaleMessages;
   prometheus::Family<prometheus::Histogram> &m_FirstEventLatency;
   prometheus::Family<prometheus::Histogram> &m_RequestLatency;
   prometheus::Family<prometheus::Histogram> &m_SlotWait;
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
+#include "mangodeck/gateway/incarnationtracker.h"
 #include "mangodeck/gateway/quotaledger.h"
 
 #include <cstdint>
@@ -85,8 +86,8 @@
   /// A domain summary that was relayed within the receiving domain. It is not
   /// relayed again.
   bool Forwarded = false;
-  std::uint64_t Incarnation = 0;
-  std::uint64_t Sequence = 0;
+  IncarnationId Incarnation = UnknownIncarnation; ///< Of the sender.
+  std::uint64_t Sequence = 0; ///< Increases with each report of a process.
   bool Stopping = false;
   /// The sender does not receive the reports of most of its large failure
   /// domain yet, so it must not become the delegate while another daemon can
@@ -133,15 +134,20 @@
   /// in daemonCount() for a grace period, since it may be serving while a
   /// network partition separates it from the store.
   void markUnlisted(const std::string &Vm, TimePoint Now);
+  /// Records a message of a process on \p Vm. If that process takes the place
+  /// of another one, what the other one reported is dropped.
+  IncarnationStanding observe(const std::string &Vm, IncarnationId Incarnation,
+                              TimePoint Now);
+  /// The process that runs on \p Vm; std::nullopt if no message of it arrived.
+  std::optional<IncarnationId> incarnationOf(const std::string &Vm) const {
+    return m_Incarnations.current(Vm);
+  }
   /// Stores a report. Returns false and drops the report if it is not newer
-  /// than the stored one, or if it is a domain summary of a second delegate
-  /// while the first still sends.
+  /// than the stored one, if its sender is not the process that runs on its VM,
+  /// or if it is a domain summary of a second delegate while the first still
+  /// sends.
   bool accept(PeerReport Report, TimePoint Now);
 
-  /// The process whose reports of \p Vm are stored; std::nullopt if there are
-  /// none.
-  std::optional<std::uint64_t> incarnationOf(const std::string &Vm) const;
-
   /// Endpoints of all other daemons of the own failure domain.
   std::vector<PeerEndpoint> ownDomainEndpoints() const;
   /// Number of other daemons of the own failure domain with an endpoint.
@@ -180,7 +186,7 @@
   /// out, too.
   struct Delegate {
     std::string Vm;
-    std::uint64_t Incarnation = 0;
+    IncarnationId Incarnation = UnknownIncarnation;
     /// std::nullopt if the store never listed the daemon.
     std::optional<PeerEndpoint> Endpoint;
     bool operator==(const Delegate &) const = default;
@@ -255,6 +261,7 @@
 
   std::string m_OwnVm;
   FailureDomain m_OwnDomain;
+  IncarnationTracker m_Incarnations;
   std::map<std::string, Peer> m_Peers; ///< Daemons by VM name.
   std::size_t m_OwnDomainSize = 0;     ///< Of m_Peers.
   bool m_Joining = true;
--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -2,6 +2,7 @@
 #define MANGODECK_GATEWAY_QUOTALEDGER_H
 
 #include "mangodeck/common/random.h"
+#include "mangodeck/gateway/incarnationtracker.h"
 #include "mangodeck/version/routeplan.h"
 
 #include <map>
@@ -22,8 +23,8 @@
 /// The usage that a daemon reported, or the delegate of a failure domain for
 /// all daemons there.
 struct PeerUsage {
-  std::string Source;            ///< Name of the daemon or the failure domain.
-  std::uint64_t Incarnation = 0; ///< Of the reporting daemon.
+  std::string Source; ///< Name of the daemon or the failure domain.
+  IncarnationId Incarnation = UnknownIncarnation; ///< Of the reporting daemon.
   std::uint32_t DaemonCount = 1; ///< Daemons whose usage is included.
   bool IsDomainSummary = false;
   /// The source holds its share of the limit only while it is reachable,
--- a/packages/gateway/include/mangodeck/gateway/slotbroker.h
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -50,6 +50,9 @@
   void requestSlot(const SlotRequest &Request, TimePoint Now);
   /// Applies a daemon's message on how a slot is used.
   void applyUpdate(const SlotUpdate &Update, TimePoint Now);
+  /// Drops the slots and the waiting requests of all other processes that ran
+  /// on \p Vm: \p Incarnation has taken their place.
+  void releaseFormer(const std::string &Vm, IncarnationId Incarnation);
   /// Replaces the slots held by a daemon with the requests that it reports as
   /// running, since updates may have been lost. A grant is kept if it is too
   /// recent for the report to include it.
@@ -69,7 +72,12 @@
   std::size_t waitingCount() const { return m_Waiting.size(); }
 
 private:
-  using Key = std::pair<std::string, TicketNumber>; ///< Daemon and request.
+  /// A process of a daemon: its VM and incarnation.
+  using ProcessKey = std::pair<std::string, IncarnationId>;
+  using Key = std::pair<ProcessKey, TicketNumber>; ///< Process and request.
+  static Key keyOf(const SlotRequest &Request) {
+    return {{Request.Vm, Request.Incarnation}, Request.Number};
+  }
   struct Waiting {
     SlotRequest Request;
     TicketNumber Ticket = 0;
@@ -86,6 +94,8 @@
     DispatchRate Rate;
   };
 
+  /// Sends a decision to the process that holds \p Request.
+  void decide(const SlotRequest &Request, SlotDecision Decision);
   std::vector<TargetPtr> domainTargets(const ServiceName &Service) const;
   bool tryGrant(const Waiting &Waiter, std::span<const TargetPtr> Targets,
                 TimePoint Now);
@@ -118,7 +128,7 @@
   std::size_t m_BoundWaiting = 0; ///< Of m_Waiting: those with a version.
   std::unordered_map<TicketNumber, Key> m_KeyByTicket;
   std::map<Key, Grant> m_Grants;
-  std::map<std::string, TimePoint> m_LastMessageAt; ///< By daemon.
+  std::map<ProcessKey, TimePoint> m_LastMessageAt;
   std::map<std::string, ServiceState> m_Services;
   TicketNumber m_NextTicket = 1;
 };
--- a/packages/gateway/include/mangodeck/gateway/slotmessages.h
+++ b/packages/gateway/include/mangodeck/gateway/slotmessages.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
 #include "mangodeck/gateway/dispatchqueue.h"
+#include "mangodeck/gateway/incarnationtracker.h"
 #include "mangodeck/gateway/targetregistry.h"
 
 #include <cstdint>
@@ -18,8 +19,9 @@
 /// A daemon requests a slot for one of its requests from the broker. Times are
 /// relative to the sending, since the clocks of two daemons differ.
 struct SlotRequest {
-  std::string Vm;          ///< Of the daemon that holds the request.
-  TicketNumber Number = 0; ///< Unique within that daemon.
+  std::string Vm; ///< Of the daemon that holds the request.
+  IncarnationId Incarnation = UnknownIncarnation; ///< Of that daemon.
+  TicketNumber Number = 0;                        ///< Unique within those.
   ServiceName Service;
   RequestRank Rank;
   RequestWork Work;
@@ -44,7 +46,7 @@
 /// The broker's decision on a SlotRequest.
 struct SlotDecision {
   enum class Kind : std::uint8_t { Granted, Queued, Refused };
-  TicketNumber Number = 0;
+  TicketNumber Number = 0; ///< Of the SlotRequest.
   Kind Result = Kind::Queued;
   /// TrackedTarget::Hash, if granted or if the request names one target.
   std::uint64_t Target = 0;
@@ -55,6 +57,9 @@
   Duration BacklogTime{0};
   /// If granted: the grant has taken a permit under the target's rate limit.
   bool HasPermit = false;
+  /// Of the SlotRequest. Another process that runs on the VM by now has given
+  /// the number to another request.
+  IncarnationId Incarnation = UnknownIncarnation;
 };
 
 /// How a request ended at its target.
@@ -73,7 +78,8 @@
     Ended,       ///< The slot is free again.
   };
   std::string Vm; ///< Of the daemon that holds the request.
-  TicketNumber Number = 0;
+  IncarnationId Incarnation = UnknownIncarnation; ///< Of that daemon.
+  TicketNumber Number = 0;                        ///< Unique within those.
   Kind Change = Kind::Withdrawn;
   std::uint64_t Target = 0; ///< TrackedTarget::Hash; 0 if withdrawn.
   SlotOutcome Outcome = SlotOutcome::Unknown;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -53,6 +53,21 @@
          (Target.Version == Version && Target.isVersionCertain());
 }
 
+std::string_view obstacleToSend(const TrackedTarget &Target,
+                                const ServiceName &Service, VersionId Version,
+                                std::span<const TargetPtr> Tried,
+                                TimePoint Now) {
+  if (Target.Entry.Service != Service)
+    return "target of another service";
+  if (Target.isLeaving())
+    return "target leaves";
+  if (!Target.isUsable(Now))
+    return "target not usable";
+  if (!isOfVersion(Target, Version))
+    return "target of another version";
+  return isExcluded(Target, Tried) ? "target tried before" : "";
+}
+
 Duration expectedTimeToFirstEvent(const TrackedTarget &Target,
                                   const RequestWork &Work) {
   if (!Work.IsEngine)
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -192,10 +192,12 @@
     logEvent("connect_failed", Error.message());
     return handleSendFailure(SendFailure::NotSent, "connect failed");
   }
-  if (!m_Target->isUsable(Now) || !isOfVersion(*m_Target, m_Version)) {
+  const auto Obstacle =
+      obstacleToSend(*m_Target, m_Service, m_Version, m_TriedTargets, Now);
+  if (!Obstacle.empty()) {
     m_Connection = std::move(Ready);
     releaseTarget(true);
-    return handleSendFailure(SendFailure::NotSent, "target left");
+    return handleSendFailure(SendFailure::NotSent, Obstacle);
   }
   m_Phase = Phase::Sent;
   m_Connection = std::move(Ready);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -546,6 +546,7 @@
     return;
   SlotUpdate Update;
   Update.Vm = m_Settings.Vm;
+  Update.Incarnation = m_Settings.Incarnation;
   Update.Number = Reported->Number;
   Update.Change = SlotUpdate::Kind::PrefillDone;
   Update.Target = Reported->Target;
@@ -558,6 +559,7 @@
   if (m_RemoteBroker && Target && Target->Entry.Domain == m_Settings.Domain) {
     auto Sent = Update;
     Sent.Vm = m_Settings.Vm;
+    Sent.Incarnation = m_Settings.Incarnation;
     sendToBroker(Sent, steadyNow());
   }
   onSlotFreed(Released.service());
@@ -784,8 +786,8 @@
           m_Origins.handle(*Message, Now);
           return receivePeerMessage();
         }
-        if (const auto Message = decodeSlotMessage(Bytes))
-          handleSlotMessage(*Message, Now);
+        if (auto Message = decodeSlotMessage(Bytes))
+          handlePeerSlotMessage(std::move(*Message), Now);
         auto Report = decodeReport(Bytes);
         if (Report && Report->Vm != m_Settings.Vm) {
           applyLeavingTargets(*Report);
@@ -828,8 +830,12 @@
   Usage.IsDomainSummary = Report.IsDomainSummary;
   Usage.Stopping = Report.Stopping;
   Usage.Usage = Report.Usage;
-  if (!m_Peers.accept(Report, Now))
-    return logDroppedReport(Report);
+  const auto Standing = observePeer(Report.Vm, Report.Incarnation, Now);
+  if (!m_Peers.accept(Report, Now)) {
+    if (Standing == IncarnationStanding::Former)
+      m_Metrics.countStaleMessage("report");
+    return;
+  }
   if (!Report.IsDomainSummary && IsOwnDomain && !m_RemoteBroker)
     m_LocalBroker.reconcile(Report, Now);
   if (Report.IsDomainSummary || !IsOwnDomain || !usesOwnSummary())
@@ -841,15 +847,19 @@
   }
 }
 
-void Gateway::logDroppedReport(const PeerReport &Report) {
-  auto &Logged = m_LoggedDrops[Report.Vm];
-  const auto Known = m_Peers.incarnationOf(Report.Vm);
-  if (Known == Report.Incarnation ||
-      std::exchange(Logged, Report.Incarnation) == Report.Incarnation)
-    return;
-  m_Log.write("report_dropped", {{"peer", Report.Vm},
-                                 {"peer_inc", Report.Incarnation},
-                                 {"known_inc", Known.value_or(0)}});
+IncarnationStanding Gateway::observePeer(const std::string &Vm,
+                                         IncarnationId Incarnation,
+                                         TimePoint Now) {
+  const auto Previous = m_Peers.incarnationOf(Vm);
+  const auto Standing = m_Peers.observe(Vm, Incarnation, Now);
+  if (Standing != IncarnationStanding::Started)
+    return Standing;
+  m_LocalBroker.releaseFormer(Vm, Incarnation);
+  if (Previous)
+    m_Log.write(
+        "peer_restarted",
+        {{"peer", Vm}, {"peer_inc", Incarnation}, {"before", *Previous}});
+  return Standing;
 }
 
 bool Gateway::isRelaying() const {
--- a/packages/gateway/src/gatewaybroker.cpp
+++ b/packages/gateway/src/gatewaybroker.cpp
@@ -50,6 +50,7 @@
 SlotRequest Gateway::describe(const Exchange &Waiting, TimePoint Now) const {
   SlotRequest Request;
   Request.Vm = m_Settings.Vm;
+  Request.Incarnation = m_Settings.Incarnation;
   Request.Number = Waiting.number();
   Request.Service = Waiting.service();
   Request.Rank = Waiting.hasStreamStarted() ? RequestRank() : Waiting.rank();
@@ -94,6 +95,33 @@
            encodeSlotMessage(Message));
 }
 
+void Gateway::handlePeerSlotMessage(SlotMessage Message, TimePoint Now) {
+  // Step 1. Drop a decision for the process that ran here before.
+  if (const auto *Decision = std::get_if<SlotDecision>(&Message)) {
+    const bool IsForOther = Decision->Incarnation != UnknownIncarnation &&
+                            Decision->Incarnation != m_Settings.Incarnation;
+    return IsForOther ? m_Metrics.countStaleMessage("decision")
+                      : handleDecision(*Decision);
+  }
+
+  // Step 2. Drop a message of a process that another one has followed. One that
+  // may follow the current process is served, since what it asks for is kept
+  // apart from what others have.
+  const auto IsFormer = [&](auto &Sent) {
+    if (Sent.Vm == m_Settings.Vm)
+      return true;
+    if (Sent.Incarnation == UnknownIncarnation)
+      Sent.Incarnation =
+          m_Peers.incarnationOf(Sent.Vm).value_or(UnknownIncarnation);
+    return observePeer(Sent.Vm, Sent.Incarnation, Now) ==
+           IncarnationStanding::Former;
+  };
+  auto *Request = std::get_if<SlotRequest>(&Message);
+  if (Request ? IsFormer(*Request) : IsFormer(std::get<SlotUpdate>(Message)))
+    return m_Metrics.countStaleMessage(Request ? "request" : "update");
+  handleSlotMessage(Message, Now);
+}
+
 void Gateway::handleSlotMessage(const SlotMessage &Message, TimePoint Now) {
   if (const auto *Request = std::get_if<SlotRequest>(&Message)) {
     // After a change of the broker, daemons may disagree on which one it is.
@@ -156,12 +184,12 @@
     // A broker that does not know the target's rate limit yet takes no permit.
     const bool LacksPermit =
         Target && Target->rateLimit().isActive() && !Decision.HasPermit;
-    // A copy of an earlier grant may name a target that the request has tried.
-    const auto Tried = Waiting->triedTargets();
-    const bool IsTried =
-        std::find(Tried.begin(), Tried.end(), Target) != Tried.end();
-    if (!Target || !Target->isUsable(Now) || LacksPermit || IsTried ||
-        !isOfVersion(*Target, Waiting->version())) {
+    const auto Obstacle = !Target ? "unknown target"
+                          : LacksPermit
+                              ? "no permit"
+                              : obstacleToSend(*Waiting, *Target, Now);
+    if (!Obstacle.empty()) {
+      logUnusedGrant(*Waiting, Decision, Obstacle);
       withdrawSlotRequest(Decision.Number, Now);
       return scheduleDispatch(Waiting->service());
     }
@@ -188,6 +216,25 @@
                   retryAfter(*Waiting));
 }
 
+std::string_view Gateway::obstacleToSend(const Exchange &Waiting,
+                                         const TrackedTarget &Target,
+                                         TimePoint Now) const {
+  return mangodeck::obstacleToSend(Target, Waiting.service(), Waiting.version(),
+                                   Waiting.triedTargets(), Now);
+}
+
+void Gateway::logUnusedGrant(const Exchange &Waiting,
+                             const SlotDecision &Decision,
+                             std::string_view Reason) {
+  const auto Target = m_Targets.findByHash(Decision.Target);
+  m_Log.write("grant_unused", {{"id", Waiting.facts().AttemptId},
+                               {"reason", Reason},
+                               {"service", Waiting.service().Text},
+                               {"target", Target ? Target->Entry.Id.Text : ""},
+                               {"broker", m_RemoteBroker ? m_RemoteBroker->Vm
+                                                         : m_Settings.Vm}});
+}
+
 void Gateway::dispatchGranted(const ExchangePtr &Granted,
                               const TargetPtr &Target, PermitSource Permit,
                               TimePoint Now) {
@@ -205,6 +252,7 @@
   m_PendingSlotRequests.erase(Number);
   SlotUpdate Update;
   Update.Vm = m_Settings.Vm;
+  Update.Incarnation = m_Settings.Incarnation;
   Update.Number = Number;
   Update.Change = SlotUpdate::Kind::Withdrawn;
   sendToBroker(Update, Now);
@@ -276,8 +324,10 @@
     m_PendingPermits.erase(Pending);
     return;
   }
-  if (!IsGranted || !Target->isUsable(Now) ||
-      !isOfVersion(*Target, Found->second->version()))
+  const auto Obstacle = obstacleToSend(*Found->second, *Target, Now);
+  if (IsGranted && !Obstacle.empty())
+    logUnusedGrant(*Found->second, Decision, Obstacle);
+  if (!IsGranted || !Obstacle.empty())
     return denyPermit(Decision.Number);
   m_PendingPermits.erase(Pending);
   if (m_PendingSlotRequests.contains(Decision.Number))
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -44,6 +44,9 @@
       m_Resumes(registerCounters(
           *m_Registry, "mangodeck_resumes_total",
           "Requests that took up a stream, by how its version is known.")),
+      m_StaleMessages(registerCounters(
+          *m_Registry, "mangodeck_stale_peer_messages_total",
+          "Datagrams of or for a process that no longer runs, dropped.")),
       m_FirstEventLatency(registerHistograms(
           *m_Registry, "mangodeck_first_event_seconds",
           "From the first byte of a request to the first event "
@@ -112,6 +115,10 @@
   m_Resumes.Add({{"known_by", std::string(Source)}}).Increment();
 }
 
+void GatewayMetrics::countStaleMessage(std::string_view Kind) {
+  m_StaleMessages.Add({{"kind", std::string(Kind)}}).Increment();
+}
+
 void GatewayMetrics::setGauge(std::string_view Name, double Value) {
   m_Gauges.Add({{"name", std::string(Name)}}).Set(Value);
 }
--- a/packages/gateway/src/gatewayorigins.cpp
+++ b/packages/gateway/src/gatewayorigins.cpp
@@ -36,11 +36,6 @@
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
-std::chrono::milliseconds wallClock() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 bool servesResumableStreams(const Route &Each) {
   return Each.Kind == RouteKind::Stream && Each.Resumable;
 }
@@ -62,6 +57,12 @@
   return m_VersionHistory.soleVersion(Services);
 }
 
+std::chrono::milliseconds Gateway::wallClock() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch()) +
+         m_Settings.WallClockOffset;
+}
+
 void Gateway::recordStreamServices(TimePoint Now) {
   auto Horizon = MinStreamHorizon;
   for (const auto &Each : m_Plan->Routes) {
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -184,16 +184,36 @@
     Found->second.UnlistedAt = Now;
 }
 
+IncarnationStanding PeerRegistry::observe(const std::string &Vm,
+                                          IncarnationId Incarnation,
+                                          TimePoint Now) {
+  const auto Standing = m_Incarnations.observe(Vm, Incarnation, Now);
+  const auto Found = m_Peers.find(Vm);
+  if (Standing != IncarnationStanding::Started || Found == m_Peers.end())
+    return Standing;
+  auto &Restarted = Found->second;
+  PeerReport Empty;
+  Empty.Vm = Vm;
+  Empty.Domain = Restarted.LastReport.Domain;
+  Empty.Incarnation = Incarnation;
+  Restarted.LastReport = std::move(Empty);
+  Restarted.Stopping = false;
+  return Standing;
+}
+
 bool PeerRegistry::accept(PeerReport Report, TimePoint Now) {
+  const auto Standing = observe(Report.Vm, Report.Incarnation, Now);
+  if (Standing == IncarnationStanding::Former ||
+      Standing == IncarnationStanding::Unconfirmed)
+    return false;
   auto &Peer = Report.IsDomainSummary ? m_DomainSummaries[Report.Domain.Text]
                                       : m_Peers[Report.Vm];
   const bool IsOtherDelegate =
       Report.IsDomainSummary && Report.Vm != Peer.LastReport.Vm;
   if (IsOtherDelegate && Now - Peer.LastReportTime < DelegateTimeout)
     return false;
-  if (!IsOtherDelegate && (Report.Incarnation < Peer.LastReport.Incarnation ||
-                           (Report.Incarnation == Peer.LastReport.Incarnation &&
-                            Report.Sequence <= Peer.LastReport.Sequence)))
+  if (!IsOtherDelegate && Report.Incarnation == Peer.LastReport.Incarnation &&
+      Report.Sequence <= Peer.LastReport.Sequence)
     return false;
   Peer.LastReportTime = Now;
   Peer.Stopping = Report.Stopping;
@@ -201,14 +221,6 @@
   return true;
 }
 
-std::optional<std::uint64_t>
-PeerRegistry::incarnationOf(const std::string &Vm) const {
-  const auto Found = m_Peers.find(Vm);
-  return Found == m_Peers.end() || Found->second.LastReportTime == TimePoint{}
-             ? std::nullopt
-             : std::optional(Found->second.LastReport.Incarnation);
-}
-
 bool PeerRegistry::isInOwnDomain(const Peer &Other) const {
   return Other.Endpoint && Other.Endpoint->Domain == m_OwnDomain;
 }
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -42,25 +42,23 @@
 void SlotBroker::requestSlot(const SlotRequest &Request, TimePoint Now) {
   if (Request.OnlyTarget != 0)
     return decideOnPermit(Request, Now);
-  const Key RequestKey(Request.Vm, Request.Number);
-  m_LastMessageAt[Request.Vm] = Now;
+  const auto RequestKey = keyOf(Request);
+  m_LastMessageAt[RequestKey.first] = Now;
   // Step 1. Repeat the decision on a request that already has a slot or waits.
   // A slot on a target that is now excluded is released.
   if (const auto Held = m_Grants.find(RequestKey); Held != m_Grants.end()) {
     if (std::find(Request.ExcludedTargets.begin(),
                   Request.ExcludedTargets.end(),
                   Held->second.Target) == Request.ExcludedTargets.end())
-      return m_Sink.onSlotDecision(Request.Vm,
-                                   {Request.Number, SlotDecision::Kind::Granted,
-                                    Held->second.Target, Duration{0},
-                                    Held->second.HasPermit});
+      return decide(Request,
+                    {Request.Number, SlotDecision::Kind::Granted,
+                     Held->second.Target, Duration{0}, Held->second.HasPermit});
     release(RequestKey);
   }
   auto &State = m_Services[Request.Service.Text];
   if (m_Waiting.contains(RequestKey))
-    return m_Sink.onSlotDecision(Request.Vm,
-                                 {Request.Number, SlotDecision::Kind::Queued, 0,
-                                  backlogTime(State, Now)});
+    return decide(Request, {Request.Number, SlotDecision::Kind::Queued, 0,
+                            backlogTime(State, Now)});
 
   // Step 2. Grant a slot if no waiting request precedes this one. Those that
   // wait for a version without a free slot do not.
@@ -79,9 +77,8 @@
       State.Rate.timeToDispatch(
           Ahead + dispatchesPerSlot(Request, Targets, Now), Now) >
           Request.TimeToLatestStart)
-    return m_Sink.onSlotDecision(Request.Vm,
-                                 {Request.Number, SlotDecision::Kind::Refused,
-                                  0, backlogTime(State, Now)});
+    return decide(Request, {Request.Number, SlotDecision::Kind::Refused, 0,
+                            backlogTime(State, Now)});
 
   // Step 4. Queue the request.
   QueuedTicket Ticket;
@@ -94,8 +91,8 @@
   m_KeyByTicket[Waiter.Ticket] = RequestKey;
   m_Waiting[RequestKey] = Waiter;
   m_BoundWaiting += Request.Version == NoVersion ? 0 : 1;
-  m_Sink.onSlotDecision(Request.Vm, {Request.Number, SlotDecision::Kind::Queued,
-                                     0, backlogTime(State, Now)});
+  decide(Request, {Request.Number, SlotDecision::Kind::Queued, 0,
+                   backlogTime(State, Now)});
 }
 
 std::optional<ChosenTarget>
@@ -133,7 +130,7 @@
     Decision.BacklogTime =
         IsOurs ? Target->rateLimit().refusePermit() : UnknownLimitPause;
   }
-  m_Sink.onSlotDecision(Request.Vm, Decision);
+  decide(Request, Decision);
 }
 
 bool SlotBroker::tryGrant(const Waiting &Waiter,
@@ -145,20 +142,19 @@
   m_Services[Request.Service.Text].Rate.recordDispatch(Now);
   const bool HasPermit = Chosen->Target->rateLimit().isActive();
   Chosen->Target->rateLimit().takePermit(Now);
-  m_Grants[Key(Request.Vm, Request.Number)] = {
-      Chosen->Target->Hash, Request.Work.PromptTokens, Now, HasPermit};
+  m_Grants[keyOf(Request)] = {Chosen->Target->Hash, Request.Work.PromptTokens,
+                              Now, HasPermit};
   Chosen->Target->PeerRunning += 1;
   Chosen->Target->PeerPrefillTokens += Request.Work.PromptTokens;
-  m_Sink.onSlotDecision(Request.Vm,
-                        {Request.Number, SlotDecision::Kind::Granted,
-                         Chosen->Target->Hash, Duration{0}, HasPermit});
+  decide(Request, {Request.Number, SlotDecision::Kind::Granted,
+                   Chosen->Target->Hash, Duration{0}, HasPermit});
   return true;
 }
 
 void SlotBroker::applyUpdate(const SlotUpdate &Update, TimePoint Now) {
   // Step 1. Release the slot or the place in the queue. After the first event
   // only the prompt tokens are released.
-  const Key RequestKey(Update.Vm, Update.Number);
+  const Key RequestKey({Update.Vm, Update.Incarnation}, Update.Number);
   const auto Target = m_Targets.findByHash(Update.Target);
   const auto Held = m_Grants.find(RequestKey);
   const bool Holds =
@@ -225,12 +221,36 @@
   return std::max(1u, All / std::max(1u, OfVersion));
 }
 
+void SlotBroker::releaseFormer(const std::string &Vm,
+                               IncarnationId Incarnation) {
+  const auto IsFormer = [&](const Key &Each) {
+    return Each.first.first == Vm && Each.first.second != Incarnation;
+  };
+  std::vector<Key> Former;
+  for (const auto &[RequestKey, Held] : m_Grants)
+    if (IsFormer(RequestKey))
+      Former.push_back(RequestKey);
+  for (const auto &[RequestKey, Waiter] : m_Waiting)
+    if (IsFormer(RequestKey))
+      Former.push_back(RequestKey);
+  for (const auto &RequestKey : Former) {
+    dequeue(RequestKey);
+    release(RequestKey);
+  }
+}
+
+void SlotBroker::decide(const SlotRequest &Request, SlotDecision Decision) {
+  Decision.Incarnation = Request.Incarnation;
+  m_Sink.onSlotDecision(Request.Vm, Decision);
+}
+
 void SlotBroker::reconcile(const PeerReport &Report, TimePoint Now) {
-  m_LastMessageAt[Report.Vm] = Now;
+  const ProcessKey Process(Report.Vm, Report.Incarnation);
+  m_LastMessageAt[Process] = Now;
   std::set<TicketNumber> Reported;
   for (const auto &Running : Report.RunningRequests) {
     Reported.insert(Running.Number);
-    auto [At, New] = m_Grants.try_emplace(Key(Report.Vm, Running.Number));
+    auto [At, New] = m_Grants.try_emplace(Key(Process, Running.Number));
     auto &Held = At->second;
     if (New)
       Held.GrantedAt = Now;
@@ -240,8 +260,8 @@
     Held.Target = Running.Target;
     Held.PrefillTokens = Running.Prefill;
   }
-  for (auto At = m_Grants.lower_bound(Key(Report.Vm, 0));
-       At != m_Grants.end() && At->first.first == Report.Vm;) {
+  for (auto At = m_Grants.lower_bound(Key(Process, 0));
+       At != m_Grants.end() && At->first.first == Process;) {
     const bool HasEnded = !Reported.contains(At->first.second) &&
                           Now - At->second.GrantedAt > MaxReportDelay;
     At = HasEnded ? m_Grants.erase(At) : std::next(At);
--- a/packages/gateway/src/slotmessages.cpp
+++ b/packages/gateway/src/slotmessages.cpp
@@ -39,7 +39,8 @@
           Request.RefuseIfLate,
           Request.ExcludedTargets,
           Request.OnlyTarget,
-          Request.Version};
+          Request.Version,
+          Request.Incarnation};
 }
 
 nlohmann::json fieldsOf(const SlotDecision &Decision) {
@@ -48,7 +49,8 @@
           static_cast<int>(Decision.Result),
           Decision.Target,
           toMicros(Decision.BacklogTime),
-          Decision.HasPermit};
+          Decision.HasPermit,
+          Decision.Incarnation};
 }
 
 nlohmann::json fieldsOf(const SlotUpdate &Update) {
@@ -59,7 +61,8 @@
           Update.Target,
           static_cast<int>(Update.Outcome),
           toMicros(Update.MeanEventGap),
-          Update.TokensPerEvent};
+          Update.TokensPerEvent,
+          Update.Incarnation};
 }
 
 /// Decodes an enumerator; std::nullopt for a number greater than \p Max.
@@ -92,6 +95,8 @@
     Request.OnlyTarget = Fields[16].get<std::uint64_t>();
   if (Fields.size() > 17)
     Request.Version = Fields[17].get<VersionId>();
+  if (Fields.size() > 18)
+    Request.Incarnation = Fields[18].get<IncarnationId>();
   return Request;
 }
 
@@ -104,8 +109,10 @@
   Decision.Result = *Result;
   Decision.Target = Fields.at(3).get<std::uint64_t>();
   Decision.BacklogTime = fromMicros(Fields.at(4));
-  // A daemon of an earlier version sends no such field.
+  // A daemon of an earlier version sends no such fields.
   Decision.HasPermit = Fields.size() > 5 && Fields[5].get<bool>();
+  if (Fields.size() > 6)
+    Decision.Incarnation = Fields[6].get<IncarnationId>();
   return Decision;
 }
 
@@ -122,6 +129,9 @@
   Update.Outcome = *Outcome;
   Update.MeanEventGap = fromMicros(Fields.at(6));
   Update.TokensPerEvent = Fields.at(7).get<std::uint32_t>();
+  // A daemon of an earlier version sends no such field.
+  if (Fields.size() > 8)
+    Update.Incarnation = Fields[8].get<IncarnationId>();
   return Update;
 }
 
--- a/packages/gateway/test/slotbroker_test.cpp
+++ b/packages/gateway/test/slotbroker_test.cpp
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(report_withoutRequest_releasesGrantWhoseUpdateWasLost);
   CPPUNIT_TEST(report_olderThanGrant_keepsGrant);
   CPPUNIT_TEST(daemon_silent_slotsAreReleased);
+  CPPUNIT_TEST(request_numberOfFormerProcess_getsDecisionOfItsOwn);
+  CPPUNIT_TEST(formerProcess_released_slotsAndWaitingRequestsAreFree);
   CPPUNIT_TEST(addLoads_loadsOfOtherDomain_areIncluded);
   CPPUNIT_TEST(failures_ofTwoDaemons_avoidTarget);
   CPPUNIT_TEST(target_onTrial_getsOneRequest);
@@ -259,6 +261,42 @@
     CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
   }
 
+  // Regression: the grant of a former process was repeated to a request of
+  // another service, which had been given the same number.
+  void request_numberOfFormerProcess_getsDecisionOfItsOwn() {
+    const auto Target = addTarget("t", 4);
+    auto Request = makeRequest("vm", 1);
+    Request.Incarnation = 9;
+    m_Broker->requestSlot(Request, m_Now);
+    CPPUNIT_ASSERT_EQUAL(Target->Hash, lastDecision().Target);
+    Request.Incarnation = 3;
+    Request.Service = ServiceName("other");
+    Request.RefuseIfLate = false;
+    m_Broker->requestSlot(Request, m_Now);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Queued);
+    CPPUNIT_ASSERT_EQUAL(IncarnationId(3), lastDecision().Incarnation);
+    auto Update =
+        makeUpdate("vm", 1, SlotUpdate::Kind::Withdrawn, Target->Hash);
+    Update.Incarnation = 3;
+    m_Broker->applyUpdate(Update, m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1),
+                         grantedLoads().at(Target->Hash).Running);
+  }
+
+  void formerProcess_released_slotsAndWaitingRequestsAreFree() {
+    addTarget("t", 1);
+    for (TicketNumber Number = 1; Number <= 4; ++Number)
+      requestSlot("vm", Number);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Broker->waitingCount());
+    m_Broker->releaseFormer("other", 7);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Broker->waitingCount());
+    m_Broker->releaseFormer("vm", 7);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Broker->waitingCount());
+    CPPUNIT_ASSERT(grantedLoads().empty());
+    requestSlot("other", 1);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
+  }
+
   void addLoads_loadsOfOtherDomain_areIncluded() {
     const auto A = addTarget("a", 4);
     requestSlot("vm", 1);
