gateway: a version that appears beside others begins no streams until all daemons know it

Cause: a daemon that knows one version takes it for the one that began any stream while its view of the store is at most 3 s old. Others read the new registration earlier and begin streams at once.

Change: a version that appears beside others begins no resumable stream for VersionSettleTime, 0.5 s longer than that view may be old. A confirmation counts from the store's call, not from its answer, and is void after a suspension, which is now looked for before requests and datagrams are handled. The same check of a target serves slot requests, grants, permits and sends.

GatewayTest confirms the directory itself, as KeyFollower does: the complete listing is no confirmation of its own any more.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -19,6 +19,7 @@
   std::span<const TargetPtr> Excluded; ///< Targets that must not be chosen.
   /// The only version to be chosen, of a stream that goes on; NoVersion: any.
   VersionId Version = NoVersion;
+  bool BeginsStream = false; ///< See TargetRequirements.
   /// Consider no targets of the own failure domain: the slot broker decides on
   /// those.
   bool RemoteDomainsOnly = false;
@@ -67,14 +68,20 @@
 /// NoVersion, whether a request may begin there.
 bool isOfVersion(const TrackedTarget &Target, VersionId Version);
 
-/// Why a request for \p Service must not be sent to \p Target, for a log line;
-/// empty if it may be. A decision of another process, or of an earlier moment,
-/// is made with an older view of the targets, so what must never happen is
-/// checked where the request is sent. \p Version is the one at which the stream
-/// of the request goes on, \p Tried the targets that it was sent to.
+/// What a request requires of a target.
+struct TargetRequirements {
+  const ServiceName &Service;
+  VersionId Version = NoVersion; ///< At which its stream goes on.
+  bool BeginsStream = false;     ///< That can be taken up; see NewStreamsFrom.
+  std::span<const TargetPtr> Tried; ///< To which it was sent before.
+};
+
+/// Why a request must not be sent to \p Target, for a log line; empty if it may
+/// be. A decision of another process, or of an earlier moment, is made with an
+/// older view of the targets, so what must never happen is checked where the
+/// request is sent.
 std::string_view obstacleToSend(const TrackedTarget &Target,
-                                const ServiceName &Service, VersionId Version,
-                                std::span<const TargetPtr> Tried,
+                                const TargetRequirements &Required,
                                 TimePoint Now);
 
 /// Expected time to the first event of \p Work on \p Target.
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -144,6 +144,8 @@
   const RequestWork &work() const { return m_Work; }
   std::span<const TargetPtr> triedTargets() const { return m_TriedTargets; }
   RequestRank rank() const;
+  /// What a target must meet to be sent this request. Refers to the exchange.
+  TargetRequirements requirements() const;
   std::size_t bodyBytes() const { return m_Request.Body.size(); }
   TimePoint arrival() const { return m_Arrival; }
   TimePoint deadline() const { return m_Deadline; }
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -67,7 +67,8 @@
   virtual void onVersionRecords(std::span<const VersionRecord> Records) = 0;
   /// Every target and daemon that the store lists has been reported once.
   virtual void onDirectoryComplete() = 0;
-  /// All changes of the store up to \p Time have been reported.
+  /// All changes of the store up to \p Time have been reported. That is the
+  /// time of the call, not of its answer, which may have been delayed.
   virtual void onDirectoryConfirmed(TimePoint Time) = 0;
 };
 
@@ -207,10 +208,6 @@
   void checkPermits(TimePoint Now);
   /// The request gets no permit: refuses it, or lets it wait on.
   void denyPermit(TicketNumber Number);
-  /// Why \p Waiting must not be sent to \p Target; empty if it may be.
-  std::string_view obstacleToSend(const Exchange &Waiting,
-                                  const TrackedTarget &Target,
-                                  TimePoint Now) const;
   void logUnusedGrant(const Exchange &Waiting, const SlotDecision &Decision,
                       std::string_view Reason);
   /// Sends a request to the target that a broker has granted.
@@ -255,6 +252,8 @@
   /// Records which services serve streams, updates the versions of the targets,
   /// and writes them to the store where that is due.
   void updateVersions(TimePoint Now);
+  /// Tells all targets from when on their versions may begin streams.
+  void updateSettled();
   void storeVersions(TimePoint Now);
   /// The time of day since the Unix epoch; it may step.
   std::chrono::milliseconds wallClock() const;
@@ -351,6 +350,10 @@
                    TimePoint Now);
   /// Draws a service of the route by the weights of its shares.
   ServiceName pickService(const Route &Matched);
+  /// Handles the resumption after the process was suspended or has stalled:
+  /// what is known of the store, of peers and of connections may be out of
+  /// date. Called before anything that has arrived meanwhile is handled.
+  void checkSuspension(TimePoint Now);
   void tick();
   /// Time until the next tick.
   Duration tickPeriod() const;
@@ -394,6 +397,7 @@
   bool m_SharesOrigins = false; ///< Several versions were possible.
   /// Up to this time all changes of the store are known.
   TimePoint m_DirectoryConfirmedAt{};
+  TimePoint m_ResumedAt{}; ///< End of the last suspension.
   TimePoint m_OriginsSharedAt{};
   /// Since when the store lacks records of versions.
   std::optional<TimePoint> m_RecordsDueSince;
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -120,6 +120,7 @@
   bool m_StoreReachable = false;
   bool m_WasEverReachable = false;
   unsigned m_ConsecutiveFailures = 0;
+  TimePoint m_ListingStart{}; ///< Of the call for the first page.
   TimePoint m_WatchStart{};
   /// A listing has been completed, and none is in progress.
   bool m_IsListed = false;
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -97,6 +97,9 @@
   /// Of a target in another failure domain: time from which on this daemon may
   /// request a permit from the slot broker there.
   TimePoint RequestPermitAfter{};
+  /// Its version is new beside others: it begins no stream that can be taken up
+  /// before this time. See VersionSettleTime.
+  TimePoint NewStreamsFrom{};
   /// The target is not used before this time, after failures.
   TimePoint AvoidUntil{};
   std::uint32_t ConsecutiveFailures = 0;
--- a/packages/gateway/include/mangodeck/gateway/versionhistory.h
+++ b/packages/gateway/include/mangodeck/gateway/versionhistory.h
@@ -25,6 +25,15 @@
   bool operator==(const VersionRecord &) const = default;
 };
 
+/// Age of what is known of the store from which on a daemon counts as cut off
+/// from it. Targets renew their registrations more often, which ends the wait
+/// for changes.
+constexpr Duration DirectoryTimeout = 3s;
+/// A version that appears beside others begins no streams that can be taken up
+/// for this long. Every daemon whose view of the store is not older than
+/// DirectoryTimeout knows the version by then.
+constexpr Duration VersionSettleTime = DirectoryTimeout + 500ms;
+
 /// The versions of each service that may have begun a stream which can still be
 /// taken up: those registered now, and those that were within the horizon, the
 /// longest time for which a stream lasts.
@@ -55,6 +64,14 @@
   /// none.
   std::optional<VersionId>
   soleVersion(std::span<const ServiceName> Services) const;
+  /// From this time on a version may begin streams that can be taken up.
+  TimePoint settledAt(const ServiceName &Service, VersionId Version) const;
+  /// All registrations have been listed for the first time: when they were
+  /// made is not known, so the version with the most targets of each service
+  /// may begin streams now.
+  void settleMain(
+      const std::map<std::string, std::vector<TargetPtr>> &TargetsByService,
+      TimePoint Now);
   /// The service of a known version.
   std::optional<ServiceName> serviceOf(VersionId Version) const;
 
@@ -62,14 +79,16 @@
   struct Sighting {
     std::optional<std::string> Version;
     TimePoint LastSeen{};
+    TimePoint SettledAt{};
     bool IsRegistered = false;
     bool IsStored = false;
     bool IsStoredAsGone = false;
   };
   using Sightings = std::map<VersionId, Sighting>;
 
+  /// The sighting of a version; a new one if it has not been seen.
   Sighting &find(const ServiceName &Service,
-                 const std::optional<std::string> &Version);
+                 const std::optional<std::string> &Version, TimePoint Now);
 
   Duration m_Horizon = 60s;
   std::map<std::string, Sightings> m_ByService;
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -54,18 +54,19 @@
 }
 
 std::string_view obstacleToSend(const TrackedTarget &Target,
-                                const ServiceName &Service, VersionId Version,
-                                std::span<const TargetPtr> Tried,
+                                const TargetRequirements &Required,
                                 TimePoint Now) {
-  if (Target.Entry.Service != Service)
+  if (Target.Entry.Service != Required.Service)
     return "target of another service";
   if (Target.isLeaving())
     return "target leaves";
   if (!Target.isUsable(Now))
     return "target not usable";
-  if (!isOfVersion(Target, Version))
+  if (!isOfVersion(Target, Required.Version))
     return "target of another version";
-  return isExcluded(Target, Tried) ? "target tried before" : "";
+  if (Required.BeginsStream && Target.NewStreamsFrom > Now)
+    return "version not settled";
+  return isExcluded(Target, Required.Tried) ? "target tried before" : "";
 }
 
 Duration expectedTimeToFirstEvent(const TrackedTarget &Target,
@@ -103,6 +104,7 @@
     // Step 1. Skip targets that must not be used or have no free slot.
     if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
         !isOfVersion(*Target, Input.Version) ||
+        (Input.BeginsStream && Target->NewStreamsFrom > Now) ||
         Target->running() >= maxRunning(*Target) ||
         Target->rateLimit().hasPermit(Now) == Input.NeedsPermit ||
         (Input.NeedsPermit && Target->RequestPermitAfter > Now) ||
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -106,6 +106,14 @@
   m_Version = Version;
 }
 
+TargetRequirements Exchange::requirements() const {
+  const bool IsResumable =
+      m_Route.Kind == RouteKind::Stream && m_Route.Resumable;
+  return {m_Service, m_Version,
+          IsResumable && m_Version == NoVersion && !m_StreamStarted,
+          m_TriedTargets};
+}
+
 RequestRank Exchange::rank() const {
   const auto Customer =
       m_Customer && m_Customer->Rank ? *m_Customer->Rank : m_Route.Rank;
@@ -192,8 +200,7 @@
     logEvent("connect_failed", Error.message());
     return handleSendFailure(SendFailure::NotSent, "connect failed");
   }
-  const auto Obstacle =
-      obstacleToSend(*m_Target, m_Service, m_Version, m_TriedTargets, Now);
+  const auto Obstacle = obstacleToSend(*m_Target, requirements(), Now);
   if (!Obstacle.empty()) {
     m_Connection = std::move(Ready);
     releaseTarget(true);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -270,6 +270,7 @@
 void Gateway::onRequest(http::CallerConnection &Connection,
                         http::Request &&Message, TimePoint FirstByte) {
   const auto Now = steadyNow();
+  checkSuspension(Now);
   const auto Facts = parseRequestFacts(Message, m_Names);
   const auto RefuseRequest = [&](int Status, std::string_view Reason,
                                  std::optional<Duration> RetryAfter) {
@@ -456,6 +457,7 @@
   Input.GapTarget = Waiting.route().GapTarget;
   Input.Excluded = Waiting.triedTargets();
   Input.Version = Waiting.version();
+  Input.BeginsStream = Waiting.requirements().BeginsStream;
   return Input;
 }
 
@@ -693,6 +695,8 @@
     return;
   }
   m_VersionHistory.recordRegistered(Current->Entry, steadyNow());
+  Current->NewStreamsFrom =
+      m_VersionHistory.settledAt(Current->Entry.Service, Current->Version);
   std::erase_if(m_ExpiredTargets,
                 [&](const auto &Expired) { return Expired.Id == Entry.Id; });
   if (Current == Previous && WasDraining == Entry.Draining)
@@ -754,14 +758,17 @@
 }
 
 void Gateway::onDirectoryComplete() {
-  if (!m_DirectoryComplete)
+  if (!std::exchange(m_DirectoryComplete, true)) {
     m_Log.write("directory_complete", {{"targets", m_Targets.size()}});
-  m_DirectoryComplete = true;
-  onDirectoryConfirmed(steadyNow());
+    m_VersionHistory.settleMain(m_Targets.targetsByService(), steadyNow());
+    updateSettled();
+  }
 }
 
 void Gateway::onDirectoryConfirmed(TimePoint Time) {
-  m_DirectoryConfirmedAt = std::max(m_DirectoryConfirmedAt, Time);
+  // A call of before the suspension tells nothing of the time since.
+  if (Time >= m_ResumedAt)
+    m_DirectoryConfirmedAt = std::max(m_DirectoryConfirmedAt, Time);
 }
 
 void Gateway::receivePeerMessage() {
@@ -771,6 +778,7 @@
         if (Error == asio::error::operation_aborted)
           return;
         const auto Now = steadyNow();
+        checkSuspension(Now);
         const std::string_view Bytes(m_PeerBuffer.data(), Error ? 0 : Size);
         m_Metrics.countPeerMessage("received", Bytes.size());
         if (const auto Changes = decodeRelayedChanges(Bytes)) {
@@ -970,23 +978,29 @@
     }
 }
 
+void Gateway::checkSuspension(TimePoint Now) {
+  const auto Suspended = m_SuspensionDetector.check();
+  if (Suspended <= Duration{0})
+    return;
+  m_Log.write("woken", {{"stood_still_ms", toMs(Suspended)}});
+  m_ResumedAt = Now;
+  m_DirectoryConfirmedAt = TimePoint{};
+  m_Pool.closeIdle();
+  for (const auto &[Number, Each] : m_ExchangeByNumber)
+    Each->restartSilence(Now);
+  m_LocalBroker.clear();
+  // Another daemon may have granted the permits of this time.
+  for (const auto &[Name, Targets] : m_Targets.targetsByService())
+    for (const auto &Target : Targets)
+      Target->rateLimit().setShare(0, Now);
+  if (OnResumed)
+    OnResumed();
+}
+
 void Gateway::tick() {
   const auto Now = steadyNow();
   ++m_TickCount;
-  if (const auto Suspended = m_SuspensionDetector.check();
-      Suspended > Duration{0}) {
-    m_Log.write("woken", {{"stood_still_ms", toMs(Suspended)}});
-    m_Pool.closeIdle();
-    for (const auto &[Number, Each] : m_ExchangeByNumber)
-      Each->restartSilence(Now);
-    m_LocalBroker.clear();
-    // Another daemon may have granted the permits of this time.
-    for (const auto &[Name, Targets] : m_Targets.targetsByService())
-      for (const auto &Target : Targets)
-        Target->rateLimit().setShare(0, Now);
-    if (OnResumed)
-      OnResumed();
-  }
+  checkSuspension(Now);
   updateBroker(Now);
   if (std::exchange(m_UsedOwnSummary, usesOwnSummary()) != usesOwnSummary())
     m_Quotas.forgetPeers();
--- a/packages/gateway/src/gatewaybroker.cpp
+++ b/packages/gateway/src/gatewaybroker.cpp
@@ -82,7 +82,7 @@
   Request.RefuseIfLate = Pending->second.RefuseIfLate;
   for (const auto &Target : m_Targets.targetsOf(Waiting->service()))
     if (Target->Entry.Domain == m_Settings.Domain &&
-        (!Target->isUsable(Now) || !isOfVersion(*Target, Waiting->version())))
+        !obstacleToSend(*Target, Waiting->requirements(), Now).empty())
       Request.ExcludedTargets.push_back(Target->Hash);
   sendToBroker(Request, Now);
 }
@@ -184,10 +184,10 @@
     // A broker that does not know the target's rate limit yet takes no permit.
     const bool LacksPermit =
         Target && Target->rateLimit().isActive() && !Decision.HasPermit;
-    const auto Obstacle = !Target ? "unknown target"
-                          : LacksPermit
-                              ? "no permit"
-                              : obstacleToSend(*Waiting, *Target, Now);
+    const auto Obstacle =
+        !Target       ? "unknown target"
+        : LacksPermit ? "no permit"
+                      : obstacleToSend(*Target, Waiting->requirements(), Now);
     if (!Obstacle.empty()) {
       logUnusedGrant(*Waiting, Decision, Obstacle);
       withdrawSlotRequest(Decision.Number, Now);
@@ -216,13 +216,6 @@
                   retryAfter(*Waiting));
 }
 
-std::string_view Gateway::obstacleToSend(const Exchange &Waiting,
-                                         const TrackedTarget &Target,
-                                         TimePoint Now) const {
-  return mangodeck::obstacleToSend(Target, Waiting.service(), Waiting.version(),
-                                   Waiting.triedTargets(), Now);
-}
-
 void Gateway::logUnusedGrant(const Exchange &Waiting,
                              const SlotDecision &Decision,
                              std::string_view Reason) {
@@ -324,7 +317,8 @@
     m_PendingPermits.erase(Pending);
     return;
   }
-  const auto Obstacle = obstacleToSend(*Found->second, *Target, Now);
+  const auto Obstacle =
+      obstacleToSend(*Target, Found->second->requirements(), Now);
   if (IsGranted && !Obstacle.empty())
     logUnusedGrant(*Found->second, Decision, Obstacle);
   if (!IsGranted || !Obstacle.empty())
--- a/packages/gateway/src/gatewayorigins.cpp
+++ b/packages/gateway/src/gatewayorigins.cpp
@@ -13,10 +13,6 @@
 /// daemons differ by some seconds.
 constexpr Duration MinStreamHorizon = 60s;
 constexpr int HorizonFactor = 2;
-/// Age of what is known of the store from which on this daemon counts as cut
-/// off from it. Targets renew their registrations more often, which ends the
-/// wait for changes.
-constexpr Duration DirectoryTimeout = 3s;
 /// Time limit of a request whose caller sends none.
 constexpr Duration DefaultTimeLimit = 60s;
 /// Time after a request's time limit for which the origin of its stream is
@@ -63,6 +59,13 @@
          m_Settings.WallClockOffset;
 }
 
+void Gateway::updateSettled() {
+  for (const auto &[Name, Targets] : m_Targets.targetsByService())
+    for (const auto &Target : Targets)
+      Target->NewStreamsFrom =
+          m_VersionHistory.settledAt(Target->Entry.Service, Target->Version);
+}
+
 void Gateway::recordStreamServices(TimePoint Now) {
   auto Horizon = MinStreamHorizon;
   for (const auto &Each : m_Plan->Routes) {
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -65,6 +65,7 @@
 }
 
 void KeyFollower::list() {
+  m_ListingStart = steadyNow();
   m_IsListed = false;
   m_FollowsRelay = false;
   m_RelayConfirmedAt = TimePoint{};
@@ -115,8 +116,9 @@
   m_IsListed = true;
   m_Window.restart(m_Revision);
   m_Observer.onListed();
-  m_WatchStart = steadyNow(); // The listing shows the changes up to now.
-  m_Observer.onConfirmed(m_WatchStart);
+  m_WatchStart = steadyNow();
+  // The answer may have been delayed, but is not older than the call.
+  m_Observer.onConfirmed(m_ListingStart);
   awaitNextWatch();
 }
 
@@ -150,7 +152,7 @@
     if (Change.Revision > m_Revision) // Else the relay has told it.
       apply(Change, isAfterOutage(steadyNow()));
   m_Revision = std::max(m_Revision, Answer->AsOf);
-  m_Observer.onConfirmed(steadyNow());
+  m_Observer.onConfirmed(m_WatchStart);
   publish();
   awaitNextWatch();
 }
--- a/packages/gateway/src/versionhistory.cpp
+++ b/packages/gateway/src/versionhistory.cpp
@@ -9,14 +9,43 @@
 
 VersionHistory::Sighting &
 VersionHistory::find(const ServiceName &Service,
-                     const std::optional<std::string> &Version) {
-  auto &Found = m_ByService[Service.Text][versionIdOf(Service, Version)];
-  Found.Version = Version;
-  return Found;
+                     const std::optional<std::string> &Version, TimePoint Now) {
+  auto &Versions = m_ByService[Service.Text];
+  const auto [At, IsNew] = Versions.try_emplace(versionIdOf(Service, Version));
+  At->second.Version = Version;
+  if (IsNew && Versions.size() > 1)
+    At->second.SettledAt = Now + VersionSettleTime;
+  return At->second;
+}
+
+TimePoint VersionHistory::settledAt(const ServiceName &Service,
+                                    VersionId Version) const {
+  const auto Found = m_ByService.find(Service.Text);
+  if (Found == m_ByService.end())
+    return TimePoint{};
+  const auto Seen = Found->second.find(Version);
+  return Seen == Found->second.end() ? TimePoint{} : Seen->second.SettledAt;
+}
+
+void VersionHistory::settleMain(
+    const std::map<std::string, std::vector<TargetPtr>> &TargetsByService,
+    TimePoint Now) {
+  for (const auto &[Service, Targets] : TargetsByService) {
+    std::map<VersionId, std::size_t> Counts;
+    for (const auto &Target : Targets)
+      ++Counts[Target->Version];
+    const auto Main = std::max_element(
+        Counts.begin(), Counts.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; });
+    for (auto &[Version, Seen] : m_ByService[Service])
+      Seen.SettledAt = Main != Counts.end() && Version == Main->first
+                           ? Now
+                           : Now + VersionSettleTime;
+  }
 }
 
 void VersionHistory::recordRegistered(const TargetEntry &Entry, TimePoint Now) {
-  auto &Seen = find(Entry.Service, Entry.Version);
+  auto &Seen = find(Entry.Service, Entry.Version, Now);
   Seen.LastSeen = Now;
   Seen.IsRegistered = true;
 }
@@ -49,7 +78,7 @@
                       : Duration{0};
     if (Age > m_Horizon)
       continue;
-    auto &Seen = find(Record.Service, Record.Version);
+    auto &Seen = find(Record.Service, Record.Version, Now);
     Seen.LastSeen = std::max<TimePoint>(Seen.LastSeen, Now - Age);
     Seen.IsStored = true;
     Seen.IsStoredAsGone = Record.GoneAt.has_value();
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -1139,6 +1139,7 @@
     Plan->index();
     m_Gateway->onPlan(Plan);
     m_Gateway->onDirectoryComplete();
+    m_Gateway->onDirectoryConfirmed(std::chrono::steady_clock::now());
   }
 
   void addTarget(const char *Id, const ScriptedTarget &Target,
--- a/packages/gateway/test/streamversion_test.cpp
+++ b/packages/gateway/test/streamversion_test.cpp
@@ -32,6 +32,10 @@
   CPPUNIT_TEST(streamTakenUp_daemonsUnlistedAfterRestore_goesOn);
   CPPUNIT_TEST(streamTakenUp_storeAway_goesOnAtItsVersion);
   CPPUNIT_TEST(streamTakenUp_storeAwayAndVersionsUnused_goesOn);
+  CPPUNIT_TEST(streamTakenUp_daemonMissedNewVersion_isNotMixed);
+  CPPUNIT_TEST(streamTakenUp_daemonLongOutOfStep_goesOnAtItsVersion);
+  CPPUNIT_TEST(streamTakenUp_daemonStoodStill_goesOnAtItsVersion);
+  CPPUNIT_TEST(version_appearsAlone_beginsStreamsAtOnce);
   CPPUNIT_TEST(streamResumedByDaemon_targetCrashed_goesOnAtItsVersion);
   CPPUNIT_TEST(streamResumedByDaemon_sameIdWithOtherVersion_isBrokenOff);
   CPPUNIT_TEST_SUITE_END();
@@ -160,6 +164,54 @@
     assertOneVersionAndMostGoOn();
   }
 
+  // Regression: a daemon that had not read the registration of a new version
+  // yet took the old one for the only one that can have begun a stream.
+  void streamTakenUp_daemonMissedNewVersion_isNotMixed() {
+    startWithDaemonOutOfStep();
+    beginStreams(18, {0, 2});
+    kill({0, 2});
+    takeUpAt({1});
+    assertOneVersionAndMostGoOn();
+  }
+
+  void streamTakenUp_daemonLongOutOfStep_goesOnAtItsVersion() {
+    startWithDaemonOutOfStep();
+    runFor(4s);
+    beginStreams(18, {0});
+    const auto OfNew =
+        std::count_if(m_Callers.begin(), m_Callers.end(), [](const auto &Each) {
+          return Each->Versions.contains("v2");
+        });
+    CPPUNIT_ASSERT(OfNew > 0);
+    kill({0});
+    takeUpAt({1});
+    assertOneVersionAndMostGoOn();
+  }
+
+  // The daemon takes streams up before it has handled anything else.
+  void streamTakenUp_daemonStoodStill_goesOnAtItsVersion() {
+    startTargets({"v1"}, 2);
+    startDaemons({"a-1", "a-2", "a-3"});
+    m_Daemons[1]->StandsStill = true;
+    addVersion("v2", {0, 2});
+    runFor(4s);
+    beginStreams(18, {0});
+    kill({0});
+    for (const auto &Each : m_Callers)
+      Each->send(m_Daemons[1]->Front->Settings.CallerPort);
+    m_Daemons[1]->StandsStill = false;
+    m_Daemons[1]->Loop->run_for(50ms);
+    runUntil([&] { return countRunning() == 0; }, 4s);
+    assertOneVersion();
+  }
+
+  void version_appearsAlone_beginsStreamsAtOnce() {
+    startTargets({"v2"}, 1);
+    startDaemons({"a-1"});
+    beginStreams(3, {0});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), requestsAtTargets());
+  }
+
   void streamResumedByDaemon_targetCrashed_goesOnAtItsVersion() {
     startTargets({"v1", "v2"}, 6);
     startDaemons({"a-1", "a-2"});
@@ -193,14 +245,36 @@
     std::unique_ptr<asio::io_context> Loop =
         std::make_unique<asio::io_context>();
     std::unique_ptr<FleetDaemon> Front;
+    bool IsOutOfStep = false; ///< Reads nothing from the store.
+    bool StandsStill = false;
   };
 
+  /// Three daemons and two targets of version v1. Targets of v2 register, which
+  /// the second daemon does not read.
+  void startWithDaemonOutOfStep() {
+    startTargets({"v1"}, 2);
+    startDaemons({"a-1", "a-2", "a-3"});
+    m_Daemons[1]->IsOutOfStep = true;
+    addVersion("v2", {0, 2});
+    runFor(100ms);
+  }
+
+  /// Starts two targets of \p Version, of which the daemons \p ReadBy read.
+  void addVersion(const char *Version, const std::vector<std::size_t> &ReadBy) {
+    for (int Number = 0; Number < 2; ++Number) {
+      startTargets({Version}, 1);
+      for (const auto Index : ReadBy)
+        registerTarget(*m_Daemons[Index], m_Targets.size() - 1, 1);
+    }
+  }
+
   /// Starts \p Count targets in domains a, b and c by turns, and with each of
   /// \p Versions by turns.
   void startTargets(const std::vector<std::string> &Versions,
                     std::size_t Count) {
-    for (std::size_t Index = 0; Index < Count; ++Index) {
-      m_Versions.push_back(Versions[Index % Versions.size()]);
+    for (std::size_t Number = 0; Number < Count; ++Number) {
+      const auto Index = m_Targets.size();
+      m_Versions.push_back(Versions[Number % Versions.size()]);
       m_Targets.push_back(std::make_unique<ScriptedTarget>(*m_Loop));
       m_Targets.back()->AnswerDelay = 30ms;
       m_Targets.back()->Answer = [this, Index](const std::string &Request) {
@@ -352,9 +426,11 @@
       m_Loop->restart();
       m_Loop->poll();
       for (auto &Each : m_Daemons) {
+        if (Each->StandsStill)
+          continue;
         Each->Loop->restart();
         Each->Loop->poll();
-        if (Each->Front && !m_IsStoreAway)
+        if (Each->Front && !m_IsStoreAway && !Each->IsOutOfStep)
           Each->Front->Server->onDirectoryConfirmed(
               std::chrono::steady_clock::now());
       }
