gateway, platform: entries and datagrams are read with bounds on depth and numbers

Cause: the readers caught the JSON library's exceptions and trusted it for the rest. Deep nesting takes memory (text) or stack (MessagePack), conversions truncate, casts of floats and durations overflow, and one bad item failed a whole answer of the store.

--- a/fuzz/platformkeys.cpp
+++ b/fuzz/platformkeys.cpp
@@ -3,6 +3,8 @@
 #include "settingsfile.h"
 
 #include "mangodeck/gateway/changerelay.h"
+#include "mangodeck/gateway/crashevidence.h"
+#include "mangodeck/gateway/originmessages.h"
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/slotmessages.h"
 
@@ -14,9 +16,12 @@
   mangodeck::platform::decodePlan(Bytes);
   mangodeck::platform::decodeTarget("i", Bytes);
   mangodeck::platform::decodePeer(Bytes);
+  mangodeck::platform::decodeVersions(Bytes);
   mangodeck::platform::parseSettings(Bytes);
   mangodeck::decodeReport(Bytes);
   mangodeck::decodeRelayedChanges(Bytes);
   mangodeck::decodeSlotMessage(Bytes);
+  mangodeck::decodeOriginMessage(Bytes);
+  mangodeck::decodeCrashEvidence(Bytes);
   return 0;
 }
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/gateway/changerelay.h"
 
+#include "mangodeck/common/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -48,7 +50,7 @@
   if (Bytes.size() < 2 || static_cast<unsigned char>(Bytes[0]) != ArrayMarker ||
       Bytes[1] != RelayTag)
     return std::nullopt;
-  const auto Fields = Json::from_msgpack(Bytes, true, false);
+  const auto Fields = parseBoundedMessagePack(Bytes);
   if (!Fields.is_array() || Fields.size() != RelayFields)
     return std::nullopt;
   // The library throws if a value has the wrong type or is missing.
--- a/packages/gateway/src/crashevidence.cpp
+++ b/packages/gateway/src/crashevidence.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/gateway/crashevidence.h"
 
+#include "mangodeck/common/boundedjson.h"
+
 #include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -53,7 +55,7 @@
   if (Bytes.size() < 2 || static_cast<unsigned char>(Bytes[0]) != ArrayMarker ||
       Bytes[1] != EvidenceTag)
     return std::nullopt;
-  const auto Fields = Json::from_msgpack(Bytes, true, false);
+  const auto Fields = parseBoundedMessagePack(Bytes);
   if (!Fields.is_array() || Fields.size() != 2 || !Fields[1].is_array())
     return std::nullopt;
   // The library throws if a value has the wrong type or is missing.
--- a/packages/gateway/src/originmessages.cpp
+++ b/packages/gateway/src/originmessages.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/gateway/originmessages.h"
 
+#include "mangodeck/common/boundedjson.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
@@ -70,7 +72,7 @@
       (static_cast<unsigned char>(Bytes[0]) & ArrayMarkerMask) != ArrayMarker ||
       Bytes[1] < RecordsTag || Bytes[1] > AnswerTag)
     return std::nullopt;
-  const auto Fields = Json::from_msgpack(Bytes, true, false);
+  const auto Fields = parseBoundedMessagePack(Bytes);
   if (!Fields.is_array())
     return std::nullopt;
   // The library throws if a value has the wrong type or is missing.
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/gateway/peerregistry.h"
 
+#include "mangodeck/common/boundedjson.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -109,7 +111,7 @@
 }
 
 std::optional<PeerReport> decodeReport(std::string_view Bytes) {
-  const auto Message = nlohmann::json::from_msgpack(Bytes, true, false);
+  const auto Message = parseBoundedMessagePack(Bytes);
   if (!Message.is_object())
     return std::nullopt;
   // The library throws if a field is missing or has another type.
@@ -150,7 +152,8 @@
       Report.AnnouncedLeaving = Message["a"].get<std::vector<std::uint64_t>>();
     if (Message.contains("r"))
       for (const auto &Limit : Message["r"]) {
-        const auto PerSecond = Limit.at(1).get<double>();
+        const auto PerSecond =
+            Limit.at(1).is_null() ? NoRateLimit : Limit.at(1).get<double>();
         const std::chrono::milliseconds Age(std::clamp<std::int64_t>(
             Limit.at(2).get<std::int64_t>(), 0, MaxStatementAge.count()));
         // Written so that a value that is no number is no limit.
--- a/packages/gateway/src/slotmessages.cpp
+++ b/packages/gateway/src/slotmessages.cpp
@@ -1,5 +1,8 @@
 #include "mangodeck/gateway/slotmessages.h"
 
+#include "mangodeck/common/boundedjson.h"
+
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
@@ -13,12 +16,16 @@
 /// First byte of a MessagePack map of 16 to 65535 fields.
 constexpr unsigned char Map16Marker = 0xde;
 
+/// Bound of the times in messages; requests last less.
+constexpr std::chrono::microseconds MaxSpan = std::chrono::hours(1);
+
 std::int64_t toMicros(Duration Span) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Span).count();
 }
 
 Duration fromMicros(const nlohmann::json &Value) {
-  return std::chrono::microseconds(Value.get<std::int64_t>());
+  return std::chrono::microseconds(std::clamp<std::int64_t>(
+      Value.get<std::int64_t>(), -MaxSpan.count(), MaxSpan.count()));
 }
 
 nlohmann::json fieldsOf(const SlotRequest &Request) {
@@ -152,7 +159,7 @@
   if (Bytes.empty() || (static_cast<unsigned char>(Bytes[0]) & 0xf0) == 0x80 ||
       static_cast<unsigned char>(Bytes[0]) == Map16Marker)
     return std::nullopt;
-  const auto Fields = nlohmann::json::from_msgpack(Bytes, true, false);
+  const auto Fields = parseBoundedMessagePack(Bytes);
   if (!Fields.is_array() || Fields.empty())
     return std::nullopt;
   // The library throws if a value has the wrong type or is missing.
