soak: steps of the clock with kills in series, a second service, odd entries, callers that move

Change: stepClocks() kills some daemons of each failure domain, starts them with a time of day that is ahead, kills them again and starts them with the true one. Targets of service "desk" check that no request of another service reaches them, and the others the reverse. Planned work puts odd entries. Half of the callers open new connections from time to time, so that daemons that have restarted get requests.

--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -25,7 +25,8 @@
   unsigned Targets = 6;
   unsigned Callers = 24;
   bool KeepIds = false; ///< Of targets that change their version.
-  unsigned Subnet = 1;  ///< Daemons listen at 127.0.SUBNET.1 and on.
+  bool ClockSteps = false;
+  unsigned Subnet = 1; ///< Daemons listen at 127.0.SUBNET.1 and on.
 };
 
 /// Time without a fault after which promises hold without excuse.
@@ -37,6 +38,9 @@
 /// Their limit while daemons are stopped in series, in requests a second.
 constexpr unsigned StopLimit = 20;
 constexpr unsigned KillsInSeries = 2;
+constexpr milliseconds ClockStep{2400};
+constexpr milliseconds TimeAfterClockSteps{3000};
+constexpr unsigned DeskTargets = 2;
 /// Daemons that are stopped without waiting for the end of any.
 constexpr std::size_t MaxStopsInSeries = 4;
 
@@ -52,6 +56,12 @@
           m_Random(), Chosen.KeepIds));
       m_Targets.back()->announce(false);
     }
+    for (unsigned I = 0; I < DeskTargets; ++I) {
+      m_DeskTargets.push_back(std::make_unique<SoakTarget>(
+          fmt::format("desk-{}", I), I % 2 ? "a" : "b", m_Ledger, m_Store,
+          m_Calm, m_Random(), Chosen.KeepIds, DeskService));
+      m_DeskTargets.back()->announce(false);
+    }
     configure();
     m_Store.saveCopy();
     for (unsigned I = 0; I < Chosen.Daemons; ++I) {
@@ -80,7 +90,7 @@
       m_Targets[I]->limitRate(drawLimit());
     const auto Half = std::chrono::seconds(m_Options.Seconds) / 2;
     for (const auto End = Clock::now() + Half; Clock::now() < End; pause())
-      disturb();
+      m_Options.ClockSteps ? stepClocksAndServe() : disturb();
 
     // Step 2. Planned work alone, once the fleet has had time to recover.
     heal();
@@ -121,7 +131,8 @@
   /// Writes a version with one route more for each generation.
   void configure() {
     nlohmann::json Routes = nlohmann::json::array();
-    const auto Add = [&](const std::string &Prefix, const char *Kind) {
+    const auto Add = [&](const std::string &Prefix, const char *Kind,
+                         const char *Service = "s") {
       Routes.push_back({{"Name", Prefix},
                         {"Hostname", "h.example"},
                         {"Prefix", Prefix},
@@ -130,7 +141,7 @@
                         {"TargetLatencyMs", 500},
                         {"GapTargetMs", 300},
                         {"Priority", 0},
-                        {"Service", "s"},
+                        {"Service", Service},
                         {"Attempts", 2},
                         {"StreamResume", true}});
     };
@@ -138,6 +149,7 @@
     Add("/again/", "idempotent");
     Add("/stream/", "streaming");
     Add("/slow/", "streaming");
+    Add(std::string(DeskPath), "idempotent", DeskService);
     const unsigned Next = m_Generation + 1;
     for (unsigned I = 1; I <= Next; ++I)
       Add(fmt::format("/gen{}/", I), "idempotent");
@@ -145,7 +157,7 @@
         "op/config",
         nlohmann::json{{"Version", Next},
                        {"Routes", Routes},
-                       {"Services", {{{"Name", "s"}}}},
+                       {"Services", {{{"Name", "s"}}, {{"Name", DeskService}}}},
                        {"Tenants", {{{"Name", "c"}, {"ApiKeys", {"k"}}}}}}
             .dump());
     m_Generation = Next;
@@ -177,7 +189,7 @@
   /// Draws one fault, or its end. Faults overlap and come in series.
   void disturb() {
     auto &Daemon = anyDaemon();
-    switch (m_Random() % 9) {
+    switch (m_Random() % 10) {
     case 0:
       Daemon.signal(SIGKILL);
       Daemon.join(milliseconds(500));
@@ -202,14 +214,42 @@
       return m_Store.dropHistory();
     case 7:
       return m_Store.setDown(m_Random() % 2 == 0);
+    case 8:
+      return stepClocks();
     default:
       return doPlannedWork();
     }
   }
 
+  /// The processes after the steps reach the request numbers of those before.
+  void stepClocksAndServe() {
+    stepClocks();
+    std::this_thread::sleep_for(TimeAfterClockSteps);
+  }
+
+  /// The time of day of some daemons of each failure domain steps ahead and
+  /// back again. They are killed while it is ahead and just after it has
+  /// stepped back.
+  void stepClocks() {
+    std::vector<SoakDaemon *> Stepped;
+    for (std::size_t First = m_Random() % 2, I = 0; I < m_Daemons.size(); ++I)
+      if (I / 2 % 2 == First)
+        Stepped.push_back(m_Daemons[I].get());
+    for (const auto Offset : {ClockStep, milliseconds(0)}) {
+      std::this_thread::sleep_for(milliseconds(300 + m_Random() % 700));
+      for (auto *Each : Stepped)
+        Each->signal(SIGKILL);
+      std::this_thread::sleep_for(milliseconds(m_Random() % 600));
+      for (auto *Each : Stepped) {
+        Each->join(milliseconds(500));
+        Each->start(Offset);
+      }
+    }
+  }
+
   /// Draws a step of planned work, which excuses nothing.
   void doPlannedWork() {
-    switch (m_Random() % 10) {
+    switch (m_Random() % 11) {
     case 0:
       return m_Random() % 2 == 0 ? restartGracefully(anyDaemon())
                                  : stopInSeries();
@@ -232,11 +272,29 @@
       return anyReluctantTarget().limitRate(drawLimit());
     case 8:
       return startCrashing();
+    case 9:
+      return putOddEntry();
     default:
       return configure();
     }
   }
 
+  /// Another writer leaves an entry that names no target. The daemons follow
+  /// the rest.
+  void putOddEntry() {
+    constexpr std::size_t Depth = 400000;
+    const std::array<std::string, 5> Values = {
+        std::string(Depth, '[') + std::string(Depth, ']'),
+        R"({"Service":"s","Address":"127.0.0.1:99999","Zone":"a","Slots":4,)"
+        R"("State":"ready"})",
+        R"({"Service":"s","Address":"127.0.0.1:1","Zone":"a","Slots":1e308,)"
+        R"("State":"ready","born":123456789012345678901234567890})",
+        "\xff\xfe", R"({"ip":"127.0.0.1","port":70000,"domain":"a"})"};
+    const auto &Value = Values[m_Random() % Values.size()];
+    m_Store.put(m_Random() % 2 == 0 ? "servers/odd" : "mangodeck/daemons/odd",
+                Value);
+  }
+
   /// From now on a prompt part crashes targets, until heal(). The checks need
   /// time, so a part is not replaced in the calm phase.
   void startCrashing() {
@@ -304,6 +362,7 @@
   SoakStore m_Store;
   FaultProxy m_StoreLink{"127.0.0.1", "127.0.0.1", m_Store.port()};
   std::vector<std::unique_ptr<SoakTarget>> m_Targets;
+  std::vector<std::unique_ptr<SoakTarget>> m_DeskTargets; ///< Without faults.
   std::vector<std::unique_ptr<SoakDaemon>> m_Daemons;
   std::atomic<unsigned> m_Generation{0};
   std::atomic<bool> m_Calm{false};
@@ -331,6 +390,8 @@
       ->check(CLI::Range(1, 254));
   App.add_flag("--keep-ids", Chosen.KeepIds,
                "Targets keep their id when they change their version");
+  App.add_flag("--clock-steps", Chosen.ClockSteps,
+               "Steps of the clock with kills are the only faults");
   CLI11_PARSE(App, Argc, Argv);
   std::signal(SIGPIPE, SIG_IGN);
   unsigned Failed = 0;
--- a/testing/soak/soakcaller.cpp
+++ b/testing/soak/soakcaller.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 /// How long a caller waits, and how long it reads before it gives up.
+/// Mean number of requests on a connection of a caller that moves.
+constexpr unsigned RequestsPerConnection = 24;
 constexpr int TimeLeftMs = 3000;
 constexpr int ReadTimeoutMs = 5000;
 /// Share of the requests that have the crashing part while there is one.
@@ -48,7 +50,8 @@
                        const std::atomic<bool> &Calm, std::uint64_t Seed,
                        bool TakesStreams)
     : m_Daemons(Daemons), m_Ledger(Ledger), m_Generation(Generation),
-      m_Calm(Calm), m_Random(Seed), m_TakesStreams(TakesStreams) {}
+      m_Calm(Calm), m_Random(Seed), m_TakesStreams(TakesStreams),
+      m_Moves(m_Random() % 2 == 0) {}
 
 void SoakCaller::run(const std::atomic<bool> &Stopped) {
   while (!Stopped) {
@@ -82,11 +85,12 @@
 
 void SoakCaller::ask() {
   const auto Id = fmt::format("{:016x}", m_Random());
-  const auto Kind = m_Random() % 4;
+  const auto Kind = m_Random() % 5;
   const unsigned Newest = m_Generation;
   const auto Path = Kind == 0   ? std::string("/once/x")
                     : Kind == 1 ? std::string("/again/x")
                     : Kind == 2 ? std::string("/stream/x")
+                    : Kind == 4 ? std::string(DeskPath) + "x"
                                 : fmt::format("/gen{}/x", Newest);
   const auto Asked = Clock::now();
   const auto CrashingPart =
@@ -113,7 +117,10 @@
                     std::chrono::duration_cast<std::chrono::milliseconds>(
                         Clock::now() - Asked)
                         .count()));
-  if (!Answer.Parser.isComplete() || !Answer.Parser.head().KeepAlive)
+  // Some callers open a new connection, so that daemons that have restarted get
+  // requests as well.
+  if (!Answer.Parser.isComplete() || !Answer.Parser.head().KeepAlive ||
+      (m_Moves && m_Random() % RequestsPerConnection == 0))
     m_Socket.reset();
 }
 
--- a/testing/soak/soakcaller.h
+++ b/testing/soak/soakcaller.h
@@ -50,6 +50,7 @@
   const std::atomic<bool> &m_Calm;           ///< No fault for a while.
   std::mt19937_64 m_Random;
   bool m_TakesStreams;         ///< Reads slow streams, and nothing else.
+  bool m_Moves;                ///< Opens a new connection from time to time.
   std::string m_FirstOfStream; ///< Attempt that brought the first event.
   asio::io_context m_Loop;
   std::unique_ptr<Socket> m_Socket;
--- a/testing/soak/soakfleet.cpp
+++ b/testing/soak/soakfleet.cpp
@@ -43,7 +43,7 @@
   join(std::chrono::seconds(2));
 }
 
-void SoakDaemon::start() {
+void SoakDaemon::start(std::chrono::milliseconds ClockOffset) {
   const auto Settings = m_Folder + ".toml";
   const auto Log = m_Folder + ".log";
   posix_spawn_file_actions_t Actions;
@@ -54,7 +54,9 @@
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   // An inherited socket would stay open after this program has closed it.
   posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
-  std::vector<std::string> Words = {m_Program, "--settings", Settings};
+  std::vector<std::string> Words = {m_Program, "--settings", Settings,
+                                    "--wall-clock-offset-ms",
+                                    std::to_string(ClockOffset.count())};
   std::vector<char *> Arguments;
   for (auto &Word : Words)
     Arguments.push_back(Word.data());
--- a/testing/soak/soakfleet.h
+++ b/testing/soak/soakfleet.h
@@ -20,7 +20,8 @@
              std::string Domain, std::uint16_t StorePort);
   ~SoakDaemon();
 
-  void start();
+  /// \p ClockOffset: how far its time of day is ahead of the others'.
+  void start(std::chrono::milliseconds ClockOffset = {});
   /// Sends \p Number to the process that this object started.
   void signal(int Number);
   /// Waits until it ended, for \p Limit at most; kills it then. False if it
--- a/testing/soak/soaktarget.cpp
+++ b/testing/soak/soaktarget.cpp
@@ -93,9 +93,10 @@
 
 SoakTarget::SoakTarget(std::string Id, std::string Domain, SoakLedger &Ledger,
                        SoakStore &Store, const std::atomic<bool> &Calm,
-                       std::uint64_t Seed, bool KeepsId)
+                       std::uint64_t Seed, bool KeepsId, std::string Service)
     : m_Id(std::move(Id)), m_KeepsId(KeepsId), m_Domain(std::move(Domain)),
-      m_Ledger(Ledger), m_Store(Store), m_Calm(Calm), m_Random(Seed),
+      m_Service(std::move(Service)), m_Ledger(Ledger), m_Store(Store),
+      m_Calm(Calm), m_Random(Seed),
       m_Version(fmt::format("v{}", 1 + draw(VersionCount))),
       m_ErrorPercent(draw(OddTargets) == 0 ? draw(MaxErrorPercent) : 0),
       m_HeadDelay(draw(OddTargets) == 0 ? LateHeadDelay : milliseconds{0}),
@@ -163,7 +164,7 @@
   m_Ledger.noteServing(m_Id, State == "ready" && !isLimited() ? Version : "");
   m_Store.put(
       "servers/" + id(),
-      nlohmann::json{{"Service", "s"},
+      nlohmann::json{{"Service", m_Service},
                      {"Address", fmt::format("127.0.0.1:{}", m_Link.port())},
                      {"Zone", m_Domain},
                      {"Version", Version},
@@ -306,6 +307,8 @@
       Clock::now() > Clock::time_point(Clock::duration(Since)) + DrainBound)
     m_Ledger.noteBroken("drain: " + Id + " reached " + m_Id);
 
+  if (Asked.Head.Target.starts_with(DeskPath) != (m_Service == DeskService))
+    m_Ledger.noteBroken("route: " + Id + " was sent to service " + m_Service);
   checkTold(Id);
   if (reject(Caller, Id))
     return true;
--- a/testing/soak/soaktarget.h
+++ b/testing/soak/soaktarget.h
@@ -17,7 +17,7 @@
 public:
   SoakTarget(std::string Id, std::string Domain, SoakLedger &Ledger,
              SoakStore &Store, const std::atomic<bool> &Calm,
-             std::uint64_t Seed, bool KeepsId);
+             std::uint64_t Seed, bool KeepsId, std::string Service = "s");
 
   FaultProxy &link() { return m_Link; }
   /// Sets a fault of the link, which excuses the daemons from the rate limit
@@ -84,6 +84,7 @@
   bool m_KeepsId;   ///< A start with another version has the same id.
   std::atomic<unsigned> m_IdNumber{0};
   std::string m_Domain;
+  std::string m_Service;
   SoakLedger &m_Ledger;
   SoakStore &m_Store;
   const std::atomic<bool> &m_Calm; ///< No fault for a while.
@@ -115,6 +116,9 @@
 inline constexpr std::chrono::seconds ExcuseTime{4};
 /// Answer header of a target that has a rate limit: names its start and limit.
 inline constexpr std::string_view LimitedTargetField = "X-Limited-Target";
+/// The service that serves DeskPath; no other request may run there.
+inline constexpr const char *DeskService = "desk";
+inline constexpr std::string_view DeskPath = "/desk/";
 /// Events of every stream.
 inline constexpr int StreamEvents = 12;
 /// Body of the answer to a request, which tells whose it is.
