gateway: an attempt is not sent again on a connection on which it was refused

Cause: the attempt id of an answer tells requests apart, but not two sends of the same attempt on one connection, and nothing where callers send no id. The state of the target in such an answer was used before the id was checked.

Change: connections remember the refused attempts and the pool passes over them; requests without an id get a new connection; pause, load and leaving of an answer count only if it is the request's own.

Tests: refusal_secondCopyAfterSameAttempt_isNotItsAnswer, refusal_secondCopyWithoutIds_isNotTheNextAnswer and refusal_copyOfEarlierAttempt_saysNothingOfTarget failed on the code before.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -209,6 +209,8 @@
   void giveUpAnswer(std::string_view Reason);
   /// Releases what is buffered of the answer.
   void clearAnswer();
+  /// Hash of the attempt id; std::nullopt if the caller sent none.
+  std::optional<std::uint64_t> attemptHash() const;
   /// Relays the events of the stream that are complete.
   void relayEvents();
   /// Relays one event; false if its id does not follow the id before it.
--- a/packages/gateway/include/mangodeck/gateway/targetconnectionpool.h
+++ b/packages/gateway/include/mangodeck/gateway/targetconnectionpool.h
@@ -34,11 +34,19 @@
   /// Sets the number of daemons that connect to the same targets.
   void setDaemonCount(std::size_t Count) { m_DaemonCount = Count; }
 
+  /// A request for which a connection is acquired.
+  struct Use {
+    /// Excludes connections that the target may be about to close, for requests
+    /// that cannot be sent again if the connection fails.
+    bool RecentlyUsedOnly = false;
+    /// Hash of the attempt id. Excludes connections on which the target has
+    /// refused that attempt. Without an id no answer on a used connection is
+    /// certainly its own, so a new one is opened.
+    std::optional<std::uint64_t> Attempt;
+  };
   /// Calls \p Done with an idle connection before acquire() returns, or with a
-  /// new connection once it is connected. \p RecentlyUsedOnly excludes
-  /// connections that the target may be about to close, for requests that
-  /// cannot be sent again if the connection fails.
-  void acquire(const TargetPtr &Target, bool RecentlyUsedOnly,
+  /// new connection once it is connected.
+  void acquire(const TargetPtr &Target, const Use &Request,
                AcquireCallback Done);
   /// Returns a connection after an exchange. Closes the connection if it cannot
   /// be used again, if the target is draining, or if the target has its maximum
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <utility>
+#include <xxhash.h>
 
 namespace mangodeck {
 
@@ -172,7 +173,7 @@
   ++m_SendNumber;
   m_Context.Control.onDispatch(*this);
   m_Context.Pool.acquire(
-      m_Target, !m_Route.mayRepeat(),
+      m_Target, {!m_Route.mayRepeat(), attemptHash()},
       [Self = shared_from_this(), Epoch, Target = m_Target](
           std::error_code Error, TargetConnectionPool::Connection Ready) {
         if (Self->m_SendEpoch == Epoch && Self->m_Phase == Phase::Connecting)
@@ -182,6 +183,12 @@
       });
 }
 
+std::optional<std::uint64_t> Exchange::attemptHash() const {
+  const auto &Id = m_Facts.AttemptId;
+  return Id.empty() ? std::nullopt
+                    : std::optional(XXH3_64bits(Id.data(), Id.size()));
+}
+
 void Exchange::clearAnswer() {
   m_Context.Control.releaseBuffer(m_AnswerBody.size());
   m_AnswerBody.clear();
@@ -253,7 +260,6 @@
   m_LastProgressAt = m_Target->LastByteAt = m_AnswerBegunAt = Now;
   m_AnswerHead = Head;
   const auto &Names = m_Context.Names;
-  recordTargetState(Head, Now);
   const auto *ReturnedId = Head.Fields.find(Names.AttemptId);
   // Targets return the attempt id. A different one shows that the answer
   // belongs to another request, e.g. an earlier one on this connection.
@@ -270,6 +276,7 @@
   // Nothing of such an answer is used, and its body may have no end.
   if (m_AnswerInvalid)
     return giveUpAnswer("answer not ours");
+  recordTargetState(Head, Now);
   if (Head.Status != 421)
     recordTargetRateLimit(Head, Now);
   m_Rejected = Head.Status == 421 || Head.Fields.find(Names.NotExecuted);
@@ -462,6 +469,8 @@
     else if (!m_Target->isPaused(Now)) // A pause is no failure.
       recordTargetFailure(Now);
     logEvent("rejected", fmt::format("status {}", m_AnswerHead.Status));
+    if (const auto Attempt = attemptHash())
+      m_Connection->recordRefusal(*Attempt);
     releaseTarget(true);
     return handleSendFailure(SendFailure::Rejected, "rejected by the target");
   }
--- a/packages/gateway/src/targetconnectionpool.cpp
+++ b/packages/gateway/src/targetconnectionpool.cpp
@@ -39,21 +39,22 @@
 TargetConnectionPool::TargetConnectionPool(asio::any_io_executor Executor)
     : m_Executor(std::move(Executor)) {}
 
-void TargetConnectionPool::acquire(const TargetPtr &Target,
-                                   bool RecentlyUsedOnly,
+void TargetConnectionPool::acquire(const TargetPtr &Target, const Use &Request,
                                    AcquireCallback Done) {
   const auto Now = steadyNow();
   const auto Found = m_Idle.find(Target.get());
-  if (Found != m_Idle.end()) {
+  if (Found != m_Idle.end() && Request.Attempt) {
     auto &Kept = Found->second.Connections;
-    while (!Kept.empty()) {
-      auto Candidate = Kept.back();
+    for (auto Index = Kept.size(); Index-- > 0;) {
+      auto Candidate = Kept[Index];
       const auto IdleTime = Candidate->idleFor(Now);
       const bool IsUsable =
           Candidate->isReusable(Now) && IdleTime < MaxIdleTime;
-      if (IsUsable && RecentlyUsedOnly && IdleTime > RecentlyUsedTime)
+      if (IsUsable && Candidate->hasRefused(*Request.Attempt))
+        continue; // It serves other requests.
+      if (IsUsable && Request.RecentlyUsedOnly && IdleTime > RecentlyUsedTime)
         break; // The rest is older and serves requests that may be repeated.
-      Kept.pop_back();
+      Kept.erase(Kept.begin() + static_cast<std::ptrdiff_t>(Index));
       if (!IsUsable) {
         Candidate->close();
         continue;
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -28,6 +28,9 @@
   CPPUNIT_TEST(idempotent_answerOfOtherRequest_isNotDelivered);
   CPPUNIT_TEST(answer_withoutResponseStamp_isNotDelivered);
   CPPUNIT_TEST(answer_surplusBytes_connectionIsNotReused);
+  CPPUNIT_TEST(refusal_secondCopyAfterSameAttempt_isNotItsAnswer);
+  CPPUNIT_TEST(refusal_secondCopyWithoutIds_isNotTheNextAnswer);
+  CPPUNIT_TEST(refusal_copyOfEarlierAttempt_saysNothingOfTarget);
   CPPUNIT_TEST(answer_withoutLengthThenReset_isNotDelivered);
   CPPUNIT_TEST(answer_withoutLengthThenClose_isDelivered);
   CPPUNIT_TEST(stream_withoutLengthThenClose_isCompleted);
@@ -233,6 +236,37 @@
     CPPUNIT_ASSERT(Second.find("X-Attempt: 2") != Second.npos);
   }
 
+  // Regression: a caller repeats an attempt that was refused; the second copy
+  // of the refusal came on the kept connection and told the caller that the
+  // request had not run, while the target was running it.
+  void refusal_secondCopyAfterSameAttempt_isNotItsAnswer() {
+    const auto Refusal = plainAnswer("1", 503, "X-Not-Executed: 1\r\n");
+    playSecondCopy(Refusal, plainAnswer("1"), requestText("1"));
+  }
+
+  void refusal_secondCopyWithoutIds_isNotTheNextAnswer() {
+    const std::string Refusal =
+        "HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno";
+    const std::string Answer =
+        "HTTP/1.1 200 S\r\nX-Stamp: r\r\nContent-Length: 2\r\n\r\nok";
+    playSecondCopy(Refusal, Answer,
+                   "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Left: 5000\r\n"
+                   "Authorization: Bearer k\r\n\r\n");
+  }
+
+  void refusal_copyOfEarlierAttempt_saysNothingOfTarget() {
+    configure(RouteKind::NonIdempotent, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {{plainAnswer("1")},
+                          {plainAnswer("1", 503,
+                                       "X-Not-Executed: 1\r\nRetry-After: 3\r\n"
+                                       "X-Leaving: 1\r\n")},
+                          {plainAnswer("3")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 502"));
+    CPPUNIT_ASSERT(sendRequest(requestText("3")).starts_with("HTTP/1.1 200"));
+  }
+
   void answer_withoutLengthThenReset_isNotDelivered() {
     configure(RouteKind::NonIdempotent, 1);
     addTarget("a", *m_TargetA);
@@ -1053,6 +1087,19 @@
     return TrackedTarget(Entry).Hash;
   }
 
+  /// The target refuses \p Request, sends the refusal once more 100 ms later,
+  /// and answers the same request, sent in between, with \p Answer after that.
+  void playSecondCopy(const std::string &Refusal, const std::string &Answer,
+                      const std::string &Request) {
+    configure(RouteKind::NonIdempotent, 1);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Scripts = {{Refusal, false, false, {Refusal}},
+                          {"", false, false, {Answer}}};
+    CPPUNIT_ASSERT(sendRequest(Request).starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(sendRequest(Request).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_TargetA->Requests.size());
+  }
+
   /// Bytes that a target without end may have written: those that the daemon
   /// reads before it closes the connection, and the socket buffers.
   static constexpr std::size_t MaxEndlessBytes = 8 << 20;
--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mangodeck::http {
 
@@ -63,6 +64,12 @@
   /// Whether the connection is open and idle, for less than half of the
   /// server's idle time-out if that is known.
   bool isReusable(TimePoint Now) const;
+  /// Records that the server has refused \p Request, the hash of a name that a
+  /// repetition of it bears as well. A second copy of the refusal, which may
+  /// still arrive, would pass for the answer to the repetition.
+  void recordRefusal(std::uint64_t Request) { m_Refused.push_back(Request); }
+  /// Whether the server has refused \p Request on this connection.
+  bool hasRefused(std::uint64_t Request) const;
   /// How long the connection has been idle.
   Duration idleFor(TimePoint Now) const { return Now - m_IdleSince; }
   /// Time after which the server says it closes an idle connection; 0 if
@@ -94,6 +101,7 @@
   bool m_ReadPending = false;
   bool m_WritePending = false;
   Duration m_ServerIdleTimeout{0};
+  std::vector<std::uint64_t> m_Refused; ///< At most MaxRefusals; see there.
   TimePoint m_IdleSince{};
 };
 
--- a/packages/http/src/targetconnection.cpp
+++ b/packages/http/src/targetconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "mangodeck/common/error.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/error.hpp>
 #include <asio/write.hpp>
@@ -26,6 +27,9 @@
 /// probes. With two probes an unreachable server is detected after 3 s.
 constexpr int ProbeSeconds = 1;
 constexpr int ProbeCount = 2;
+/// Refusals on a connection after which it is no longer used, since all refused
+/// requests have to be remembered.
+constexpr std::size_t MaxRefusals = 32;
 /// Milliseconds after which unacknowledged bytes abort the connection; the same
 /// limit that the keep-alive probes set for an idle one.
 constexpr int UserTimeoutMs = 3000;
@@ -192,8 +196,13 @@
   Handler->onExchangeFailed(Failure);
 }
 
+bool TargetConnection::hasRefused(std::uint64_t Request) const {
+  return std::find(m_Refused.begin(), m_Refused.end(), Request) !=
+         m_Refused.end();
+}
+
 bool TargetConnection::isReusable(TimePoint Now) const {
-  if (!m_Open || m_Handler)
+  if (!m_Open || m_Handler || m_Refused.size() >= MaxRefusals)
     return false;
   // A server closes an idle connection without notice. Using it for only half
   // of the announced time-out allows for network delays.
