http: a refused piece of a body ends its request

Cause: the refusal of a piece was overwritten by the next piece that fitted.

Change: the refusal stays until the request is rejected with 503.

Tests: caller_chunkRefusedForMemory_requestIsNotRead failed on the code before and passes.

--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -112,7 +112,10 @@
 }
 
 void CallerConnection::onBody(std::string_view Bytes) {
-  m_IsBodyRefused = !m_Handler.mayBuffer(m_Request.Body.size() + Bytes.size());
+  // A refused piece ends the request, whatever fits after it.
+  m_IsBodyRefused =
+      m_IsBodyRefused ||
+      !m_Handler.mayBuffer(m_Request.Body.size() + Bytes.size());
   if (!m_IsBodyRefused)
     m_Request.Body.append(Bytes);
 }
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -27,10 +27,13 @@
   }
   void onClosed(CallerConnection &) override { ++ConnectionsClosed; }
   bool isLeaving() const override { return Leaving; }
-  bool mayBuffer(std::size_t) const override { return true; }
+  bool mayBuffer(std::size_t Bytes) const override {
+    return Bytes <= MaxBodyBytes;
+  }
 
   std::vector<std::string> Paths;
   std::vector<std::string> Bodies;
+  std::size_t MaxBodyBytes = 1 << 20;
   bool Answers = true;
   bool Leaving = false;
   int CallersLeft = 0;
@@ -47,6 +50,7 @@
   CPPUNIT_TEST(caller_twoRequestsInOneWrite_areAnsweredInOrder);
   CPPUNIT_TEST(caller_malformedHead_gets400AndClose);
   CPPUNIT_TEST(caller_headInPieces_isRead);
+  CPPUNIT_TEST(caller_chunkRefusedForMemory_requestIsNotRead);
   CPPUNIT_TEST(caller_closesWhileWaiting_handlerIsNotified);
   CPPUNIT_TEST(caller_streamAborted_doesNotLookComplete);
   CPPUNIT_TEST(caller_closedWhileIdle_laterRequestIsNotRead);
@@ -102,6 +106,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), m_Handler.Bodies.at(0));
   }
 
+  // Regression: the refusal of a chunk was forgotten with the next one, and the
+  // request went on without the refused bytes.
+  void caller_chunkRefusedForMemory_requestIsNotRead() {
+    m_Handler.MaxBodyBytes = 100;
+    std::string Body;
+    for (const std::size_t Size : {40, 500, 31})
+      appendChunk(Body, std::string(Size, 'x'));
+    send("POST /1/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" +
+         Body + std::string(LastChunk));
+    CPPUNIT_ASSERT(receiveUntil("").starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(m_Handler.Paths.empty());
+    CPPUNIT_ASSERT_EQUAL(503, m_Handler.RejectedStatus);
+  }
+
   void caller_closesWhileWaiting_handlerIsNotified() {
     m_Handler.Answers = false;
     send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
