http: the end of a stream completes an answer only if the request was written

Cause: the pending write took the socket's error and ignored it after a part had been written, so the next read saw a regular end, which completes an answer without length.

Change: endStream() waits for the result of a pending write, and an answer without length is complete only without an error.

Tests: answerWithoutLength_resetWhileRequestIsSent_isNotComplete failed on the code before; http_test 25 and GatewayTest 72 pass.

--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -82,6 +82,9 @@
   void read();
   void onRead(std::error_code Error, std::size_t Size);
   void onWritten(std::error_code Error, std::size_t Size);
+  /// The server has ended its side of the connection. That completes an answer
+  /// without length, unless the request could not be written.
+  void endStream();
   void fail(std::error_code Error, bool Malformed);
   void complete(bool HasSurplusBytes);
   void closeSocket();
@@ -100,6 +103,8 @@
   bool m_Open = false;
   bool m_ReadPending = false;
   bool m_WritePending = false;
+  std::error_code m_WriteError; ///< Of the last write.
+  bool m_StreamEnded = false;   ///< By the server.
   Duration m_ServerIdleTimeout{0};
   std::vector<std::uint64_t> m_Refused; ///< At most MaxRefusals; see there.
   TimePoint m_IdleSince{};
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -113,9 +113,8 @@
 
 void CallerConnection::onBody(std::string_view Bytes) {
   // A refused piece ends the request, whatever fits after it.
-  m_IsBodyRefused =
-      m_IsBodyRefused ||
-      !m_Handler.mayBuffer(m_Request.Body.size() + Bytes.size());
+  m_IsBodyRefused = m_IsBodyRefused ||
+                    !m_Handler.mayBuffer(m_Request.Body.size() + Bytes.size());
   if (!m_IsBodyRefused)
     m_Request.Body.append(Bytes);
 }
--- a/packages/http/src/targetconnection.cpp
+++ b/packages/http/src/targetconnection.cpp
@@ -93,6 +93,8 @@
   m_RequestBytes = std::move(Bytes);
   m_WrittenBytes = 0;
   m_WritePending = true;
+  m_WriteError.clear();
+  m_StreamEnded = false;
   ++m_ExchangeNumber;
   asio::async_write(
       m_Socket, asio::buffer(m_RequestBytes),
@@ -105,13 +107,32 @@
 void TargetConnection::onWritten(std::error_code Error, std::size_t Size) {
   m_WritePending = false;
   m_WrittenBytes = Size;
-  if (!m_Open || !m_Handler || !Error)
+  m_WriteError = Error;
+  if (!m_Open || !m_Handler)
     return;
   // A server may answer and close before it has read the whole request, so
   // after a partial write the answer may still be in the socket's receive
   // buffer. Only if nothing was written can no answer arrive.
-  if (Size == 0)
-    fail(Error, false);
+  if ((Error && Size == 0) || m_StreamEnded)
+    endStream();
+}
+
+void TargetConnection::endStream() {
+  // The socket reports an error once. If the write took it, the end that the
+  // next read sees may be that of a reset.
+  m_StreamEnded = true;
+  if (m_WritePending)
+    return; // Its result tells.
+  const auto ExchangeNumber = m_ExchangeNumber;
+  if (!m_WriteError)
+    m_Parser.finish();
+  if (!m_Handler || m_ExchangeNumber != ExchangeNumber)
+    return; // A callback ended this exchange.
+  if (m_Parser.isComplete())
+    complete(false);
+  else
+    fail(m_WriteError ? m_WriteError : make_error_code(asio::error::eof),
+         false);
 }
 
 void TargetConnection::read() {
@@ -136,13 +157,9 @@
     return;
   }
   if (Error) {
-    const auto ExchangeNumber = m_ExchangeNumber;
     if (Error == asio::error::eof)
-      m_Parser.finish();
-    if (m_Handler && m_ExchangeNumber == ExchangeNumber &&
-        m_Parser.isComplete())
-      complete(false);
-    else if (m_Handler)
+      endStream();
+    else
       fail(Error, false);
     return;
   }
