gateway: bodies reserve their memory before they are read

Cause: only bodies that had been read whole counted against the memory.

Change: BufferBudget counts what the bodies on all connections may become, from the head on; refusals come before 100 Continue and have a Retry-After. Answers have a share of their own, and long bodies leave room for short ones.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -2,6 +2,7 @@
 #define MANGODECK_GATEWAY_GATEWAY_H
 
 #include "mangodeck/common/random.h"
+#include "mangodeck/gateway/bufferbudget.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/crashcauses.h"
 #include "mangodeck/gateway/exchange.h"
@@ -155,7 +156,11 @@
   void onRejected(int Status, std::string_view Start) override;
   void onClosed(http::CallerConnection &Connection) override;
   bool isLeaving() const override { return m_Stopping; }
-  bool mayBuffer(std::size_t Bytes) const override;
+  bool reserveBody(std::size_t Bytes, std::size_t Total) override {
+    return m_Buffers.reserveBody(Bytes, Total);
+  }
+  void releaseBody(std::size_t Bytes) override { m_Buffers.releaseBody(Bytes); }
+  http::HeaderList rejectionFields(int Status) override;
 
   // Exchanges.
   bool hasOtherTarget(const Exchange &Running, bool IsFree) const override;
@@ -173,8 +178,12 @@
   void onTargetPaused(const TargetPtr &Target) override;
   void onTargetRateLimit(const TargetPtr &Target, int Status,
                          const RateLimitStatement &Statement) override;
-  bool bufferAnswer(std::size_t Bytes) override;
-  void releaseBuffer(std::size_t Bytes) override { m_BufferedBytes -= Bytes; }
+  bool bufferAnswer(std::size_t Bytes) override {
+    return m_Buffers.reserveAnswer(Bytes);
+  }
+  void releaseBuffer(std::size_t Bytes) override {
+    m_Buffers.releaseAnswer(Bytes);
+  }
   std::optional<Duration> retryAfter(const Exchange &Refused) override;
 
   // Messages to and from the slot broker of this failure domain.
@@ -436,7 +445,7 @@
   std::vector<ServiceName> m_ServicesToDispatch;
   TicketNumber m_NextTicketNumber = 1;
   std::uint64_t m_ReportSequence = 0;
-  std::size_t m_BufferedBytes = 0; ///< Bodies of requests and answers.
+  BufferBudget m_Buffers; ///< Bodies of requests and answers.
   bool m_DirectoryComplete = false;
   bool m_Stopping = false;
   bool m_ListenerClosed = false;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -46,8 +46,8 @@
 /// Requests that still run this long before the end of the shutdown grace are
 /// terminated.
 constexpr Duration TerminationMargin = 250ms;
-/// Largest share of the memory limit that buffered request bodies may take.
-constexpr double MaxBodyMemoryShare = 0.25;
+/// Time over which callers return whose bodies there was no memory for.
+constexpr Duration MaxMemoryRetryAfter = 1s;
 /// Bounds of the Retry-After of refused requests.
 constexpr Duration MinRetryAfter = 300ms;
 constexpr Duration MaxRetryAfter = 4s;
@@ -90,7 +90,8 @@
       m_CrashCauses(m_Settings.Vm),
       m_Origins(m_Settings.Vm, m_Settings.Domain, *this),
       m_Peers(m_Settings.Vm, m_Settings.Domain),
-      m_LocalBroker(m_Settings.Domain, m_Targets, *this) {}
+      m_LocalBroker(m_Settings.Domain, m_Targets, *this),
+      m_Buffers(m_Settings.MemoryLimitBytes) {}
 
 Gateway::~Gateway() = default;
 
@@ -333,7 +334,8 @@
   auto Caller = m_Callers.at(&Connection);
   ExchangeContext Context{m_Pool,    m_RetryBudget, m_Log,
                           m_Metrics, m_Names,       *this};
-  m_BufferedBytes += Message.Body.size();
+  // The connection has just released as much or more.
+  m_Buffers.reserveBody(Message.Body.size(), 0);
   auto New = std::make_shared<Exchange>(
       Context, m_NextTicketNumber++, std::move(Caller), std::move(Message),
       Facts, m_Plan, *Matched, Customer, Service, FirstByte);
@@ -602,7 +604,7 @@
     withdrawSlotRequest(Ended.number(), steadyNow());
   m_PendingPermits.erase(Ended.number());
   m_Origins.cancel(Ended.number());
-  m_BufferedBytes -= Ended.bodyBytes();
+  m_Buffers.releaseBody(Ended.bodyBytes());
   const auto Found = m_ExchangeByNumber.find(Ended.number());
   if (Found == m_ExchangeByNumber.end())
     return;
@@ -660,16 +662,14 @@
   m_Callers.erase(Found);
 }
 
-bool Gateway::mayBuffer(std::size_t Bytes) const {
-  return static_cast<double>(m_BufferedBytes + Bytes) <
-         MaxBodyMemoryShare * static_cast<double>(m_Settings.MemoryLimitBytes);
-}
-
-bool Gateway::bufferAnswer(std::size_t Bytes) {
-  if (!mayBuffer(Bytes))
-    return false;
-  m_BufferedBytes += Bytes;
-  return true;
+http::HeaderList Gateway::rejectionFields(int Status) {
+  http::HeaderList Fields;
+  if (Status == 503) // There is no memory for the body.
+    Fields.add(m_Names.RetryAfter,
+               fmt::format("{:.2f}", toSeconds(MinRetryAfter) +
+                                         toSeconds(MaxMemoryRetryAfter) *
+                                             m_Random.uniform()));
+  return Fields;
 }
 
 void Gateway::onPlan(RoutePlanPtr Plan) {
@@ -1054,6 +1054,10 @@
                        static_cast<double>(m_CrashCauses.suspectCount()));
     m_Metrics.setGauge("rate_limited_targets",
                        static_cast<double>(m_Targets.countRateLimited()));
+    m_Metrics.setGauge("body_bytes",
+                       static_cast<double>(m_Buffers.bodyBytes()));
+    m_Metrics.setGauge("answer_bytes",
+                       static_cast<double>(m_Buffers.answerBytes()));
     m_Metrics.setGauge("ticks", static_cast<double>(m_TickCount));
     m_Metrics.setGauge("target_connections_opened",
                        static_cast<double>(m_Pool.opened()));
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(caller_disconnects_targetConnectionIsClosed);
   CPPUNIT_TEST(plan_older_isIgnored);
   CPPUNIT_TEST(body_overMemoryShare_isRefusedAndNextRequestIsServed);
+  CPPUNIT_TEST(bodies_beingReadOnManyConnections_areCountedTogether);
   CPPUNIT_TEST(metrics_onOwnPort_areServed);
   CPPUNIT_TEST(broker_grants_requestIsSentToGrantedTarget);
   CPPUNIT_TEST(broker_grantsDrainingTarget_targetIsNotUsed);
@@ -840,6 +841,46 @@
     CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 200"));
   }
 
+  // Regression: only bodies that had been read whole counted against the
+  // memory, so long ones that came together took the process over its limit.
+  void bodies_beingReadOnManyConnections_areCountedTogether() {
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    m_TargetA->Answer = [](const std::string &) { return plainAnswer("1"); };
+    const auto Head = [](std::size_t Length) {
+      return "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt: 1\r\nX-Left: 5000\r\n"
+             "Authorization: Bearer k\r\nExpect: 100-continue\r\n"
+             "Content-Length: " +
+             std::to_string(Length) + "\r\n\r\n";
+    };
+    std::vector<asio::ip::tcp::socket> Uploads;
+    std::size_t Continued = 0, Refused = 0;
+    for (int Number = 0; Number < 6; ++Number) {
+      Uploads.emplace_back(*m_Loop);
+      Uploads.back().connect(
+          {asio::ip::make_address("127.0.0.1"), m_CallerPort});
+      asio::write(Uploads.back(), asio::buffer(Head(120000)));
+      runLoopFor(50ms);
+      Uploads.back().non_blocking(true);
+      std::string Answer(4096, ' ');
+      std::error_code Ignored; // No answer.
+      Answer.resize(Uploads.back().read_some(asio::buffer(Answer), Ignored));
+      Continued += Answer.starts_with("HTTP/1.1 100") ? 1 : 0;
+      Refused += Answer.starts_with("HTTP/1.1 503") &&
+                         Answer.find("Retry-After: ") != Answer.npos
+                     ? 1
+                     : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Continued);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), Refused);
+    // A short request is served meanwhile, and a long one once there is room.
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    Uploads.clear();
+    runLoopFor(50ms);
+    CPPUNIT_ASSERT(sendRequest(Head(120000) + std::string(120000, 'x'), "ok")
+                       .find("HTTP/1.1 200") != std::string::npos);
+  }
+
   void metrics_onOwnPort_areServed() {
     configure(RouteKind::Idempotent);
     m_Client.emplace(*m_Loop);
--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -44,9 +44,15 @@
   /// Whether the daemon is shutting down. Answers then carry "Connection:
   /// close", and the connection is closed after them.
   virtual bool isLeaving() const = 0;
-  /// Whether a body that has grown to \p Bytes may be kept in memory; if not,
-  /// the request is answered with 503.
-  virtual bool mayBuffer(std::size_t Bytes) const = 0;
+  /// Reserves memory for \p Bytes more of a body, which takes \p Total with
+  /// them; if false, the request is answered with 503. A body with a length is
+  /// reserved whole before its first byte is read.
+  virtual bool reserveBody(std::size_t Bytes, std::size_t Total) = 0;
+  /// Takes back what was reserved for a request, which is about to be handled
+  /// or will not be.
+  virtual void releaseBody(std::size_t Bytes) = 0;
+  /// Fields of the answer with which the connection rejects a request.
+  virtual HeaderList rejectionFields(int Status) = 0;
 };
 
 /// One connection from a caller. Reads one request at a time and writes its
@@ -92,6 +98,9 @@
 
   void onHead() override;
   void onBody(std::string_view Bytes) override;
+  /// Reserves memory for a body of \p Total bytes.
+  void reserve(std::size_t Total);
+  void releaseReserved();
   void read();
   void onRead(std::error_code Error, std::size_t Size);
   void parseBuffered();
@@ -109,7 +118,8 @@
   RequestParser m_Parser;
   Request m_Request;
   Phase m_Phase = Phase::Reading;
-  bool m_IsBodyRefused = false; ///< By CallerConnectionHandler::mayBuffer().
+  std::size_t m_ReservedBytes = 0; ///< For the body of m_Request.
+  bool m_IsBodyRefused = false;    ///< By the handler's reserveBody().
   bool m_CloseAfterAnswer = false;
   bool m_IsHeadRequest = false;
   bool m_ReadPending = false;
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -2,6 +2,8 @@
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
+#include <charconv>
+#include <utility>
 
 namespace mangodeck::http {
 
@@ -21,6 +23,15 @@
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
+/// The length that the head of a request states for its body; 0 if it states
+/// none. The parser has checked the field.
+std::size_t bodyLengthOf(const RequestHead &Head) {
+  const auto Text = Head.Fields.get("content-length");
+  std::size_t Length = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Length;
+}
+
 int statusOf(ParseFault Fault) {
   switch (Fault) {
   case ParseFault::HeadTooLarge:
@@ -102,28 +113,49 @@
     auto Message = std::move(m_Request);
     m_Request = Request();
     m_Parser.reset();
+    releaseReserved(); // The handler counts what it keeps.
     m_Handler.onRequest(*this, std::move(Message), m_FirstByteTime);
   }
 }
 
 void CallerConnection::onHead() {
-  if (m_Parser.head().ExpectsContinue)
+  const auto Length = bodyLengthOf(m_Parser.head());
+  if (Length <= m_Bounds.MaxBodyBytes)
+    reserve(Length);
+  if (m_Parser.head().ExpectsContinue && !m_IsBodyRefused)
     write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void CallerConnection::onBody(std::string_view Bytes) {
-  // A refused piece ends the request, whatever fits after it.
-  m_IsBodyRefused = m_IsBodyRefused ||
-                    !m_Handler.mayBuffer(m_Request.Body.size() + Bytes.size());
+void CallerConnection::reserve(std::size_t Total) {
+  // A refusal ends the request, whatever fits after it.
+  if (m_IsBodyRefused || Total <= m_ReservedBytes)
+    return;
+  m_IsBodyRefused = !m_Handler.reserveBody(Total - m_ReservedBytes, Total);
   if (!m_IsBodyRefused)
-    m_Request.Body.append(Bytes);
+    m_ReservedBytes = Total;
+}
+
+void CallerConnection::releaseReserved() {
+  m_Handler.releaseBody(std::exchange(m_ReservedBytes, 0));
+}
+
+void CallerConnection::onBody(std::string_view Bytes) {
+  const auto Total = m_Request.Body.size() + Bytes.size();
+  reserve(Total);
+  if (m_IsBodyRefused)
+    return;
+  // Growing by doubling would take more than was reserved.
+  m_Request.Body.reserve(m_ReservedBytes);
+  m_Request.Body.append(Bytes);
 }
 
 void CallerConnection::reject(int Status) {
   m_Handler.onRejected(Status, m_Parser.headBytes());
+  m_Request = Request();
+  releaseReserved();
   m_Phase = Phase::Answering;
   m_CloseAfterAnswer = true;
-  sendAnswer(Status, HeaderList(), reasonPhraseOf(Status));
+  sendAnswer(Status, m_Handler.rejectionFields(Status), reasonPhraseOf(Status));
 }
 
 void CallerConnection::addConnectionField(HeaderList &Fields) {
@@ -286,6 +318,7 @@
   if (m_Phase == Phase::Closed)
     return;
   m_Phase = Phase::Closed;
+  releaseReserved();
   std::error_code Ignored; // close() releases the descriptor also on error.
   m_Socket.close(Ignored);
   m_Handler.onClosed(*this);
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -27,13 +27,17 @@
   }
   void onClosed(CallerConnection &) override { ++ConnectionsClosed; }
   bool isLeaving() const override { return Leaving; }
-  bool mayBuffer(std::size_t Bytes) const override {
-    return Bytes <= MaxBodyBytes;
+  bool reserveBody(std::size_t Bytes, std::size_t Total) override {
+    ReservedBytes += Total <= MaxBodyBytes ? Bytes : 0;
+    return Total <= MaxBodyBytes;
   }
+  void releaseBody(std::size_t Bytes) override { ReservedBytes -= Bytes; }
+  HeaderList rejectionFields(int) override { return {}; }
 
   std::vector<std::string> Paths;
   std::vector<std::string> Bodies;
   std::size_t MaxBodyBytes = 1 << 20;
+  std::size_t ReservedBytes = 0;
   bool Answers = true;
   bool Leaving = false;
   int CallersLeft = 0;
@@ -118,6 +122,7 @@
     CPPUNIT_ASSERT(receiveUntil("").starts_with("HTTP/1.1 503"));
     CPPUNIT_ASSERT(m_Handler.Paths.empty());
     CPPUNIT_ASSERT_EQUAL(503, m_Handler.RejectedStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Handler.ReservedBytes);
   }
 
   void caller_closesWhileWaiting_handlerIsNotified() {
