http: a connection that ends stays while its caller takes the answer

Cause: the time for which a connection lingers counted from the moment at which the answer was queued.

Change: it counts from the last byte that the caller has taken; while bytes wait, the connection is closed after 2 s without progress, 30 s at most.

--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -109,6 +109,11 @@
   void flush();
   void finishAnswer();
   void shutdownSend();
+  /// Bytes of answers that the caller has not acknowledged.
+  std::size_t unsentBytes();
+  /// Closes a connection whose last answer has been taken, or is no longer
+  /// being taken.
+  void checkLinger(TimePoint Now);
   void close();
   void addConnectionField(HeaderList &Fields);
 
@@ -131,7 +136,10 @@
   std::string m_Queued;  ///< To be written after m_Writing.
   TimePoint m_FirstByteTime{};
   TimePoint m_LastActivity{};
+  std::size_t m_WrittenBytes = 0; ///< Of m_Writing.
   TimePoint m_LingerSince{};
+  TimePoint m_LingerProgressAt{};
+  std::size_t m_LingerUnsent = 0; ///< At the last check.
 };
 
 } // namespace mangodeck::http
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -1,8 +1,11 @@
 #include "mangodeck/http/callerconnection.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace mangodeck::http {
@@ -12,11 +15,17 @@
 /// While one request is being answered, reading pauses when this many bytes of
 /// following requests are buffered.
 constexpr std::size_t MaxReadAheadBytes = 64 << 10;
-/// How long incoming bytes are read and discarded after the last answer.
-/// Closing a socket with unread bytes resets the connection, and the caller may
-/// then lose the answer.
+/// How long incoming bytes are read and discarded after the caller has taken
+/// the last byte of the last answer. Closing a socket with unread bytes resets
+/// the connection, and the caller may then lose the answer.
 constexpr Duration LingerTime = 1s;
+/// A connection is closed if its caller takes nothing of the last answer for
+/// this long, or has not taken all of it after MaxLingerTime.
+constexpr Duration StallTimeout = 2s;
+constexpr Duration MaxLingerTime = 30s;
 
+/// Bytes of an answer that are passed to the socket at a time.
+constexpr std::size_t MaxWriteBytes = 64 << 10;
 /// A connection is closed as idle only after this time, several round trips to
 /// a caller.
 constexpr Duration MinIdleBeforeClose = 100ms;
@@ -218,7 +227,8 @@
   m_LastActivity = steadyNow();
   if (m_CloseAfterAnswer) {
     m_Phase = Phase::Lingering;
-    m_LingerSince = m_LastActivity;
+    m_LingerSince = m_LingerProgressAt = m_LastActivity;
+    m_LingerUnsent = unsentBytes();
     if (!m_WritePending)
       shutdownSend();
     read();
@@ -249,11 +259,18 @@
     return;
   m_WritePending = true;
   m_Writing.swap(m_Queued);
+  m_WrittenBytes = 0;
+  const auto Continue = [Self = shared_from_this()](std::error_code Error,
+                                                    std::size_t Written) {
+    Self->m_WrittenBytes = Written;
+    return Error ? 0 : MaxWriteBytes;
+  };
   asio::async_write(
-      m_Socket, asio::buffer(m_Writing),
+      m_Socket, asio::buffer(m_Writing), Continue,
       [Self = shared_from_this()](std::error_code Error, std::size_t) {
         Self->m_WritePending = false;
         Self->m_Writing.clear();
+        Self->m_WrittenBytes = 0;
         if (Self->m_Phase == Phase::Closed)
           return;
         if (Error) {
@@ -298,8 +315,8 @@
 }
 
 void CallerConnection::checkTimeouts(TimePoint Now) {
-  if (m_Phase == Phase::Lingering && Now - m_LingerSince > LingerTime) {
-    close();
+  if (m_Phase == Phase::Lingering) {
+    checkLinger(Now);
   } else if (m_Phase == Phase::Reading) {
     if (m_Parser.hasStarted()) {
       const bool IsHeadLate =
@@ -314,6 +331,25 @@
   }
 }
 
+std::size_t CallerConnection::unsentBytes() {
+  // A system that does not tell counts as having sent all.
+  int InKernel = 0;
+  if (::ioctl(m_Socket.native_handle(), SIOCOUTQ, &InKernel) != 0)
+    InKernel = 0;
+  return pendingBytes() - m_WrittenBytes +
+         static_cast<std::size_t>(std::max(InKernel, 0));
+}
+
+void CallerConnection::checkLinger(TimePoint Now) {
+  const auto Unsent = unsentBytes();
+  if (Unsent < m_LingerUnsent)
+    m_LingerProgressAt = Now;
+  m_LingerUnsent = Unsent;
+  const auto Timeout = Unsent > 0 ? StallTimeout : LingerTime;
+  if (Now - m_LingerProgressAt > Timeout || Now - m_LingerSince > MaxLingerTime)
+    close();
+}
+
 void CallerConnection::close() {
   if (m_Phase == Phase::Closed)
     return;
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -1,5 +1,6 @@
 #include "mangodeck/http/callerconnection.h"
 
+#include <algorithm>
 #include <asio/connect.hpp>
 #include <asio/io_context.hpp>
 #include <asio/read.hpp>
@@ -61,6 +62,8 @@
   CPPUNIT_TEST(caller_justConnected_isNotClosedAsIdle);
   CPPUNIT_TEST(caller_requestNotReadYet_isNotClosedAsIdle);
   CPPUNIT_TEST(caller_daemonLeaving_answerHasConnectionClose);
+  CPPUNIT_TEST(caller_readsSlowlyWhileDaemonLeaves_getsWholeAnswer);
+  CPPUNIT_TEST(caller_readsNothingWhileDaemonLeaves_isClosed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,7 +188,48 @@
     CPPUNIT_ASSERT(Answer.find("Connection: close") != Answer.npos);
   }
 
+  // Regression: the connection was closed one second after the answer had been
+  // queued, whatever was still to be sent.
+  void caller_readsSlowlyWhileDaemonLeaves_getsWholeAnswer() {
+    const auto Received = readWhileLeaving(24 << 20, 512 << 10, 3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(24 << 20), Received);
+  }
+
+  void caller_readsNothingWhileDaemonLeaves_isClosed() {
+    readWhileLeaving(24 << 20, 0, 4s);
+    CPPUNIT_ASSERT_EQUAL(1, m_Handler.ConnectionsClosed);
+  }
+
 private:
+  /// The daemon leaves and answers with \p Bytes, of which the caller reads
+  /// \p Rate every 50 ms. Returns the bytes of the body that it got within
+  /// \p Span.
+  std::size_t readWhileLeaving(std::size_t Bytes, std::size_t Rate,
+                               Duration Span) {
+    m_Handler.Answers = false;
+    m_Handler.Leaving = true;
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    runUntilIdle();
+    m_Server->sendAnswer(200, HeaderList(), std::string(Bytes, 'x'));
+    m_Client->non_blocking(true);
+    std::size_t Received = 0;
+    std::string Buffer(std::max<std::size_t>(Rate, 1), ' ');
+    const auto End = std::chrono::steady_clock::now() + Span;
+    while (std::chrono::steady_clock::now() < End) {
+      m_Loop->restart();
+      m_Loop->run_for(std::chrono::milliseconds(50));
+      m_Server->checkTimeouts(std::chrono::steady_clock::now());
+      std::error_code Error;
+      if (Rate > 0) {
+        const auto Size = m_Client->read_some(asio::buffer(Buffer), Error);
+        Received += static_cast<std::size_t>(std::count(
+            Buffer.begin(), Buffer.begin() + static_cast<std::ptrdiff_t>(Size),
+            'x'));
+      }
+    }
+    return Received;
+  }
+
   void send(std::string_view Bytes) {
     asio::write(*m_Client, asio::buffer(Bytes.data(), Bytes.size()));
   }
