gateway: a silent connection to the store is noticed well within the deadline of a change

Cause: a watch waited for 4 s and timed out after 4.9 s, while a configuration has to apply within 2 s; the call after it could use another silent connection.

Change: a watch waits for a quarter of the deadline, and a time-out closes all connections of before.

--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -7,19 +7,19 @@
 
 namespace {
 
-/// Time for which a watch waits for a change. TCP keep-alive probes detect a
-/// dead connection earlier.
-constexpr Duration WatchTimeout = 4s;
+/// Time for which a watch waits for a change, as a part of the time within
+/// which changes must take effect. A connection can go silent while its peer
+/// still acknowledges, which only the missing end of the wait shows: the wait,
+/// the time-out of the call and a new listing have to fit into that time.
+constexpr int WatchWaitDivisor = 4;
+/// Time between the watches of a daemon that waits long, which a relay saves.
+constexpr Duration LongWatchTime = 4s;
 /// Minimum time between the starts of two watches, as a part of the time within
 /// which changes must take effect. Each change ends a watch, so the interval
 /// bounds the calls while many keys change, as at the start of all daemons.
 constexpr int WatchIntervalDivisor = 4;
 /// The same for the relay, whose changes have a further way.
 constexpr int RelayIntervalDivisor = 8;
-/// Time for which the watch of the relay waits, as a part of the time within
-/// which changes must take effect. The other daemons rely on the relay only
-/// while the store answers it this often.
-constexpr int RelayWaitDivisor = 4;
 /// Largest age of what the relay has told, as a share of the time within which
 /// changes must take effect. Covers the wait, a lost message and the delays;
 /// the rest is left for a call to a slow store.
@@ -38,8 +38,8 @@
 } // namespace
 
 std::size_t minDaemonsForRelay(Duration ChangeDeadline) {
-  return static_cast<std::size_t>(WatchTimeout /
-                                  (ChangeDeadline / RelayWaitDivisor)) +
+  return static_cast<std::size_t>(LongWatchTime /
+                                  (ChangeDeadline / WatchWaitDivisor)) +
          1;
 }
 
@@ -125,9 +125,7 @@
 void KeyFollower::watch() {
   m_FollowsRelay = false;
   m_WatchStart = steadyNow();
-  m_Store.watch(m_Revision,
-                m_Relay.isRelaying() ? m_ChangeDeadline / RelayWaitDivisor
-                                     : WatchTimeout,
+  m_Store.watch(m_Revision, m_ChangeDeadline / WatchWaitDivisor,
                 [this, Generation = m_Generation](Expected<KeyChanges> Answer) {
                   if (Generation == m_Generation)
                     onChanges(std::move(Answer));
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -21,9 +21,10 @@
     Lists.push_back(std::string(After));
     ListDone = std::move(Done);
   }
-  void watch(StoreRevision After, Duration,
+  void watch(StoreRevision After, Duration Wait,
              Callback<KeyChanges> Done) override {
     Watches.push_back(After);
+    LastWait = Wait;
     WatchDone = std::move(Done);
   }
   void grantLease(Duration, Callback<KeyLease>) override {}
@@ -43,6 +44,7 @@
 
   std::vector<std::string> Lists;
   std::vector<StoreRevision> Watches;
+  Duration LastWait{0}; ///< Of the last watch.
   Callback<KeyPage> ListDone;
   Callback<KeyChanges> WatchDone;
   int Reconnects = 0;
@@ -108,6 +110,7 @@
   CPPUNIT_TEST(relayMessage_invalidBytes_areRejected);
   CPPUNIT_TEST(minDaemonsForRelay_longerDeadline_isSmaller);
   CPPUNIT_TEST(watch_frequentChanges_callsAreBounded);
+  CPPUNIT_TEST(watch_withoutChanges_waitsForPartOfDeadline);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +119,16 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), minDaemonsForRelay(4s));
   }
 
+  // Regression: a watch waited for 4 s, so a connection that had gone silent
+  // was told from one without changes only after the deadline of a change.
+  void watch_withoutChanges_waitsForPartOfDeadline() {
+    answerFirstList();
+    runTimers();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Store.Watches.size());
+    CPPUNIT_ASSERT(m_Store.LastWait > Duration{0});
+    CPPUNIT_ASSERT(m_Store.LastWait <= ChangeDeadline / 4);
+  }
+
   /// Many changes in a row, as at the start of all daemons.
   void watch_frequentChanges_callsAreBounded() {
     answerFirstList();
--- a/packages/http/include/mangodeck/http/client.h
+++ b/packages/http/include/mangodeck/http/client.h
@@ -40,6 +40,7 @@
 
 private:
   struct Call;
+  void closeIdle();
   void start(std::shared_ptr<Call> Pending);
   void finish(const std::shared_ptr<Call> &Pending,
               Expected<CallAnswer> Result);
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -113,6 +113,9 @@
   if (!Pending || !Pending->Callback)
     return;
   Pending->Timer.cancel();
+  // The connections of before may have gone silent as well.
+  if (!Result && Result.error() == make_error_code(Errc::Timeout))
+    closeIdle();
   auto Callback = std::move(Pending->Callback);
   Pending->Callback = nullptr;
   std::erase(m_PendingCalls, Pending);
@@ -127,10 +130,14 @@
   Callback(std::move(Result));
 }
 
-void Client::reset() {
+void Client::closeIdle() {
   for (auto &Connection : m_IdleConnections)
     Connection->close();
   m_IdleConnections.clear();
+}
+
+void Client::reset() {
+  closeIdle();
   const auto Calls = m_PendingCalls;
   for (const auto &Pending : Calls)
     finish(Pending, unexpected(make_error_code(Errc::Closed)));
