--- a/packages/gateway/include/mangodeck/gateway/bufferbudget.h
+++ b/packages/gateway/include/mangodeck/gateway/bufferbudget.h
@@ -12,8 +12,8 @@
 /// answers of those that were sent to targets; and long bodies leave room for
 /// short ones.
 ///
-/// A body is kept twice while it is sent on, and the rest of the process needs
-/// a part of the memory, so the two shares are well below a half.
+/// A body is kept twice while it is sent on, so the two shares are a half of
+/// the memory together.
 class BufferBudget {
 public:
   /// \p MemoryLimitBytes: of the process.
--- a/packages/gateway/src/bufferbudget.cpp
+++ b/packages/gateway/src/bufferbudget.cpp
@@ -9,7 +9,7 @@
 /// Parts of the memory limit that bodies of requests, and those of answers, may
 /// take.
 constexpr std::size_t BodyDivisor = 4;
-constexpr std::size_t AnswerDivisor = 8;
+constexpr std::size_t AnswerDivisor = 4;
 /// Part of the former that long bodies leave for short ones.
 constexpr std::size_t ShortBodyDivisor = 4;
 constexpr std::size_t MaxShortBodyBytes = 64 << 10;
