gateway: a watch waits as long as the deadline of a change allows

Change: the wait leaves 1.3 s of the deadline, for the call's time-out and a listing: 0.7 s of 2 s, 1.7 s of 3 s, 2.7 s of 4 s.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -33,6 +33,12 @@
   virtual void onConfirmed(TimePoint Time) = 0;
 };
 
+/// Time for which a watch waits for a change if changes must take effect within
+/// \p ChangeDeadline. A connection can go silent while its peer still
+/// acknowledges, which only the missing end of the wait shows, so the time-out
+/// of the call and a new listing have to fit into the rest.
+Duration watchWait(Duration ChangeDeadline);
+
 /// Number of daemons in a failure domain from which on a relay saves calls to
 /// the store: it must call more often than a daemon that watches for itself.
 std::size_t minDaemonsForRelay(Duration ChangeDeadline);
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -7,11 +7,13 @@
 
 namespace {
 
-/// Time for which a watch waits for a change, as a part of the time within
-/// which changes must take effect. A connection can go silent while its peer
-/// still acknowledges, which only the missing end of the wait shows: the wait,
-/// the time-out of the call and a new listing have to fit into that time.
+/// Part of the time within which changes must take effect for which a watch
+/// waits at least, and for which that of the relay waits: the other daemons
+/// rely on the relay only while the store answers it this often.
 constexpr int WatchWaitDivisor = 4;
+/// Rest of that time after the wait of a watch: for the time-out of its call
+/// and a new listing.
+constexpr Duration SilenceAllowance = 1300ms;
 /// Time between the watches of a daemon that waits long, which a relay saves.
 constexpr Duration LongWatchTime = 4s;
 /// Minimum time between the starts of two watches, as a part of the time within
@@ -37,6 +39,11 @@
 
 } // namespace
 
+Duration watchWait(Duration ChangeDeadline) {
+  return std::max<Duration>(ChangeDeadline / WatchWaitDivisor,
+                            ChangeDeadline - SilenceAllowance);
+}
+
 std::size_t minDaemonsForRelay(Duration ChangeDeadline) {
   return static_cast<std::size_t>(LongWatchTime /
                                   (ChangeDeadline / WatchWaitDivisor)) +
@@ -125,7 +132,9 @@
 void KeyFollower::watch() {
   m_FollowsRelay = false;
   m_WatchStart = steadyNow();
-  m_Store.watch(m_Revision, m_ChangeDeadline / WatchWaitDivisor,
+  m_Store.watch(m_Revision,
+                m_Relay.isRelaying() ? m_ChangeDeadline / WatchWaitDivisor
+                                     : watchWait(m_ChangeDeadline),
                 [this, Generation = m_Generation](Expected<KeyChanges> Answer) {
                   if (Generation == m_Generation)
                     onChanges(std::move(Answer));
