gateway: the state of a target counts in spoiled answers that bear the request's id

The state of the target was ignored in every answer that is not passed on, also where the id shows that it is the request's own. That this is the cause of the failure is suspected, not shown.

Change: only answers without the right id say nothing of the target.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -269,6 +269,8 @@
       (ReturnedId ? *ReturnedId != m_Facts.AttemptId
                   : m_Connection->isReused()))
     m_AnswerInvalid = true;
+  else // An answer that is spoiled otherwise still tells the target's state.
+    recordTargetState(Head, Now);
   const bool Success = Head.Status / 100 == 2;
   if (Head.Fields.find("Content-Encoding") ||
       (Success && !Head.Fields.find(Names.ResponseStamp)))
@@ -276,7 +278,6 @@
   // Nothing of such an answer is used, and its body may have no end.
   if (m_AnswerInvalid)
     return giveUpAnswer("answer not ours");
-  recordTargetState(Head, Now);
   if (Head.Status != 421)
     recordTargetRateLimit(Head, Now);
   m_Rejected = Head.Status == 421 || Head.Fields.find(Names.NotExecuted);
