gateway: sources split by connections, reports, directory and answers

Change: the callers' connections and the stop, the reports between daemons, what the store tells, and what an exchange does with an answer have sources of their own. No functional change.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -32,6 +32,12 @@
 inline constexpr std::string_view UnknownVersionReason =
     "version of the stream not known; begin again";
 
+/// Events that a send needs for a measurement of the target's pace.
+inline constexpr std::uint32_t MinEventsForPace = 4;
+
+/// The start of a text from a caller, for a log line.
+std::string_view boundedText(std::string_view Text);
+
 class Exchange;
 using ExchangePtr = std::shared_ptr<Exchange>;
 
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -27,6 +27,9 @@
 
 namespace mangodeck {
 
+/// Shortest Retry-After of a refused request.
+inline constexpr Duration MinRetryAfter = 300ms;
+
 /// Addresses, time limits and memory limits of one gateway process.
 struct GatewaySettings {
   std::string Vm;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -14,12 +14,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// Largest answer, other than a stream, that is buffered until it is complete.
-constexpr std::size_t MaxBufferedAnswerBytes = 4 << 20;
-/// Bytes of a stream without a whole event after which the stream is given up.
-constexpr std::size_t MaxBytesBetweenEvents = 1 << 20;
-/// Unread bytes at which the stream of a slow caller is terminated.
-constexpr std::size_t MaxUnreadStreamBytes = 1 << 20;
 /// Time limit of a request whose caller sends none.
 constexpr Duration DefaultTimeLimit = 60s;
 /// A repeatable stream request is sent to another target after a pause of this
@@ -49,11 +43,6 @@
 /// Multiple of the nominal time to the first event that latestStart() reserves,
 /// since a busy engine reads the prompts of other requests in between.
 constexpr int FirstEventFactor = 2;
-/// Events that a send needs for a measurement of the target's pace.
-constexpr std::uint32_t MinEventsForPace = 4;
-/// Time after its first event from which on a stream counts as sound. A target
-/// that crashes over a request does so as it begins to answer.
-constexpr Duration SoundStreamTime = 300ms;
 /// Bytes of an unreadable header field that are logged.
 constexpr std::size_t MaxLoggedFieldBytes = 40;
 
@@ -69,18 +58,12 @@
   return "none";
 }
 
-/// The start of a text from a caller, for a log line.
+} // namespace
+
 std::string_view boundedText(std::string_view Text) {
   return Text.substr(0, MaxLoggedFieldBytes);
 }
 
-/// Whether \p Status tells the caller that its request has not been run.
-bool promisesNotExecuted(int Status) {
-  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
-}
-
-} // namespace
-
 Exchange::Exchange(ExchangeContext Context, TicketNumber Number,
                    std::shared_ptr<http::CallerConnection> Caller,
                    http::Request Message, RequestFacts Facts, RoutePlanPtr Plan,
@@ -189,13 +172,6 @@
                     : std::optional(XXH3_64bits(Id.data(), Id.size()));
 }
 
-void Exchange::clearAnswer() {
-  m_Context.Control.releaseBuffer(m_AnswerBody.size());
-  m_AnswerBody.clear();
-  m_Frames.clear();
-  m_BytesSinceEvent = 0;
-}
-
 void Exchange::onConnected(std::error_code Error,
                            TargetConnectionPool::Connection Ready) {
   const auto Now = std::chrono::steady_clock::now();
@@ -255,259 +231,6 @@
   return http::serialize(Head).append(m_Request.Body);
 }
 
-void Exchange::onAnswerHead(const http::ResponseHead &Head) {
-  const auto Now = std::chrono::steady_clock::now();
-  m_LastProgressAt = m_Target->LastByteAt = m_AnswerBegunAt = Now;
-  m_AnswerHead = Head;
-  const auto &Names = m_Context.Names;
-  const auto *ReturnedId = Head.Fields.find(Names.AttemptId);
-  // Targets return the attempt id. A different one shows that the answer
-  // belongs to another request, e.g. an earlier one on this connection.
-  // Without an id, only the first answer on a connection is certainly its own:
-  // a later one may be a second copy of the answer before it.
-  if (!m_Facts.AttemptId.empty() &&
-      (ReturnedId ? *ReturnedId != m_Facts.AttemptId
-                  : m_Connection->isReused()))
-    m_AnswerInvalid = true;
-  else // An answer that is spoiled otherwise still tells the target's state.
-    recordTargetState(Head, Now);
-  const bool Success = Head.Status / 100 == 2;
-  if (Head.Fields.find("Content-Encoding") ||
-      (Success && !Head.Fields.find(Names.ResponseStamp)))
-    m_AnswerInvalid = true;
-  // Nothing of such an answer is used, and its body may have no end.
-  if (m_AnswerInvalid)
-    return giveUpAnswer("answer not ours");
-  if (Head.Status != 421)
-    recordTargetRateLimit(Head, Now);
-  m_Rejected = Head.Status == 421 || Head.Fields.find(Names.NotExecuted);
-  m_IsStream = Success && !m_AnswerInvalid &&
-               Head.Fields.get("Content-Type").starts_with("text/event-stream");
-}
-
-void Exchange::recordTargetState(const http::ResponseHead &Head,
-                                 TimePoint Now) {
-  const auto &Names = m_Context.Names;
-  const bool IsLeaving =
-      parseTargetLeaving(Head.Fields.get(Names.TargetLeaving));
-  if (Head.Status == 421) { // Another target answers at this address.
-    if (IsLeaving)
-      m_Context.Control.onOtherTargetLeaving(m_Target);
-    return;
-  }
-  if (const auto Load = parseTargetLoad(Head.Fields.get(Names.TargetLoad)))
-    m_Target->recordLoad(*Load, Now);
-  if (IsLeaving)
-    m_Context.Control.onTargetLeaving(m_Target);
-  const auto *RetryAfter = Head.Fields.find(Names.RetryAfter);
-  if (Head.Status != 503 || !RetryAfter)
-    return;
-  const auto Pause = parseTargetPause(*RetryAfter);
-  m_Target->pauseFor(Pause.value_or(DefaultTargetPause), Now);
-  logEvent("target_paused",
-           Pause ? std::string_view() : "unreadable Retry-After");
-  m_Context.Control.onTargetPaused(m_Target);
-}
-
-void Exchange::recordTargetRateLimit(const http::ResponseHead &Head,
-                                     TimePoint Now) {
-  const auto *Field = Head.Fields.find(m_Context.Names.TargetRateLimit);
-  const auto &Limit = m_Target->rateLimit();
-  if (!Field) {
-    // Errors and rejections may be made before the target's state is known, or
-    // by something in front of it.
-    const bool IsSuccess = Head.Status / 100 == 2;
-    if (Limit.isActive() && IsSuccess && m_SentAt > Limit.confirmedAt())
-      m_Context.Control.onTargetRateLimit(m_Target, Head.Status,
-                                          {std::nullopt, Now});
-    return;
-  }
-  const auto PerSecond = parseTargetRateLimit(*Field);
-  if (!PerSecond)
-    return logEvent("target_limit_unreadable", boundedText(*Field));
-  m_Context.Control.onTargetRateLimit(m_Target, Head.Status, {PerSecond, Now});
-}
-
-void Exchange::onAnswerBody(std::string_view Bytes) {
-  m_Target->LastByteAt = std::chrono::steady_clock::now();
-  if (m_IsStream) {
-    m_BytesSinceEvent += Bytes.size();
-    if (m_BytesSinceEvent > MaxBytesBetweenEvents) {
-      recordTargetFailure(m_Target->LastByteAt);
-      return giveUpAnswer("too many bytes without an event");
-    }
-    m_Frames.append(Bytes);
-    return relayEvents();
-  }
-  m_LastProgressAt = m_Target->LastByteAt;
-  if (m_AnswerBody.size() + Bytes.size() > MaxBufferedAnswerBytes ||
-      !m_Context.Control.bufferAnswer(Bytes.size())) {
-    recordTargetFailure(m_Target->LastByteAt);
-    return giveUpAnswer("answer too large");
-  }
-  m_AnswerBody.append(Bytes);
-}
-
-void Exchange::giveUpAnswer(std::string_view Reason) {
-  logEvent("answer_given_up", Reason);
-  releaseTarget(false);
-  handleSendFailure(SendFailure::MayHaveRun, Reason);
-}
-
-void Exchange::relayEvents() {
-  const auto Now = std::chrono::steady_clock::now();
-  const auto Epoch = m_SendEpoch;
-  while (m_Phase == Phase::Sent && m_SendEpoch == Epoch) {
-    const auto Event = m_Frames.next();
-    if (!Event)
-      return;
-    if (!relayEvent(*Event, Now)) {
-      releaseTarget(false);
-      return handleSendFailure(SendFailure::MayHaveRun, "event out of order");
-    }
-  }
-}
-
-bool Exchange::relayEvent(std::string_view Event, TimePoint Now) {
-  // Step 1. Check the id. Ids increase by one within a stream, also when
-  // another target resumes it.
-  const auto Id = parseEventId(Event);
-  if (Id && m_LastEventId && *Id != *m_LastEventId + 1)
-    return false;
-  if (Id)
-    m_LastEventId = Id;
-
-  // A comment or a part of an event keeps the connection alive, but the
-  // request has made no progress.
-  if (Id || !findSseField(Event, "data").empty())
-    m_LastProgressAt = Now, m_BytesSinceEvent = 0;
-
-  // Step 2. The first event of a send ends the prefill, and the first event of
-  // the request starts the stream to the caller.
-  if (m_PendingPrefillTokens > 0) {
-    m_Target->OwnPrefillTokens -= m_PendingPrefillTokens;
-    m_PendingPrefillTokens = 0;
-    m_Context.Control.onFirstEvent(*this);
-  }
-  if (!m_StreamStarted)
-    sendHead();
-
-  // Step 3. Measure the target's pace, mainly by the shorter pauses: in the
-  // longer ones the engine also reads prompts of other requests.
-  const auto Gap = Now - m_LastEventAt;
-  if (m_EventCount > 0) {
-    m_LongestEventGap = std::max<Duration>(m_LongestEventGap, Gap);
-    const auto Weight = Gap < m_LowEventGap ? 0.25 : 0.05;
-    m_LowEventGap = m_EventCount == 1
-                        ? Duration(Gap)
-                        : m_LowEventGap + duration_cast<Duration>(
-                                              Weight * (Gap - m_LowEventGap));
-  }
-  m_LastEventAt = Now;
-  if (++m_EventCount == 1)
-    m_AnswerBegunAt = Now;
-  else if (Now - m_AnswerBegunAt >= SoundStreamTime)
-    recordSoundAnswer(m_AnswerBegunAt);
-
-  // Step 4. Send the event to the caller. Terminate the stream of a caller that
-  // reads too slowly.
-  m_Caller->sendChunk(Event);
-  if (m_Caller->pendingBytes() > MaxUnreadStreamBytes) {
-    logEvent("caller_slow", "unread bytes");
-    terminate();
-  }
-  return true;
-}
-
-void Exchange::sendHead() {
-  m_StreamStarted = true;
-  const auto Now = std::chrono::steady_clock::now();
-  m_FirstEventAt = Now;
-  m_FirstVersion = m_Target->Entry.Version;
-  m_Version = m_Target->Version;
-  m_IsVersionCertain = m_Target->isVersionCertain();
-  m_Context.Metrics.observeFirstEvent(m_Route.Name, Now - m_Arrival);
-  auto Fields = m_AnswerHead.Fields;
-  http::removeConnectionFields(Fields);
-  Fields.remove("Content-Length");
-  m_Caller->startStream(m_AnswerHead.Status, m_AnswerHead.Reason,
-                        std::move(Fields));
-}
-
-void Exchange::onAnswerEnd() {
-  const auto Now = std::chrono::steady_clock::now();
-  // The end of the connection ends a stream without length only after a whole
-  // event: a target that crashes before the first closes it, too.
-  const bool IsStreamWhole =
-      m_Frames.pendingBytes() == 0 &&
-      (m_EventCount > 0 || !m_AnswerHead.IsCloseDelimited);
-  if (m_IsStream && IsStreamWhole) {
-    recordTargetSuccess(Now);
-    recordSoundAnswer(m_AnswerBegunAt);
-    if (m_EventCount >= MinEventsForPace)
-      if (const auto *Planned = m_Plan->findService(m_Service))
-        m_Target->recordEventGap(m_LowEventGap, Planned->TokensPerEvent);
-    if (!m_StreamStarted)
-      sendHead();
-    releaseTarget(true);
-    m_Caller->endStream();
-    return end("answered", "", m_AnswerHead.Status);
-  }
-  if (m_IsStream || m_AnswerInvalid) {
-    const auto BrokenTarget = m_Target;
-    const bool MayHaveCrashed = m_IsStream && m_AnswerHead.IsCloseDelimited;
-    releaseTarget(false);
-    constexpr std::string_view Reason = "answer not whole or not ours";
-    if (!MayHaveCrashed || !m_Context.Control.onIncompleteAnswer(
-                               shared_from_this(), BrokenTarget, Reason))
-      handleSendFailure(SendFailure::MayHaveRun, Reason);
-    return;
-  }
-  if (m_Rejected) {
-    const bool Misdirected = m_AnswerHead.Status == 421;
-    if (Misdirected)
-      m_Target->MarkedDown = true;
-    else if (!m_Target->isPaused(Now)) // A pause is no failure.
-      recordTargetFailure(Now);
-    logEvent("rejected", fmt::format("status {}", m_AnswerHead.Status));
-    if (const auto Attempt = attemptHash())
-      m_Connection->recordRefusal(*Attempt);
-    releaseTarget(true);
-    return handleSendFailure(SendFailure::Rejected, "rejected by the target");
-  }
-  if (m_AnswerHead.Status < 500 && !promisesNotExecuted(m_AnswerHead.Status))
-    recordTargetSuccess(Now);
-  if (m_AnswerHead.Status / 100 == 2)
-    recordSoundAnswer(m_AnswerBegunAt);
-  releaseTarget(true);
-  deliver();
-}
-
-void Exchange::deliver() {
-  const auto Now = std::chrono::steady_clock::now();
-  const int Status = m_AnswerHead.Status;
-  // A status of 500 or more may be a fault of this target: try another one.
-  if (Status >= 500 && mayRetry(SendFailure::MayHaveRun) &&
-      m_SendCount < m_Route.Attempts)
-    return handleSendFailure(SendFailure::MayHaveRun,
-                             fmt::format("status {}", Status));
-  if (m_StreamStarted) { // The target did not resume the stream.
-    releaseTarget(false);
-    m_Caller->abort();
-    return end("broken_off", fmt::format("status {} on resume", Status),
-               Status);
-  }
-  // These statuses promise that the request has not run, but it may have.
-  if (promisesNotExecuted(Status))
-    return answerCaller(502, "target failed", std::nullopt);
-  auto Fields = m_AnswerHead.Fields;
-  http::removeConnectionFields(Fields);
-  Fields.remove("Content-Length");
-  m_Context.Metrics.observeFirstEvent(m_Route.Name, Now - m_Arrival);
-  m_Caller->sendAnswer(Status, std::move(Fields), m_AnswerBody);
-  end(Status < 400 ? "answered" : "target_error", "", Status);
-}
-
 void Exchange::onExchangeFailed(const http::ExchangeFailure &Failure) {
   const auto Now = std::chrono::steady_clock::now();
   recordTargetFailure(Now);
--- /dev/null
+++ b/packages/gateway/src/gatewaydirectory.cpp
@@ -0,0 +1,111 @@
+// What the store and the targets' answers tell of the configuration and the
+// targets.
+#include "mangodeck/gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangodeck {
+
+namespace {
+
+/// A target whose registration expired during an outage of the store is removed
+/// only after this time, so that it can register again. Stays within the time
+/// allowed for noticing that a target has left.
+constexpr Duration ExpiredTargetRetention = 1700ms;
+
+TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+void Gateway::onTargetLeaving(const TargetPtr &Target) {
+  if (!Target->markAnnouncedLeaving())
+    return;
+  m_Log.write("target_draining",
+              {{"target", Target->Entry.Id.Text}, {"told_by", "its answer"}});
+  m_AnnouncedLeaving[Target->Hash] = steadyNow();
+}
+
+void Gateway::onOtherTargetLeaving(const TargetPtr &Expected) {
+  for (const auto &[Name, Targets] : m_Targets.targetsByService())
+    for (const auto &Target : Targets)
+      if (Target != Expected && Target->Entry.Ip == Expected->Entry.Ip &&
+          Target->Entry.Port == Expected->Entry.Port)
+        onTargetLeaving(Target);
+}
+
+void Gateway::onTargetPaused(const TargetPtr &Target) {
+  scheduleDispatch(Target->Entry.Service);
+}
+
+void Gateway::onPlan(RoutePlanPtr Plan) {
+  if (m_Plan && Plan->Version <= m_Plan->Version)
+    return;
+  m_Log.write("plan_in_force", {{"version", Plan->Version},
+                                {"before", m_Plan ? m_Plan->Version : 0},
+                                {"routes", Plan->Routes.size()},
+                                {"customers", Plan->Customers.size()}});
+  m_Plan = std::move(Plan);
+  recordStreamServices(steadyNow());
+  m_Quotas.configure(*m_Plan, steadyNow());
+  m_Pool.configure(*m_Plan);
+}
+
+void Gateway::onTargetUpdated(const TargetEntry &Entry) {
+  const auto Previous = m_Targets.find(Entry.Id);
+  const bool WasDraining = Previous && Previous->Entry.Draining;
+  const auto Current = m_Targets.update(Entry);
+  if (!Current) {
+    m_Log.write("target_entry_outdated",
+                {{"target", Entry.Id.Text}, {"sequence", Entry.Sequence}});
+    return;
+  }
+  m_VersionHistory.recordRegistered(Current->Entry, steadyNow());
+  Current->NewStreamsFrom =
+      m_VersionHistory.settledAt(Current->Entry.Service, Current->Version);
+  std::erase_if(m_ExpiredTargets,
+                [&](const auto &Expired) { return Expired.Id == Entry.Id; });
+  if (Current == Previous && WasDraining == Entry.Draining)
+    return;
+  m_Log.write(Entry.Draining ? "target_draining" : "target_ready",
+              {{"target", Entry.Id.Text},
+               {"service", Entry.Service.Text},
+               {"domain", Entry.Domain.Text},
+               {"version", Entry.Version.value_or("")},
+               {"started_unix_ms", Entry.StartedUnixMs},
+               {"slots", Entry.Slots}});
+  if (Entry.Draining)
+    m_LeavingTargets[{Current->Hash, Entry.Sequence}] = steadyNow();
+  else
+    onSlotFreed(Entry.Service);
+}
+
+void Gateway::onTargetRemoved(const TargetName &Id, bool AfterOutage) {
+  const auto Known = m_Targets.find(Id);
+  if (!Known)
+    return;
+  m_Log.write("target_gone",
+              {{"target", Id.Text}, {"after_outage", AfterOutage}});
+  if (AfterOutage && !Known->Entry.Draining) {
+    m_ExpiredTargets.push_back({Id, steadyNow() + ExpiredTargetRetention});
+    return;
+  }
+  m_LeavingTargets[{Known->Hash, Known->Entry.Sequence}] = steadyNow();
+  m_Targets.remove(Id, true);
+}
+
+void Gateway::onDirectoryComplete() {
+  if (!std::exchange(m_DirectoryComplete, true)) {
+    m_Log.write("directory_complete", {{"targets", m_Targets.size()}});
+    m_VersionHistory.settleMain(m_Targets.targetsByService(), steadyNow());
+    updateSettled();
+  }
+}
+
+void Gateway::onDirectoryConfirmed(TimePoint Time) {
+  // A call of before the suspension tells nothing of the time since.
+  if (Time >= m_ResumedAt)
+    m_DirectoryConfirmedAt = std::max(m_DirectoryConfirmedAt, Time);
+}
+
+} // namespace mangodeck
