--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -19,6 +19,8 @@
   std::span<const TargetPtr> Excluded; ///< Targets that must not be chosen.
   /// The only version to be chosen, of a stream that goes on; NoVersion: any.
   VersionId Version = NoVersion;
+  /// A version that must not be chosen; NoVersion: none.
+  VersionId AvoidedVersion = NoVersion;
   bool BeginsStream = false; ///< See TargetRequirements.
   /// Consider no targets of the own failure domain: the slot broker decides on
   /// those.
@@ -73,7 +75,8 @@
   const ServiceName &Service;
   VersionId Version = NoVersion; ///< At which its stream goes on.
   bool BeginsStream = false;     ///< That can be taken up; see NewStreamsFrom.
-  std::span<const TargetPtr> Tried; ///< To which it was sent before.
+  std::span<const TargetPtr> Tried;     ///< To which it was sent before.
+  VersionId AvoidedVersion = NoVersion; ///< At which it must not run.
 };
 
 /// Why a request must not be sent to \p Target, for a log line; empty if it may
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -30,6 +30,17 @@
 /// Shortest Retry-After of a refused request.
 inline constexpr Duration MinRetryAfter = 300ms;
 
+/// What a bad version may receive during a roll-out, over all daemons.
+struct RolloutLimits {
+  /// Largest share of the service's requests between the order and its time
+  /// limit, and requests beyond it.
+  double ExposureShare = 0.1;
+  double ExposureSlack = 50;
+  /// Time after the 50th bad answer of a version within which all daemons stop
+  /// sending to it.
+  Duration RollbackDeadline = 5s;
+};
+
 /// Addresses, time limits and memory limits of one gateway process.
 struct GatewaySettings {
   std::string Vm;
@@ -51,6 +62,11 @@
   std::chrono::milliseconds WallClockOffset{0};
   RetryBudgetLimits RetryLimits;
   std::size_t MemoryLimitBytes = std::size_t(128) << 20;
+  /// Set where operators order roll-outs of new versions.
+  std::optional<RolloutLimits> Rollouts;
+  /// Targets end if the requests that they hold exceed their memory, and
+  /// callers and targets may read slowly.
+  bool IsMemoryScarce = false;
 };
 
 /// Receives the configuration, and the targets and daemons that the store
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -34,6 +34,26 @@
   std::uint64_t Number = 0; ///< Unique within the daemon.
   std::uint64_t Target = 0; ///< TrackedTarget::Hash.
   TokenCount Prefill = 0;   ///< Prompt tokens; 0 after the first event.
+  /// Prompt and expected output tokens, which the request holds in the memory
+  /// of an engine at its end; 0 if not known.
+  TokenCount MemoryTokens = 0;
+};
+
+/// The pace of a target, see TargetLoadStatement.
+struct ReportedPace {
+  std::uint64_t Target = 0; ///< TrackedTarget::Hash.
+  double Pace = 1;
+  Duration Age{0}; ///< Since the statement; the clocks of two daemons differ.
+};
+
+/// What the broker of a failure domain lets the other domains use of a service.
+/// Of a domain summary only.
+struct ServiceOffer {
+  std::uint64_t Service = 0; ///< Hash of the service's name.
+  /// Slots that are free beyond what the domain expects to need itself.
+  std::uint32_t FreeSlots = 0;
+  /// Slots that the domain's waiting and refused requests lack.
+  std::uint32_t LackingSlots = 0;
 };
 
 /// A target that is draining or was removed.
@@ -104,6 +124,8 @@
   std::vector<ReportedRateLimit> RateLimits;
   /// The daemon that the sender takes for the delegate of its failure domain.
   std::string Delegate;
+  std::vector<ReportedPace> Paces; ///< Last statements, by target.
+  std::vector<ServiceOffer> Offers;
 };
 
 /// Sums the requests of a daemon by target.
--- a/packages/gateway/include/mangodeck/gateway/requestfacts.h
+++ b/packages/gateway/include/mangodeck/gateway/requestfacts.h
@@ -55,7 +55,7 @@
 
 /// Number of requests that run or wait at a target, from the header field
 /// HeaderNames::TargetLoad; std::nullopt if \p Field is malformed.
-std::optional<std::uint32_t> parseTargetLoad(std::string_view Field);
+std::optional<TargetLoadStatement> parseTargetLoad(std::string_view Field);
 
 /// Whether the header field HeaderNames::TargetLeaving states that the target
 /// leaves.
--- a/packages/gateway/include/mangodeck/gateway/slotmessages.h
+++ b/packages/gateway/include/mangodeck/gateway/slotmessages.h
@@ -41,6 +41,14 @@
   std::uint64_t OnlyTarget = 0;
   /// The only version to be granted, of a stream that goes on; NoVersion: any.
   VersionId Version = NoVersion;
+  /// A version that must not be granted; NoVersion: none. See VersionChoice.
+  VersionId AvoidedVersion = NoVersion;
+  /// RequestFacts::Fingerprint; 0 if unknown. A caller that returns after a
+  /// refusal sends the same request again.
+  std::uint64_t Fingerprint = 0;
+  /// Hashes of the customer's and the route's names; 0 if unknown.
+  std::uint64_t Customer = 0;
+  std::uint64_t Route = 0;
 };
 
 /// The broker's decision on a SlotRequest.
@@ -60,6 +68,9 @@
   /// Of the SlotRequest. Another process that runs on the VM by now has given
   /// the number to another request.
   IncarnationId Incarnation = UnknownIncarnation;
+  /// If refused: time after which a slot is expected to be free for the
+  /// request; 0 if the broker does not tell.
+  Duration RetryAfter{0};
 };
 
 /// How a request ended at its target.
@@ -85,6 +96,8 @@
   SlotOutcome Outcome = SlotOutcome::Unknown;
   Duration MeanEventGap{0}; ///< Mean pause between events; 0: not measured.
   std::uint32_t TokensPerEvent = 0;
+  /// The pace that the target stated in its answer; see TargetLoadStatement.
+  std::optional<double> Pace;
 };
 
 using SlotMessage = std::variant<SlotRequest, SlotDecision, SlotUpdate>;
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -43,6 +43,20 @@
   bool IsEngine = false; ///< Whether the service is an engine.
   TokenCount PromptTokens = 0;
   TokenCount OutputTokens = 0; ///< Expected, not the maximum.
+  TokenCount MaxOutputTokens = 0;
+};
+
+/// Bounds of a plausible pace; see TargetLoadStatement.
+inline constexpr double MinPace = 0.01;
+inline constexpr double MaxPace = 100;
+
+/// What a target states of its load in an answer.
+struct TargetLoadStatement {
+  std::uint32_t Requests = 0; ///< Running and waiting there.
+  /// How long work takes on the target's machine at this moment, relative to
+  /// the usual time: 2 is twice as long. The machine is shared with others, so
+  /// this changes many times a second. std::nullopt if not stated.
+  std::optional<double> Pace;
 };
 
 /// What a target has stated in its answers. It outlives the registration:
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -64,6 +64,9 @@
     return "target not usable";
   if (!isOfVersion(Target, Required.Version))
     return "target of another version";
+  if (Required.AvoidedVersion != NoVersion &&
+      Target.Version == Required.AvoidedVersion)
+    return "target of an avoided version";
   if (Required.BeginsStream && Target.NewStreamsFrom > Now)
     return "version not settled";
   return isExcluded(Target, Required.Tried) ? "target tried before" : "";
@@ -104,6 +107,8 @@
     // Step 1. Skip targets that must not be used or have no free slot.
     if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
         !isOfVersion(*Target, Input.Version) ||
+        (Input.AvoidedVersion != NoVersion &&
+         Target->Version == Input.AvoidedVersion) ||
         (Input.BeginsStream && Target->NewStreamsFrom > Now) ||
         Target->running() >= maxRunning(*Target) ||
         Target->rateLimit().hasPermit(Now) == Input.NeedsPermit ||
--- a/packages/gateway/src/exchangeanswer.cpp
+++ b/packages/gateway/src/exchangeanswer.cpp
@@ -76,7 +76,7 @@
     return;
   }
   if (const auto Load = parseTargetLoad(Head.Fields.get(Names.TargetLoad)))
-    m_Target->recordLoad(*Load, Now);
+    m_Target->recordLoad(Load->Requests, Now);
   if (IsLeaving)
     m_Context.Control.onTargetLeaving(m_Target);
   const auto *RetryAfter = Head.Fields.find(Names.RetryAfter);
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -1,6 +1,7 @@
 #include "mangodeck/gateway/peerregistry.h"
 
 #include "mangodeck/common/boundedjson.h"
+#include "mangodeck/gateway/targetregistry.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -10,6 +11,8 @@
 
 namespace {
 
+/// Paces in reports are whole multiples of 1 / PacePrecision.
+constexpr double PacePrecision = 100;
 /// Age of a daemon's last report up to which its load counts. The requests of
 /// a daemon that sends no reports end or are sent again by other daemons.
 constexpr Duration LoadLifetime = 1500ms;
@@ -87,7 +90,11 @@
       Loads.push_back({Load.Target, Load.Running, Load.Prefill});
   else
     for (const auto &Request : Report.RunningRequests)
-      Loads.push_back({Request.Number, Request.Target, Request.Prefill});
+      Loads.push_back(
+          Request.MemoryTokens == 0
+              ? nlohmann::json{Request.Number, Request.Target, Request.Prefill}
+              : nlohmann::json{Request.Number, Request.Target, Request.Prefill,
+                               Request.MemoryTokens});
   for (const auto &[Customer, Usage] : Report.Usage)
     Message["q"][Customer] = {static_cast<std::int64_t>(Usage.AdmittedUnits),
                               static_cast<std::int64_t>(Usage.DemandPerSecond),
@@ -105,6 +112,13 @@
              .count()});
   if (!Report.Delegate.empty())
     Message["b"] = Report.Delegate;
+  for (const auto &Each : Report.Paces)
+    Message["p"].push_back(
+        {Each.Target, static_cast<std::int64_t>(Each.Pace * PacePrecision),
+         std::chrono::duration_cast<std::chrono::milliseconds>(Each.Age)
+             .count()});
+  for (const auto &Each : Report.Offers)
+    Message["o"].push_back({Each.Service, Each.FreeSlots, Each.LackingSlots});
   std::string Bytes;
   nlohmann::json::to_msgpack(Message, Bytes);
   return Bytes;
@@ -132,9 +146,11 @@
                                 Load.at(1).get<std::uint32_t>(),
                                 Load.at(2).get<TokenCount>()});
       else
-        Report.RunningRequests.push_back({Load.at(0).get<std::uint64_t>(),
-                                          Load.at(1).get<std::uint64_t>(),
-                                          Load.at(2).get<TokenCount>()});
+        // A daemon of an earlier version sends no fourth element.
+        Report.RunningRequests.push_back(
+            {Load.at(0).get<std::uint64_t>(), Load.at(1).get<std::uint64_t>(),
+             Load.at(2).get<TokenCount>(),
+             Load.size() > 3 ? Load[3].get<TokenCount>() : 0});
     if (!Report.IsDomainSummary)
       Report.Loads = sumLoadsByTarget(Report.RunningRequests);
     if (Message.contains("q"))
@@ -162,6 +178,20 @@
              PerSecond >= 0 ? std::optional(PerSecond) : std::nullopt, Age});
       }
     Report.Delegate = Message.value("b", std::string());
+    if (Message.contains("p"))
+      for (const auto &Each : Message["p"])
+        Report.Paces.push_back(
+            {Each.at(0).get<std::uint64_t>(),
+             std::clamp(static_cast<double>(Each.at(1).get<std::int64_t>()) /
+                            PacePrecision,
+                        MinPace, MaxPace),
+             std::chrono::milliseconds(std::clamp<std::int64_t>(
+                 Each.at(2).get<std::int64_t>(), 0, MaxStatementAge.count()))});
+    if (Message.contains("o"))
+      for (const auto &Each : Message["o"])
+        Report.Offers.push_back({Each.at(0).get<std::uint64_t>(),
+                                 Each.at(1).get<std::uint32_t>(),
+                                 Each.at(2).get<std::uint32_t>()});
     return Report;
   } catch (const nlohmann::json::exception &) {
     return std::nullopt;
--- a/packages/gateway/src/requestfacts.cpp
+++ b/packages/gateway/src/requestfacts.cpp
@@ -3,6 +3,7 @@
 #include "mangodeck/http/sseframes.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <xxhash.h>
@@ -103,16 +104,28 @@
   return parseNumber(findSseField(Event, "id"));
 }
 
-std::optional<std::uint32_t> parseTargetLoad(std::string_view Field) {
-  const auto First = Field.find(',');
-  const auto Second = First == Field.npos ? First : Field.find(',', First + 1);
-  if (Second == Field.npos)
-    return std::nullopt;
-  const auto Running = parseNumber(Field.substr(0, First));
-  const auto Waiting = parseNumber(Field.substr(First + 1, Second - First - 1));
-  if (!Running || !Waiting)
+std::optional<TargetLoadStatement> parseTargetLoad(std::string_view Field) {
+  std::array<std::string_view, 4> Figures;
+  std::size_t Count = 0;
+  for (; Count < Figures.size(); ++Count) {
+    const auto Comma = Field.find(',');
+    Figures[Count] = Field.substr(0, Comma);
+    if (Comma == Field.npos) {
+      ++Count;
+      break;
+    }
+    Field.remove_prefix(Comma + 1);
+  }
+  const auto Running = parseNumber(Figures[0]);
+  const auto Waiting = parseNumber(Figures[1]);
+  if (Count < 3 || !Running || !Waiting)
     return std::nullopt;
-  return static_cast<std::uint32_t>(*Running + *Waiting);
+  TargetLoadStatement Load;
+  Load.Requests = static_cast<std::uint32_t>(*Running + *Waiting);
+  const auto Percent = parseDecimal(Figures[3]);
+  if (Percent && *Percent / 100 >= MinPace && *Percent / 100 <= MaxPace)
+    Load.Pace = *Percent / 100;
+  return Load;
 }
 
 bool parseTargetLeaving(std::string_view Field) { return Field == "1"; }
@@ -133,6 +146,7 @@
   RequestWork Work;
   Work.IsEngine = Service && Service->IsEngine;
   Work.PromptTokens = Facts.PromptTokens;
+  Work.MaxOutputTokens = Facts.MaxOutputTokens;
   Work.OutputTokens = Facts.OutputHint.value_or(static_cast<TokenCount>(
       DefaultOutputFraction * static_cast<double>(Facts.MaxOutputTokens)));
   if (Facts.MaxOutputTokens > 0)
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -110,6 +110,7 @@
   Input.GapTarget = Request.GapTarget;
   Input.Excluded = Excluded;
   Input.Version = Request.Version;
+  Input.AvoidedVersion = Request.AvoidedVersion;
   Input.LoadsAreExact = true;
   return chooseTarget(Targets, Input, Now);
 }
--- a/packages/gateway/src/slotmessages.cpp
+++ b/packages/gateway/src/slotmessages.cpp
@@ -29,47 +29,61 @@
 }
 
 nlohmann::json fieldsOf(const SlotRequest &Request) {
-  return {RequestTag,
-          Request.Vm,
-          Request.Number,
-          Request.Service.Text,
-          Request.Rank.Customer,
-          Request.Rank.Route,
-          Request.Work.IsEngine,
-          Request.Work.PromptTokens,
-          Request.Work.OutputTokens,
-          toMicros(Request.TimeToLatencyTarget),
-          toMicros(Request.TimeToDeadline),
-          toMicros(Request.TimeToLatestStart),
-          toMicros(Request.TimeToExpiry),
-          toMicros(Request.GapTarget),
-          Request.RefuseIfLate,
-          Request.ExcludedTargets,
-          Request.OnlyTarget,
-          Request.Version,
-          Request.Incarnation};
+  nlohmann::json Fields = {RequestTag,
+                           Request.Vm,
+                           Request.Number,
+                           Request.Service.Text,
+                           Request.Rank.Customer,
+                           Request.Rank.Route,
+                           Request.Work.IsEngine,
+                           Request.Work.PromptTokens,
+                           Request.Work.OutputTokens,
+                           toMicros(Request.TimeToLatencyTarget),
+                           toMicros(Request.TimeToDeadline),
+                           toMicros(Request.TimeToLatestStart),
+                           toMicros(Request.TimeToExpiry),
+                           toMicros(Request.GapTarget),
+                           Request.RefuseIfLate,
+                           Request.ExcludedTargets,
+                           Request.OnlyTarget,
+                           Request.Version,
+                           Request.Incarnation};
+  if (Request.AvoidedVersion != NoVersion || Request.Fingerprint != 0 ||
+      Request.Customer != 0 || Request.Route != 0)
+    for (const auto Optional :
+         {Request.AvoidedVersion, Request.Fingerprint, Request.Customer,
+          Request.Route,
+          static_cast<std::uint64_t>(Request.Work.MaxOutputTokens)})
+      Fields.push_back(Optional);
+  return Fields;
 }
 
 nlohmann::json fieldsOf(const SlotDecision &Decision) {
-  return {DecisionTag,
-          Decision.Number,
-          static_cast<int>(Decision.Result),
-          Decision.Target,
-          toMicros(Decision.BacklogTime),
-          Decision.HasPermit,
-          Decision.Incarnation};
+  nlohmann::json Fields = {DecisionTag,
+                           Decision.Number,
+                           static_cast<int>(Decision.Result),
+                           Decision.Target,
+                           toMicros(Decision.BacklogTime),
+                           Decision.HasPermit,
+                           Decision.Incarnation};
+  if (Decision.RetryAfter > Duration{0})
+    Fields.push_back(toMicros(Decision.RetryAfter));
+  return Fields;
 }
 
 nlohmann::json fieldsOf(const SlotUpdate &Update) {
-  return {UpdateTag,
-          Update.Vm,
-          Update.Number,
-          static_cast<int>(Update.Change),
-          Update.Target,
-          static_cast<int>(Update.Outcome),
-          toMicros(Update.MeanEventGap),
-          Update.TokensPerEvent,
-          Update.Incarnation};
+  nlohmann::json Fields = {UpdateTag,
+                           Update.Vm,
+                           Update.Number,
+                           static_cast<int>(Update.Change),
+                           Update.Target,
+                           static_cast<int>(Update.Outcome),
+                           toMicros(Update.MeanEventGap),
+                           Update.TokensPerEvent,
+                           Update.Incarnation};
+  if (Update.Pace)
+    Fields.push_back(*Update.Pace);
+  return Fields;
 }
 
 /// Decodes an enumerator; std::nullopt for a number greater than \p Max.
@@ -104,6 +118,13 @@
     Request.Version = Fields[17].get<VersionId>();
   if (Fields.size() > 18)
     Request.Incarnation = Fields[18].get<IncarnationId>();
+  if (Fields.size() > 23) {
+    Request.AvoidedVersion = Fields[19].get<VersionId>();
+    Request.Fingerprint = Fields[20].get<std::uint64_t>();
+    Request.Customer = Fields[21].get<std::uint64_t>();
+    Request.Route = Fields[22].get<std::uint64_t>();
+    Request.Work.MaxOutputTokens = Fields[23].get<TokenCount>();
+  }
   return Request;
 }
 
@@ -120,6 +141,8 @@
   Decision.HasPermit = Fields.size() > 5 && Fields[5].get<bool>();
   if (Fields.size() > 6)
     Decision.Incarnation = Fields[6].get<IncarnationId>();
+  if (Fields.size() > 7)
+    Decision.RetryAfter = fromMicros(Fields[7]);
   return Decision;
 }
 
@@ -139,6 +162,10 @@
   // A daemon of an earlier version sends no such field.
   if (Fields.size() > 8)
     Update.Incarnation = Fields[8].get<IncarnationId>();
+  if (Fields.size() > 9)
+    if (const auto Pace = Fields[9].get<double>();
+        Pace >= MinPace && Pace <= MaxPace)
+      Update.Pace = Pace;
   return Update;
 }
 
