gateway: a relay of the store's changes from two daemons on

Cause: since the watch of a daemon waits only for the deadline less 1.3 s, so that a silent connection is noticed in time, every daemon of a failure domain below the size for a relay (nine daemons at 2 s, five at 4 s) calls the store that often. Change: a relay waits for half of the deadline, at most as long as a watch of a daemon on its own, and pays from two daemons on. The time after which the others watch by themselves stays at 0.6 of the deadline.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -39,6 +39,10 @@
 /// of the call and a new listing have to fit into the rest.
 Duration watchWait(Duration ChangeDeadline);
 
+/// The same for the relay of a failure domain. Shorter, so that the other
+/// daemons notice within ChangeDeadline that it tells nothing new.
+Duration relayWait(Duration ChangeDeadline);
+
 /// Number of daemons in a failure domain from which on a relay saves calls to
 /// the store: it must call more often than a daemon that watches for itself.
 std::size_t minDaemonsForRelay(Duration ChangeDeadline);
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -8,20 +8,18 @@
 namespace {
 
 /// Part of the time within which changes must take effect for which a watch
-/// waits at least, and for which that of the relay waits: the other daemons
-/// rely on the relay only while the store answers it this often.
+/// waits at least.
 constexpr int WatchWaitDivisor = 4;
+/// Part of that time for which a watch of the relay waits at most: the other
+/// daemons rely on the relay only while the store answers it this often.
+constexpr int RelayWaitDivisor = 2;
 /// Rest of that time after the wait of a watch: for the time-out of its call
 /// and a new listing.
 constexpr Duration SilenceAllowance = 1300ms;
-/// Time between the watches of a daemon that waits long, which a relay saves.
-constexpr Duration LongWatchTime = 4s;
 /// Minimum time between the starts of two watches, as a part of the time within
 /// which changes must take effect. Each change ends a watch, so the interval
 /// bounds the calls while many keys change, as at the start of all daemons.
 constexpr int WatchIntervalDivisor = 4;
-/// The same for the relay, whose changes have a further way.
-constexpr int RelayIntervalDivisor = 8;
 /// Largest age of what the relay has told, as a share of the time within which
 /// changes must take effect. Covers the wait, a lost message and the delays;
 /// the rest is left for a call to a slow store.
@@ -44,9 +42,14 @@
                             ChangeDeadline - SilenceAllowance);
 }
 
+Duration relayWait(Duration ChangeDeadline) {
+  return std::min<Duration>(ChangeDeadline / RelayWaitDivisor,
+                            watchWait(ChangeDeadline));
+}
+
 std::size_t minDaemonsForRelay(Duration ChangeDeadline) {
-  return static_cast<std::size_t>(LongWatchTime /
-                                  (ChangeDeadline / WatchWaitDivisor)) +
+  return static_cast<std::size_t>(watchWait(ChangeDeadline) /
+                                  relayWait(ChangeDeadline)) +
          1;
 }
 
@@ -133,7 +136,7 @@
   m_FollowsRelay = false;
   m_WatchStart = steadyNow();
   m_Store.watch(m_Revision,
-                m_Relay.isRelaying() ? m_ChangeDeadline / WatchWaitDivisor
+                m_Relay.isRelaying() ? relayWait(m_ChangeDeadline)
                                      : watchWait(m_ChangeDeadline),
                 [this, Generation = m_Generation](Expected<KeyChanges> Answer) {
                   if (Generation == m_Generation)
@@ -177,8 +180,7 @@
     return runAfter(m_RelayConfirmedAt + relayTimeout() - Now,
                     &KeyFollower::awaitNextWatch);
   const auto Elapsed = Now - m_WatchStart;
-  const auto Interval = m_ChangeDeadline /
-                        (IsRelay ? RelayIntervalDivisor : WatchIntervalDivisor);
+  const auto Interval = m_ChangeDeadline / WatchIntervalDivisor;
   if (Elapsed >= Interval)
     return watch();
   runAfter(Interval - Elapsed, &KeyFollower::awaitNextWatch);
