keyfollower: a daemon that the store turns away follows the relay

Cause: a failed call began a new listing every 300 ms, all of which the store rejected and charged, and meanwhile the relay's changes were ignored: a daemon that the store turned away learned nothing, though the relay told it. Ruled out: that a change is missed, since a relayed message is applied only if it continues what is known. Change: between failed calls the relay's messages are applied; while the relay is fresh no call is made; the delay between failed calls doubles up to a quarter of the deadline of a change. Whether a removal follows an outage is the relay's to say. relay_storeTurnsDaemonAway_isFollowed fails on the code before.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -100,7 +100,12 @@
   /// A daemon watches the store by itself if what the relay has told it is
   /// older than this.
   Duration relayTimeout() const;
+  /// Repeats a failed call after a delay.
   void retry();
+  Duration retryDelay() const;
+  /// Follows the relay if it is fresh, else lists all keys again. While the
+  /// store turns this daemon away, the relay tells it the changes.
+  void recover();
   void runAfter(Duration Delay, void (KeyFollower::*Step)());
   void recordAnswer();
   void recordFailure(std::error_code Error);
@@ -134,6 +139,9 @@
   TimePoint m_WatchStart{};
   /// A listing has been completed, and none is in progress.
   bool m_IsListed = false;
+  /// A listing has been completed since the start, or since the store was
+  /// restored.
+  bool m_HasListing = false;
   /// No call is in progress or due: the relay tells the changes.
   bool m_FollowsRelay = false;
   bool m_FollowedRelay = false; ///< As last logged.
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -25,10 +25,12 @@
 /// the rest is left for a call to a slow store.
 constexpr double RelayTimeoutShare = 0.6;
 /// Delays before a failed call is repeated. The first is short, since a single
-/// closed connection does not mean that the store is down. The later ones are
-/// longer, since rejected calls count against the store's rate limit.
+/// closed connection does not mean that the store is down. The later ones
+/// double up to a part of the time within which changes must take effect, since
+/// rejected calls are paid for and count against the store's rate limit.
 constexpr Duration FirstRetryDelay = 30ms;
-constexpr Duration LaterRetryDelay = 300ms;
+constexpr Duration SecondRetryDelay = 300ms;
+constexpr int MaxRetryDelayDivisor = 4;
 /// Time after an outage within which processes write the keys again whose
 /// leases expired during the outage.
 constexpr Duration LeaseRecoveryTime = 2s;
@@ -71,6 +73,7 @@
 void KeyFollower::onStoreRestored() {
   ++m_Generation;
   m_Restored = true;
+  m_HasListing = false;
   list();
 }
 
@@ -123,7 +126,7 @@
     apply(Change, isAfterOutage(steadyNow()));
   m_Listed.clear();
   m_Revision = *m_ListingRevision;
-  m_IsListed = true;
+  m_IsListed = m_HasListing = true;
   m_Window.restart(m_Revision);
   m_Observer.onListed();
   m_WatchStart = steadyNow();
@@ -225,7 +228,7 @@
   // Step 3. Apply the changes. A watch in progress may report them again.
   for (const auto &Relayed : Message.Changes)
     if (Relayed.Change.Revision > m_Revision)
-      apply(Relayed.Change, Relayed.AfterOutage || isAfterOutage(Now));
+      apply(Relayed.Change, Relayed.AfterOutage);
   m_Revision = std::max(m_Revision, Message.To);
   m_Window.restart(m_Revision);
   if (Message.To == m_Revision)
@@ -260,8 +263,26 @@
 }
 
 void KeyFollower::retry() {
-  runAfter(m_ConsecutiveFailures <= 1 ? FirstRetryDelay : LaterRetryDelay,
-           &KeyFollower::list);
+  // Until the call is repeated, the relay's messages are applied to what the
+  // last complete listing and the changes since have shown.
+  m_IsListed = m_HasListing;
+  runAfter(retryDelay(), &KeyFollower::recover);
+}
+
+Duration KeyFollower::retryDelay() const {
+  if (m_ConsecutiveFailures <= 1)
+    return FirstRetryDelay;
+  const Duration Longest = std::max<Duration>(
+      SecondRetryDelay, m_ChangeDeadline / MaxRetryDelayDivisor);
+  const auto Doublings = std::min(m_ConsecutiveFailures - 2, 8u);
+  return std::min<Duration>(SecondRetryDelay * (1 << Doublings), Longest);
+}
+
+void KeyFollower::recover() {
+  if (m_IsListed && !m_Relay.isRelaying() && isRelayFresh(steadyNow()))
+    awaitNextWatch();
+  else
+    list();
 }
 
 void KeyFollower::recordAnswer() {
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -96,6 +96,8 @@
   CPPUNIT_TEST(relay_silent_isReplacedByWatch);
   CPPUNIT_TEST(relay_heartbeatsLeftOut_confirmsDirectory);
   CPPUNIT_TEST(relay_outdatedItself_isReplacedByWatch);
+  CPPUNIT_TEST(relay_storeTurnsDaemonAway_isFollowed);
+  CPPUNIT_TEST(relay_silentAfterRefusedCall_isReplacedByListing);
   CPPUNIT_TEST(relay_gap_isFilledFromStore);
   CPPUNIT_TEST(relay_valueOmitted_isReadFromStore);
   CPPUNIT_TEST(relay_valueOmittedDuringWatch_isReadFromStore);
@@ -295,6 +297,25 @@
     CPPUNIT_ASSERT_EQUAL(Watches + 1, m_Store.Watches.size());
   }
 
+  // Regression: a daemon that the store turned away listed again and again, and
+  // meanwhile ignored the changes that the relay told it.
+  void relay_storeTurnsDaemonAway_isFollowed() {
+    beTurnedAway();
+    const auto Lists = m_Store.Lists.size();
+    m_Follower->onRelayedChanges(
+        {{0, 10}, {0, 20}, 0ms, {change("a", "v", 20)}});
+    runTimers();
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), m_Observer.Values["a"]);
+    CPPUNIT_ASSERT_EQUAL(Lists, m_Store.Lists.size());
+  }
+
+  void relay_silentAfterRefusedCall_isReplacedByListing() {
+    beTurnedAway();
+    const auto Lists = m_Store.Lists.size();
+    runTimers();
+    CPPUNIT_ASSERT_EQUAL(Lists + 1, m_Store.Lists.size());
+  }
+
   void relay_gap_isFilledFromStore() {
     followRelay();
     const auto Watches = m_Store.Watches.size();
@@ -460,6 +481,14 @@
     m_Store.answerWatch(KeyChanges{{}, {0, 12}});
   }
 
+  /// The relay is silent, and the store rejects the watch that replaces it.
+  void beTurnedAway() {
+    followRelay();
+    runTimers();
+    runTimers();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::LimitExceeded)));
+  }
+
   void answerFirstList() {
     m_Store.answerList(
         KeyPage{{{"a", "1", {0, 5}, false}, {"b", "2", {0, 6}, false}},
