quotaledger: limits refuse almost nothing below them and are kept out of contact

Cause: a daemon admitted only its share, by demand, of what the bucket held for a report period. Of 76 daemons that share is smaller than most requests, so from 0.9 of the limit on requests below it were refused. New processes and new delegates limited their units to one daemon's share and spread this to all. Two failure domains that were cut off from each other but not from the third exceeded the bound.

Change: requests are admitted with a probability by the units left and the demand of all daemons, whatever their cost. Units are kept while the first reports are awaited, estimated while reports are overdue, and reported as of the whole limit. A domain that is cut off keeps to its share by the demand before the cut.

The model of quotaledger_test passes the new arguments; no expectation of an existing test has changed.

--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -17,7 +17,12 @@
 struct QuotaUsage {
   double AdmittedUnits = 0;   ///< Since the daemon's start.
   double DemandPerSecond = 0; ///< Units requested per second, decaying mean.
-  double UnitsLeft = 0;       ///< In the daemon's copy of the token bucket.
+  /// In the daemon's copy of the token bucket; of the whole limit, if the
+  /// daemon uses a share of it.
+  double UnitsLeft = 0;
+  /// The daemon started so recently that all of AdmittedUnits is to be charged
+  /// by those that have no earlier report.
+  bool IsSinceStart = false;
 };
 
 /// The usage that a daemon reported, or the delegate of a failure domain for
@@ -27,28 +32,44 @@
   IncarnationId Incarnation = UnknownIncarnation; ///< Of the reporting daemon.
   std::uint32_t DaemonCount = 1; ///< Daemons whose usage is included.
   bool IsDomainSummary = false;
+  bool IsOwnDomain = false; ///< A domain summary of the receiver's domain.
   /// The source holds its share of the limit only while it is reachable,
   /// instead of until PeerExpiry.
   bool Stopping = false;
   std::map<std::string, QuotaUsage> Usage; ///< By customer.
 };
 
-/// Enforces the customers' limits in one daemon. Every daemon keeps a copy of
-/// the whole token bucket of each customer and charges it with the units that
-/// the other daemons report as admitted, some hundred milliseconds late. A
-/// bucket per daemon with a share of the burst would not do: requests are large
-/// compared to the burst, and a share would not hold one.
+/// Enforces the customers' limits in one daemon, for up to 360 daemons that
+/// each see a few requests a second. Every daemon keeps a copy of the whole
+/// token bucket of each customer and charges it with the units that the other
+/// daemons report as admitted, some hundred milliseconds late. A bucket per
+/// daemon with a share of the burst would not do: requests are large compared
+/// to the burst, and a share would not hold one.
+///
+/// While the demand exceeds the limit, many daemons with the same units left
+/// would each admit requests on them. So each admits a request with a
+/// probability that follows from the units left and the demand at all daemons:
+/// together they admit the limit's rate when the bucket holds EquilibriumShare
+/// of its capacity, more above and less below. The probability does not depend
+/// on the request's cost or the daemon's share of the demand. Below the limit
+/// the bucket is nearly full, and the probability is 1.
 ///
 /// A daemon without recent reports is assumed to use its share of the limit,
-/// which follows the demand that it last reported, and its usage is not charged
-/// any further. On its side of a network partition it assumes the same of the
-/// others, so that the shares sum to the limit.
+/// which follows the demand that it last reported. A failure domain that is cut
+/// off from another one uses its own share only, by the demand before the cut,
+/// and no longer charges the others: two domains that are cut off from each
+/// other but not from a third would both use what the third leaves.
 ///
-/// While the demand exceeds the limit, many daemons with the same units left
-/// would each admit a request on them. So each admits only its share, by
-/// demand, of what the bucket holds until the next reports arrive. A request
-/// larger than the rest of that share is admitted with a probability equal to
-/// the rest divided by its cost.
+/// State               | Owner       | A successor learns it        | Oldest
+/// used
+/// --------------------|-------------|------------------------------|------------
+/// units admitted      | each daemon | nobody; a new process counts | 1.5 s,
+/// then
+///                     |             | from 0 with half a burst     | estimated
+/// copy of the bucket  | each daemon | minimum of its own and the   | 1.5 s
+///                     |             | copies in first reports      |
+/// demand              | each daemon | reports                      | 1.5 s
+/// demand before a cut | each daemon | nobody; even shares then     | 15 s
 ///
 /// The sums over all daemons are kept up to date by each report, so that a
 /// request and a report cost the same in a fleet of any size.
@@ -62,9 +83,9 @@
   void onPeerUsage(const PeerUsage &Reported, TimePoint Now);
   /// Sets the number of daemons that may be serving, this one included.
   void setDaemonCount(std::size_t Count);
-  /// Starts a report period: the reports of the other daemons have been
-  /// charged, and the next ones arrive after \p Period.
-  void startReportPeriod(Duration Period);
+  /// To be called once per report period: charges an estimate for the daemons
+  /// whose reports are overdue.
+  void startReportPeriod(TimePoint Now);
 
   /// Charges \p Cost units if the limit allows them and returns std::nullopt;
   /// else returns the time after which the limit is expected to allow them.
@@ -80,8 +101,9 @@
   std::map<std::string, QuotaUsage>
   domainUsageWithout(const std::string &Source, TimePoint Now);
   /// Forgets the reports of all other daemons: from now on they arrive by
-  /// another way, and would be counted twice.
-  void forgetPeers();
+  /// another way, and would be counted twice. Until they have arrived, the
+  /// units left are kept.
+  void forgetPeers(TimePoint Now);
   /// The share of the limit that this daemon and the reachable ones may use,
   /// from 0 to 1.
   double reachableShare(const CustomerName &Customer, TimePoint Now);
@@ -90,9 +112,14 @@
   /// Demand of the other daemons for a customer's units, per second.
   struct PeerDemand {
     double Reachable = 0;
-    double ReachableInDomain = 0; ///< The part without domain summaries.
+    double ReachableInDomain = 0; ///< The part of the own failure domain.
     double Unreachable = 0;       ///< Of daemons that still hold their share.
   };
+  /// Demand per second of the daemons in contact.
+  struct DemandRecord {
+    double InDomain = 0;
+    double Total = 0;
+  };
   struct Account {
     double UnitsPerSecond = 0;
     double BurstUnits = 0;
@@ -100,10 +127,24 @@
     QuotaUsage OwnUsage;
     /// Units admitted by the daemons of this failure domain.
     double DomainAdmittedUnits = 0;
-    /// Units admitted by this daemon in the current report period.
-    double PeriodAdmittedUnits = 0;
+    double LimitShare = 1; ///< The share to which UnitsLeft belongs.
+    /// Until then the first reports of the others are awaited, see
+    /// startGathering(); TimePoint{} if they are not.
+    TimePoint GatheringUntil{};
+    /// Units left in this daemon's own share while it awaits the reports.
+    double GatheredUnits = 0;
+    /// Two records of the demand while all daemons were in contact. The older
+    /// one is used, which no daemon made after the start of a partition.
+    DemandRecord UsedRecord;
+    DemandRecord NextRecord;
+    TimePoint RecordedAt{};
     PeerDemand OthersDemand;
+    /// Decaying mean of the own demand. It is too low in the first seconds,
+    /// which OwnUsage::DemandPerSecond corrects.
+    double RawDemand = 0;
+    TimePoint CreatedAt{};
     TimePoint UpdatedAt{};
+    bool isGathering() const { return GatheringUntil != TimePoint{}; }
   };
   /// How a daemon or failure domain counts by the age of its last report.
   enum class Standing : std::uint8_t {
@@ -114,6 +155,10 @@
   struct Peer {
     PeerUsage LastUsage;
     TimePoint LastReportTime{};
+    /// Units charged for the time since the last report, by customer.
+    std::unordered_map<std::string, double> EstimatedUnits;
+    TimePoint EstimatedUntil{}; ///< End of the time that they stand for.
+    bool IsCharged = false;     ///< Its last report was, see isCharged().
     Standing Counted = Standing::Expired; ///< As what the sums include it.
     /// Units of this daemon in Account::DomainAdmittedUnits, by customer.
     std::unordered_map<std::string, double> DomainUnits;
@@ -125,6 +170,11 @@
   void addToSums(const Peer &Other, int Sign);
   /// The demand for a customer's units by the last reports.
   PeerDemand reportedDemand(const std::string &Name) const;
+  /// Charges an estimate of the units that a reachable peer has admitted since
+  /// its last report or the last estimate: as much of its demand as this daemon
+  /// would admit.
+  static void chargeSilence(Account &State, const std::string &Name,
+                            Peer &Silent, TimePoint Now);
   /// Updates the sums if the standing of a daemon has changed by \p Now.
   void refreshStandings(TimePoint Now);
   /// Decays the demand and refills the token bucket up to \p Now.
@@ -136,19 +186,37 @@
   };
   /// The standings must be those at the time of the call.
   ReachableDaemons reachableDaemons(const Account &State) const;
-  /// Whether this daemon's share of the units, or else a random draw, allows a
-  /// request that the bucket can hold.
-  bool mayAdmit(const Account &State, const ReachableDaemons &Reachable,
-                double Cost);
+  /// The same for this failure domain alone, while it is cut off from another.
+  ReachableDaemons domainShare(const Account &State) const;
+  /// Whether a remote failure domain, or a tenth of the daemons, is out of
+  /// contact.
+  bool isCutOff() const;
+  static bool isInDomain(const PeerUsage &Reported) {
+    return !Reported.IsDomainSummary || Reported.IsOwnDomain;
+  }
+  /// Whether the units that \p Reported states are charged: not those of other
+  /// failure domains while this one uses its own share only.
+  bool isCharged(const PeerUsage &Reported, TimePoint Now) const;
+  /// The probability with which a request is admitted if \p DemandPerSecond is
+  /// requested in all.
+  static double admittedShare(const Account &State, double DemandPerSecond);
+  static void updateDemand(Account &State, TimePoint Now);
+  /// Begins the time in which the reports of all others arrive for the first
+  /// time. Until then this daemon admits as much as its own share of the limit
+  /// holds, and the request with which it exceeds that share.
+  void startGathering(Account &State, TimePoint Now);
 
   std::unordered_map<std::string, Account> m_Accounts;
   std::map<std::string, Peer> m_Peers; ///< By PeerUsage::Source.
   RandomSource &m_Random;
   std::size_t m_ReachableDaemons = 0;   ///< Daemons of reachable peers.
+  std::size_t m_ReachableInDomain = 0;  ///< Of these, in the own domain.
   std::size_t m_UnreachableDaemons = 0; ///< Daemons of unreachable peers.
+  std::size_t m_RemoteDomains = 0;      ///< With a summary so far.
+  std::size_t m_UnreachableDomains = 0; ///< Of these, unreachable.
+  TimePoint m_GatheringUntil{};         ///< The latest of all accounts.
   TimePoint m_NextStandingChange = TimePoint::max();
   std::size_t m_DaemonCount = 1;
-  Duration m_ReportPeriod{0};
 };
 
 } // namespace mangodeck
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -455,7 +455,7 @@
   checkSuspension(Now);
   updateBroker(Now);
   if (std::exchange(m_UsedOwnSummary, usesOwnSummary()) != usesOwnSummary())
-    m_Quotas.forgetPeers();
+    m_Quotas.forgetPeers(Now);
   sendReports(Now);
   updateCrashCauses(Now);
   refreshTargetLoads(Now);
--- a/packages/gateway/src/gatewayreports.cpp
+++ b/packages/gateway/src/gatewayreports.cpp
@@ -136,6 +136,7 @@
   Usage.Incarnation = Report.Incarnation;
   Usage.DaemonCount = Report.DaemonCount;
   Usage.IsDomainSummary = Report.IsDomainSummary;
+  Usage.IsOwnDomain = IsOwnDomain;
   Usage.Stopping = Report.Stopping;
   Usage.Usage = Report.Usage;
   const auto Standing = observePeer(Report.Vm, Report.Incarnation, Now);
@@ -255,7 +256,7 @@
     return;
   m_LastRefreshAt = Now;
   updateRateLimitShares(Now);
-  m_Quotas.startReportPeriod(reportPeriod());
+  m_Quotas.startReportPeriod(Now);
   // If this daemon is the broker, the grants of its SlotBroker are more recent
   // than the reports of the daemons of its domain.
   auto Loads =
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -95,10 +95,14 @@
               ? nlohmann::json{Request.Number, Request.Target, Request.Prefill}
               : nlohmann::json{Request.Number, Request.Target, Request.Prefill,
                                Request.MemoryTokens});
-  for (const auto &[Customer, Usage] : Report.Usage)
-    Message["q"][Customer] = {static_cast<std::int64_t>(Usage.AdmittedUnits),
-                              static_cast<std::int64_t>(Usage.DemandPerSecond),
-                              static_cast<std::int64_t>(Usage.UnitsLeft)};
+  for (const auto &[Customer, Usage] : Report.Usage) {
+    auto &Fields = Message["q"][Customer] = {
+        static_cast<std::int64_t>(Usage.AdmittedUnits),
+        static_cast<std::int64_t>(Usage.DemandPerSecond),
+        static_cast<std::int64_t>(Usage.UnitsLeft)};
+    if (Usage.IsSinceStart)
+      Fields.push_back(true);
+  }
   for (const auto &Leaving : Report.LeavingTargets) {
     Message["l"].push_back(Leaving.Target);
     Message["ls"].push_back(Leaving.Sequence);
@@ -157,7 +161,8 @@
       for (const auto &[Customer, Usage] : Message["q"].items())
         Report.Usage[Customer] = {Usage.at(0).get<double>(),
                                   Usage.at(1).get<double>(),
-                                  Usage.at(2).get<double>()};
+                                  Usage.at(2).get<double>(),
+                                  Usage.size() > 3 && Usage[3].get<bool>()};
     if (Message.contains("l"))
       for (std::size_t I = 0; I < Message["l"].size(); ++I)
         Report.LeavingTargets.push_back(
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -23,13 +23,32 @@
 /// Share of the burst that a new account starts with: before a restart, this
 /// daemon may have used the burst.
 constexpr double InitialBurstShare = 0.5;
-/// Share of the limit's rate above which the demand is treated as exceeding the
-/// limit.
-constexpr double ScarceDemandShare = 0.9;
-/// A request that costs more than this share of the bucket's capacity requires
-/// only this share in the bucket. Otherwise a request larger than the bucket
-/// could never be admitted.
-constexpr double LargeRequestBurstShare = 0.9;
+/// Time after its start, or after the reports began to arrive by another way,
+/// in which a daemon may use more than its share of the limit. Reports of all
+/// others arrive in less, unless they are cut off.
+constexpr Duration GatheringTime = 1s;
+/// A daemon that hears from this share of the daemons is in contact with them.
+constexpr double ContactShare = 0.9;
+/// Time between two records of the demand, which divide the limit among the
+/// failure domains that are cut off from each other. The record in use is at
+/// least this old, longer than ReachableTimeout: each side must use the demand
+/// from before the cut, or the shares would not sum to the limit.
+constexpr Duration DemandRecordPeriod = 2s;
+/// After this time without a report of a daemon its usage is estimated: longer
+/// than the time between two reports, unless one is lost.
+constexpr Duration SilenceTolerance = 600ms;
+/// Shortest time over which the demand of a daemon that has just started is
+/// averaged.
+constexpr double MinDemandSeconds = 0.3;
+/// Share of the bucket's capacity at which the daemons together admit as much
+/// as the limit's rate. Above it they admit more, below it less, so while the
+/// demand exceeds the limit, the bucket settles there. The reports are some
+/// hundred milliseconds late; a smaller share would make the units oscillate.
+constexpr double EquilibriumShare = 0.4;
+/// Share of the bucket's capacity that a request requires at most. Half of the
+/// share at which the bucket settles, so that large requests are admitted as
+/// often as others while the demand exceeds the limit.
+constexpr double MaxRequiredShare = 0.5 * EquilibriumShare;
 
 } // namespace
 
@@ -41,11 +60,13 @@
     if (!New)
       advance(State, Now);
     State.UnitsPerSecond = Customer.PerSecond;
-    State.BurstUnits = Customer.Burst;
+    State.BurstUnits = std::max(1.0, Customer.Burst);
     if (New) {
       State.UpdatedAt = Now;
-      State.UnitsLeft = InitialBurstShare * State.BurstUnits;
+      State.CreatedAt = State.RecordedAt = Now;
       State.OthersDemand = reportedDemand(At->first);
+      State.UnitsLeft = InitialBurstShare * State.BurstUnits;
+      startGathering(State, Now);
     }
   }
   std::erase_if(m_Accounts, [&](const auto &Entry) {
@@ -61,12 +82,16 @@
   auto &State = At->second;
   const bool SameIncarnation =
       !New && Reported.Incarnation == State.LastUsage.Incarnation;
-  // While a peer was unreachable, its share of the limit was withheld, so the
-  // units that it admitted meanwhile are not charged again. A restarted daemon
-  // counts from 0. A domain summary with another incarnation comes from another
-  // delegate, whose counts do not continue the previous ones.
+  // While a peer was unreachable or not charged, its share of the limit was
+  // withheld, so the units that it admitted meanwhile are not charged again. A
+  // restarted daemon counts from 0. A domain summary with another incarnation
+  // comes from another delegate, whose counts do not continue the previous
+  // ones.
+  const bool IsCharged = isCharged(Reported, Now);
+  const bool WasCharged = SameIncarnation && State.IsCharged;
   const bool WasReachable =
-      SameIncarnation && Now - State.LastReportTime <= ReachableTimeout;
+      WasCharged && Now - State.LastReportTime <= ReachableTimeout;
+  State.IsCharged = IsCharged;
   const bool Restarted = !New && !SameIncarnation && !Reported.IsDomainSummary;
   for (const auto &[Name, Usage] : Reported.Usage) {
     const auto Account = m_Accounts.find(Name);
@@ -74,26 +99,40 @@
       continue;
     auto &Entry = Account->second;
     advance(Entry, Now);
-    if (WasReachable || Restarted) {
+    if (!IsCharged)
+      continue;
+    if (WasReachable || Restarted || Usage.IsSinceStart) {
       const auto Previous = State.LastUsage.Usage.find(Name);
       const double PreviousUnits =
-          Restarted || Previous == State.LastUsage.Usage.end()
+          !WasCharged || Previous == State.LastUsage.Usage.end()
               ? 0
               : Previous->second.AdmittedUnits;
       Entry.UnitsLeft -= Usage.AdmittedUnits - PreviousUnits;
+      // The report includes what was estimated meanwhile.
+      if (const auto Estimate = State.EstimatedUnits.find(Name);
+          WasCharged && Estimate != State.EstimatedUnits.end())
+        Entry.UnitsLeft += Estimate->second;
       if (!Reported.IsDomainSummary) {
         Entry.DomainAdmittedUnits += Usage.AdmittedUnits - PreviousUnits;
         State.DomainUnits[Name] += Usage.AdmittedUnits - PreviousUnits;
       }
     } else {
-      // The counts cannot be compared, but the peer may have charged usage that
-      // was never reported to this daemon.
-      Entry.UnitsLeft = std::min(Entry.UnitsLeft, Usage.UnitsLeft);
+      // The counts cannot be compared, so what was admitted since the last
+      // report is estimated. The peer may also have charged usage that was
+      // never reported to this daemon.
+      chargeSilence(Entry, Name, State, Now);
+      Entry.UnitsLeft = std::min(
+          Entry.UnitsLeft,
+          Usage.UnitsLeft * (Usage.UnitsLeft > 0 ? Entry.LimitShare : 1));
     }
   }
   addToSums(State, -1);
   State.LastUsage = Reported;
   State.LastReportTime = Now;
+  State.EstimatedUntil = Now;
+  State.EstimatedUnits.clear();
+  if (New && !isInDomain(Reported))
+    ++m_RemoteDomains;
   State.Counted = Standing::Reachable;
   addToSums(State, 1);
   m_NextStandingChange = std::min(m_NextStandingChange, standingEnd(State));
@@ -124,9 +163,16 @@
   if (Other.Counted == Standing::Expired)
     return;
   const bool IsReachable = Other.Counted == Standing::Reachable;
-  auto &Daemons = IsReachable ? m_ReachableDaemons : m_UnreachableDaemons;
-  Daemons = Sign > 0 ? Daemons + Other.LastUsage.DaemonCount
-                     : Daemons - Other.LastUsage.DaemonCount;
+  const bool IsInDomain = isInDomain(Other.LastUsage);
+  const auto Add = [&](std::size_t &Sum, std::size_t Count) {
+    Sum = Sign > 0 ? Sum + Count : Sum - Count;
+  };
+  const std::size_t Count = Other.LastUsage.DaemonCount;
+  Add(IsReachable ? m_ReachableDaemons : m_UnreachableDaemons, Count);
+  if (IsReachable && IsInDomain)
+    Add(m_ReachableInDomain, Count);
+  if (!IsReachable && !IsInDomain)
+    Add(m_UnreachableDomains, 1);
   for (const auto &[Name, Usage] : Other.LastUsage.Usage) {
     const auto Found = m_Accounts.find(Name);
     if (Found == m_Accounts.end())
@@ -135,7 +181,7 @@
     auto &Sum = IsReachable ? Demand.Reachable : Demand.Unreachable;
     // Rounding must not leave a negative sum.
     Sum = std::max(0.0, Sum + Sign * Usage.DemandPerSecond);
-    if (IsReachable && !Other.LastUsage.IsDomainSummary)
+    if (IsReachable && IsInDomain)
       Demand.ReachableInDomain = std::max(
           0.0, Demand.ReachableInDomain + Sign * Usage.DemandPerSecond);
   }
@@ -150,7 +196,7 @@
       continue;
     if (Other.Counted == Standing::Reachable) {
       Demand.Reachable += Found->second.DemandPerSecond;
-      if (!Other.LastUsage.IsDomainSummary)
+      if (isInDomain(Other.LastUsage))
         Demand.ReachableInDomain += Found->second.DemandPerSecond;
     } else if (Other.Counted == Standing::Unreachable)
       Demand.Unreachable += Found->second.DemandPerSecond;
@@ -158,12 +204,44 @@
   return Demand;
 }
 
+void QuotaLedger::chargeSilence(Account &State, const std::string &Name,
+                                Peer &Silent, TimePoint Now) {
+  const auto Usage = Silent.LastUsage.Usage.find(Name);
+  const auto Silence = std::min(Now, Silent.LastReportTime + ReachableTimeout) -
+                       Silent.EstimatedUntil;
+  if (Silent.Counted != Standing::Reachable || !Silent.IsCharged ||
+      Usage == Silent.LastUsage.Usage.end() || Silence <= Duration{0})
+    return;
+  const double Demand =
+      State.OwnUsage.DemandPerSecond + State.OthersDemand.Reachable;
+  const double Units = Usage->second.DemandPerSecond *
+                       admittedShare(State, Demand) * toSeconds(Silence);
+  State.UnitsLeft -= Units;
+  Silent.EstimatedUnits[Name] += Units;
+}
+
+void QuotaLedger::startReportPeriod(TimePoint Now) {
+  refreshStandings(Now);
+  for (auto &[Id, Other] : m_Peers) {
+    if (Other.Counted != Standing::Reachable ||
+        Now - Other.LastReportTime < SilenceTolerance)
+      continue;
+    for (auto &[Name, State] : m_Accounts) {
+      advance(State, Now);
+      chargeSilence(State, Name, Other, Now);
+    }
+    Other.EstimatedUntil = Now;
+  }
+}
+
 void QuotaLedger::refreshStandings(TimePoint Now) {
   if (Now <= m_NextStandingChange)
     return;
   m_NextStandingChange = TimePoint::max();
   for (auto &[Id, Other] : m_Peers) {
     if (const auto Current = standingOf(Other, Now); Current != Other.Counted) {
+      for (auto &[Name, State] : m_Accounts)
+        chargeSilence(State, Name, Other, Now);
       addToSums(Other, -1);
       Other.Counted = Current;
       addToSums(Other, 1);
@@ -176,14 +254,35 @@
   m_DaemonCount = std::max<std::size_t>(1, Count);
 }
 
-void QuotaLedger::startReportPeriod(Duration Period) {
-  m_ReportPeriod = Period;
-  for (auto &[Name, State] : m_Accounts)
-    State.PeriodAdmittedUnits = 0;
+bool QuotaLedger::isCutOff() const {
+  return m_UnreachableDomains > 0 ||
+         static_cast<double>(m_ReachableDaemons + 1) <
+             ContactShare * static_cast<double>(m_DaemonCount);
+}
+
+bool QuotaLedger::isCharged(const PeerUsage &Reported, TimePoint Now) const {
+  return isInDomain(Reported) || !isCutOff() || Now < m_GatheringUntil;
+}
+
+QuotaLedger::ReachableDaemons
+QuotaLedger::domainShare(const Account &State) const {
+  const double CountShare =
+      std::min(1.0, static_cast<double>(m_ReachableInDomain + 1) /
+                        static_cast<double>(m_DaemonCount));
+  const double Demand =
+      State.OwnUsage.DemandPerSecond + State.OthersDemand.ReachableInDomain;
+  const auto &Record = State.UsedRecord;
+  if (Record.Total <= 0)
+    return {CountShare, Demand};
+  return {EvenlyDividedShare * CountShare +
+              (1 - EvenlyDividedShare) * Record.InDomain / Record.Total,
+          Demand};
 }
 
 QuotaLedger::ReachableDaemons
 QuotaLedger::reachableDaemons(const Account &State) const {
+  if (m_UnreachableDomains > 0 || (isCutOff() && m_RemoteDomains > 0))
+    return domainShare(State);
   const double ReachableDemand =
       State.OwnUsage.DemandPerSecond + State.OthersDemand.Reachable;
   double TotalDemand = ReachableDemand + State.OthersDemand.Unreachable;
@@ -204,15 +303,58 @@
           ReachableDemand};
 }
 
+void QuotaLedger::startGathering(Account &State, TimePoint Now) {
+  if (!State.isGathering())
+    State.GatheredUnits = State.BurstUnits * reachableDaemons(State).LimitShare;
+  m_GatheringUntil = State.GatheringUntil = Now + GatheringTime;
+}
+
+void QuotaLedger::updateDemand(Account &State, TimePoint Now) {
+  const double Age =
+      std::max(MinDemandSeconds, toSeconds(Now - State.CreatedAt));
+  State.OwnUsage.DemandPerSecond =
+      State.RawDemand / (1 - std::exp(-Age / DemandTimeConstantSeconds));
+}
+
 void QuotaLedger::advance(Account &State, TimePoint Now) {
   const double Seconds = std::max(0.0, toSeconds(Now - State.UpdatedAt));
   State.UpdatedAt = Now;
-  State.OwnUsage.DemandPerSecond *=
-      std::exp(-Seconds / DemandTimeConstantSeconds);
+  State.RawDemand *= std::exp(-Seconds / DemandTimeConstantSeconds);
+  updateDemand(State, Now);
   const double LimitShare = reachableDaemons(State).LimitShare;
-  State.UnitsLeft =
-      std::min(State.UnitsLeft + Seconds * State.UnitsPerSecond * LimitShare,
-               State.BurstUnits * LimitShare);
+  // Step 1. While the reports have not arrived yet, the units remain those of
+  // the share before, and this daemon admits from its own share.
+  if (State.isGathering()) {
+    State.GatheredUnits = std::min(
+        State.GatheredUnits + Seconds * State.UnitsPerSecond * LimitShare,
+        State.BurstUnits * LimitShare);
+    if (LimitShare >= ContactShare * State.LimitShare)
+      State.GatheringUntil = TimePoint{};
+    else if (Now >= State.GatheringUntil) {
+      State.GatheringUntil = TimePoint{};
+      State.UnitsLeft = std::min(State.UnitsLeft, State.GatheredUnits);
+      State.LimitShare = LimitShare;
+    }
+  }
+  // Step 2. The units are those of this daemon and the reachable ones. A debt
+  // remains whole: both sides of a network partition have admitted it.
+  if (!State.isGathering()) {
+    if (State.UnitsLeft > 0 && State.LimitShare > 0)
+      State.UnitsLeft *= LimitShare / State.LimitShare;
+    State.LimitShare = LimitShare;
+  }
+  State.UnitsLeft = std::min(State.UnitsLeft + Seconds * State.UnitsPerSecond *
+                                                   State.LimitShare,
+                             State.BurstUnits * State.LimitShare);
+  // Step 3. Record the demand while all are in contact.
+  if (!isCutOff() && Now - State.RecordedAt >= DemandRecordPeriod) {
+    State.RecordedAt = Now;
+    State.UsedRecord = State.NextRecord;
+    State.NextRecord.InDomain =
+        State.OwnUsage.DemandPerSecond + State.OthersDemand.ReachableInDomain;
+    State.NextRecord.Total =
+        State.OwnUsage.DemandPerSecond + State.OthersDemand.Reachable;
+  }
 }
 
 std::optional<Duration> QuotaLedger::charge(const CustomerName &Customer,
@@ -223,35 +365,34 @@
   auto &State = Found->second;
   refreshStandings(Now);
   advance(State, Now);
-  State.OwnUsage.DemandPerSecond += Cost / DemandTimeConstantSeconds;
+  const auto Reachable = reachableDaemons(State);
+  State.RawDemand += Cost / DemandTimeConstantSeconds;
+  updateDemand(State, Now);
   if (State.UnitsPerSecond <= 0)
     return std::nullopt;
-  const auto Reachable = reachableDaemons(State);
-  const double RequiredUnits = std::min(
-      Cost, LargeRequestBurstShare * State.BurstUnits * Reachable.LimitShare);
-  if (State.UnitsLeft >= RequiredUnits && mayAdmit(State, Reachable, Cost)) {
-    State.PeriodAdmittedUnits += Cost;
+  const double Capacity = State.BurstUnits * State.LimitShare;
+  const double RequiredUnits = std::min(Cost, MaxRequiredShare * Capacity);
+  const bool HasOwnUnits = !State.isGathering() || State.GatheredUnits > 0;
+  if (HasOwnUnits && State.UnitsLeft >= RequiredUnits &&
+      m_Random.uniform() < admittedShare(State, Reachable.DemandPerSecond)) {
     State.UnitsLeft -= Cost;
+    State.GatheredUnits -= Cost;
     State.OwnUsage.AdmittedUnits += Cost;
     State.DomainAdmittedUnits += Cost;
     return std::nullopt;
   }
-  return fromSeconds(
-      std::max(RequiredUnits - State.UnitsLeft, Cost) /
-      std::max(1.0, State.UnitsPerSecond * Reachable.LimitShare));
+  return fromSeconds(std::max(RequiredUnits - State.UnitsLeft, Cost) /
+                     std::max(1.0, State.UnitsPerSecond * State.LimitShare));
 }
 
-bool QuotaLedger::mayAdmit(const Account &State,
-                           const ReachableDaemons &Reachable, double Cost) {
-  const double Rate = State.UnitsPerSecond * Reachable.LimitShare;
-  if (Reachable.DemandPerSecond <= ScarceDemandShare * Rate)
-    return true;
-  const double ShareLeft = (State.UnitsLeft + Rate * toSeconds(m_ReportPeriod) +
-                            State.PeriodAdmittedUnits) *
-                               std::min(1.0, State.OwnUsage.DemandPerSecond /
-                                                 Reachable.DemandPerSecond) -
-                           State.PeriodAdmittedUnits;
-  return ShareLeft >= Cost || m_Random.uniform() * Cost < ShareLeft;
+double QuotaLedger::admittedShare(const Account &State,
+                                  double DemandPerSecond) {
+  const double AdmittedPerSecond = State.UnitsPerSecond *
+                                   std::max(0.0, State.UnitsLeft) /
+                                   (EquilibriumShare * State.BurstUnits);
+  return DemandPerSecond <= AdmittedPerSecond
+             ? 1
+             : AdmittedPerSecond / DemandPerSecond;
 }
 
 void QuotaLedger::refund(const CustomerName &Customer, double Cost) {
@@ -291,13 +432,23 @@
   return Result;
 }
 
-void QuotaLedger::forgetPeers() {
+void QuotaLedger::forgetPeers(TimePoint Now) {
+  for (auto &[Name, State] : m_Accounts) {
+    advance(State, Now);
+    for (auto &[Id, Other] : m_Peers)
+      chargeSilence(State, Name, Other, Now);
+  }
   m_Peers.clear();
   m_ReachableDaemons = 0;
+  m_ReachableInDomain = 0;
   m_UnreachableDaemons = 0;
+  m_UnreachableDomains = 0;
+  m_RemoteDomains = 0;
   m_NextStandingChange = TimePoint::max();
-  for (auto &[Name, State] : m_Accounts)
+  for (auto &[Name, State] : m_Accounts) {
     State.OthersDemand = PeerDemand();
+    startGathering(State, Now);
+  }
 }
 
 std::map<std::string, QuotaUsage> QuotaLedger::usage(TimePoint Now) {
@@ -305,7 +456,10 @@
   std::map<std::string, QuotaUsage> Result;
   for (auto &[Name, State] : m_Accounts) {
     advance(State, Now);
-    State.OwnUsage.UnitsLeft = State.UnitsLeft;
+    State.OwnUsage.IsSinceStart = Now - State.CreatedAt < 2 * GatheringTime;
+    State.OwnUsage.UnitsLeft = State.UnitsLeft > 0 && State.LimitShare > 0
+                                   ? State.UnitsLeft / State.LimitShare
+                                   : State.UnitsLeft;
     if (State.UnitsPerSecond > 0)
       Result[Name] = State.OwnUsage;
   }
--- a/packages/gateway/test/peerregistry_test.cpp
+++ b/packages/gateway/test/peerregistry_test.cpp
@@ -329,6 +329,7 @@
   void encodeReport_thenDecodeReport_preservesFields() {
     auto Report = reportOf("a", 5, 9);
     Report.Usage["x"] = {100, 20, -3};
+    Report.Usage["y"] = {1, 2, 3, true};
     Report.LeavingTargets.push_back({13, 3});
     Report.AnnouncedLeaving.push_back(14);
     Report.RateLimits = {{15, 2.5, 30ms}, {16, std::nullopt, 0ms}};
@@ -340,6 +341,8 @@
     CPPUNIT_ASSERT(Decoded->Stopping);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t(3), Decoded->Loads.at(0).Running);
     CPPUNIT_ASSERT_EQUAL(-3.0, Decoded->Usage.at("x").UnitsLeft);
+    CPPUNIT_ASSERT(!Decoded->Usage.at("x").IsSinceStart);
+    CPPUNIT_ASSERT(Decoded->Usage.at("y").IsSinceStart);
     CPPUNIT_ASSERT(Decoded->LeavingTargets.at(0) == (LeavingTarget{13, 3}));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(14), Decoded->AnnouncedLeaving.at(0));
     CPPUNIT_ASSERT_EQUAL(2.5, Decoded->RateLimits.at(0).PerSecond.value());
--- a/packages/gateway/test/quotaledger_test.cpp
+++ b/packages/gateway/test/quotaledger_test.cpp
@@ -55,7 +55,7 @@
   void setDelegate(std::size_t I) {
     m_Delegate = I;
     for (auto &Ledger : m_Ledgers)
-      Ledger->forgetPeers();
+      Ledger->forgetPeers(m_Now);
   }
 
   /// Sends requests of \p Cost units, \p PerSecond units per second, to random
@@ -100,7 +100,7 @@
 private:
   void exchangeReports() {
     for (auto &Ledger : m_Ledgers)
-      Ledger->startReportPeriod(m_PeriodSteps * 10ms);
+      Ledger->startReportPeriod(m_Now);
     if (m_Delegate)
       return exchangeByDelegate();
     for (std::size_t From = 0; From < m_Ledgers.size(); ++From) {
@@ -108,7 +108,7 @@
       for (std::size_t To = 0; To < m_Ledgers.size(); ++To)
         if (To != From && m_Partitioned[To] == m_Partitioned[From])
           m_Ledgers[To]->onPeerUsage({"vm" + std::to_string(From),
-                                      m_Incarnation[From], 1, false,
+                                      m_Incarnation[From], 1, false, false,
                                       m_Stopping[From], Usage},
                                      m_Now);
     }
@@ -119,14 +119,14 @@
     for (std::size_t I = 0; I < m_Ledgers.size(); ++I)
       if (I != *m_Delegate)
         Delegate.onPeerUsage({"vm" + std::to_string(I), m_Incarnation[I], 1,
-                              false, false, m_Ledgers[I]->usage(m_Now)},
+                              false, false, false, m_Ledgers[I]->usage(m_Now)},
                              m_Now);
     const auto Others = static_cast<std::uint32_t>(m_Ledgers.size() - 1);
     for (std::size_t I = 0; I < m_Ledgers.size(); ++I)
       if (I != *m_Delegate)
         m_Ledgers[I]->onPeerUsage(
             {"domain", m_Incarnation[*m_Delegate] + *m_Delegate, Others, true,
-             false,
+             false, false,
              Delegate.domainUsageWithout("vm" + std::to_string(I), m_Now)},
             m_Now);
   }
@@ -270,7 +270,7 @@
     double AdmittedUnits = 0;
     for (int I = 0; I < 400; ++I) {
       Now += 10ms;
-      Ledger.startReportPeriod(10ms);
+      Ledger.startReportPeriod(Now);
       if (!Ledger.charge(LimitedCustomer, 100, Now))
         AdmittedUnits += 100;
     }
