quotaledger: over_limit states what decided; cheaper requests are preferred over the limit

Cause: the log did not tell why a limit refused a request.

Change: charge() returns what decided, with the units left, the own demand and that of others. While the demand exceeds the limit, the probability falls with the cost, within a factor of 0.5 to 2 of that of the mean.

Changed test: configure_lowerLimit_appliesToNextCharge reads the waiting time from the returned struct; its bounds are the same.

--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace mangodeck {
@@ -39,6 +40,24 @@
   std::map<std::string, QuotaUsage> Usage; ///< By customer.
 };
 
+/// Why a request was refused, for the log.
+struct QuotaRefusal {
+  enum class Cause : std::uint8_t {
+    Units,    ///< The bucket holds too little.
+    OwnShare, ///< The share of a daemon that awaits the others' reports.
+    Demand,   ///< The random draw by the units left and the demand.
+  };
+  Cause DecidedBy = Cause::Units;
+  Duration WaitTime{0}; ///< After which the limit is expected to allow it.
+  double UnitsLeft = 0;
+  double RequiredUnits = 0;
+  double OwnDemand = 0;     ///< Units per second, this request included.
+  double OthersDemand = 0;  ///< Of the daemons in contact.
+  double LimitShare = 1;    ///< See QuotaLedger::reachableShare().
+  double AdmittedShare = 1; ///< Probability of admission.
+};
+std::string_view toString(QuotaRefusal::Cause DecidedBy);
+
 /// Enforces the customers' limits in one daemon, for up to 360 daemons that
 /// each see a few requests a second. Every daemon keeps a copy of the whole
 /// token bucket of each customer and charges it with the units that the other
@@ -50,9 +69,9 @@
 /// would each admit requests on them. So each admits a request with a
 /// probability that follows from the units left and the demand at all daemons:
 /// together they admit the limit's rate when the bucket holds EquilibriumShare
-/// of its capacity, more above and less below. The probability does not depend
-/// on the request's cost or the daemon's share of the demand. Below the limit
-/// the bucket is nearly full, and the probability is 1.
+/// of its capacity, more above and less below. Cheaper requests are preferred
+/// within bounds; the daemon's share of the demand does not matter. Below the
+/// limit the bucket is nearly full, and the probability is 1.
 ///
 /// A daemon without recent reports is assumed to use its share of the limit,
 /// which follows the demand that it last reported. A failure domain that is cut
@@ -88,9 +107,9 @@
   void startReportPeriod(TimePoint Now);
 
   /// Charges \p Cost units if the limit allows them and returns std::nullopt;
-  /// else returns the time after which the limit is expected to allow them.
-  std::optional<Duration> charge(const CustomerName &Customer, double Cost,
-                                 TimePoint Now);
+  /// else returns what decided.
+  std::optional<QuotaRefusal> charge(const CustomerName &Customer, double Cost,
+                                     TimePoint Now);
   /// Returns the units charged for a request that was not run.
   void refund(const CustomerName &Customer, double Cost);
   /// Usage of this daemon by customer, for its reports.
@@ -142,6 +161,7 @@
     /// Decaying mean of the own demand. It is too low in the first seconds,
     /// which OwnUsage::DemandPerSecond corrects.
     double RawDemand = 0;
+    double MeanCost = 0; ///< Of this daemon's requests; 0: none so far.
     TimePoint CreatedAt{};
     TimePoint UpdatedAt{};
     bool isGathering() const { return GatheringUntil != TimePoint{}; }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -125,19 +125,24 @@
 
   // Step 6. Charge the request to its customer's limit.
   if (Customer) {
-    const auto WaitTime =
+    const auto Refusal =
         m_Quotas.charge(Customer->Name, quotaCost(Facts, *Customer), Now);
-    if (WaitTime) {
-      m_Log.write("over_limit",
-                  {{"id", Facts.AttemptId},
-                   {"customer", Customer->Name.Text},
-                   {"cost", quotaCost(Facts, *Customer)},
-                   {"limit_per_s", Customer->PerSecond},
-                   {"reach", m_Quotas.reachableShare(Customer->Name, Now)},
-                   {"wait_ms", toMs(*WaitTime)}});
-      return RefuseRequest(
-          429, "over the customer's limit",
-          std::clamp<Duration>(*WaitTime, MinRetryAfter, MaxRetryAfter));
+    if (Refusal) {
+      m_Log.write("over_limit", {{"id", Facts.AttemptId},
+                                 {"customer", Customer->Name.Text},
+                                 {"cost", quotaCost(Facts, *Customer)},
+                                 {"limit_per_s", Customer->PerSecond},
+                                 {"decided_by", toString(Refusal->DecidedBy)},
+                                 {"units_left", Refusal->UnitsLeft},
+                                 {"units_required", Refusal->RequiredUnits},
+                                 {"own_demand_per_s", Refusal->OwnDemand},
+                                 {"others_demand_per_s", Refusal->OthersDemand},
+                                 {"admitted_share", Refusal->AdmittedShare},
+                                 {"reach", Refusal->LimitShare},
+                                 {"wait_ms", toMs(Refusal->WaitTime)}});
+      return RefuseRequest(429, "over the customer's limit",
+                           std::clamp<Duration>(Refusal->WaitTime,
+                                                MinRetryAfter, MaxRetryAfter));
     }
   }
 
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -49,9 +49,29 @@
 /// share at which the bucket settles, so that large requests are admitted as
 /// often as others while the demand exceeds the limit.
 constexpr double MaxRequiredShare = 0.5 * EquilibriumShare;
+/// While the demand exceeds the limit, a request is preferred by how much less
+/// than the mean it costs, within these factors: more requests are admitted on
+/// the same units. The largest are admitted a quarter as often as the mean or
+/// more.
+constexpr double MinCostFactor = 0.5;
+constexpr double MaxCostFactor = 2;
+/// Weight of a new request in the mean cost.
+constexpr double MeanCostWeight = 0.05;
 
 } // namespace
 
+std::string_view toString(QuotaRefusal::Cause DecidedBy) {
+  switch (DecidedBy) {
+  case QuotaRefusal::Cause::Units:
+    return "units";
+  case QuotaRefusal::Cause::OwnShare:
+    return "own_share";
+  case QuotaRefusal::Cause::Demand:
+    return "demand";
+  }
+  return "";
+}
+
 void QuotaLedger::configure(const RoutePlan &Plan, TimePoint Now) {
   refreshStandings(Now);
   for (const auto &Customer : Plan.Customers) {
@@ -357,8 +377,8 @@
   }
 }
 
-std::optional<Duration> QuotaLedger::charge(const CustomerName &Customer,
-                                            double Cost, TimePoint Now) {
+std::optional<QuotaRefusal> QuotaLedger::charge(const CustomerName &Customer,
+                                                double Cost, TimePoint Now) {
   const auto Found = m_Accounts.find(Customer.Text);
   if (Found == m_Accounts.end())
     return std::nullopt;
@@ -372,17 +392,39 @@
     return std::nullopt;
   const double Capacity = State.BurstUnits * State.LimitShare;
   const double RequiredUnits = std::min(Cost, MaxRequiredShare * Capacity);
+  State.MeanCost =
+      State.MeanCost > 0
+          ? State.MeanCost + MeanCostWeight * (Cost - State.MeanCost)
+          : Cost;
+  const double BaseShare = admittedShare(State, Reachable.DemandPerSecond);
+  const double Share =
+      BaseShare >= 1 ? 1
+                     : BaseShare * std::clamp(State.MeanCost / Cost,
+                                              MinCostFactor, MaxCostFactor);
   const bool HasOwnUnits = !State.isGathering() || State.GatheredUnits > 0;
   if (HasOwnUnits && State.UnitsLeft >= RequiredUnits &&
-      m_Random.uniform() < admittedShare(State, Reachable.DemandPerSecond)) {
+      m_Random.uniform() < Share) {
     State.UnitsLeft -= Cost;
     State.GatheredUnits -= Cost;
     State.OwnUsage.AdmittedUnits += Cost;
     State.DomainAdmittedUnits += Cost;
     return std::nullopt;
   }
-  return fromSeconds(std::max(RequiredUnits - State.UnitsLeft, Cost) /
-                     std::max(1.0, State.UnitsPerSecond * State.LimitShare));
+  QuotaRefusal Refusal;
+  Refusal.DecidedBy = State.UnitsLeft < RequiredUnits
+                          ? QuotaRefusal::Cause::Units
+                      : !HasOwnUnits ? QuotaRefusal::Cause::OwnShare
+                                     : QuotaRefusal::Cause::Demand;
+  Refusal.WaitTime =
+      fromSeconds(std::max(RequiredUnits - State.UnitsLeft, Cost) /
+                  std::max(1.0, State.UnitsPerSecond * State.LimitShare));
+  Refusal.UnitsLeft = State.UnitsLeft;
+  Refusal.RequiredUnits = RequiredUnits;
+  Refusal.OwnDemand = State.OwnUsage.DemandPerSecond;
+  Refusal.OthersDemand = State.OthersDemand.Reachable;
+  Refusal.LimitShare = State.LimitShare;
+  Refusal.AdmittedShare = Share;
+  return Refusal;
 }
 
 double QuotaLedger::admittedShare(const Account &State,
--- a/packages/gateway/test/quotaledger_test.cpp
+++ b/packages/gateway/test/quotaledger_test.cpp
@@ -171,6 +171,7 @@
   CPPUNIT_TEST(report_largeFleet_costsAsInSmallOne);
   CPPUNIT_TEST(refund_requestNotRun_returnsUnits);
   CPPUNIT_TEST(configure_lowerLimit_appliesToNextCharge);
+  CPPUNIT_TEST(charge_refused_statesWhatDecided);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -341,7 +342,26 @@
     CPPUNIT_ASSERT(!Ledger.charge(LimitedCustomer, 90, Now + 1s));
     const auto Wait = Ledger.charge(LimitedCustomer, 90, Now + 1s);
     CPPUNIT_ASSERT(Wait.has_value());
-    CPPUNIT_ASSERT(*Wait > 500ms && *Wait < 1s);
+    CPPUNIT_ASSERT(Wait->WaitTime > 500ms && Wait->WaitTime < 1s);
+  }
+
+  /// Guards against refusals that the log does not explain.
+  void charge_refused_statesWhatDecided() {
+    SeededRandom Random(3);
+    QuotaLedger Ledger(Random);
+    const TimePoint Now{std::chrono::hours(1)};
+    Ledger.configure(planWith(1000, 1000), Now);
+    CPPUNIT_ASSERT(!Ledger.charge(LimitedCustomer, 400, Now));
+    const auto ByUnits = Ledger.charge(LimitedCustomer, 400, Now);
+    CPPUNIT_ASSERT(ByUnits.has_value());
+    CPPUNIT_ASSERT(ByUnits->DecidedBy == QuotaRefusal::Cause::Units);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(100, ByUnits->UnitsLeft, 1e-9);
+    report(Ledger, "b", 1e9, Now + 600ms);
+    const auto ByDemand = Ledger.charge(LimitedCustomer, 400, Now + 600ms);
+    CPPUNIT_ASSERT(ByDemand.has_value());
+    CPPUNIT_ASSERT(ByDemand->DecidedBy == QuotaRefusal::Cause::Demand);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1e9, ByDemand->OthersDemand, 1e-9);
+    CPPUNIT_ASSERT(ByDemand->AdmittedShare < 0.001);
   }
 
 private:
