gateway: a stream goes on only where the target's start is confirmed

Cause: a target's version was that of its registration. While a registration cannot be read, or before it is, another process with another version may answer under the same id; only a daemon that had met the closed port knew.

Change: before a stream goes on, the daemon asks for `born` in GET /report on the connection that the request then uses, once a connection; for a new stream only while the store has not been read for 3 s. A registration of another version read while a stream runs makes the stream's version unknown. Where registrations state no version or no start, nothing is asked. The soak's targets state their start, and no longer answer on connections of an earlier start.

Six new tests fail without the guards.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -48,9 +48,12 @@
   /// Whether there is a usable target that \p Running has not tried, and, if
   /// \p IsFree, one that could take it now.
   virtual bool hasOtherTarget(const Exchange &Running, bool IsFree) const = 0;
+  /// Whether all changes of the store are known but for the last moments.
+  virtual bool isDirectoryFresh(TimePoint Now) const = 0;
   /// Queues the exchange until a slot is free.
   virtual void waitForSlot(const ExchangePtr &Waiting) = 0;
-  /// The request is about to be sent to Running.target().
+  /// The request is about to be sent to Running.target(), or the version of the
+  /// target that it runs at has become uncertain.
   virtual void onDispatch(const Exchange &Running) = 0;
   /// The first event of the answer has arrived.
   virtual void onFirstEvent(const Exchange &Running) = 0;
@@ -170,6 +173,14 @@
   /// The version that began the stream, at which alone it may go on; NoVersion
   /// before it has begun.
   VersionId version() const { return m_Version; }
+  /// Version of the target of the current send; NoVersion if another start of
+  /// the target, with another version, may be the one that answers.
+  VersionId versionAtTarget() const {
+    return m_Target->isVersionCertain() && !m_Target->IsVersionReplaced &&
+                   !m_StartUnknown
+               ? m_Target->Version
+               : NoVersion;
+  }
   /// Number of the current or last send, which increases with each.
   std::uint32_t sendNumber() const { return m_SendNumber; }
   /// Events received from the current or last target.
@@ -202,6 +213,12 @@
 
   void onConnected(std::error_code Error,
                    TargetConnectionPool::Connection Ready);
+  /// Whether the start of the target has to be known before it is sent this
+  /// request, since its registration may be of an earlier start with another
+  /// version: for a stream that goes on always; for a new one, whose version is
+  /// recorded, while the registrations cannot be read. Targets without a stated
+  /// version have all the same.
+  bool needsStart(TimePoint Now) const;
   std::string serializeFor(const TrackedTarget &Target, TimePoint Now) const;
   /// Acts on what the head of an answer states about the target itself.
   void recordTargetState(const http::ResponseHead &Head, TimePoint Now);
@@ -300,6 +317,9 @@
   VersionId m_Version = NoVersion; ///< See version().
   /// The version that began the stream is certain.
   bool m_IsVersionCertain = true;
+  /// The start of the target was needed, and is not known; see needsStart().
+  bool m_StartUnknown = false;
+  TargetPtr m_FirstTarget; ///< Brought the first event.
   std::uint32_t m_SendNumber = 0;
   SseFrames m_Frames;
   std::size_t m_BytesSinceEvent = 0; ///< Of the stream, since the last event.
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -183,6 +183,7 @@
 
   // Exchanges.
   bool hasOtherTarget(const Exchange &Running, bool IsFree) const override;
+  bool isDirectoryFresh(TimePoint Now) const override;
   void waitForSlot(const ExchangePtr &Waiting) override;
   void onDispatch(const Exchange &Running) override;
   void onFirstEvent(const Exchange &Running) override;
@@ -275,8 +276,6 @@
   /// The same by what this daemon knows, though it may be cut off from the
   /// store.
   std::optional<VersionId> soleKnownVersion() const;
-  /// Whether all changes of the store are known but for the last moments.
-  bool isDirectoryFresh(TimePoint Now) const;
   /// Records which services serve streams, updates the versions of the targets,
   /// and writes them to the store where that is due.
   void updateVersions(TimePoint Now);
--- a/packages/gateway/include/mangodeck/gateway/headernames.h
+++ b/packages/gateway/include/mangodeck/gateway/headernames.h
@@ -32,6 +32,10 @@
   /// Seconds after which a caller should retry, and for which a target that
   /// rejects a request wants none from this daemon.
   std::string RetryAfter;
+  /// Path at which a target reports on itself, and the field of the report with
+  /// the target's start; empty if targets have no report.
+  std::string TargetReportPath;
+  std::string TargetStartField;
   /// Fields that only the daemon may set; removed from callers' requests.
   std::vector<std::string> Reserved;
 };
--- a/packages/gateway/include/mangodeck/gateway/targetconnectionpool.h
+++ b/packages/gateway/include/mangodeck/gateway/targetconnectionpool.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_GATEWAY_TARGETCONNECTIONPOOL_H
 #define MANGODECK_GATEWAY_TARGETCONNECTIONPOOL_H
 
+#include "mangodeck/gateway/headernames.h"
 #include "mangodeck/gateway/targetregistry.h"
 #include "mangodeck/http/targetconnection.h"
 #include "mangodeck/version/routeplan.h"
@@ -27,7 +28,8 @@
   using Connection = std::shared_ptr<http::TargetConnection>;
   using AcquireCallback = std::function<void(std::error_code, Connection)>;
 
-  explicit TargetConnectionPool(asio::any_io_executor Executor);
+  TargetConnectionPool(asio::any_io_executor Executor,
+                       const HeaderNames &Names);
 
   /// Takes the services' connection limits from \p Plan.
   void configure(const RoutePlan &Plan);
@@ -43,9 +45,17 @@
     /// refused that attempt. Without an id no answer on a used connection is
     /// certainly its own, so a new one is opened.
     std::optional<std::uint64_t> Attempt;
+    /// Ask the target for its start unless that was done on this connection.
+    bool ConfirmStart = false;
   };
+  /// Whether the start of \p Target can be asked for and compared.
+  bool canConfirmStart(const TrackedTarget &Target) const;
   /// Calls \p Done with an idle connection before acquire() returns, or with a
-  /// new connection once it is connected.
+  /// new connection once it is connected. With Use::ConfirmStart the target is
+  /// asked first: TargetConnection::isServerConfirmed() tells whether the
+  /// registered start of the target has answered; if another one has,
+  /// TrackedTarget::recordProcessEnd() is called. That is at most one query a
+  /// connection.
   void acquire(const TargetPtr &Target, const Use &Request,
                AcquireCallback Done);
   /// Returns a connection after an exchange. Closes the connection if it cannot
@@ -65,6 +75,8 @@
   std::uint64_t opened() const { return m_OpenedCount; }
   /// Number of times that an idle connection was handed out.
   std::uint64_t reused() const { return m_ReusedCount; }
+  /// Number of times that a target was asked for its start.
+  std::uint64_t startQueries() const { return m_StartQueryCount; }
 
 private:
   struct IdleConnections {
@@ -72,15 +84,20 @@
     std::vector<Connection> Connections; ///< Most recently used last.
   };
   void connect(const TargetPtr &Target, AcquireCallback Done);
+  /// Asks for the start of \p Target, then calls \p Done.
+  void confirmStart(const TargetPtr &Target, Connection Ready,
+                    AcquireCallback Done);
   std::size_t maxIdleFor(const TrackedTarget &Target) const;
 
   asio::any_io_executor m_Executor;
+  const HeaderNames &m_Names;
   std::unordered_map<const TrackedTarget *, IdleConnections> m_Idle;
   /// Connection limit by service.
   std::unordered_map<std::string, std::uint32_t> m_MaxConnections;
   std::size_t m_DaemonCount = 1;
   std::uint64_t m_OpenedCount = 0;
   std::uint64_t m_ReusedCount = 0;
+  std::uint64_t m_StartQueryCount = 0;
 };
 
 } // namespace mangodeck
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -121,6 +121,10 @@
   /// answered at its address. Not used until it registers again or a request
   /// succeeds.
   bool MarkedDown = false;
+  /// A start of another version has registered under the id. Streams that
+  /// still run here may be that start's: it may have answered before it was
+  /// registered.
+  bool IsVersionReplaced = false;
   /// Time of the last byte that the target sent on any connection.
   TimePoint LastByteAt{};
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -154,9 +154,9 @@
   m_LowEventGap = Duration{0};
   const auto Epoch = ++m_SendEpoch;
   ++m_SendNumber;
-  m_Context.Control.onDispatch(*this);
+  m_StartUnknown = false;
   m_Context.Pool.acquire(
-      m_Target, {!m_Route.mayRepeat(), attemptHash()},
+      m_Target, {!m_Route.mayRepeat(), attemptHash(), needsStart(Now)},
       [Self = shared_from_this(), Epoch, Target = m_Target](
           std::error_code Error, TargetConnectionPool::Connection Ready) {
         if (Self->m_SendEpoch == Epoch && Self->m_Phase == Phase::Connecting)
@@ -166,6 +166,13 @@
       });
 }
 
+bool Exchange::needsStart(TimePoint Now) const {
+  const bool IsResumable =
+      m_Route.Kind == RouteKind::Stream && m_Route.Resumable;
+  return IsResumable && m_Target->Entry.Version &&
+         (m_Version != NoVersion || !m_Context.Control.isDirectoryFresh(Now));
+}
+
 std::optional<std::uint64_t> Exchange::attemptHash() const {
   const auto &Id = m_Facts.AttemptId;
   return Id.empty() ? std::nullopt
@@ -183,14 +190,22 @@
     logEvent("connect_failed", Error.message());
     return handleSendFailure(SendFailure::NotSent, "connect failed");
   }
-  const auto Obstacle = obstacleToSend(*m_Target, requirements(), Now);
+  auto Obstacle = obstacleToSend(*m_Target, requirements(), Now);
+  m_StartUnknown = needsStart(Now) && !Ready->isServerConfirmed();
+  if (Obstacle.empty() && m_StartUnknown && m_Version != NoVersion) {
+    m_TriedTargets.push_back(m_Target);
+    Obstacle = "start of the target not known";
+  }
   if (!Obstacle.empty()) {
+    if (m_Version != NoVersion)
+      logEvent("not_sent", Obstacle);
     m_Connection = std::move(Ready);
     releaseTarget(true);
     return handleSendFailure(SendFailure::NotSent, Obstacle);
   }
   m_Phase = Phase::Sent;
   m_Connection = std::move(Ready);
+  m_Context.Control.onDispatch(*this);
   m_SentAt = m_LastProgressAt = Now;
   if (m_FirstSentAt == TimePoint{})
     m_FirstSentAt = Now;
@@ -266,7 +281,8 @@
     return false;
   // A stream is resumed after its last event, so that event needs an id, and at
   // the version that began it.
-  return !m_StreamStarted || (m_LastEventId.has_value() && m_IsVersionCertain);
+  return !m_StreamStarted || (m_LastEventId.has_value() && m_IsVersionCertain &&
+                              !m_FirstTarget->IsVersionReplaced);
 }
 
 void Exchange::handleSendFailure(SendFailure Failure, std::string_view Reason) {
--- a/packages/gateway/src/exchangeanswer.cpp
+++ b/packages/gateway/src/exchangeanswer.cpp
@@ -204,8 +204,9 @@
   const auto Now = std::chrono::steady_clock::now();
   m_FirstEventAt = Now;
   m_FirstVersion = m_Target->Entry.Version;
+  m_FirstTarget = m_Target;
   m_Version = m_Target->Version;
-  m_IsVersionCertain = m_Target->isVersionCertain();
+  m_IsVersionCertain = versionAtTarget() != NoVersion;
   m_Context.Metrics.observeFirstEvent(m_Route.Name, Now - m_Arrival);
   auto Fields = m_AnswerHead.Fields;
   http::removeConnectionFields(Fields);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -42,7 +42,7 @@
     : m_Loop(Loop), m_Settings(std::move(Settings)), m_Names(Names), m_Log(Log),
       m_Metrics(Metrics), m_Random(Random), m_Acceptor(Loop),
       m_ReadyAcceptor(Loop), m_MetricsAcceptor(Loop), m_PeerSocket(Loop),
-      m_TickTimer(Loop), m_Pool(Loop.get_executor()),
+      m_TickTimer(Loop), m_Pool(Loop.get_executor(), Names),
       m_RetryBudget(m_Settings.RetryLimits), m_Quotas(Random),
       m_CrashCauses(m_Settings.Vm),
       m_Origins(m_Settings.Vm, m_Settings.Domain, *this),
@@ -515,6 +515,8 @@
                        static_cast<double>(m_Pool.opened()));
     m_Metrics.setGauge("target_connections_reused",
                        static_cast<double>(m_Pool.reused()));
+    m_Metrics.setGauge("target_start_queries",
+                       static_cast<double>(m_Pool.startQueries()));
     m_Metrics.setGauge("log_dropped",
                        static_cast<double>(m_Log.droppedLines()));
     m_Log.flush();
--- a/packages/gateway/src/gatewaydirectory.cpp
+++ b/packages/gateway/src/gatewaydirectory.cpp
@@ -65,6 +65,13 @@
       m_VersionHistory.settledAt(Current->Entry.Service, Current->Version);
   std::erase_if(m_ExpiredTargets,
                 [&](const auto &Expired) { return Expired.Id == Entry.Id; });
+  // What still runs at the target may have begun at the start that is known
+  // only now.
+  if (Current != Previous)
+    for (const auto &[Number, Each] : m_ExchangeByNumber)
+      if (Each->reportedRequest() && Each->target()->Entry.Id == Entry.Id &&
+          Each->target()->IsVersionReplaced)
+        onDispatch(*Each);
   if (Current == Previous && WasDraining == Entry.Draining)
     return;
   m_Log.write(Entry.Draining ? "target_draining" : "target_ready",
--- a/packages/gateway/src/gatewayorigins.cpp
+++ b/packages/gateway/src/gatewayorigins.cpp
@@ -145,13 +145,9 @@
   if (!servesResumableStreams(Running.route()) || Facts.AttemptId.empty())
     return;
   const auto Now = steadyNow();
-  const auto &Target = *Running.target();
-  const auto TargetVersion =
-      Target.isVersionCertain() ? Target.Version : NoVersion;
   StreamOrigin Origin;
   Origin.Stream = streamIdOf(Facts.AttemptId);
-  Origin.Version =
-      Running.version() == NoVersion ? TargetVersion : Running.version();
+  Origin.Version = Running.versionAtTarget();
   Origin.Send = Running.sendNumber();
   Origin.TimeToLive = Running.arrival() +
                       Facts.RemainingTime.value_or(DefaultTimeLimit) +
--- a/packages/gateway/src/targetconnectionpool.cpp
+++ b/packages/gateway/src/targetconnectionpool.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/gateway/targetconnectionpool.h"
 
+#include "mangodeck/gateway/startquery.h"
+
 #include <algorithm>
 #include <asio/ip/address.hpp>
 
@@ -9,6 +11,8 @@
 
 /// Time-out for connecting; several round trips between failure domains.
 constexpr Duration ConnectTimeout = 400ms;
+/// Time-out for the start of a target, which it states at once.
+constexpr Duration StartQueryTimeout = 400ms;
 /// A request that must not be sent twice uses an idle connection only up to
 /// this idle time. Targets close idle connections after some seconds, and a
 /// request that meets such a close may or may not have run.
@@ -36,11 +40,45 @@
                                  MaxIdlePerTarget);
 }
 
-TargetConnectionPool::TargetConnectionPool(asio::any_io_executor Executor)
-    : m_Executor(std::move(Executor)) {}
+TargetConnectionPool::TargetConnectionPool(asio::any_io_executor Executor,
+                                           const HeaderNames &Names)
+    : m_Executor(std::move(Executor)), m_Names(Names) {}
+
+bool TargetConnectionPool::canConfirmStart(const TrackedTarget &Target) const {
+  return !m_Names.TargetReportPath.empty() && Target.Entry.StartedUnixMs != 0;
+}
+
+void TargetConnectionPool::confirmStart(const TargetPtr &Target,
+                                        Connection Ready,
+                                        AcquireCallback Done) {
+  if (Ready->isServerConfirmed())
+    return Done(std::error_code(), std::move(Ready));
+  ++m_StartQueryCount;
+  const auto Query = std::make_shared<StartQuery>(
+      Ready, m_Executor, m_Names.TargetReportPath, m_Names.TargetStartField);
+  Query->start(StartQueryTimeout, [Target, Ready, Done = std::move(Done)](
+                                      std::error_code Error, auto Start) {
+    if (Start && *Start == Target->Entry.StartedUnixMs)
+      Ready->confirmServer();
+    else if (Start)
+      Target->recordProcessEnd(steadyNow());
+    Done(Error, Error ? nullptr : Ready);
+  });
+}
 
 void TargetConnectionPool::acquire(const TargetPtr &Target, const Use &Request,
                                    AcquireCallback Done) {
+  if (Request.ConfirmStart && canConfirmStart(*Target)) {
+    auto Unconfirmed = Request;
+    Unconfirmed.ConfirmStart = false;
+    return acquire(Target, Unconfirmed,
+                   [this, Target, Done = std::move(Done)](std::error_code Error,
+                                                          Connection Ready) {
+                     if (Error)
+                       return Done(Error, nullptr);
+                     confirmStart(Target, std::move(Ready), Done);
+                   });
+  }
   const auto Now = steadyNow();
   const auto Found = m_Idle.find(Target.get());
   if (Found != m_Idle.end() && Request.Attempt) {
--- a/packages/gateway/src/targetregistry.cpp
+++ b/packages/gateway/src/targetregistry.cpp
@@ -120,6 +120,9 @@
   const auto Added = recallOrCreate(Entry);
   if (!Added)
     return nullptr;
+  if (const auto Last = findLast(Entry.Id);
+      Last && Last->Version != Added->Version)
+    Last->IsVersionReplaced = true;
   if (Known)
     unlink(Known, false);
   m_ById[Entry.Id.Text] = Added;
--- a/packages/gateway/test/gatewaysupport.h
+++ b/packages/gateway/test/gatewaysupport.h
@@ -39,6 +39,8 @@
   Names.TargetLeaving = "X-Leaving";
   Names.TargetRateLimit = "X-Limit";
   Names.RetryAfter = "Retry-After";
+  Names.TargetReportPath = "/report";
+  Names.TargetStartField = "born";
   Names.Reserved = {"X-Customer", "X-Expect"};
   return Names;
 }
--- a/packages/gateway/test/streamversion_test.cpp
+++ b/packages/gateway/test/streamversion_test.cpp
@@ -15,6 +15,9 @@
 /// Least share of the broken streams that goes on, relative to the share of new
 /// streams that begin.
 constexpr double MinShareThatGoesOn = 0.5;
+/// Time after which a stream without a target ends: LatencyTimeoutFactor times
+/// the latency target of the plan, and a margin for a loaded machine.
+constexpr Duration BreakOffTime = 7s;
 
 } // namespace
 
@@ -38,13 +41,22 @@
   CPPUNIT_TEST(version_appearsAlone_beginsStreamsAtOnce);
   CPPUNIT_TEST(streamResumedByDaemon_targetCrashed_goesOnAtItsVersion);
   CPPUNIT_TEST(streamResumedByDaemon_sameIdWithOtherVersion_isBrokenOff);
+  CPPUNIT_TEST(streamResumedByDaemon_otherTargetRestartedUnread_isNotMixed);
+  CPPUNIT_TEST(streamResumedByDaemon_targetWithoutReport_isBrokenOff);
+  CPPUNIT_TEST(streamBegun_targetRestartedWhileStoreAway_isNotMixed);
+  CPPUNIT_TEST(streamBegun_registrationReadAfterwards_isNotMixed);
+  CPPUNIT_TEST(streamTakenUp_otherTargetRestartedUnread_isNotMixed);
+  CPPUNIT_TEST(streams_storeReadable_causeNoStartQuery);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void setUp() override {
     m_Loop.emplace();
     m_Versions.clear();
+    m_Starts.clear();
     m_IsStoreAway = false;
+    m_HasReport = true;
+    m_StartQueries = 0;
   }
 
   void tearDown() override {
@@ -232,7 +244,7 @@
     startDaemons({"a-1"});
     beginStreams(3, {0});
     m_Versions[0] = "v2";
-    registerTarget(*m_Daemons[0], 0, ++m_LastStart);
+    registerTarget(*m_Daemons[0], 0, ++m_Starts[0]);
     m_Targets[0]->crash();
     m_Targets[0]->restart();
     runUntil([&] { return countRunning() == 0; }, 4s);
@@ -240,6 +252,96 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), requestsAtTargets());
   }
 
+  // Regression (review case 4): the daemon trusted the registration of a target
+  // that had restarted with another version while the store was down.
+  void streamResumedByDaemon_otherTargetRestartedUnread_isNotMixed() {
+    startTargets({"v1"}, 2);
+    startDaemons({"a-1"});
+    beginStreams(3, {0});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_Targets[0]->Requests.size());
+    m_IsStoreAway = true;
+    restartUnread(1, "v2");
+    m_Targets[0]->crash();
+    runUntil([&] { return countRunning() == 0; }, BreakOffTime);
+    assertOneVersion();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countRunning());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countGoneOn());
+  }
+
+  // A stream goes on only where the start is known: one that is not stated is
+  // not that of the registration.
+  void streamResumedByDaemon_targetWithoutReport_isBrokenOff() {
+    startTargets({"v1"}, 2);
+    m_HasReport = false;
+    startDaemons({"a-1"});
+    beginStreams(3, {0});
+    m_Targets[0]->crash();
+    runUntil([&] { return countRunning() == 0; }, BreakOffTime);
+    assertOneVersion();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countRunning());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countGoneOn());
+  }
+
+  // A new stream whose target restarted while the store was away was taken for
+  // one of the registered version, by the daemon and by those that it told.
+  void streamBegun_targetRestartedWhileStoreAway_isNotMixed() {
+    startTargets({"v1"}, 2);
+    startDaemons({"a-1", "a-2"});
+    m_IsStoreAway = true;
+    runFor(3100ms);
+    restartUnread(0, "v2");
+    beginStreams(8, {0});
+    CPPUNIT_ASSERT(m_Callers[0]->Versions.contains("v2"));
+    m_Targets[0]->crash();
+    runUntil([&] { return countRunning() == 0; }, BreakOffTime);
+    takeUpAt({1});
+    assertOneVersion();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countRunning());
+  }
+
+  // Regression (soak seed 11004): the request came between the start of the
+  // target and the daemon's read of its registration.
+  void streamBegun_registrationReadAfterwards_isNotMixed() {
+    startTargets({"v1"}, 2);
+    startDaemons({"a-1", "a-2"});
+    restartUnread(0, "v2");
+    beginStreams(8, {0});
+    CPPUNIT_ASSERT(m_Callers[0]->Versions.contains("v2"));
+    for (auto &Each : m_Daemons)
+      registerTarget(*Each, 0, m_Starts[0]);
+    runFor(50ms);
+    m_Targets[0]->crash();
+    runUntil([&] { return countRunning() == 0; }, BreakOffTime);
+    takeUpAt({1});
+    assertOneVersion();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countRunning());
+  }
+
+  void streamTakenUp_otherTargetRestartedUnread_isNotMixed() {
+    startTargets({"v1"}, 2);
+    startDaemons({"a-1", "b-1"});
+    beginStreams(8, {0});
+    restartUnread(1, "v2");
+    kill({0});
+    takeUpAt({1});
+    assertOneVersion();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countRunning());
+  }
+
+  // Start queries are priced: new streams cause none, and one that goes on
+  // causes at most one.
+  void streams_storeReadable_causeNoStartQuery() {
+    startTargets({"v1", "v2"}, 4);
+    startDaemons({"a-1", "a-2"});
+    beginStreams(12, {0, 1});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(12), requestsAtTargets());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_StartQueries);
+    kill({0});
+    takeUpAt({1});
+    CPPUNIT_ASSERT(m_StartQueries > 0);
+    CPPUNIT_ASSERT(m_StartQueries <= m_Callers.size());
+  }
+
 private:
   struct Daemon {
     std::unique_ptr<asio::io_context> Loop =
@@ -275,6 +377,7 @@
     for (std::size_t Number = 0; Number < Count; ++Number) {
       const auto Index = m_Targets.size();
       m_Versions.push_back(Versions[Number % Versions.size()]);
+      m_Starts.push_back(1);
       m_Targets.push_back(std::make_unique<ScriptedTarget>(*m_Loop));
       m_Targets.back()->AnswerDelay = 30ms;
       m_Targets.back()->Answer = [this, Index](const std::string &Request) {
@@ -283,7 +386,26 @@
     }
   }
 
-  std::string answer(std::size_t Index, const std::string &Request) const {
+  /// Another process, of \p Version, takes the place of a target's; no daemon
+  /// reads its registration.
+  void restartUnread(std::size_t Index, const char *Version) {
+    m_Versions[Index] = Version;
+    ++m_Starts[Index];
+    m_Targets[Index]->crash();
+    m_Targets[Index]->restart();
+  }
+
+  std::string answer(std::size_t Index, const std::string &Request) {
+    if (Request.starts_with("GET /report ")) {
+      ++m_StartQueries;
+      const auto Report =
+          fmt::format(R"({{"Queued":0,"born":{}}})", m_Starts[Index]);
+      return m_HasReport
+                 ? fmt::format(
+                       "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                       Report.size(), Report)
+                 : "HTTP/1.1 404 N\r\nContent-Length: 0\r\n\r\n";
+    }
     const auto At = Request.find("Last-Event-Id: ");
     const bool IsNew = At == std::string::npos;
     const int First = IsNew ? 1 : std::stoi(Request.substr(At + 15)) + 1;
@@ -446,7 +568,9 @@
   std::optional<asio::io_context> m_Loop; ///< Of targets and callers.
   std::vector<std::unique_ptr<ScriptedTarget>> m_Targets;
   std::vector<std::string> m_Versions; ///< Of m_Targets.
-  std::int64_t m_LastStart = 1;
+  std::vector<std::int64_t> m_Starts;  ///< Of the processes of m_Targets.
+  bool m_HasReport = true;             ///< The targets state their start.
+  std::size_t m_StartQueries = 0;
   std::vector<std::unique_ptr<Daemon>> m_Daemons;
   std::vector<std::unique_ptr<StreamCaller>> m_Callers;
   unsigned m_CallerNumber = 0;
--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -70,6 +70,10 @@
   void recordRefusal(std::uint64_t Request) { m_Refused.push_back(Request); }
   /// Whether the server has refused \p Request on this connection.
   bool hasRefused(std::uint64_t Request) const;
+  /// Records that the process at the other end is the expected one, which holds
+  /// for as long as the connection.
+  void confirmServer() { m_ServerConfirmed = true; }
+  bool isServerConfirmed() const { return m_ServerConfirmed; }
   /// How long the connection has been idle.
   Duration idleFor(TimePoint Now) const { return Now - m_IdleSince; }
   /// Time after which the server says it closes an idle connection; 0 if
@@ -101,6 +105,7 @@
   /// another one.
   std::uint64_t m_ExchangeNumber = 0;
   bool m_Open = false;
+  bool m_ServerConfirmed = false; ///< See confirmServer().
   bool m_ReadPending = false;
   bool m_WritePending = false;
   std::error_code m_WriteError; ///< Of the last write.
--- a/testing/soak/soaktarget.cpp
+++ b/testing/soak/soaktarget.cpp
@@ -287,9 +287,12 @@
 void SoakTarget::serve(Socket &Caller) {
   RequestReader Reader(Caller);
   http::Request Asked;
-  while (Reader.next(Asked))
-    if (!answer(Caller, Asked))
+  const auto Start = m_Start.load();
+  while (Reader.next(Asked)) {
+    // A process ends with its connections.
+    if (m_Start != Start || !answer(Caller, Asked))
       return;
+  }
 }
 
 bool SoakTarget::answer(Socket &Caller, const http::Request &Asked) {
@@ -298,6 +301,13 @@
   const bool IsSlow = Asked.Head.Target.starts_with("/slow/");
   const bool IsStream = IsSlow || Asked.Head.Target.starts_with("/stream/");
   const bool MayRepeat = !Asked.Head.Target.starts_with("/once/");
+  if (Asked.Head.Target == "/report") {
+    const auto Report = nlohmann::json{{"born", m_Start.load()}}.dump();
+    return writeAll(Caller,
+                    fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n"
+                                "\r\n{}",
+                                Report.size(), Report));
+  }
   if (Fields.get("X-Mangodeck-Expect-Instance") != id())
     return writeAll(Caller, "HTTP/1.1 421 M\r\nContent-Length: 0\r\n\r\n");
   if (Fields.find("Authorization"))
