--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(broker_repeatsGrantOfTriedTarget_targetIsNotUsed);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
+  CPPUNIT_TEST(target_announcesLeavingInSpoiledAnswer_getsNoFurtherRequests);
   CPPUNIT_TEST(target_announcesLeaving_isReportedToPeers);
   CPPUNIT_TEST(target_peerReportsLeaving_getsNoRequestsAfterHeartbeat);
   CPPUNIT_TEST(target_misdirectedAnswerLeaving_marksTargetAtThatAddress);
@@ -650,6 +651,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
   }
 
+  // Regression (soak seed 3058): the state of a target was ignored in an answer
+  // that is not passed on, though its id shows that it is the request's own.
+  void target_announcesLeavingInSpoiledAnswer_getsNoFurtherRequests() {
+    configure(RouteKind::Idempotent, 2);
+    addTarget("a", *m_TargetA);
+    addTarget("b", *m_TargetB, "other-domain");
+    m_TargetA->Scripts = {{plainAnswer("1", 200, "X-Leaving: 1\r\n")},
+                          {plainAnswer("2")}};
+    m_TargetB->Scripts = {{plainAnswer("1")}, {plainAnswer("2")}};
+    CPPUNIT_ASSERT(sendRequest(requestText("1")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(sendRequest(requestText("2")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_TargetA->Requests.size());
+  }
+
   void target_announcesLeaving_isReportedToPeers() {
     configure(RouteKind::Idempotent);
     addTarget("a", *m_TargetA);
