gateway: a leaving mark holds for a start known before the store was restored

Change: a statement under a registration that is older than one already known counts for the latest start known, too.

The new test fails without the change.

--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -71,6 +71,9 @@
   TargetRateLimit RateLimit;
   /// TrackedTarget::Hash of the starts that have stated that they leave.
   std::set<std::uint64_t> LeavingStarts;
+  /// The latest start that was registered, and its TrackedTarget::Hash.
+  std::int64_t LatestStartUnixMs = 0;
+  std::uint64_t LatestStart = 0;
 };
 
 /// A registered target: its registration, and the load, speed and failures
@@ -143,15 +146,13 @@
   TargetRateLimit &rateLimit() const { return m_Statements->RateLimit; }
   TimePoint pausedUntil() const { return m_Statements->PausedUntil; }
   /// Shares the statements of an earlier registration of the target.
-  void adoptStatements(const TrackedTarget &Earlier) {
-    m_Statements = Earlier.m_Statements;
-  }
+  void adoptStatements(const TrackedTarget &Earlier);
   /// Records that the target has stated in an answer that it leaves, whatever
-  /// its registration says. Holds for this start of the target. Returns false
-  /// if it was known.
-  bool markAnnouncedLeaving() {
-    return m_Statements->LeavingStarts.insert(Hash).second;
-  }
+  /// its registration says. Holds for this start of the target, and for a later
+  /// one that was known when this start was registered: then the store showed
+  /// an older copy, and the later start has answered. Returns false if it was
+  /// known.
+  bool markAnnouncedLeaving();
   bool isLeaving() const {
     return Entry.Draining || m_Statements->LeavingStarts.contains(Hash);
   }
@@ -189,6 +190,8 @@
 
 private:
   std::optional<TimePoint> m_ProcessEndedAt;
+  /// Hash of a later start that was registered before; 0 if there is none.
+  std::uint64_t m_LaterStart = 0;
   std::shared_ptr<TargetStatements> m_Statements =
       std::make_shared<TargetStatements>();
 };
--- a/packages/gateway/src/targetregistry.cpp
+++ b/packages/gateway/src/targetregistry.cpp
@@ -48,6 +48,24 @@
   if (Entry.StartedUnixMs == 0 && Entry.Version)
     Text.append("/").append(*Entry.Version);
   Hash = XXH3_64bits(Text.data(), Text.size());
+  m_Statements->LatestStartUnixMs = Entry.StartedUnixMs;
+  m_Statements->LatestStart = Hash;
+}
+
+void TrackedTarget::adoptStatements(const TrackedTarget &Earlier) {
+  m_Statements = Earlier.m_Statements;
+  if (Entry.StartedUnixMs < m_Statements->LatestStartUnixMs) {
+    m_LaterStart = m_Statements->LatestStart;
+    return;
+  }
+  m_Statements->LatestStartUnixMs = Entry.StartedUnixMs;
+  m_Statements->LatestStart = Hash;
+}
+
+bool TrackedTarget::markAnnouncedLeaving() {
+  if (m_LaterStart != 0)
+    m_Statements->LeavingStarts.insert(m_LaterStart);
+  return m_Statements->LeavingStarts.insert(Hash).second;
 }
 
 void TrackedTarget::recordEventGap(Duration Gap, std::uint32_t Tokens) {
--- a/packages/gateway/test/targetregistry_test.cpp
+++ b/packages/gateway/test/targetregistry_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(update_sameEntryOfExpiredTarget_isAdded);
   CPPUNIT_TEST(update_restartOfRemovedTarget_losesLeavingMarkAndKeepsPause);
   CPPUNIT_TEST(update_returningTarget_keepsLeavingMarkAndPause);
+  CPPUNIT_TEST(update_knownStartAfterStaleEntry_isLeavingAsStated);
   CPPUNIT_TEST(update_heartbeat_keepsLeavingMarkAndPause);
   CPPUNIT_TEST(update_readyEntryOfEarlierStart_draining_staysDraining);
   CPPUNIT_TEST(update_readyEntryOfEarlierStart_removed_staysRemoved);
@@ -138,6 +139,16 @@
     CPPUNIT_ASSERT(!After->isPaused(m_Now + 10s));
   }
 
+  // The store was restored from a copy that shows an earlier start; the target
+  // said meanwhile that it leaves, and registered again.
+  void update_knownStartAfterStaleEntry_isLeavingAsStated() {
+    m_Registry.update(entry(5, false, 2));
+    const auto Stale = m_Registry.update(entry(9, false, 1));
+    Stale->markAnnouncedLeaving();
+    CPPUNIT_ASSERT(m_Registry.update(entry(6, false, 2))->isLeaving());
+    CPPUNIT_ASSERT(!m_Registry.update(entry(1, false, 3))->isLeaving());
+  }
+
   /// An exchange keeps the target with which its request was sent.
   void statements_toEarlierRegistration_holdForTheNextOne() {
     for (const bool HasLeft : {false, true}) {
