gateway: plain requests leave a failure domain by what others offer

Cause: a plain request that found its domain's targets full went to a target elsewhere that seemed free by a report of 100 to 500 ms ago. Its requests last 15 to 60 ms, so the report tells nothing of the moment, and all daemons acted on it together: requests displaced each other between the domains. Change: the broker counts the demand of its domain and offers the slots beyond it in reports and domain summaries while some domain lacks any. Each daemon divides the offers among the domains and, by its share of the requests, among the daemons. A request leaves only if its caller gains more than the bytes cost; queued requests are looked at again at each tick. Engines, and domains that state no offers, are treated as before. The test of offers in reports compares fractions now, and all five figures.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -153,6 +153,10 @@
   /// What a target must meet to be sent this request. Refers to the exchange.
   TargetRequirements requirements() const;
   std::size_t bodyBytes() const { return m_Request.Body.size(); }
+  /// Of the answer, as far as it is buffered.
+  std::size_t answerBytes() const { return m_AnswerBody.size(); }
+  /// Time of the current or last send.
+  TimePoint sentAt() const { return m_SentAt; }
   TimePoint arrival() const { return m_Arrival; }
   TimePoint deadline() const { return m_Deadline; }
   /// Latest time of the first event, or of the answer, that meets the latency
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -5,11 +5,13 @@
 #include "mangodeck/gateway/bufferbudget.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/crashcauses.h"
+#include "mangodeck/gateway/domainoffers.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/quotaledger.h"
 #include "mangodeck/gateway/slotbroker.h"
+#include "mangodeck/gateway/spillcontrol.h"
 #include "mangodeck/gateway/streamorigins.h"
 #include "mangodeck/gateway/suspensiondetector.h"
 #include "mangodeck/gateway/versionhistory.h"
@@ -67,6 +69,7 @@
   /// Targets end if the requests that they hold exceed their memory, and
   /// callers and targets may read slowly.
   bool IsMemoryScarce = false;
+  SpillSettings Spill;
 };
 
 /// Receives the configuration, and the targets and daemons that the store
@@ -152,6 +155,9 @@
     TimePoint LastSent{};
     bool RefuseIfLate = false; ///< See requestSlot().
     bool Answered = false;     ///< The broker has replied at least once.
+    /// Time of a slot by the broker's first estimate, once it has queued the
+    /// request.
+    TimePoint ExpectedAt{};
   };
   /// A request for which this daemon has requested a permit under the rate
   /// limit of a target in another failure domain.
@@ -254,6 +260,28 @@
   /// needed.
   void withdrawSlotRequest(TicketNumber Number, TimePoint Now);
 
+  // Traffic between failure domains.
+  /// Records at the broker what \p Message tells of the domain's own demand.
+  void recordDemand(const SlotMessage &Message, TimePoint Now);
+  /// The same of a decision of this broker.
+  void recordDecision(const std::string &Vm, const SlotDecision &Decision);
+  /// Records that a target has released a request of this daemon.
+  void recordAnswer(const Exchange &Released, const SlotUpdate &Update);
+  /// What this daemon, as the broker, offers to the other domains; applies it
+  /// here as well.
+  std::vector<ServiceOffer> makeOffers(TimePoint Now);
+  void applyOffers(const FailureDomain &Domain,
+                   std::span<const ServiceOffer> Offers, TimePoint Now);
+  /// Sends a request that has no slot in this domain to a target of another one
+  /// if that is worth it; see SpillControl. \p HomeWait: expected wait here;
+  /// std::nullopt if the broker has refused it. \p OffersOnly: considers no
+  /// domains that state no offers.
+  bool tryLeaveDomain(const ExchangePtr &Waiting,
+                      std::optional<Duration> HomeWait, bool OffersOnly,
+                      TimePoint Now);
+  /// Tries the same for the requests that the broker has queued.
+  void tryLeaveQueue(TimePoint Now);
+
   // Streams that callers take up.
   void sendOrigin(const std::string &Vm, const OriginMessage &Message) override;
   void onOriginResult(TicketNumber Number, const OriginResult &Result) override;
@@ -376,6 +404,9 @@
   /// domains, and only if they are expected to meet the latency target.
   bool tryDispatch(const ExchangePtr &Waiting, bool RemoteDomainsOnly,
                    TimePoint Now);
+  /// Sends the request to a chosen target.
+  void dispatchTo(const ExchangePtr &Waiting, ChosenTarget Chosen,
+                  TimePoint Now);
   /// Draws a service of the route by the weights of its shares.
   ServiceName pickService(const Route &Matched);
   /// Handles the resumption after the process was suspended or has stalled:
@@ -433,6 +464,10 @@
   PeerRegistry m_Peers;
   SuspensionDetector m_SuspensionDetector;
   SlotBroker m_LocalBroker;
+  DomainOffers m_Offers;
+  SpillControl m_Spill;
+  /// Daemons of other failure domains are listed.
+  bool m_HasOtherDomains = false;
   /// The delegate of this failure domain, which is also its slot broker;
   /// std::nullopt if that is this daemon.
   std::optional<PeerRegistry::Delegate> m_RemoteBroker;
--- a/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
+++ b/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
@@ -35,6 +35,9 @@
   /// A call to the store ended.
   /// Counts a request sent to a target whose rate limit is in force.
   void countLimitedSend(std::string_view Service);
+  /// Counts a request sent to another failure domain. \p Rule tells whether
+  /// that domain states offers.
+  void countDomainExit(std::string_view Service, std::string_view Rule);
   void countStoreCall(std::string_view Call, std::string_view Outcome);
   /// A datagram to or from another daemon; \p Direction is sent or received.
   void countPeerMessage(std::string_view Direction, std::size_t Bytes);
@@ -55,6 +58,7 @@
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Counter> &m_Sends;
   prometheus::Family<prometheus::Counter> &m_LimitedSends;
+  prometheus::Family<prometheus::Counter> &m_DomainExits;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
   prometheus::Family<prometheus::Counter> &m_PeerMessages;
   prometheus::Family<prometheus::Counter> &m_PeerBytes;
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -47,13 +47,18 @@
 };
 
 /// What the broker of a failure domain lets the other domains use of a service.
-/// Of a domain summary only.
+/// Of a domain summary and of the reports of the delegate, and made when these
+/// are sent. See DomainOffers.
 struct ServiceOffer {
-  std::uint64_t Service = 0; ///< Hash of the service's name.
-  /// Slots that are free beyond what the domain expects to need itself.
-  std::uint32_t FreeSlots = 0;
-  /// Slots that the domain's waiting and refused requests lack.
-  std::uint32_t LackingSlots = 0;
+  std::uint64_t Service = 0; ///< hashOf().
+  /// Slots that are free beyond what the domain expects to need itself; in
+  /// messages in hundredths.
+  double FreeSlots = 0;
+  /// Slots that the domain's own expected demand lacks; in messages in
+  /// hundredths.
+  double LackingSlots = 0;
+  double PerSecond = 0; ///< Requests of the domain's own daemons.
+  Duration SlotTime{0}; ///< Mean time for which a request holds a slot.
 };
 
 /// A target that is draining or was removed.
@@ -190,6 +195,8 @@
   /// Endpoints of some daemons of each remote failure domain, which receive
   /// the domain summaries.
   std::vector<PeerEndpoint> remoteDomainEndpoints() const;
+  /// Whether the store lists daemons of other failure domains.
+  bool hasOtherDomains() const;
   /// Records that this daemon stops. It remains the delegate only of daemons
   /// that all stop.
   void markStopping() { m_Stopping = true; }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -48,6 +48,7 @@
       m_Origins(m_Settings.Vm, m_Settings.Domain, *this),
       m_Peers(m_Settings.Vm, m_Settings.Domain),
       m_LocalBroker(m_Settings.Domain, m_Targets, *this),
+      m_Spill(m_Settings.Domain, m_Settings.Spill, Random),
       m_Buffers(m_Settings.MemoryLimitBytes) {}
 
 Gateway::~Gateway() = default;
@@ -284,13 +285,18 @@
       chooseTarget(m_Targets.targetsOf(Waiting->service()), Input, Now);
   if (!Chosen || (RemoteDomainsOnly && !Chosen->MeetsLatencyTarget))
     return false;
-  if (Chosen->Target->rateLimit().isActive())
-    Chosen->Permit = PermitSource::Daemon;
+  dispatchTo(Waiting, std::move(*Chosen), Now);
+  return true;
+}
+
+void Gateway::dispatchTo(const ExchangePtr &Waiting, ChosenTarget Chosen,
+                         TimePoint Now) {
+  if (Chosen.Target->rateLimit().isActive())
+    Chosen.Permit = PermitSource::Daemon;
   m_Services[Waiting->service().Text].Rate.recordDispatch(Now);
   m_Metrics.observeSlotWait(Waiting->route().Name, Now - Waiting->arrival());
-  Chosen->Target->rateLimit().takePermit(Now);
-  Waiting->dispatch(*Chosen, Now);
-  return true;
+  Chosen.Target->rateLimit().takePermit(Now);
+  Waiting->dispatch(Chosen, Now);
 }
 
 void Gateway::refuseExpired(const ServiceName &Service, TimePoint Now) {
@@ -379,6 +385,7 @@
     Sent.Incarnation = m_Settings.Incarnation;
     sendToBroker(Sent, steadyNow());
   }
+  recordAnswer(Released, Update);
   onSlotFreed(Released.service());
 }
 
@@ -441,6 +448,7 @@
   for (const auto &[Number, Each] : m_ExchangeByNumber)
     Each->restartSilence(Now);
   m_LocalBroker.clear();
+  m_Offers.restart(Now);
   // Another daemon may have granted the permits of this time.
   for (const auto &[Name, Targets] : m_Targets.targetsByService())
     for (const auto &Target : Targets)
--- a/packages/gateway/src/gatewaybroker.cpp
+++ b/packages/gateway/src/gatewaybroker.cpp
@@ -36,6 +36,7 @@
   m_RemoteBroker = std::move(Current);
   m_BrokerSince = Now;
   m_LocalBroker.clear();
+  m_Offers.restart(Now);
   m_DecideLocallyUntil = TimePoint{};
   for (auto &[Number, Pending] : m_PendingSlotRequests) {
     Pending.Answered = false;
@@ -75,6 +76,7 @@
   if (New) {
     Pending->second.FirstSent = Now;
     Pending->second.RefuseIfLate = RefuseIfLate;
+    m_Spill.recordRequest(hashOf(Waiting->service()), Now);
   }
   Pending->second.LastSent = Now;
   hastenTick(Now);
@@ -123,6 +125,7 @@
 }
 
 void Gateway::handleSlotMessage(const SlotMessage &Message, TimePoint Now) {
+  recordDemand(Message, Now);
   if (const auto *Request = std::get_if<SlotRequest>(&Message)) {
     // After a change of the broker, daemons may disagree on which one it is.
     // Answer even if another daemon is the broker in this daemon's view.
@@ -142,6 +145,7 @@
 
 void Gateway::onSlotDecision(const std::string &Vm,
                              const SlotDecision &Decision) {
+  recordDecision(Vm, Decision);
   // Posted, since the broker must finish its loop over the waiting requests
   // before an exchange acts on the decision.
   if (Vm == m_Settings.Vm)
@@ -203,10 +207,15 @@
 
   // Step 3. No slot yet: look for a target of another failure domain that is
   // expected to meet the latency target.
+  const bool IsRefused = Decision.Result == SlotDecision::Kind::Refused;
+  if (Pending->second.ExpectedAt == TimePoint{})
+    Pending->second.ExpectedAt = Now + Decision.BacklogTime;
   Queue.remove(Decision.Number);
-  if (tryDispatch(Waiting, true, Now))
+  if (tryLeaveDomain(Waiting,
+                     IsRefused ? std::nullopt
+                               : std::optional(Decision.BacklogTime),
+                     false, Now))
     return withdrawSlotRequest(Decision.Number, Now);
-  const bool IsRefused = Decision.Result == SlotDecision::Kind::Refused;
   const bool AwaitsPermit = requestPermit(Waiting, IsRefused, Now);
   if (IsRefused)
     m_PendingSlotRequests.erase(Pending);
@@ -274,6 +283,7 @@
   }
   for (const auto &Waiting : ToResend)
     requestSlot(Waiting, false, Now);
+  tryLeaveQueue(Now);
 }
 
 bool Gateway::requestPermit(const ExchangePtr &Waiting, bool RefuseIfDenied,
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -34,6 +34,9 @@
       m_LimitedSends(registerCounters(
           *m_Registry, "mangodeck_limited_sends_total",
           "Requests sent to targets whose rate limit is in force.")),
+      m_DomainExits(registerCounters(
+          *m_Registry, "mangodeck_domain_exits_total",
+          "Requests for plain services sent to other failure domains.")),
       m_StoreCalls(registerCounters(*m_Registry, "mangodeck_store_calls_total",
                                     "Calls to the store by outcome.")),
       m_PeerMessages(registerCounters(*m_Registry,
@@ -97,6 +100,13 @@
   m_LimitedSends.Add({{"service", std::string(Service)}}).Increment();
 }
 
+void GatewayMetrics::countDomainExit(std::string_view Service,
+                                     std::string_view Rule) {
+  m_DomainExits
+      .Add({{"service", std::string(Service)}, {"rule", std::string(Rule)}})
+      .Increment();
+}
+
 void GatewayMetrics::countStoreCall(std::string_view Call,
                                     std::string_view Outcome) {
   m_StoreCalls
--- a/packages/gateway/src/gatewayreports.cpp
+++ b/packages/gateway/src/gatewayreports.cpp
@@ -146,6 +146,10 @@
   }
   if (!Report.IsDomainSummary && IsOwnDomain && !m_RemoteBroker)
     m_LocalBroker.reconcile(Report, Now);
+  if (IsOwnDomain ? m_RemoteBroker && Report.Vm == m_RemoteBroker->Vm &&
+                        !Report.IsDomainSummary
+                  : Report.IsDomainSummary)
+    applyOffers(Report.Domain, Report.Offers, Now);
   if (Report.IsDomainSummary || !IsOwnDomain || !usesOwnSummary())
     m_Quotas.onPeerUsage(Usage, Now);
   if (Report.IsDomainSummary && !IsOwnDomain && !Report.Forwarded &&
@@ -207,6 +211,7 @@
   for (const auto &[Vm, Endpoint] : m_Peers.reportingDaemons(Now)) {
     auto ForPeer = m_Peers.summaryWithout(Vm, Summary);
     ForPeer.Usage = m_Quotas.domainUsageWithout(Vm, Now);
+    ForPeer.Offers.clear(); // The delegate's own report holds them.
     sendTo(std::span(&Endpoint, 1), encodeReport(ForPeer));
   }
 }
@@ -238,6 +243,7 @@
     Report.RateLimits.push_back(
         {Key.Target, Statement.PerSecond, Now - Statement.StatedAt});
   Report.Delegate = m_RemoteBroker ? m_RemoteBroker->Vm : m_Settings.Vm;
+  Report.Offers = makeOffers(Now);
   sendTo(Peers, encodeReport(Report));
   if (!m_Peers.isDelegate(Now))
     return;
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -4,6 +4,7 @@
 #include "mangodeck/gateway/targetregistry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -13,6 +14,10 @@
 
 /// Paces in reports are whole multiples of 1 / PacePrecision.
 constexpr double PacePrecision = 100;
+/// Slots in offers are whole multiples of 1 / SlotPrecision, times of
+/// milliseconds. Larger figures are not plausible.
+constexpr double SlotPrecision = 100;
+constexpr std::int64_t MaxOfferFigure = 1'000'000;
 /// Age of a daemon's last report up to which its load counts. The requests of
 /// a daemon that sends no reports end or are sent again by other daemons.
 constexpr Duration LoadLifetime = 1500ms;
@@ -118,7 +123,13 @@
          std::chrono::duration_cast<std::chrono::milliseconds>(Each.Age)
              .count()});
   for (const auto &Each : Report.Offers)
-    Message["o"].push_back({Each.Service, Each.FreeSlots, Each.LackingSlots});
+    Message["o"].push_back(
+        {Each.Service,
+         static_cast<std::int64_t>(Each.FreeSlots * SlotPrecision),
+         static_cast<std::int64_t>(Each.LackingSlots * SlotPrecision),
+         std::llround(Each.PerSecond),
+         std::chrono::duration_cast<std::chrono::milliseconds>(Each.SlotTime)
+             .count()});
   std::string Bytes;
   nlohmann::json::to_msgpack(Message, Bytes);
   return Bytes;
@@ -188,10 +199,17 @@
              std::chrono::milliseconds(std::clamp<std::int64_t>(
                  Each.at(2).get<std::int64_t>(), 0, MaxStatementAge.count()))});
     if (Message.contains("o"))
-      for (const auto &Each : Message["o"])
+      for (const auto &Each : Message["o"]) {
+        const auto Figure = [&](std::size_t At) {
+          return std::clamp<std::int64_t>(Each.at(At).get<std::int64_t>(), 0,
+                                          MaxOfferFigure);
+        };
         Report.Offers.push_back({Each.at(0).get<std::uint64_t>(),
-                                 Each.at(1).get<std::uint32_t>(),
-                                 Each.at(2).get<std::uint32_t>()});
+                                 static_cast<double>(Figure(1)) / SlotPrecision,
+                                 static_cast<double>(Figure(2)) / SlotPrecision,
+                                 static_cast<double>(Figure(3)),
+                                 std::chrono::milliseconds(Figure(4))});
+      }
     return Report;
   } catch (const nlohmann::json::exception &) {
     return std::nullopt;
@@ -318,6 +336,14 @@
   return Result;
 }
 
+bool PeerRegistry::hasOtherDomains() const {
+  return std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
+    const Peer &Other = Entry.second;
+    return Other.Endpoint && !Other.UnlistedAt &&
+           Other.Endpoint->Domain != m_OwnDomain;
+  });
+}
+
 void PeerRegistry::updateJoining(TimePoint Now) {
   std::size_t Listed = 0;
   std::size_t Reporting = 0;
--- a/packages/gateway/test/slotmessages_test.cpp
+++ b/packages/gateway/test/slotmessages_test.cpp
@@ -81,7 +81,7 @@
     PeerReport Report;
     Report.Vm = "vm-1";
     Report.Paces.push_back({5, 2.5, 40ms});
-    Report.Offers.push_back({6, 3, 4});
+    Report.Offers.push_back({6, 3.25, 4.5, 120, 60ms});
     Report.RunningRequests.push_back({1, 5, 0, 9000});
     const auto Decoded = decodeReport(encodeReport(Report));
     CPPUNIT_ASSERT(Decoded);
@@ -89,7 +89,11 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, Decoded->Paces[0].Pace, 0.01);
     CPPUNIT_ASSERT(Decoded->Paces[0].Age == Duration(40ms));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Decoded->Offers.size());
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t(4), Decoded->Offers[0].LackingSlots);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Decoded->Offers[0].Service);
+    CPPUNIT_ASSERT_EQUAL(3.25, Decoded->Offers[0].FreeSlots);
+    CPPUNIT_ASSERT_EQUAL(4.5, Decoded->Offers[0].LackingSlots);
+    CPPUNIT_ASSERT_EQUAL(120.0, Decoded->Offers[0].PerSecond);
+    CPPUNIT_ASSERT(Decoded->Offers[0].SlotTime == Duration(60ms));
     CPPUNIT_ASSERT_EQUAL(TokenCount(9000),
                          Decoded->RunningRequests[0].MemoryTokens);
   }
