--- a/packages/gateway/src/spillcontrol.cpp
+++ b/packages/gateway/src/spillcontrol.cpp
@@ -212,11 +212,18 @@
   // by the last report would make the request wait there.
   std::vector<TargetPtr> Open;
   std::vector<TargetPtr> Unstated;
+  std::map<std::string_view, SpillRule> Rules;
   for (const auto &Target : Targets) {
-    if (Target->Entry.Domain == Input.OwnDomain)
+    const auto &Domain = Target->Entry.Domain;
+    if (Domain == Input.OwnDomain)
       continue;
-    const auto Rule =
-        Control.ruleFor(Request.Service, Target->Entry.Domain, Now);
+    auto Known = Rules.find(Domain.Text);
+    if (Known == Rules.end())
+      Known = Rules
+                  .emplace(Domain.Text,
+                           Control.ruleFor(Request.Service, Domain, Now))
+                  .first;
+    const auto Rule = Known->second;
     if (Rule == SpillRule::Open && Target->running() < Target->Entry.Slots)
       Open.push_back(Target);
     else if (Rule == SpillRule::Unknown && !OffersOnly)
