gateway, mangodeck: where explains where a request would go now

Cause: why a request is placed, queued or refused could be told only afterwards, from the log of the request that it concerns. Change: a call on the metrics port describes a request and gets the outcome, each candidate with its figures and what excludes it, the queue, the limit and the offers of other domains. The decision code runs on copies of what it changes; a daemon answers five calls a second. mangodeck where prints the answer as text or JSON.

--- a/apps/mangodeck/adminclient.cpp
+++ b/apps/mangodeck/adminclient.cpp
@@ -15,6 +15,10 @@
   void operator()(CURL *Handle) const { curl_easy_cleanup(Handle); }
 };
 
+struct ListDeleter {
+  void operator()(curl_slist *List) const { curl_slist_free_all(List); }
+};
+
 /// Host names are never resolved, so only the characters of an IP address and a
 /// port are accepted.
 bool isAddress(std::string_view Text) {
@@ -52,7 +56,8 @@
 
 Expected<AdminResponse> callAdmin(std::string_view Address,
                                   std::string_view Path, std::string_view Body,
-                                  Duration Timeout) {
+                                  Duration Timeout,
+                                  std::span<const std::string> Fields) {
   if (!isAddress(Address))
     return unexpected(Errc::InvalidInput);
   const std::unique_ptr<CURL, HandleDeleter> Handle(curl_easy_init());
@@ -74,6 +79,11 @@
                      static_cast<curl_off_t>(Body.size()));
     curl_easy_setopt(Handle.get(), CURLOPT_POSTFIELDS, Body.data());
   }
+  std::unique_ptr<curl_slist, ListDeleter> List;
+  for (const auto &Field : Fields)
+    List.reset(curl_slist_append(List.release(), Field.c_str()));
+  if (List)
+    curl_easy_setopt(Handle.get(), CURLOPT_HTTPHEADER, List.get());
   if (const auto Error = toError(curl_easy_perform(Handle.get())))
     return unexpected(Error);
   curl_easy_getinfo(Handle.get(), CURLINFO_RESPONSE_CODE, &Response.Status);
--- a/apps/mangodeck/adminclient.h
+++ b/apps/mangodeck/adminclient.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/error.h"
 #include "mangodeck/common/units.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -19,11 +20,12 @@
 /// call is a POST, without it a GET. Errc::InvalidInput if \p Address is
 /// not IP:PORT, Errc::Unavailable if the daemon cannot be reached,
 /// Errc::Timeout after \p Timeout, Errc::LimitExceeded for an answer above 64
-/// MiB.
+/// MiB. \p Fields are sent with the call, each as "Name: value".
 Expected<AdminResponse> callAdmin(std::string_view Address,
                                   std::string_view Path,
                                   std::string_view Body = {},
-                                  Duration Timeout = 5s);
+                                  Duration Timeout = 5s,
+                                  std::span<const std::string> Fields = {});
 
 } // namespace mangodeck
 
--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -10,6 +10,7 @@
 #include "replaycommand.h"
 #include "statuscommand.h"
 #include "timelinecommand.h"
+#include "wherecommand.h"
 
 #include <utility>
 #include <vector>
@@ -29,6 +30,7 @@
   Commands.push_back(std::make_unique<ReplayCommand>());
   Commands.push_back(std::make_unique<TimelineCommand>());
   Commands.push_back(std::make_unique<ExplainCommand>());
+  Commands.push_back(std::make_unique<WhereCommand>());
   Commands.push_back(std::make_unique<BenchCommand>());
   return Commands;
 }
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peerregistry.h"
+#include "mangodeck/gateway/placementreport.h"
 #include "mangodeck/gateway/quotaledger.h"
 #include "mangodeck/gateway/slotbroker.h"
 #include "mangodeck/gateway/spillcontrol.h"
@@ -32,6 +33,9 @@
 /// Shortest Retry-After of a refused request.
 inline constexpr Duration MinRetryAfter = 300ms;
 
+/// Path of the call that explains a placement, beside the metrics.
+inline constexpr std::string_view PlacementPath = "/where";
+
 /// What a bad version may receive during a roll-out, over all daemons.
 struct RolloutLimits {
   /// Largest share of the service's requests between the order and its time
@@ -143,6 +147,14 @@
 
   bool isReady() const;
 
+  /// Where a request would go now, and why. Sends and reserves nothing; draws a
+  /// random number for the Retry-After. \p WantedService: of a route with
+  /// several; empty: that of the largest share. Copies the queue and the grants
+  /// of the broker.
+  PlacementReport explainPlacement(http::Request Message,
+                                   std::string_view WantedService,
+                                   TimePoint Now);
+
 private:
   struct ServiceState {
     DispatchQueue Queue;
@@ -228,7 +240,10 @@
   /// of the first time holds for all.
   void requestSlot(const ExchangePtr &Waiting, bool RefuseIfLate,
                    TimePoint Now);
-  /// The request as its broker needs it, apart from what requestSlot() adds.
+  /// The same for requestSlot(), with the targets that this daemon excludes.
+  SlotRequest slotRequestFor(const Exchange &Waiting, bool RefuseIfLate,
+                             TimePoint Now) const;
+  /// The request as its broker needs it, apart from what slotRequestFor() adds.
   SlotRequest describe(const Exchange &Waiting, TimePoint Now) const;
   /// Requests a permit for a target of another failure domain that is expected
   /// to meet the latency target; false if there is none. \p RefuseIfDenied:
@@ -279,9 +294,29 @@
   bool tryLeaveDomain(const ExchangePtr &Waiting,
                       std::optional<Duration> HomeWait, bool OffersOnly,
                       TimePoint Now);
+  /// The target of another failure domain for tryLeaveDomain(), with
+  /// \p Control.
+  std::optional<Departure>
+  chooseDeparture(const Exchange &Waiting, std::span<const TargetPtr> Targets,
+                  SpillControl &Control, std::optional<Duration> HomeWait,
+                  bool OffersOnly, TimePoint Now) const;
   /// Tries the same for the requests that the broker has queued.
   void tryLeaveQueue(TimePoint Now);
 
+  // Explanations for operators.
+  /// Status and body of the answer to a call that describes a request.
+  std::pair<int, std::string>
+  answerPlacementCall(const http::RequestHead &Call);
+  /// What admit() would do.
+  void explainAdmission(const Exchange &New, PlacementReport &Report,
+                        TimePoint Now);
+  void explainLocalDecision(const Exchange &New,
+                            std::span<const TargetPtr> Targets,
+                            PlacementReport &Report, TimePoint Now);
+  std::vector<PlacementDomain>
+  explainDomains(const ServiceName &Service, std::span<const TargetPtr> Targets,
+                 TimePoint Now);
+
   // Streams that callers take up.
   void sendOrigin(const std::string &Vm, const OriginMessage &Message) override;
   void onOriginResult(TicketNumber Number, const OriginResult &Result) override;
@@ -466,6 +501,7 @@
   SlotBroker m_LocalBroker;
   DomainOffers m_Offers;
   SpillControl m_Spill;
+  TimePoint m_LastPlacementCall{};
   /// Daemons of other failure domains are listed.
   bool m_HasOtherDomains = false;
   /// The delegate of this failure domain, which is also its slot broker;
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -238,6 +238,10 @@
   /// summary it is known.
   std::optional<PeerEndpoint> remoteDelegate(const FailureDomain &Domain,
                                              TimePoint Now) const;
+  /// Age of the last summary of a remote failure domain; std::nullopt if its
+  /// loads no longer count.
+  std::optional<Duration> summaryAge(const FailureDomain &Domain,
+                                     TimePoint Now) const;
   /// The last listed endpoint of a daemon; std::nullopt if the store never
   /// listed it.
   std::optional<PeerEndpoint> endpointOf(const std::string &Vm) const;
--- a/packages/gateway/include/mangodeck/gateway/slotbroker.h
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -44,6 +44,11 @@
   SlotBroker(FailureDomain Domain, const TargetRegistry &Targets,
              SlotDecisionSink &Sink);
 
+  /// A copy of \p Other that decides on the targets of \p Targets, which are
+  /// copies of those of \p Other. It tells what \p Other would decide.
+  SlotBroker(const SlotBroker &Other, const TargetRegistry &Targets,
+             SlotDecisionSink &Sink);
+
   /// Grants a slot, or queues or refuses the request. A request that already
   /// has a slot or waits gets the same decision again, since the first one may
   /// have been lost.
@@ -70,6 +75,8 @@
   /// TrackedTarget::OwnRunning instead.
   void addLoads(TargetLoads &Sums) const;
   std::size_t waitingCount() const { return m_Waiting.size(); }
+  /// Number of waiting requests that precede a new one.
+  std::size_t waitingAhead(const SlotRequest &Request, TimePoint Now) const;
 
 private:
   /// A process of a daemon: its VM and incarnation.
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -138,6 +138,8 @@
   }
   TargetRateLimit &rateLimit() const { return m_Statements->RateLimit; }
   TimePoint pausedUntil() const { return m_Statements->PausedUntil; }
+  /// A copy that shares nothing with this target.
+  std::shared_ptr<TrackedTarget> copy() const;
   /// Shares the statements of an earlier registration of the target.
   void adoptStatements(const TrackedTarget &Earlier) {
     m_Statements = Earlier.m_Statements;
@@ -206,6 +208,9 @@
   /// the registration did not merely expire, so that only a newer one brings
   /// the target back.
   TargetPtr remove(const TargetName &Id, bool HasLeft);
+  /// A registry of copies of the targets of \p Service. What is decided on them
+  /// changes nothing here.
+  TargetRegistry copyOf(const ServiceName &Service) const;
   TargetPtr find(const TargetName &Id) const;
   TargetPtr findByHash(std::uint64_t Hash) const;
   /// The same, also for a target whose registration was removed or replaced.
--- a/packages/gateway/src/gatewaybroker.cpp
+++ b/packages/gateway/src/gatewaybroker.cpp
@@ -80,13 +80,19 @@
   }
   Pending->second.LastSent = Now;
   hastenTick(Now);
-  auto Request = describe(*Waiting, Now);
-  Request.RefuseIfLate = Pending->second.RefuseIfLate;
-  for (const auto &Target : m_Targets.targetsOf(Waiting->service()))
+  sendToBroker(slotRequestFor(*Waiting, Pending->second.RefuseIfLate, Now),
+               Now);
+}
+
+SlotRequest Gateway::slotRequestFor(const Exchange &Waiting, bool RefuseIfLate,
+                                    TimePoint Now) const {
+  auto Request = describe(Waiting, Now);
+  Request.RefuseIfLate = RefuseIfLate;
+  for (const auto &Target : m_Targets.targetsOf(Waiting.service()))
     if (Target->Entry.Domain == m_Settings.Domain &&
-        !obstacleToSend(*Target, Waiting->requirements(), Now).empty())
+        !obstacleToSend(*Target, Waiting.requirements(), Now).empty())
       Request.ExcludedTargets.push_back(Target->Hash);
-  sendToBroker(Request, Now);
+  return Request;
 }
 
 void Gateway::sendToBroker(const SlotMessage &Message, TimePoint Now) {
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -7,6 +7,7 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
+#include <tuple>
 #include <utility>
 
 namespace mangodeck {
@@ -154,12 +155,23 @@
             return (*Self)();
           const auto &Target = Client->Parser.head().Target;
           const bool IsMetrics = Target == m_Settings.MetricsPath;
+          // The readiness port is reached by others than operators.
+          std::error_code Ignored;
+          const bool IsMetricsPort =
+              Socket->local_endpoint(Ignored).port() ==
+              (m_Settings.MetricsPort ? m_Settings.MetricsPort
+                                      : m_Settings.ReadyPort);
+          const bool IsPlacement = IsMetricsPort && Target == PlacementPath;
           const bool IsKnownPath = IsMetrics || Target == m_Settings.ReadyPath;
-          const auto Body = IsMetrics ? m_Metrics.serialize() : std::string();
+          auto Body = IsMetrics ? m_Metrics.serialize() : std::string();
           http::ResponseHead Answer;
-          Answer.Status = !IsKnownPath             ? 404
-                          : IsMetrics || isReady() ? 200
-                                                   : 503;
+          if (IsPlacement)
+            std::tie(Answer.Status, Body) =
+                answerPlacementCall(Client->Parser.head());
+          else
+            Answer.Status = !IsKnownPath             ? 404
+                            : IsMetrics || isReady() ? 200
+                                                     : 503;
           if (IsMetrics)
             Answer.Fields.add("Content-Type", "text/plain; version=0.0.4");
           Answer.Fields.add("Content-Length", std::to_string(Body.size()));
--- a/packages/gateway/src/gatewayspill.cpp
+++ b/packages/gateway/src/gatewayspill.cpp
@@ -99,26 +99,38 @@
                                 {"age_ms", toMs(Change.Age)}});
 }
 
+std::optional<Departure> Gateway::chooseDeparture(
+    const Exchange &Waiting, std::span<const TargetPtr> Targets,
+    SpillControl &Control, std::optional<Duration> HomeWait, bool OffersOnly,
+    TimePoint Now) const {
+  auto Input = choiceInput(Waiting, Now);
+  if (!Waiting.work().IsEngine && Waiting.version() == NoVersion)
+    return chooseElsewhere(Control,
+                           {hashOf(Waiting.service()), HomeWait,
+                            Waiting.latencyDeadline() - Now,
+                            Waiting.deadline() - Now, Waiting.bodyBytes()},
+                           Targets, Input, OffersOnly, Now);
+  // Engines are placed by the loads in the summaries: their requests are longer
+  // than these are old.
+  Input.RemoteDomainsOnly = true;
+  auto Chosen = OffersOnly ? std::nullopt : chooseTarget(Targets, Input, Now);
+  if (!Chosen || !Chosen->MeetsLatencyTarget)
+    return std::nullopt;
+  return Departure{std::move(*Chosen), SpillRule::Unknown};
+}
+
 bool Gateway::tryLeaveDomain(const ExchangePtr &Waiting,
                              std::optional<Duration> HomeWait, bool OffersOnly,
                              TimePoint Now) {
-  // Step 1. Engines are placed by the loads in the summaries: their requests
-  // are longer than these are old.
-  if (Waiting->work().IsEngine || Waiting->version() != NoVersion)
-    return !OffersOnly && tryDispatch(Waiting, true, Now);
-
-  // Step 2. Ask the control, which has the offers.
-  auto Leaving = chooseElsewhere(
-      m_Spill,
-      {hashOf(Waiting->service()), HomeWait, Waiting->latencyDeadline() - Now,
-       Waiting->deadline() - Now, Waiting->bodyBytes()},
-      m_Targets.targetsOf(Waiting->service()), choiceInput(*Waiting, Now),
-      OffersOnly, Now);
+  auto Leaving =
+      chooseDeparture(*Waiting, m_Targets.targetsOf(Waiting->service()),
+                      m_Spill, HomeWait, OffersOnly, Now);
   if (!Leaving)
     return false;
-  m_Metrics.countDomainExit(Waiting->service().view(),
-                            Leaving->Rule == SpillRule::Open ? "offered"
-                                                             : "unstated");
+  if (!Waiting->work().IsEngine)
+    m_Metrics.countDomainExit(Waiting->service().view(),
+                              Leaving->Rule == SpillRule::Open ? "offered"
+                                                               : "unstated");
   dispatchTo(Waiting, std::move(Leaving->Chosen), Now);
   return true;
 }
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -390,6 +390,15 @@
   return endpointOf(Found->second.LastReport.Vm);
 }
 
+std::optional<Duration> PeerRegistry::summaryAge(const FailureDomain &Domain,
+                                                 TimePoint Now) const {
+  const auto Found = m_DomainSummaries.find(Domain.Text);
+  if (Found == m_DomainSummaries.end() ||
+      Now - Found->second.LastReportTime > LoadLifetime)
+    return std::nullopt;
+  return Now - Found->second.LastReportTime;
+}
+
 std::optional<PeerEndpoint>
 PeerRegistry::endpointOf(const std::string &Vm) const {
   const auto Found = m_Peers.find(Vm);
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -25,6 +25,23 @@
                        SlotDecisionSink &Sink)
     : m_Domain(std::move(Domain)), m_Targets(Targets), m_Sink(Sink) {}
 
+SlotBroker::SlotBroker(const SlotBroker &Other, const TargetRegistry &Targets,
+                       SlotDecisionSink &Sink)
+    : m_Domain(Other.m_Domain), m_Targets(Targets), m_Sink(Sink),
+      m_Waiting(Other.m_Waiting), m_BoundWaiting(Other.m_BoundWaiting),
+      m_KeyByTicket(Other.m_KeyByTicket), m_Grants(Other.m_Grants),
+      m_LastMessageAt(Other.m_LastMessageAt), m_Services(Other.m_Services),
+      m_NextTicket(Other.m_NextTicket) {}
+
+std::size_t SlotBroker::waitingAhead(const SlotRequest &Request,
+                                     TimePoint Now) const {
+  const auto Found = m_Services.find(Request.Service.Text);
+  return Found == m_Services.end()
+             ? 0
+             : Found->second.Queue.countAhead(
+                   Request.Rank, Request.Version != NoVersion, Now);
+}
+
 std::vector<TargetPtr>
 SlotBroker::domainTargets(const ServiceName &Service) const {
   std::vector<TargetPtr> Targets;
--- a/packages/gateway/src/targetregistry.cpp
+++ b/packages/gateway/src/targetregistry.cpp
@@ -50,6 +50,23 @@
   Hash = XXH3_64bits(Text.data(), Text.size());
 }
 
+std::shared_ptr<TrackedTarget> TrackedTarget::copy() const {
+  auto Copy = std::make_shared<TrackedTarget>(*this);
+  Copy->m_Statements = std::make_shared<TargetStatements>(*m_Statements);
+  return Copy;
+}
+
+TargetRegistry TargetRegistry::copyOf(const ServiceName &Service) const {
+  TargetRegistry Copies;
+  for (const auto &Target : targetsOf(Service)) {
+    const auto Copy = Target->copy();
+    Copies.m_ById[Copy->Entry.Id.Text] = Copy;
+    Copies.m_ByHash[Copy->Hash] = Copy;
+    Copies.m_ByService[Service.Text].push_back(Copy);
+  }
+  return Copies;
+}
+
 void TrackedTarget::recordEventGap(Duration Gap, std::uint32_t Tokens) {
   const double Nominal =
       toSeconds(nominalStepTime(running())) * static_cast<double>(Tokens);
