--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -5,11 +5,14 @@
 #include "mangodeck/gateway/bufferbudget.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/crashcauses.h"
+#include "mangodeck/gateway/domainoffers.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peerregistry.h"
+#include "mangodeck/gateway/placementreport.h"
 #include "mangodeck/gateway/quotaledger.h"
 #include "mangodeck/gateway/slotbroker.h"
+#include "mangodeck/gateway/spillcontrol.h"
 #include "mangodeck/gateway/streamorigins.h"
 #include "mangodeck/gateway/suspensiondetector.h"
 #include "mangodeck/gateway/versionhistory.h"
@@ -30,6 +33,9 @@
 /// Shortest Retry-After of a refused request.
 inline constexpr Duration MinRetryAfter = 300ms;
 
+/// Path of the call that explains a placement, beside the metrics.
+inline constexpr std::string_view PlacementPath = "/where";
+
 /// What a bad version may receive during a roll-out, over all daemons.
 struct RolloutLimits {
   /// Largest share of the service's requests between the order and its time
@@ -67,6 +73,7 @@
   /// Targets end if the requests that they hold exceed their memory, and
   /// callers and targets may read slowly.
   bool IsMemoryScarce = false;
+  SpillSettings Spill;
 };
 
 /// Receives the configuration, and the targets and daemons that the store
@@ -140,6 +147,14 @@
 
   bool isReady() const;
 
+  /// Where a request would go now, and why. Sends and reserves nothing; draws a
+  /// random number for the Retry-After. \p WantedService: of a route with
+  /// several; empty: that of the largest share. Copies the queue and the grants
+  /// of the broker.
+  PlacementReport explainPlacement(http::Request Message,
+                                   std::string_view WantedService,
+                                   TimePoint Now);
+
 private:
   struct ServiceState {
     DispatchQueue Queue;
@@ -152,6 +167,9 @@
     TimePoint LastSent{};
     bool RefuseIfLate = false; ///< See requestSlot().
     bool Answered = false;     ///< The broker has replied at least once.
+    /// Time of a slot by the broker's first estimate, once it has queued the
+    /// request.
+    TimePoint ExpectedAt{};
   };
   /// A request for which this daemon has requested a permit under the rate
   /// limit of a target in another failure domain.
@@ -223,7 +241,10 @@
   /// of the first time holds for all.
   void requestSlot(const ExchangePtr &Waiting, bool RefuseIfLate,
                    TimePoint Now);
-  /// The request as its broker needs it, apart from what requestSlot() adds.
+  /// The same for requestSlot(), with the targets that this daemon excludes.
+  SlotRequest slotRequestFor(const Exchange &Waiting, bool RefuseIfLate,
+                             TimePoint Now) const;
+  /// The request as its broker needs it, apart from what slotRequestFor() adds.
   SlotRequest describe(const Exchange &Waiting, TimePoint Now) const;
   /// Requests a permit for a target of another failure domain that is expected
   /// to meet the latency target; false if there is none. \p RefuseIfDenied:
@@ -255,6 +276,48 @@
   /// needed.
   void withdrawSlotRequest(TicketNumber Number, TimePoint Now);
 
+  // Traffic between failure domains.
+  /// Records at the broker what \p Message tells of the domain's own demand.
+  void recordDemand(const SlotMessage &Message, TimePoint Now);
+  /// The same of a decision of this broker.
+  void recordDecision(const std::string &Vm, const SlotDecision &Decision);
+  /// Records that a target has released a request of this daemon.
+  void recordAnswer(const Exchange &Released, const SlotUpdate &Update);
+  /// What this daemon, as the broker, offers to the other domains; applies it
+  /// here as well.
+  std::vector<ServiceOffer> makeOffers(TimePoint Now);
+  void applyOffers(const FailureDomain &Domain,
+                   std::span<const ServiceOffer> Offers, TimePoint Now);
+  /// Sends a request that has no slot in this domain to a target of another one
+  /// if that is worth it; see SpillControl. \p HomeWait: expected wait here;
+  /// std::nullopt if the broker has refused it. \p OffersOnly: considers no
+  /// domains that state no offers.
+  bool tryLeaveDomain(const ExchangePtr &Waiting,
+                      std::optional<Duration> HomeWait, bool OffersOnly,
+                      TimePoint Now);
+  /// The target of another failure domain for tryLeaveDomain(), with
+  /// \p Control.
+  std::optional<Departure>
+  chooseDeparture(const Exchange &Waiting, std::span<const TargetPtr> Targets,
+                  SpillControl &Control, std::optional<Duration> HomeWait,
+                  bool OffersOnly, TimePoint Now) const;
+  /// Tries the same for the requests that the broker has queued.
+  void tryLeaveQueue(TimePoint Now);
+
+  // Explanations for operators.
+  /// Status and body of the answer to a call that describes a request.
+  std::pair<int, std::string>
+  answerPlacementCall(const http::RequestHead &Call);
+  /// What admit() would do.
+  void explainAdmission(const Exchange &New, PlacementReport &Report,
+                        TimePoint Now);
+  void explainLocalDecision(const Exchange &New,
+                            std::span<const TargetPtr> Targets,
+                            PlacementReport &Report, TimePoint Now);
+  std::vector<PlacementDomain>
+  explainDomains(const ServiceName &Service, std::span<const TargetPtr> Targets,
+                 TimePoint Now);
+
   // Streams that callers take up.
   void sendOrigin(const std::string &Vm, const OriginMessage &Message) override;
   void onOriginResult(TicketNumber Number, const OriginResult &Result) override;
@@ -375,6 +438,9 @@
   /// domains, and only if they are expected to meet the latency target.
   bool tryDispatch(const ExchangePtr &Waiting, bool RemoteDomainsOnly,
                    TimePoint Now);
+  /// Sends the request to a chosen target.
+  void dispatchTo(const ExchangePtr &Waiting, ChosenTarget Chosen,
+                  TimePoint Now);
   /// Draws a service of the route by the weights of its shares.
   ServiceName pickService(const Route &Matched);
   /// Handles the resumption after the process was suspended or has stalled:
@@ -432,6 +498,11 @@
   PeerRegistry m_Peers;
   SuspensionDetector m_SuspensionDetector;
   SlotBroker m_LocalBroker;
+  DomainOffers m_Offers;
+  SpillControl m_Spill;
+  TimePoint m_LastPlacementCall{};
+  /// Daemons of other failure domains are listed.
+  bool m_HasOtherDomains = false;
   /// The delegate of this failure domain, which is also its slot broker;
   /// std::nullopt if that is this daemon.
   std::optional<PeerRegistry::Delegate> m_RemoteBroker;
