gateway, platform: rollouts of software versions by order

Orders in the store move a service's traffic to another version: shares that each daemon keeps by itself, evidence merged by process, a comparison that may be looked at at any time, steps and verdicts written under a condition.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -8,6 +8,7 @@
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/requestfacts.h"
 #include "mangodeck/gateway/retrybudget.h"
+#include "mangodeck/gateway/rolloutcontroller.h"
 #include "mangodeck/gateway/slotmessages.h"
 #include "mangodeck/gateway/targetconnectionpool.h"
 #include "mangodeck/http/callerconnection.h"
@@ -71,6 +72,9 @@
   /// A target has answered the request and went on. \p Begun is the time at
   /// which the answer began.
   virtual void onSoundAnswer(const Exchange &Running, TimePoint Begun) = 0;
+  /// The target of \p Answered has answered whole. \p IsBad: with a failure of
+  /// its own.
+  virtual void onAnswer(const Exchange &Answered, bool IsBad) = 0;
   /// An answer of \p Target states that the target leaves.
   virtual void onTargetLeaving(const TargetPtr &Target) = 0;
   /// An answer states that the target at the address of \p Expected leaves,
@@ -123,6 +127,12 @@
   /// 503, which promise that none has; if one may have, the answer is 502.
   void refuse(int Status, std::string_view Reason,
               std::optional<Duration> RetryAfter);
+  /// The versions at which the request may run until the next choice.
+  void setVersionChoice(const VersionChoice &Choice) { m_Choice = Choice; }
+  const VersionChoice &versionChoice() const { return m_Choice; }
+  /// Gives the target up, since its version is replaced: sends the request
+  /// again if possible, else ends it.
+  void leaveVersion(std::string_view Reason);
   /// Continues after onIncompleteAnswer(): sends the request again if possible,
   /// else ends it.
   void repeatAfterCrash(std::string_view Reason);
@@ -172,6 +182,14 @@
   VersionId version() const { return m_Version; }
   /// Number of the current or last send, which increases with each.
   std::uint32_t sendNumber() const { return m_SendNumber; }
+  /// When the current or last send was made, and how many requests the target
+  /// had before it.
+  TimePoint sentAt() const { return m_SentAt; }
+  std::uint32_t runningAtSend() const { return m_RunningAtSend; }
+  /// See TargetLoadStatement::Pace; of the last answer.
+  std::optional<double> statedPace() const { return m_StatedPace; }
+  /// Mean pause between events of the current or last send.
+  Duration lowEventGap() const { return m_LowEventGap; }
   /// Events received from the current or last target.
   std::uint32_t eventCount() const { return m_EventCount; }
   /// The current or last target has answered and went on, so the request is not
@@ -298,6 +316,8 @@
   bool m_AnswerSound = false;      ///< See isAnswerSound().
   bool m_StreamStarted = false;    ///< Towards the caller.
   VersionId m_Version = NoVersion; ///< See version().
+  VersionChoice m_Choice;
+  std::optional<double> m_StatedPace;
   /// The version that began the stream is certain.
   bool m_IsVersionCertain = true;
   std::uint32_t m_SendNumber = 0;
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -9,6 +9,8 @@
 #include "mangodeck/gateway/keyfollower.h"
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/quotaledger.h"
+#include "mangodeck/gateway/rolloutcontroller.h"
+#include "mangodeck/gateway/rolloutramp.h"
 #include "mangodeck/gateway/slotbroker.h"
 #include "mangodeck/gateway/streamorigins.h"
 #include "mangodeck/gateway/suspensiondetector.h"
@@ -30,17 +32,6 @@
 /// Shortest Retry-After of a refused request.
 inline constexpr Duration MinRetryAfter = 300ms;
 
-/// What a bad version may receive during a roll-out, over all daemons.
-struct RolloutLimits {
-  /// Largest share of the service's requests between the order and its time
-  /// limit, and requests beyond it.
-  double ExposureShare = 0.1;
-  double ExposureSlack = 50;
-  /// Time after the 50th bad answer of a version within which all daemons stop
-  /// sending to it.
-  Duration RollbackDeadline = 5s;
-};
-
 /// Addresses, time limits and memory limits of one gateway process.
 struct GatewaySettings {
   std::string Vm;
@@ -85,6 +76,14 @@
   virtual void onPeerRemoved(const std::string &Vm) = 0;
   /// The store holds \p Records of the targets' software versions.
   virtual void onVersionRecords(std::span<const VersionRecord> Records) = 0;
+  /// The store's keys on rollouts; std::nullopt: the key does not exist, or
+  /// holds no order.
+  virtual void onRolloutOrder(const ServiceName &Service,
+                              std::optional<RolloutOrder> Order) {}
+  virtual void onRolloutStatus(const ServiceName &Service,
+                               std::optional<RolloutStatus> Status) {}
+  virtual void onRolloutRecord(const ServiceName &Service,
+                               std::optional<RolloutRecord> Record) {}
   /// Every target and daemon that the store lists has been reported once.
   virtual void onDirectoryComplete() = 0;
   /// All changes of the store up to \p Time have been reported. That is the
@@ -101,7 +100,8 @@
                 private http::CallerConnectionHandler,
                 private ExchangeControl,
                 private SlotDecisionSink,
-                private OriginSink {
+                private OriginSink,
+                private RolloutOutlet {
 public:
   Gateway(asio::io_context &Loop, GatewaySettings Settings,
           const HeaderNames &Names, EventLog &Log, GatewayMetrics &Metrics,
@@ -123,6 +123,10 @@
   std::function<void(const RelayedChanges &)> OnRelayedChanges;
   /// Called with the records of software versions that the store should hold.
   std::function<void(std::span<const VersionRecord>)> OnVersionRecords;
+  /// Called to write the status or the record of a rollout under the condition
+  /// that its key is at a revision. onRolloutWritten() is to be called then.
+  std::function<void(const RolloutStatus &, StoreRevision)> OnRolloutStatus;
+  std::function<void(const RolloutRecord &, StoreRevision)> OnRolloutRecord;
 
   void onPlan(RoutePlanPtr Plan) override;
   void onTargetUpdated(const TargetEntry &Entry) override;
@@ -131,8 +135,16 @@
                      const PeerEndpoint &Address) override;
   void onPeerRemoved(const std::string &Vm) override;
   void onVersionRecords(std::span<const VersionRecord> Records) override;
+  void onRolloutOrder(const ServiceName &Service,
+                      std::optional<RolloutOrder> Order) override;
+  void onRolloutStatus(const ServiceName &Service,
+                       std::optional<RolloutStatus> Status) override;
+  void onRolloutRecord(const ServiceName &Service,
+                       std::optional<RolloutRecord> Record) override;
   void onDirectoryComplete() override;
   void onDirectoryConfirmed(TimePoint Time) override;
+  /// A write of OnRolloutStatus or OnRolloutRecord has ended.
+  void onRolloutWritten(const ServiceName &Service);
 
   /// The delegate of a large failure domain relays.
   bool isRelaying() const override;
@@ -192,6 +204,7 @@
   bool onIncompleteAnswer(const ExchangePtr &Broken, const TargetPtr &Target,
                           std::string_view Reason) override;
   void onSoundAnswer(const Exchange &Running, TimePoint Begun) override;
+  void onAnswer(const Exchange &Answered, bool IsBad) override;
   void onTargetLeaving(const TargetPtr &Target) override;
   void onOtherTargetLeaving(const TargetPtr &Expected) override;
   void onTargetPaused(const TargetPtr &Target) override;
@@ -299,6 +312,22 @@
   void updateCrashCauses(TimePoint Now);
   void sendCrashEvidence(TimePoint Now);
 
+  // Rollouts.
+  void sendToDelegate(std::string_view Bytes) override;
+  void sendToOwnDomain(std::string_view Bytes) override;
+  void sendToDelegates(std::string_view Bytes) override;
+  void writeStatus(const RolloutStatus &Next, StoreRevision Expected) override;
+  void writeRecord(const RolloutRecord &Next, StoreRevision Expected) override;
+  std::uint32_t countElsewhere(const ServiceName &Service,
+                               VersionId To) const override;
+  void giveUpElsewhere(const ServiceName &Service, VersionId To) override;
+  /// Chooses the versions at which a request may run.
+  void chooseVersion(const ExchangePtr &Waiting, bool IsNew, TimePoint Now);
+  /// Lets a request run at other versions that was to run at an ordered one and
+  /// found no slot; false if it was not.
+  bool reassignVersion(const ExchangePtr &Waiting);
+  void updateRollouts(TimePoint Now);
+
   void onSlotFreed(const ServiceName &Service);
   void acceptCallers();
   void startCaller(asio::ip::tcp::socket Socket);
@@ -431,6 +460,8 @@
   std::optional<TimePoint> m_RecordsDueSince;
   TimePoint m_LastVersionWriteAt{};
   PeerRegistry m_Peers;
+  /// Null where operators order no rollouts.
+  std::unique_ptr<RolloutController> m_Rollouts;
   SuspensionDetector m_SuspensionDetector;
   SlotBroker m_LocalBroker;
   /// The delegate of this failure domain, which is also its slot broker;
--- a/packages/gateway/include/mangodeck/gateway/keyvaluestore.h
+++ b/packages/gateway/include/mangodeck/gateway/keyvaluestore.h
@@ -53,6 +53,16 @@
   Duration TimeToLive{0};
 };
 
+/// The result of a write under a condition.
+struct ConditionalWrite {
+  bool IsApplied = false;
+  /// Of the written key, if applied.
+  StoreRevision Revision;
+  /// What the store holds instead, if not applied. Empty: the key does not
+  /// exist.
+  std::vector<KeyChange> Current;
+};
+
 /// Access to the store that holds the configuration, targets and daemons.
 /// Every callback runs once, on the caller's event loop, with a result or an
 /// error. Errc::StaleStore: the store no longer has the history after the
@@ -74,6 +84,12 @@
   /// Writes a key bound to \p Lease and overwrites a present value.
   virtual void put(std::string_view Key, std::string_view Value,
                    std::int64_t Lease, Callback<bool> Done) = 0;
+  /// Writes a key without a lease if it is at revision \p Expected; number 0:
+  /// if it does not exist. After an error the write may have taken effect.
+  virtual void putIf(std::string_view Key, std::string_view Value,
+                     StoreRevision Expected, Callback<ConditionalWrite> Done) {
+    Done(unexpected(make_error_code(Errc::Unavailable)));
+  }
   /// Closes all connections, e.g. after the process was suspended.
   virtual void reconnect() = 0;
 };
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -190,6 +190,8 @@
   /// Endpoints of some daemons of each remote failure domain, which receive
   /// the domain summaries.
   std::vector<PeerEndpoint> remoteDomainEndpoints() const;
+  /// The other failure domains in which the store lists daemons.
+  std::vector<std::string> remoteDomains() const;
   /// Records that this daemon stops. It remains the delegate only of daemons
   /// that all stop.
   void markStopping() { m_Stopping = true; }
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -121,6 +121,8 @@
   /// answered at its address. Not used until it registers again or a request
   /// succeeds.
   bool MarkedDown = false;
+  /// The rollout of its service lets no request go to the target.
+  bool IsBarred = false;
   /// Time of the last byte that the target sent on any connection.
   TimePoint LastByteAt{};
 
@@ -153,7 +155,8 @@
   }
   bool isPaused(TimePoint Now) const { return pausedUntil() > Now; }
   bool isUsable(TimePoint Now) const {
-    return !isLeaving() && !MarkedDown && !isPaused(Now) && AvoidUntil <= Now;
+    return !isLeaving() && !MarkedDown && !IsBarred && !isPaused(Now) &&
+           AvoidUntil <= Now;
   }
   /// Records that the target asked this daemon to send nothing for \p Pause. A
   /// shorter pause than that in force changes nothing.
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -156,7 +156,7 @@
                                     VersionId Version, TimePoint Now) {
   std::optional<Duration> Shortest;
   for (const auto &Target : Targets) {
-    if (Target->isLeaving() || Target->MarkedDown ||
+    if (Target->isLeaving() || Target->MarkedDown || Target->IsBarred ||
         !isOfVersion(*Target, Version))
       continue;
     if (!Target->isPaused(Now))
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -93,9 +93,9 @@
 TargetRequirements Exchange::requirements() const {
   const bool IsResumable =
       m_Route.Kind == RouteKind::Stream && m_Route.Resumable;
-  return {m_Service, m_Version,
+  return {m_Service, m_Version == NoVersion ? m_Choice.Only : m_Version,
           IsResumable && m_Version == NoVersion && !m_StreamStarted,
-          m_TriedTargets};
+          m_TriedTargets, m_Choice.Avoided};
 }
 
 RequestRank Exchange::rank() const {
@@ -254,6 +254,18 @@
   handleSendFailure(SendFailure::MayHaveRun, Reason);
 }
 
+void Exchange::leaveVersion(std::string_view Reason) {
+  if (m_Phase == Phase::Ended)
+    return;
+  logEvent("version_left", Reason);
+  if (m_StreamStarted)
+    return terminate();
+  const bool WasSent = m_Phase == Phase::Sent;
+  releaseTarget(false);
+  handleSendFailure(WasSent ? SendFailure::MayHaveRun : SendFailure::NotSent,
+                    Reason);
+}
+
 void Exchange::stopCrashing() {
   if (m_Phase == Phase::Ended || m_StreamStarted || m_AnswerSound)
     return;
--- a/packages/gateway/src/exchangeanswer.cpp
+++ b/packages/gateway/src/exchangeanswer.cpp
@@ -76,7 +76,7 @@
     return;
   }
   if (const auto Load = parseTargetLoad(Head.Fields.get(Names.TargetLoad)))
-    m_Target->recordLoad(Load->Requests, Now);
+    m_Target->recordLoad(Load->Requests, Now), m_StatedPace = Load->Pace;
   if (IsLeaving)
     m_Context.Control.onTargetLeaving(m_Target);
   const auto *RetryAfter = Head.Fields.find(Names.RetryAfter);
@@ -227,6 +227,7 @@
     if (m_EventCount >= MinEventsForPace)
       if (const auto *Planned = m_Plan->findService(m_Service))
         m_Target->recordEventGap(m_LowEventGap, Planned->TokensPerEvent);
+    m_Context.Control.onAnswer(*this, false);
     if (!m_StreamStarted)
       sendHead();
     releaseTarget(true);
@@ -259,6 +260,8 @@
     recordTargetSuccess(Now);
   if (m_AnswerHead.Status / 100 == 2)
     recordSoundAnswer(m_AnswerBegunAt);
+  if (!promisesNotExecuted(m_AnswerHead.Status))
+    m_Context.Control.onAnswer(*this, m_AnswerHead.Status >= 500);
   releaseTarget(true);
   deliver();
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -48,7 +48,14 @@
       m_Origins(m_Settings.Vm, m_Settings.Domain, *this),
       m_Peers(m_Settings.Vm, m_Settings.Domain),
       m_LocalBroker(m_Settings.Domain, m_Targets, *this),
-      m_Buffers(m_Settings.MemoryLimitBytes) {}
+      m_Buffers(m_Settings.MemoryLimitBytes) {
+  if (m_Settings.Rollouts)
+    m_Rollouts = std::make_unique<RolloutController>(
+        *m_Settings.Rollouts,
+        RolloutProcess{m_Settings.Vm, m_Settings.Incarnation,
+                       m_Settings.Domain},
+        m_Targets, static_cast<RolloutOutlet &>(*this), m_Log, m_Random);
+}
 
 Gateway::~Gateway() = default;
 
@@ -170,6 +177,7 @@
 }
 
 void Gateway::admit(const ExchangePtr &New, TimePoint Now) {
+  chooseVersion(New, true, Now);
   // Step 1. Refuse the request if no target accepts any in time.
   if (refuseIfPaused(New, Now))
     return;
@@ -184,7 +192,7 @@
 
   // Step 3. Dispatch the request now if no waiting request goes before it.
   auto &State = m_Services[New->service().Text];
-  const bool NeedsVersion = New->version() != NoVersion;
+  const bool NeedsVersion = New->requirements().Version != NoVersion;
   const auto Waiting = State.Queue.countAhead(New->rank(), NeedsVersion, Now);
   if (Waiting == 0 && tryDispatch(New, false, Now))
     return;
@@ -218,6 +226,7 @@
 
 void Gateway::waitForSlot(const ExchangePtr &Waiting) {
   const auto Now = steadyNow();
+  chooseVersion(Waiting, false, Now);
   const auto &Causes = Waiting->facts().PossibleCauses;
   if (!Waiting->hasStreamStarted() &&
       (Waiting->mayHaveRun() ? m_CrashCauses.isRepeatRefused(Causes, Now)
@@ -242,7 +251,7 @@
   Ticket.Rank = Waiting->hasStreamStarted() ? RequestRank() : Waiting->rank();
   Ticket.LatestStart = Waiting->latestStart();
   Ticket.ExpiresAt = Waiting->slotWaitDeadline();
-  Ticket.NeedsVersion = Waiting->version() != NoVersion;
+  Ticket.NeedsVersion = Waiting->requirements().Version != NoVersion;
   if (Ticket.LatestStart < Now && Waiting->hasStreamStarted())
     Ticket.LatestStart = Ticket.ExpiresAt;
   m_Services[Waiting->service().Text].Queue.push(Ticket);
@@ -271,8 +280,10 @@
   Input.TimeToDeadline = Waiting.deadline() - Now;
   Input.GapTarget = Waiting.route().GapTarget;
   Input.Excluded = Waiting.triedTargets();
-  Input.Version = Waiting.version();
-  Input.BeginsStream = Waiting.requirements().BeginsStream;
+  const auto Required = Waiting.requirements();
+  Input.Version = Required.Version;
+  Input.AvoidedVersion = Required.AvoidedVersion;
+  Input.BeginsStream = Required.BeginsStream;
   return Input;
 }
 
@@ -282,6 +293,8 @@
   Input.RemoteDomainsOnly = RemoteDomainsOnly;
   auto Chosen =
       chooseTarget(m_Targets.targetsOf(Waiting->service()), Input, Now);
+  if (!Chosen && !RemoteDomainsOnly && reassignVersion(Waiting))
+    return tryDispatch(Waiting, false, Now);
   if (!Chosen || (RemoteDomainsOnly && !Chosen->MeetsLatencyTarget))
     return false;
   if (Chosen->Target->rateLimit().isActive())
@@ -458,6 +471,7 @@
     m_Quotas.forgetPeers();
   sendReports(Now);
   updateCrashCauses(Now);
+  updateRollouts(Now);
   refreshTargetLoads(Now);
   checkSlotRequests(Now);
   checkPermits(Now);
--- a/packages/gateway/src/gatewaybroker.cpp
+++ b/packages/gateway/src/gatewaybroker.cpp
@@ -63,7 +63,9 @@
       Now;
   Request.TimeToExpiry = Waiting.slotWaitDeadline() - Now;
   Request.GapTarget = Waiting.route().GapTarget;
-  Request.Version = Waiting.version();
+  const auto Required = Waiting.requirements();
+  Request.Version = Required.Version;
+  Request.AvoidedVersion = Required.AvoidedVersion;
   for (const auto &Tried : Waiting.triedTargets())
     Request.ExcludedTargets.push_back(Tried->Hash);
   return Request;
@@ -81,7 +83,9 @@
   auto Request = describe(*Waiting, Now);
   Request.RefuseIfLate = Pending->second.RefuseIfLate;
   for (const auto &Target : m_Targets.targetsOf(Waiting->service()))
+    // The broker knows what the versions rule out.
     if (Target->Entry.Domain == m_Settings.Domain &&
+        Waiting->versionChoice().allows(Target->Version) &&
         !obstacleToSend(*Target, Waiting->requirements(), Now).empty())
       Request.ExcludedTargets.push_back(Target->Hash);
   sendToBroker(Request, Now);
@@ -206,6 +210,11 @@
   Queue.remove(Decision.Number);
   if (tryDispatch(Waiting, true, Now))
     return withdrawSlotRequest(Decision.Number, Now);
+  if (reassignVersion(Waiting)) {
+    withdrawSlotRequest(Decision.Number, Now);
+    enqueue(Waiting);
+    return requestSlot(Waiting, true, Now);
+  }
   const bool IsRefused = Decision.Result == SlotDecision::Kind::Refused;
   const bool AwaitsPermit = requestPermit(Waiting, IsRefused, Now);
   if (IsRefused)
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -25,6 +25,8 @@
 /// Bytes of a rejected request's first line that are logged. The header fields
 /// are not logged, since they may hold API keys.
 constexpr std::size_t MaxLoggedLineBytes = 120;
+/// Path of the readiness port at which rollouts are described.
+constexpr std::string_view RolloutsPath = "/rollouts";
 /// Connections that the kernel queues until they are accepted.
 constexpr int ListenBacklog = 512;
 
@@ -154,12 +156,16 @@
             return (*Self)();
           const auto &Target = Client->Parser.head().Target;
           const bool IsMetrics = Target == m_Settings.MetricsPath;
-          const bool IsKnownPath = IsMetrics || Target == m_Settings.ReadyPath;
-          const auto Body = IsMetrics ? m_Metrics.serialize() : std::string();
+          const bool IsRollouts = m_Rollouts && Target == RolloutsPath;
+          const bool IsKnownPath =
+              IsMetrics || IsRollouts || Target == m_Settings.ReadyPath;
+          const auto Body = IsMetrics    ? m_Metrics.serialize()
+                            : IsRollouts ? m_Rollouts->describe(steadyNow())
+                                         : std::string();
           http::ResponseHead Answer;
-          Answer.Status = !IsKnownPath             ? 404
-                          : IsMetrics || isReady() ? 200
-                                                   : 503;
+          Answer.Status = !IsKnownPath                           ? 404
+                          : IsMetrics || IsRollouts || isReady() ? 200
+                                                                 : 503;
           if (IsMetrics)
             Answer.Fields.add("Content-Type", "text/plain; version=0.0.4");
           Answer.Fields.add("Content-Length", std::to_string(Body.size()));
--- a/packages/gateway/src/gatewaydirectory.cpp
+++ b/packages/gateway/src/gatewaydirectory.cpp
@@ -49,6 +49,12 @@
   recordStreamServices(steadyNow());
   m_Quotas.configure(*m_Plan, steadyNow());
   m_Pool.configure(*m_Plan);
+  if (m_Rollouts) {
+    std::map<std::string, bool> Services;
+    for (const auto &Each : m_Plan->Services)
+      Services[Each.Name.Text] = Each.IsEngine;
+    m_Rollouts->setServices(std::move(Services));
+  }
 }
 
 void Gateway::onTargetUpdated(const TargetEntry &Entry) {
@@ -63,6 +69,8 @@
   m_VersionHistory.recordRegistered(Current->Entry, steadyNow());
   Current->NewStreamsFrom =
       m_VersionHistory.settledAt(Current->Entry.Service, Current->Version);
+  if (m_Rollouts)
+    m_Rollouts->markTargets(steadyNow());
   std::erase_if(m_ExpiredTargets,
                 [&](const auto &Expired) { return Expired.Id == Entry.Id; });
   if (Current == Previous && WasDraining == Entry.Draining)
@@ -98,6 +106,8 @@
   if (!std::exchange(m_DirectoryComplete, true)) {
     m_Log.write("directory_complete", {{"targets", m_Targets.size()}});
     m_VersionHistory.settleMain(m_Targets.targetsByService(), steadyNow());
+    if (m_Rollouts)
+      m_Rollouts->onDirectoryComplete();
     updateSettled();
   }
 }
--- a/packages/gateway/src/gatewayorigins.cpp
+++ b/packages/gateway/src/gatewayorigins.cpp
@@ -141,6 +141,8 @@
 }
 
 void Gateway::onDispatch(const Exchange &Running) {
+  if (m_Rollouts)
+    m_Rollouts->recordSend(*Running.target());
   const auto &Facts = Running.facts();
   if (!servesResumableStreams(Running.route()) || Facts.AttemptId.empty())
     return;
@@ -236,7 +238,8 @@
     return true;
   const auto Targets = m_Targets.targetsOf(Waiting.service());
   return std::any_of(Targets.begin(), Targets.end(), [&](const auto &Target) {
-    return Target->Version == Waiting.version() && !Target->isLeaving();
+    return Target->Version == Waiting.version() && !Target->isLeaving() &&
+           !Target->IsBarred;
   });
 }
 
--- a/packages/gateway/src/gatewayreports.cpp
+++ b/packages/gateway/src/gatewayreports.cpp
@@ -90,6 +90,8 @@
           m_CrashCauses.merge(*Evidence, Now);
           return receivePeerMessage();
         }
+        if (m_Rollouts && m_Rollouts->handle(Bytes, Now))
+          return receivePeerMessage();
         if (const auto Message = decodeOriginMessage(Bytes)) {
           m_Origins.handle(*Message, Now);
           return receivePeerMessage();
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -318,6 +318,15 @@
   return Result;
 }
 
+std::vector<std::string> PeerRegistry::remoteDomains() const {
+  std::set<std::string> Domains;
+  for (const auto &[Vm, Peer] : m_Peers)
+    if (Peer.Endpoint && !Peer.UnlistedAt &&
+        Peer.Endpoint->Domain != m_OwnDomain)
+      Domains.insert(Peer.Endpoint->Domain.Text);
+  return {Domains.begin(), Domains.end()};
+}
+
 void PeerRegistry::updateJoining(TimePoint Now) {
   std::size_t Listed = 0;
   std::size_t Reporting = 0;
