--- a/apps/mangodeck/main.cpp
+++ b/apps/mangodeck/main.cpp
@@ -8,6 +8,7 @@
 #include "explaincommand.h"
 #include "logcommand.h"
 #include "replaycommand.h"
+#include "rolloutscommand.h"
 #include "statuscommand.h"
 #include "timelinecommand.h"
 
@@ -24,6 +25,7 @@
   Commands.push_back(std::make_unique<ApplyCommand>());
   Commands.push_back(std::make_unique<LogCommand>());
   Commands.push_back(std::make_unique<StatusCommand>());
+  Commands.push_back(std::make_unique<RolloutsCommand>());
   Commands.push_back(std::make_unique<DrainCommand>());
   Commands.push_back(std::make_unique<AdoptCommand>());
   Commands.push_back(std::make_unique<ReplayCommand>());
--- a/packages/gateway/include/mangodeck/gateway/versioncomparison.h
+++ b/packages/gateway/include/mangodeck/gateway/versioncomparison.h
@@ -28,6 +28,16 @@
 /// and rolloutfleet_test.cpp measures how often one of them does.
 inline constexpr double BadLogRatio = 7.5;
 
+/// What is known of the targets beside their answers.
+struct ComparedTargets {
+  /// The service runs on engines, whose speeds differ. Times are relative to
+  /// the nominal engine, and the targets that serve most requests need not show
+  /// the speeds that the new targets have.
+  bool SpeedsVary = false;
+  /// Registered targets of the ordered version.
+  std::size_t Candidates = 0;
+};
+
 /// Judges the ordered version by the answers of all processes. The load for
 /// which this is made: an order of 12 s at 300 to 600 requests a second, of
 /// which the version gets some hundred.
@@ -41,12 +51,9 @@
 /// compared with those of the other targets on the same route, since the speed
 /// of a new target is not known beforehand.
 ///
-/// \p SpeedsVary: the service runs on engines, whose speeds differ. Times are
-/// relative to the nominal engine then, and the few targets that serve most
-/// requests need not show the speeds that the new targets have.
-///
 /// Linear in the rows and in the product of the targets that are compared.
-VersionJudgement judgeVersion(const EvidenceRows &Rows, bool SpeedsVary);
+VersionJudgement judgeVersion(const EvidenceRows &Rows,
+                              const ComparedTargets &Targets);
 
 } // namespace mangodeck
 
--- a/packages/gateway/src/rolloutcontroller.cpp
+++ b/packages/gateway/src/rolloutcontroller.cpp
@@ -96,6 +96,7 @@
     m_Log.write("rollout_order_invalid", {{"service", Order.Service.Text},
                                           {"reason", "unknown service"}});
   applyStore(At, Now);
+  markTargets(Now);
 }
 
 void RolloutController::onOrder(const ServiceName &Service,
@@ -266,8 +267,11 @@
   // Step 2. After a verdict, by the verdict.
   if (Current->Verdict == RolloutState::Completed)
     return {};
-  if (Current->Verdict || Current->IsCondemned || !m_IsListed ||
-      Current->Step == RolloutStep::Waiting)
+  if (Current->Verdict || Current->IsCondemned || !m_IsListed)
+    return NotOrdered;
+  if (Current->Others.empty()) // The version runs alone.
+    return {};
+  if (Current->Step == RolloutStep::Waiting)
     return NotOrdered;
 
   // Step 3. After the switch, the ordered version only. Without word of the
@@ -354,7 +358,8 @@
       return Current->Verdict != RolloutState::Completed;
     return !(Current->Verdict == RolloutState::Completed) &&
            (Current->Verdict || Current->IsCondemned || !m_IsListed ||
-            Current->Step == RolloutStep::Waiting);
+            (Current->Step == RolloutStep::Waiting &&
+             !Current->Others.empty()));
   }
   if (At.Superseded.contains(Version))
     return true;
@@ -383,6 +388,11 @@
         Earlier.insert(Target->Version);
     }
     const bool HasPlan = At.Current && !At.Current->IsRemoved;
+    for (const auto &Target : Targets)
+      if (HasPlan && !At.Current->Verdict &&
+          Target->Version != At.Current->To &&
+          !At.Superseded.contains(Target->Version))
+        At.Current->Others.insert(Target->Version);
     const auto IsHeld = [&](VersionId Version) {
       const bool IsOrdered = HasPlan && At.Current->To == Version;
       return !IsOrdered && Now - At.FirstSeen[Version] < UnorderedHold &&
@@ -392,6 +402,7 @@
     // Step 2. In the trial, few targets of each failure domain.
     std::set<std::uint64_t> Trial;
     const bool IsTrial = HasPlan && !At.Current->Verdict &&
+                         !At.Current->Others.empty() &&
                          At.Current->Step == RolloutStep::Trial;
     if (IsTrial) {
       std::map<std::string, std::vector<std::uint64_t>> NewByDomain;
@@ -419,8 +430,6 @@
                                   !Trial.contains(Target->Hash);
       Target->IsBarred = IsOutsideTrial || IsHeld(Target->Version) ||
                          barsVersion(At, Target->Version, Now);
-      if (HasPlan && !At.Current->Verdict && Target->Version != At.Current->To)
-        At.Current->Others.insert(Target->Version);
     }
   }
 }
--- a/packages/gateway/src/rolloutdelegate.cpp
+++ b/packages/gateway/src/rolloutdelegate.cpp
@@ -184,9 +184,10 @@
     ++(IsOrdered ? Input.Targets : Input.OtherTargets);
     (IsOrdered ? Input.Slots : Input.OtherSlots) += Target->Entry.Slots;
   }
-  // Other versions that are away for a moment have not been replaced.
-  if (!Current.Others.empty())
-    Input.OtherTargets = std::max<std::size_t>(1, Input.OtherTargets);
+  // Other versions that are away for a moment have not been replaced, and those
+  // of superseded orders are not to be kept.
+  Input.OtherTargets =
+      Current.Others.empty() ? 0 : std::max<std::size_t>(1, Input.OtherTargets);
   return Input;
 }
 
@@ -238,8 +239,14 @@
   // Step 1. Judge the version.
   if (!Current.Verdict && Now - Current.LastJudgedAt >= JudgePeriod) {
     Current.LastJudgedAt = Now;
+    const auto Targets = m_Targets.targetsOf(Current.Order.Service);
+    const auto Candidates =
+        std::count_if(Targets.begin(), Targets.end(), [&](const auto &Each) {
+          return Each->Version == Current.To;
+        });
     Current.Judged = judgeVersion(Current.Evidence.rowsWithStored(),
-                                  m_Known.at(Current.Order.Service.Text));
+                                  {m_Known.at(Current.Order.Service.Text),
+                                   static_cast<std::size_t>(Candidates)});
   }
 
   // Step 2. Determine what is due. A bad version is condemned at once.
--- a/packages/gateway/src/versioncomparison.cpp
+++ b/packages/gateway/src/versioncomparison.cpp
@@ -286,23 +286,21 @@
 
 } // namespace
 
-VersionJudgement judgeVersion(const EvidenceRows &Rows, bool SpeedsVary) {
+VersionJudgement judgeVersion(const EvidenceRows &Rows,
+                              const ComparedTargets &Targets) {
   VersionJudgement Best;
   StrataByRoute Strata;
   std::set<std::uint16_t> Routes;
-  std::set<std::uint32_t> CandidateTargets;
   for (const auto &[Key, Each] : Rows) {
     auto &Stratum = Strata[Key.Route][Key.Slice];
     (Key.IsCandidate ? Stratum.Candidate : Stratum.Other).add(Each);
     Routes.insert(Key.Route);
-    if (Key.IsCandidate)
-      CandidateTargets.insert(Key.Target);
   }
   judgeFailures(Best, Strata);
   SpeedPrior Prior;
-  if (CandidateTargets.size() == 1)
+  if (Targets.Candidates == 1)
     Prior.OddShare = std::exp(-BadLogRatio) / 4;
-  if (SpeedsVary)
+  if (Targets.SpeedsVary)
     Prior.AnyShare = AnySpeedShare;
   judgeSlowness(Best, Rows, Routes, Prior);
   Best.IsBad = Best.LogRatio >= BadLogRatio;
--- a/packages/gateway/test/rollout_test.cpp
+++ b/packages/gateway/test/rollout_test.cpp
@@ -176,7 +176,7 @@
     add(Rows, {0, 1, 0, false}, 600, 2);
     add(Rows, {1, 1, 9, true}, 60, 24);
     add(Rows, {1, 1, 0, false}, 600, 240);
-    CPPUNIT_ASSERT(judgeVersion(Rows, false).LogRatio < 2);
+    CPPUNIT_ASSERT(judgeVersion(Rows, {false, 4}).LogRatio < 2);
   }
 
   /// Guards against a rollback because the version got more requests of a route
@@ -187,7 +187,7 @@
     add(Rows, {0, 1, 0, false}, 900, 4);
     add(Rows, {0, 2, 9, true}, 90, 13);
     add(Rows, {0, 2, 0, false}, 100, 14);
-    CPPUNIT_ASSERT(judgeVersion(Rows, false).LogRatio < 2);
+    CPPUNIT_ASSERT(judgeVersion(Rows, {false, 4}).LogRatio < 2);
   }
 
   /// Guards against a fault that is hidden by the other routes.
@@ -197,7 +197,7 @@
     add(Rows, {0, 1, 0, false}, 2000, 280);
     add(Rows, {0, 2, 9, true}, 40, 8);
     add(Rows, {0, 2, 0, false}, 400, 2);
-    const auto Judged = judgeVersion(Rows, false);
+    const auto Judged = judgeVersion(Rows, {false, 4});
     CPPUNIT_ASSERT(Judged.IsBad);
     CPPUNIT_ASSERT_EQUAL(std::uint16_t(2), Judged.Route);
   }
@@ -209,7 +209,7 @@
       add(Rows, {Slice, 1, 9, true}, 60, Slice < 5 ? 2 : 14);
       add(Rows, {Slice, 1, 0, false}, 600, 20);
     }
-    CPPUNIT_ASSERT(judgeVersion(Rows, false).IsBad);
+    CPPUNIT_ASSERT(judgeVersion(Rows, {false, 4}).IsBad);
   }
 
   /// Guards against a rollback because the new targets run on slow machines.
@@ -220,7 +220,7 @@
       add(Rows, {0, 1, 10 + I, false}, 50, 0, Speeds[I % 3]);
     for (std::uint32_t I = 0; I < 4; ++I)
       add(Rows, {0, 1, 50 + I, true}, 20, 0, 2.8);
-    CPPUNIT_ASSERT(judgeVersion(Rows, true).LogRatio < 2);
+    CPPUNIT_ASSERT(judgeVersion(Rows, {true, 20}).LogRatio < 2);
   }
 
   /// Guards against a slow version that hides behind the spread of machines.
@@ -231,7 +231,7 @@
       add(Rows, {0, 1, 10 + I, false}, 50, 0, Speeds[I % 3]);
     for (std::uint32_t I = 0; I < 6; ++I)
       add(Rows, {0, 1, 50 + I, true}, 20, 0, 2 * Speeds[I % 3]);
-    const auto Judged = judgeVersion(Rows, true);
+    const auto Judged = judgeVersion(Rows, {true, 20});
     CPPUNIT_ASSERT(Judged.IsBad && Judged.Kind == "slowness");
   }
 
@@ -242,7 +242,7 @@
       add(Rows, {0, 1, 10 + I, false}, 500, 0, 0.06);
       add(Rows, {0, 1, 50 + I, true}, 50, 0, I == 0 ? 0.3 : 0.06);
     }
-    CPPUNIT_ASSERT(!judgeVersion(Rows, false).IsBad);
+    CPPUNIT_ASSERT(!judgeVersion(Rows, {false, 4}).IsBad);
   }
 
   /// Guards against an exposure beyond the bound when each of many daemons
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -1,5 +1,6 @@
 // Randomized fault soak: real daemons as processes, stand-ins for the store,
 // targets and callers, faults from outside.
+#include "rolloutplay.h"
 #include "soakcaller.h"
 #include "soakfleet.h"
 #include "soakstore.h"
@@ -392,12 +393,18 @@
                "Targets keep their id when they change their version");
   App.add_flag("--clock-steps", Chosen.ClockSteps,
                "Steps of the clock with kills are the only faults");
+  bool PlaysRollouts = false;
+  App.add_flag("--rollouts", PlaysRollouts,
+               "Play orders for good and bad versions, with faults in between");
   CLI11_PARSE(App, Argc, Argv);
   std::signal(SIGPIPE, SIG_IGN);
   unsigned Failed = 0;
   for (unsigned I = 0; I < Chosen.Seeds; ++I) {
     const auto Seed = Chosen.Seed + I;
-    const auto Broken = Soak(Chosen, Seed).run();
+    const auto Broken = PlaysRollouts
+                            ? playRollouts({Chosen.Front, Chosen.Folder, Seed,
+                                            Chosen.Daemons, Chosen.Subnet})
+                            : Soak(Chosen, Seed).run();
     for (const auto &What : Broken)
       fmt::print("seed {}: broken: {}\n", Seed, What);
     Failed += Broken.empty() ? 0 : 1;
--- a/testing/soak/soakfleet.cpp
+++ b/testing/soak/soakfleet.cpp
@@ -23,18 +23,22 @@
 } // namespace
 
 SoakDaemon::SoakDaemon(std::string Program, std::string Folder, std::string Ip,
-                       std::string Domain, std::uint16_t StorePort)
+                       std::string Domain, std::uint16_t StorePort,
+                       bool HasRollouts)
     : m_Program(std::move(Program)), m_Folder(Folder + "/" + Ip),
       m_Ip(std::move(Ip)), m_CallerPort(CallerPort) {
   std::ofstream(m_Folder + ".toml") << fmt::format(
-      "NodeName = \"{0}\"\nIp = \"{0}\"\nZone = \"{1}\"\n"
+      "NodeName = \"{0}\"\nIp = \"{0}\"\nZone = \"{1}\"\n{8}"
       "PortRange = [{2}, {3}]\n[Listen]\nFront = \"{0}:{4}\"\n"
       "Ready = \"{0}:{5}\"\n[Limits]\nMemoryMb = 128\n[Bounds]\nGraceS = {6}\n"
       "ConfigApplyMs = 2000\nDrainMs = 2000\n"
       "RetryBudgetRatio = 0.2\nBudgetSlack = 56\nBudgetWindowS = 10\n"
+      "ExposureShare = 0.1\nExposureSlack = 50\nRollbackMs = 5000\n"
+      "ContactMs = 4000\nOuterBoundMs = 6000\n"
       "[Platform]\nAddress = \"127.0.0.1:{7}\"\n",
       m_Ip, Domain, PeerPort, PeerPort + 15, CallerPort, ReadyPort,
-      GraceSeconds, StorePort);
+      GraceSeconds, StorePort,
+      HasRollouts ? "Contracts = [\"rollout\"]\n" : "");
 }
 
 SoakDaemon::~SoakDaemon() {
--- a/testing/soak/soakfleet.h
+++ b/testing/soak/soakfleet.h
@@ -17,7 +17,8 @@
 class SoakDaemon {
 public:
   SoakDaemon(std::string Program, std::string Folder, std::string Ip,
-             std::string Domain, std::uint16_t StorePort);
+             std::string Domain, std::uint16_t StorePort,
+             bool HasRollouts = false);
   ~SoakDaemon();
 
   /// \p ClockOffset: how far its time of day is ahead of the others'.
--- a/testing/soak/soakstore.cpp
+++ b/testing/soak/soakstore.cpp
@@ -72,6 +72,19 @@
   }
   if (Target == "/kv-txn") {
     const auto Body = Json::parse(Asked.Body);
+    Json Current = Json::array();
+    bool IsMet = true;
+    for (const auto &Each : Body["Precondition"]) {
+      const auto Found = m_Items.find(Each["Key"].get<std::string>());
+      const bool Exists = Found != m_Items.end();
+      IsMet &= Each["Revision"] == (Exists ? Found->second.Revision : 0);
+      if (Exists)
+        Current.push_back({{"Key", Found->first},
+                           {"Value", Found->second.Value},
+                           {"Revision", Found->second.Revision}});
+    }
+    if (!IsMet)
+      return {412, {{"Items", Current}}};
     for (const auto &Put : Body["Puts"]) {
       const auto Lease = Put["Lease"].get<std::int64_t>();
       if (Lease != 0 && !m_Leases.contains(Lease))
@@ -79,6 +92,9 @@
       const auto Value = Put["Value"].get<std::string>();
       change(Put["Key"].get<std::string>(), &Value, Lease);
     }
+    // As if the answer was lost on its way.
+    if (++m_Writes % 100 < m_LostAnswers)
+      return {503, Json::object()};
     return {200, {{"Revision", m_Revision}}};
   }
   return {404, Json::object()};
@@ -139,6 +155,14 @@
   change(Key, &Text, 0);
 }
 
+std::string SoakStore::get(const std::string &Key) {
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_Items.find(Key);
+  return Found == m_Items.end()
+             ? std::string()
+             : decodeBase64(Found->second.Value).value_or("");
+}
+
 void SoakStore::remove(const std::string &Key) {
   const std::lock_guard Lock(m_Mutex);
   change(Key, nullptr, 0);
--- a/testing/soak/soakstore.h
+++ b/testing/soak/soakstore.h
@@ -19,6 +19,11 @@
   /// Writes a key as the operator or a target does.
   void put(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
+  /// The value of a key; empty if it does not exist.
+  std::string get(const std::string &Key);
+  /// Share of the writes whose answer is lost though they take effect, in
+  /// percent.
+  void setLostAnswers(unsigned Percent) { m_LostAnswers = Percent; }
   /// Answers 503 to everything.
   void setDown(bool Down) { m_Down = Down; }
   /// Answers to older watches are 410 from now on.
@@ -65,6 +70,8 @@
   std::int64_t m_Dropped = 0; ///< History up to here is gone.
   std::int64_t m_NextLease = 1;
   std::atomic<bool> m_Down{false};
+  std::atomic<unsigned> m_LostAnswers{0};
+  unsigned m_Writes = 0;
   std::atomic<bool> m_Stopped{false};
   ThreadedServer m_Server;
 };
