--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -197,6 +197,8 @@
   std::vector<PeerEndpoint> remoteDomainEndpoints() const;
   /// Whether the store lists daemons of other failure domains.
   bool hasOtherDomains() const;
+  /// The other failure domains in which the store lists daemons.
+  std::vector<std::string> remoteDomains() const;
   /// Records that this daemon stops. It remains the delegate only of daemons
   /// that all stop.
   void markStopping() { m_Stopping = true; }
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -26,6 +26,8 @@
 /// Bytes of a rejected request's first line that are logged. The header fields
 /// are not logged, since they may hold API keys.
 constexpr std::size_t MaxLoggedLineBytes = 120;
+/// Path of the readiness port at which rollouts are described.
+constexpr std::string_view RolloutsPath = "/rollouts";
 /// Connections that the kernel queues until they are accepted.
 constexpr int ListenBacklog = 512;
 
@@ -162,16 +164,21 @@
               (m_Settings.MetricsPort ? m_Settings.MetricsPort
                                       : m_Settings.ReadyPort);
           const bool IsPlacement = IsMetricsPort && Target == PlacementPath;
-          const bool IsKnownPath = IsMetrics || Target == m_Settings.ReadyPath;
-          auto Body = IsMetrics ? m_Metrics.serialize() : std::string();
+          const bool IsRollouts =
+              IsMetricsPort && m_Rollouts && Target == RolloutsPath;
+          const bool IsKnownPath =
+              IsMetrics || IsRollouts || Target == m_Settings.ReadyPath;
+          auto Body = IsMetrics    ? m_Metrics.serialize()
+                      : IsRollouts ? m_Rollouts->describe(steadyNow())
+                                   : std::string();
           http::ResponseHead Answer;
           if (IsPlacement)
             std::tie(Answer.Status, Body) =
                 answerPlacementCall(Client->Parser.head());
           else
-            Answer.Status = !IsKnownPath             ? 404
-                            : IsMetrics || isReady() ? 200
-                                                     : 503;
+            Answer.Status = !IsKnownPath                           ? 404
+                            : IsMetrics || IsRollouts || isReady() ? 200
+                                                                   : 503;
           if (IsMetrics)
             Answer.Fields.add("Content-Type", "text/plain; version=0.0.4");
           Answer.Fields.add("Content-Length", std::to_string(Body.size()));
--- a/packages/gateway/src/gatewaywhere.cpp
+++ b/packages/gateway/src/gatewaywhere.cpp
@@ -95,10 +95,10 @@
     Report.Cost = quotaCost(Facts, *Customer);
     Report.LimitPerSecond = Customer->PerSecond;
     Report.ReachableShare = Quotas.reachableShare(Customer->Name, Now);
-    if (const auto Wait = Quotas.charge(Customer->Name, Report.Cost, Now))
-      return Refuse(
-          429, "over the customer's limit",
-          std::clamp<Duration>(*Wait, MinRetryAfter, LongestLimitWait));
+    if (const auto Over = Quotas.charge(Customer->Name, Report.Cost, Now))
+      return Refuse(429, "over the customer's limit",
+                    std::clamp<Duration>(Over->WaitTime, MinRetryAfter,
+                                         LongestLimitWait));
   }
 
   // Step 2. The service: the one that is asked for, else that of the largest
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -341,12 +341,15 @@
   return Result;
 }
 
-bool PeerRegistry::hasOtherDomains() const {
-  return std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
-    const Peer &Other = Entry.second;
-    return Other.Endpoint && !Other.UnlistedAt &&
-           Other.Endpoint->Domain != m_OwnDomain;
-  });
+bool PeerRegistry::hasOtherDomains() const { return !remoteDomains().empty(); }
+
+std::vector<std::string> PeerRegistry::remoteDomains() const {
+  std::set<std::string> Domains;
+  for (const auto &[Vm, Peer] : m_Peers)
+    if (Peer.Endpoint && !Peer.UnlistedAt &&
+        Peer.Endpoint->Domain != m_OwnDomain)
+      Domains.insert(Peer.Endpoint->Domain.Text);
+  return {Domains.begin(), Domains.end()};
 }
 
 void PeerRegistry::updateJoining(TimePoint Now) {
