gateway: requests are placed by the chance that the answer is in time

Every free slot went to the first waiting request, at the fastest free engine. Under load long answers landed on slow engines, where they were cut off at their time limit or began late, and stalled the streams there.

chooseTarget() now forecasts, for each engine, the chance that the first event and the end are in time, given the spread of the output's length, and the streams that the prompt stalls. The slowest engine that is almost certain to be in time is taken. The slot broker grants a waiting request only a slot where it is in time, lets the next request use a slot that the first ones cannot use, and grants requests that are late everywhere only while no request that can be in time waits.

--- a/packages/gateway/include/mangodeck/gateway/choosetarget.h
+++ b/packages/gateway/include/mangodeck/gateway/choosetarget.h
@@ -3,11 +3,17 @@
 
 #include "mangodeck/gateway/targetregistry.h"
 
+#include <limits>
 #include <span>
 #include <string_view>
 
 namespace mangodeck {
 
+/// AnswerForecast::gain() from which on a request is expected to be in time.
+/// In the model of engines (placement_test), 0.15 and 0.7 gave callers less in
+/// time at low demand.
+inline constexpr double MinGainInTime = 0.5;
+
 /// The request and the constraints for which a target is chosen.
 struct TargetChoiceInput {
   RequestWork Work;
@@ -28,6 +34,9 @@
   /// Consider only targets for which this daemon has no permit under their rate
   /// limit and may request one from their slot broker.
   bool NeedsPermit = false;
+  /// Consider only engines where the gain is at least this much; see
+  /// AnswerForecast::gain().
+  double LeastGain = -std::numeric_limits<double>::infinity();
   /// The load of each target is known exactly, so that
   /// TrackedTarget::Allowance need not be observed.
   bool LoadsAreExact = false;
@@ -44,8 +53,9 @@
 struct ChosenTarget {
   TargetPtr Target;
   Duration TimeToFirstEvent{0}; ///< Expected.
-  /// The request is expected to meet its latency target and, at an engine, its
-  /// deadline.
+  /// The request is expected to meet its latency target. At an engine, it is
+  /// more likely than not to meet its deadline as well, without stalling as
+  /// many streams of other requests (AnswerForecast::gain()).
   bool MeetsLatencyTarget = false;
   PermitSource Permit = PermitSource::None;
 };
@@ -56,16 +66,21 @@
 /// priorities, so during bursts the waiting requests stay in the daemons, which
 /// order them by rank.
 ///
-/// Targets that are expected to meet the latency target are preferred, then
-/// those where the prompt does not stall the streams of other requests, then
-/// those of the own failure domain, since traffic between failure domains
-/// has a cost, and then the fastest: one decoding step takes nearly the same
-/// time for one request as for a full batch, so a free slot of a fast engine
-/// costs least. Linear in the number of targets.
+/// Targets that are expected to answer in time are preferred, then those of the
+/// own failure domain, since traffic between failure domains has a cost. Of
+/// several engines, the slowest one that is almost certain to be in time is
+/// chosen, so that the faster ones stay free for the requests that only they
+/// can end in time, else the one with the largest gain. Linear in the number of
+/// targets.
 std::optional<ChosenTarget> chooseTarget(std::span<const TargetPtr> Targets,
                                          const TargetChoiceInput &Input,
                                          TimePoint Now);
 
+/// Whether an engine of \p Targets could answer the request in time if it was
+/// idle. If not, the request need not wait for a better moment.
+bool canBeInTime(std::span<const TargetPtr> Targets,
+                 const TargetChoiceInput &Input, TimePoint Now);
+
 /// Whether a stream that began at \p Version may go on at \p Target; with
 /// NoVersion, whether a request may begin there.
 bool isOfVersion(const TrackedTarget &Target, VersionId Version);
@@ -94,10 +109,6 @@
 /// Time to the first event of \p Work on an idle nominal target.
 Duration nominalTimeToFirstEvent(const RequestWork &Work);
 
-/// Expected time to the end of the answer to \p Work on \p Target.
-Duration expectedTotalTime(const TrackedTarget &Target,
-                           const RequestWork &Work);
-
 /// The number of a target's free slots that one of \p CompetingDaemons daemons
 /// may use: an equal share, rounded up or down at random by \p Draw in [0, 1).
 /// Without this limit, all daemons would fill the same free slots in a burst.
--- a/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
+++ b/packages/gateway/include/mangodeck/gateway/dispatchqueue.h
@@ -58,6 +58,8 @@
   /// the queue.
   std::optional<QueuedTicket> next(TimePoint Now,
                                    const std::set<TicketNumber> &Skipped);
+  /// All tickets in order of dispatch.
+  std::vector<QueuedTicket> inOrder(TimePoint Now) const;
   /// Removes the expired tickets and returns them.
   std::vector<QueuedTicket> takeExpired(TimePoint Now);
   /// Number of tickets that are dispatched before a new ticket of \p Rank that
--- a/packages/gateway/include/mangodeck/gateway/slotbroker.h
+++ b/packages/gateway/include/mangodeck/gateway/slotbroker.h
@@ -8,6 +8,7 @@
 #include "mangodeck/gateway/targetregistry.h"
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -92,18 +93,36 @@
   struct ServiceState {
     DispatchQueue Queue;
     DispatchRate Rate;
+    /// TrackedTarget::Hash of the targets with a free slot at which no waiting
+    /// request was expected to be in time, as of UnsuitedSince.
+    std::set<std::uint64_t> Unsuited;
+    TimePoint UnsuitedSince{};
   };
 
   /// Sends a decision to the process that holds \p Request.
   void decide(const SlotRequest &Request, SlotDecision Decision);
   std::vector<TargetPtr> domainTargets(const ServiceName &Service) const;
+  /// \p LeastGain: see TargetChoiceInput.
   bool tryGrant(const Waiting &Waiter, std::span<const TargetPtr> Targets,
-                TimePoint Now);
-  /// Chooses a target for \p Request, which has waited for \p Waited.
-  std::optional<ChosenTarget> choose(const SlotRequest &Request,
-                                     Duration Waited,
-                                     std::span<const TargetPtr> Targets,
-                                     TimePoint Now) const;
+                double LeastGain, TimePoint Now);
+  /// Grants a new request what no waiting one can use; false if nothing.
+  bool tryGrantAtOnce(const Waiting &Waiter, std::size_t Ahead,
+                      std::span<const TargetPtr> Targets, TimePoint Now);
+  /// Grants \p Free slots to requests that no engine can answer in time, unless
+  /// one of \p Tickets still can be answered in time or other streams would be
+  /// stalled.
+  void grantLate(std::span<const QueuedTicket> Tickets,
+                 std::vector<TargetPtr> &Free, TimePoint Now);
+  /// Whether \p Waiter could be in time at one of \p Targets, if it was idle.
+  bool mayBeInTime(const Waiting &Waiter, std::span<const TargetPtr> Targets,
+                   TimePoint Now) const;
+  /// The choice for \p Request, which has waited for \p Waited. \p Excluded
+  /// keeps the targets that the result refers to.
+  TargetChoiceInput choiceInput(const SlotRequest &Request, Duration Waited,
+                                std::vector<TargetPtr> &Excluded) const;
+  /// A slot of the target is free, or its load has changed: waiting requests
+  /// are considered for it again.
+  void onLoadChanged(const TrackedTarget &Target);
   /// Grants or refuses a permit under a target's rate limit to a daemon of
   /// another failure domain. The slot that it takes is known from the loads
   /// which that domain reports.
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -38,12 +38,19 @@
   bool operator==(const TargetEntry &) const = default;
 };
 
+/// RequestWork::OutputSpread of a request of which nothing was learned: one
+/// output in six is more than 1.8 times as long as its hint.
+inline constexpr double DefaultOutputSpread = 0.6;
+
 /// Work that a request causes at a target.
 struct RequestWork {
   bool IsEngine = false; ///< Whether the service is an engine.
   TokenCount PromptTokens = 0;
-  TokenCount OutputTokens = 0; ///< Expected, not the maximum.
+  TokenCount OutputTokens = 0; ///< Median expectation, not the maximum.
   TokenCount MaxOutputTokens = 0;
+  /// Standard deviation of the logarithm of the output's length; see
+  /// OutputLength.
+  double OutputSpread = DefaultOutputSpread;
 };
 
 /// Bounds of a plausible pace; see TargetLoadStatement.
@@ -164,6 +171,10 @@
   /// Updates Slowdown from the mean pause between two events of \p Tokens
   /// tokens each.
   void recordEventGap(Duration Gap, std::uint32_t Tokens);
+  /// Updates the mean time for which a request occupies the target.
+  void recordOccupation(Duration Occupied);
+  /// 0 if it was not measured.
+  Duration meanOccupation() const { return m_MeanOccupation; }
   void recordSuccess(TimePoint Now);
   /// Records a failure that may be the target's fault. From FailuresToAvoid
   /// consecutive failures on, the target is avoided, each time for longer.
@@ -185,6 +196,7 @@
 
 private:
   std::optional<TimePoint> m_ProcessEndedAt;
+  Duration m_MeanOccupation{0};
   std::shared_ptr<TargetStatements> m_Statements =
       std::make_shared<TargetStatements>();
 };
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -1,17 +1,21 @@
 #include "mangodeck/gateway/choosetarget.h"
 
+#include "mangodeck/gateway/answerforecast.h"
 #include "mangodeck/gateway/enginepace.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace mangodeck {
 
 namespace {
 
-/// Largest share of the gap target for which prefills may delay the next event
-/// of the other streams at the engine.
-constexpr double MaxPrefillShareOfGap = 0.6;
+/// Gain from which on a faster engine would serve the request no better.
+constexpr double SufficientGain = 0.97;
+/// Classes of speed per factor of two; learned speeds differ by some percent
+/// between equal engines.
+constexpr double SpeedClassesPerDoubling = 2;
 /// Requests beyond its slots that a target is sent. They start as soon as a
 /// slot is free, whereas the daemons learn of a free slot only some hundred
 /// milliseconds later.
@@ -27,20 +31,6 @@
       });
 }
 
-/// Whether the prefill of the prompt, together with the prefills in progress,
-/// would delay the events of other streams at the target for more than
-/// MaxPrefillShareOfGap of the gap target.
-bool stallsOtherStreams(const TrackedTarget &Target,
-                        const TargetChoiceInput &Input) {
-  if (Input.GapTarget <= Duration{0} || Target.running() == 0)
-    return false;
-  const auto PrefillSeconds =
-      toSeconds(nominalPrefillTime(Target.prefillTokens())) +
-      toSeconds(nominalPrefillTime(Input.Work.PromptTokens));
-  return PrefillSeconds * Target.Slowdown >
-         MaxPrefillShareOfGap * toSeconds(Input.GapTarget);
-}
-
 /// Requests that may be at a target at the same time.
 std::uint32_t maxRunning(const TrackedTarget &Target) {
   return Target.isOnTrial() ? 1 : Target.Entry.Slots + QueuedPerTarget;
@@ -89,27 +79,70 @@
              : NominalPlainTime;
 }
 
-Duration expectedTotalTime(const TrackedTarget &Target,
-                           const RequestWork &Work) {
-  const auto DecodeSeconds = toSeconds(nominalStepTime(Target.running())) *
-                             static_cast<double>(Work.OutputTokens) *
-                             Target.Slowdown;
-  return expectedTimeToFirstEvent(Target, Work) + fromSeconds(DecodeSeconds);
+namespace {
+
+/// Order in which targets are chosen; the least one is best.
+using Preference = std::tuple<bool, bool, bool, double, double>;
+
+/// A target for a request, and how much it is preferred.
+struct Candidate {
+  ChosenTarget Chosen;
+  Preference Order;
+  double Gain = 1; ///< Of an engine; see AnswerForecast::gain().
+};
+
+AnswerNeeds needsOf(const TargetChoiceInput &Input) {
+  return {Input.TimeToLatencyTarget, Input.TimeToDeadline, Input.GapTarget};
+}
+
+/// Whether the request may be sent to the target, apart from its load.
+bool isEligible(const TrackedTarget &Target, const TargetChoiceInput &Input,
+                TimePoint Now) {
+  return Target.isUsable(Now) && !isExcluded(Target, Input.Excluded) &&
+         isOfVersion(Target, Input.Version) &&
+         (Input.AvoidedVersion == NoVersion ||
+          Target.Version != Input.AvoidedVersion) &&
+         !(Input.BeginsStream && Target.NewStreamsFrom > Now);
+}
+
+/// Engines of one class are about equally slow, so that requests are divided
+/// among them by their load.
+double speedClass(const TrackedTarget &Engine) {
+  return std::round(SpeedClassesPerDoubling * std::log2(Engine.Slowdown));
 }
 
+Candidate assessEngine(const TargetPtr &Target, const TargetChoiceInput &Input,
+                       bool IsRemote) {
+  const auto Forecast =
+      forecastAnswer(stateOf(*Target), Input.Work, needsOf(Input));
+  const double Gain = Forecast.gain();
+  const bool IsSufficient = Gain >= SufficientGain;
+  const bool IsInTime = Gain >= MinGainInTime;
+  return {{Target, Forecast.TimeToFirstEvent, IsInTime},
+          {!IsInTime, IsRemote, !IsSufficient,
+           IsSufficient ? -speedClass(*Target) : -Gain,
+           toSeconds(Forecast.TimeToFirstEvent) + Target->running() * 0.01},
+          Gain};
+}
+
+Candidate assessPlain(const TargetPtr &Target, const TargetChoiceInput &Input,
+                      bool IsRemote) {
+  const auto Time = expectedTimeToFirstEvent(*Target, Input.Work);
+  const bool IsInTime = Time <= Input.TimeToLatencyTarget;
+  const double Load = static_cast<double>(Target->running()) /
+                      static_cast<double>(std::max(1u, Target->Entry.Slots));
+  return {{Target, Time, IsInTime}, {!IsInTime, IsRemote, false, Load, 0}};
+}
+
+} // namespace
+
 std::optional<ChosenTarget> chooseTarget(std::span<const TargetPtr> Targets,
                                          const TargetChoiceInput &Input,
                                          TimePoint Now) {
-  using Preference = std::tuple<bool, bool, bool, double>;
-  std::optional<ChosenTarget> Best;
-  Preference BestPreference{};
+  std::optional<Candidate> Best;
   for (const auto &Target : Targets) {
     // Step 1. Skip targets that must not be used or have no free slot.
-    if (!Target->isUsable(Now) || isExcluded(*Target, Input.Excluded) ||
-        !isOfVersion(*Target, Input.Version) ||
-        (Input.AvoidedVersion != NoVersion &&
-         Target->Version == Input.AvoidedVersion) ||
-        (Input.BeginsStream && Target->NewStreamsFrom > Now) ||
+    if (!isEligible(*Target, Input, Now) ||
         Target->running() >= maxRunning(*Target) ||
         Target->rateLimit().hasPermit(Now) == Input.NeedsPermit ||
         (Input.NeedsPermit && Target->RequestPermitAfter > Now) ||
@@ -119,29 +152,24 @@
     if (Input.RemoteDomainsOnly && !IsRemote)
       continue;
 
-    // Step 2. Prefer targets that meet the latency target, then those where no
-    // other stream stalls, then those of the own failure domain, then the
-    // fastest engine or the least loaded plain target.
-    const auto TimeToFirstEvent = expectedTimeToFirstEvent(*Target, Input.Work);
-    const bool MeetsDeadline =
-        !Input.Work.IsEngine ||
-        expectedTotalTime(*Target, Input.Work) <= Input.TimeToDeadline;
-    const bool MeetsLatencyTarget =
-        TimeToFirstEvent <= Input.TimeToLatencyTarget && MeetsDeadline;
-    const bool Stalls =
-        Input.Work.IsEngine && stallsOtherStreams(*Target, Input);
-    const double Cost =
-        Input.Work.IsEngine
-            ? toSeconds(TimeToFirstEvent) + Target->Slowdown * 0.2
-            : static_cast<double>(Target->running()) /
-                  static_cast<double>(std::max(1u, Target->Entry.Slots));
-    const Preference Current{!MeetsLatencyTarget, Stalls, IsRemote, Cost};
-    if (!Best || Current < BestPreference) {
-      BestPreference = Current;
-      Best = ChosenTarget{Target, TimeToFirstEvent, MeetsLatencyTarget};
-    }
+    // Step 2. Compare what is expected there with the best target so far.
+    auto Current = Input.Work.IsEngine ? assessEngine(Target, Input, IsRemote)
+                                       : assessPlain(Target, Input, IsRemote);
+    if (Input.Work.IsEngine && Current.Gain < Input.LeastGain)
+      continue;
+    if (!Best || Current.Order < Best->Order)
+      Best = std::move(Current);
   }
-  return Best;
+  return Best ? std::optional(std::move(Best->Chosen)) : std::nullopt;
+}
+
+bool canBeInTime(std::span<const TargetPtr> Targets,
+                 const TargetChoiceInput &Input, TimePoint Now) {
+  return std::any_of(Targets.begin(), Targets.end(), [&](const auto &Target) {
+    return isEligible(*Target, Input, Now) &&
+           forecastAnswer(idleStateOf(*Target), Input.Work, needsOf(Input))
+                   .gain() >= MinGainInTime;
+  });
 }
 
 std::uint32_t drawAllowance(const TrackedTarget &Target,
--- a/packages/gateway/src/dispatchqueue.cpp
+++ b/packages/gateway/src/dispatchqueue.cpp
@@ -41,6 +41,18 @@
   return *Best;
 }
 
+std::vector<QueuedTicket> DispatchQueue::inOrder(TimePoint Now) const {
+  std::vector<QueuedTicket> Tickets;
+  Tickets.reserve(m_Tickets.size());
+  for (const auto &[Number, Ticket] : m_Tickets)
+    Tickets.push_back(Ticket);
+  std::sort(Tickets.begin(), Tickets.end(),
+            [Now](const QueuedTicket &Left, const QueuedTicket &Right) {
+              return dispatchOrder(Left, Now) < dispatchOrder(Right, Now);
+            });
+  return Tickets;
+}
+
 std::vector<QueuedTicket> DispatchQueue::takeExpired(TimePoint Now) {
   std::vector<QueuedTicket> Expired;
   for (const auto &[Number, Ticket] : m_Tickets)
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -421,6 +421,8 @@
   m_Target->Allowance += 1;
   m_Target->OwnPrefillTokens -= m_PendingPrefillTokens;
   m_PendingPrefillTokens = 0;
+  if (m_SendOutcome == SlotOutcome::Success)
+    m_Target->recordOccupation(std::chrono::steady_clock::now() - m_SentAt);
   SlotUpdate Update;
   Update.Number = m_Number;
   Update.Change = SlotUpdate::Kind::Ended;
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -1,6 +1,7 @@
 #include "mangodeck/gateway/slotbroker.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace mangodeck {
@@ -18,6 +19,35 @@
 /// Time after which a permit is requested again from a broker that does not
 /// know the target or its rate limit. It learns of them with the next reports.
 constexpr Duration UnknownLimitPause = 1s;
+/// Period at which waiting requests are considered again for free slots where
+/// none was expected to be in time, though the load there has not changed: the
+/// time that they have left and the speed of engines change slowly.
+constexpr Duration ReconsiderPeriod = 50ms;
+/// Least gain of a request that is late wherever it runs: it stalls a third of
+/// a stream of another request at most.
+constexpr double HarmlessGain = -0.1;
+constexpr double AnyGain = -std::numeric_limits<double>::infinity();
+
+/// The targets of \p Targets that accept a request now.
+std::vector<TargetPtr> freeTargets(std::span<const TargetPtr> Targets,
+                                   TimePoint Now) {
+  std::vector<TargetPtr> Free;
+  for (const auto &Target : Targets)
+    if (capacityOf(std::span(&Target, 1), Now).FreeSlots > 0)
+      Free.push_back(Target);
+  return Free;
+}
+
+/// Least gain for which \p Request is granted a slot while it can still wait. A
+/// part of the answer of a stream that goes on is done already, and few slots
+/// will do for it.
+double leastGainOf(const SlotRequest &Request) {
+  return Request.Version == NoVersion ? MinGainInTime : HarmlessGain;
+}
+
+bool isFull(const TargetPtr &Target, TimePoint Now) {
+  return capacityOf(std::span(&Target, 1), Now).FreeSlots == 0;
+}
 
 } // namespace
 
@@ -69,11 +99,14 @@
   auto Ahead = State.Queue.countAhead(Request.Rank, NeedsVersion, Now);
   Ahead -= std::min(Ahead, m_BoundWaiting);
   const Waiting Waiter{Request, m_NextTicket++, Now};
-  if (Ahead == 0 && tryGrant(Waiter, Targets, Now))
+  if (tryGrantAtOnce(Waiter, Ahead, Targets, Now))
     return;
 
-  // Step 3. Refuse the request if it would be dispatched too late.
-  if (Request.RefuseIfLate &&
+  // Step 3. Refuse the request if it would be dispatched too late. One that
+  // only waits for a better moment at an engine with a free slot is not.
+  const bool WaitsForSlot =
+      Ahead > 0 || capacityOf(Targets, Now, Request.Version).FreeSlots == 0;
+  if (Request.RefuseIfLate && WaitsForSlot &&
       State.Rate.timeToDispatch(
           Ahead + dispatchesPerSlot(Request, Targets, Now), Now) >
           Request.TimeToLatestStart)
@@ -95,10 +128,21 @@
                    backlogTime(State, Now)});
 }
 
-std::optional<ChosenTarget>
-SlotBroker::choose(const SlotRequest &Request, Duration Waited,
-                   std::span<const TargetPtr> Targets, TimePoint Now) const {
-  std::vector<TargetPtr> Excluded;
+bool SlotBroker::tryGrantAtOnce(const Waiting &Waiter, std::size_t Ahead,
+                                std::span<const TargetPtr> Targets,
+                                TimePoint Now) {
+  if (!Waiter.Request.Work.IsEngine)
+    return Ahead == 0 && tryGrant(Waiter, Targets, AnyGain, Now);
+  dispatchWaiting(Waiter.Request.Service, Now);
+  if (tryGrant(Waiter, Targets, leastGainOf(Waiter.Request), Now))
+    return true;
+  return Ahead == 0 && !mayBeInTime(Waiter, Targets, Now) &&
+         tryGrant(Waiter, Targets, HarmlessGain, Now);
+}
+
+TargetChoiceInput
+SlotBroker::choiceInput(const SlotRequest &Request, Duration Waited,
+                        std::vector<TargetPtr> &Excluded) const {
   for (const auto Hash : Request.ExcludedTargets)
     if (auto Target = m_Targets.findByHash(Hash))
       Excluded.push_back(std::move(Target));
@@ -112,7 +156,16 @@
   Input.Version = Request.Version;
   Input.AvoidedVersion = Request.AvoidedVersion;
   Input.LoadsAreExact = true;
-  return chooseTarget(Targets, Input, Now);
+  return Input;
+}
+
+bool SlotBroker::mayBeInTime(const Waiting &Waiter,
+                             std::span<const TargetPtr> Targets,
+                             TimePoint Now) const {
+  std::vector<TargetPtr> Excluded;
+  const auto Input =
+      choiceInput(Waiter.Request, Now - Waiter.RequestedAt, Excluded);
+  return canBeInTime(Targets, Input, Now);
 }
 
 void SlotBroker::decideOnPermit(const SlotRequest &Request, TimePoint Now) {
@@ -122,7 +175,9 @@
   Decision.Target = Request.OnlyTarget;
   const bool IsOurs = Target && Target->Entry.Domain == m_Domain &&
                       Target->rateLimit().isActive();
-  if (IsOurs && choose(Request, Duration{0}, std::span(&Target, 1), Now)) {
+  std::vector<TargetPtr> Excluded;
+  const auto Input = choiceInput(Request, Duration{0}, Excluded);
+  if (IsOurs && chooseTarget(std::span(&Target, 1), Input, Now)) {
     Target->rateLimit().takePermit(Now);
     Decision.Result = SlotDecision::Kind::Granted;
     Decision.HasPermit = true;
@@ -135,9 +190,13 @@
 }
 
 bool SlotBroker::tryGrant(const Waiting &Waiter,
-                          std::span<const TargetPtr> Targets, TimePoint Now) {
+                          std::span<const TargetPtr> Targets, double LeastGain,
+                          TimePoint Now) {
   const auto &Request = Waiter.Request;
-  const auto Chosen = choose(Request, Now - Waiter.RequestedAt, Targets, Now);
+  std::vector<TargetPtr> Excluded;
+  auto Input = choiceInput(Request, Now - Waiter.RequestedAt, Excluded);
+  Input.LeastGain = LeastGain;
+  const auto Chosen = chooseTarget(Targets, Input, Now);
   if (!Chosen)
     return false;
   m_Services[Request.Service.Text].Rate.recordDispatch(Now);
@@ -162,16 +221,22 @@
       Held != m_Grants.end() && (Held->second.Target == Update.Target ||
                                  Update.Change == SlotUpdate::Kind::Withdrawn);
   if (Update.Change == SlotUpdate::Kind::PrefillDone) {
-    if (Holds && Target)
+    if (Holds && Target) {
       Target->PeerPrefillTokens -=
           std::min(Target->PeerPrefillTokens, Held->second.PrefillTokens);
+      onLoadChanged(*Target);
+    }
     if (Holds)
       Held->second.PrefillTokens = 0;
     return;
   }
   dequeue(RequestKey);
+  if (Holds && Target && Update.Outcome == SlotOutcome::Success)
+    Target->recordOccupation(Now - Held->second.GrantedAt);
   if (Holds)
     release(RequestKey);
+  else if (Target) // It counts in TrackedTarget::OwnRunning.
+    onLoadChanged(*Target);
   // Step 2. Update the target's speed and failures.
   if (!Target)
     return;
@@ -193,10 +258,17 @@
     Target->PeerRunning -= std::min<std::uint32_t>(Target->PeerRunning, 1);
     Target->PeerPrefillTokens -=
         std::min(Target->PeerPrefillTokens, Found->second.PrefillTokens);
+    onLoadChanged(*Target);
   }
   m_Grants.erase(Found);
 }
 
+void SlotBroker::onLoadChanged(const TrackedTarget &Target) {
+  if (const auto State = m_Services.find(Target.Entry.Service.Text);
+      State != m_Services.end())
+    State->second.Unsuited.erase(Target.Hash);
+}
+
 void SlotBroker::dequeue(const Key &RequestKey) {
   const auto Found = m_Waiting.find(RequestKey);
   if (Found == m_Waiting.end())
@@ -286,20 +358,59 @@
       m_KeyByTicket.erase(Found);
     }
 
-  // Step 2. Grant free slots in order. A request for which no target is
-  // suitable does not block the others.
-  const auto Targets = domainTargets(Service);
-  std::set<TicketNumber> Skipped;
-  while (capacityOf(Targets, Now).FreeSlots > 0) {
-    const auto Next = State.Queue.next(Now, Skipped);
-    if (!Next)
+  // Step 2. Find the free slots, without those that no waiting request can use.
+  if (Now - State.UnsuitedSince >= ReconsiderPeriod) {
+    State.Unsuited.clear();
+    State.UnsuitedSince = Now;
+  }
+  auto Free = freeTargets(domainTargets(Service), Now);
+  std::erase_if(Free, [&](const TargetPtr &Target) {
+    return State.Unsuited.contains(Target->Hash);
+  });
+  if (Free.empty())
+    return;
+
+  // Step 3. Grant them in order. A request for which no target is suitable does
+  // not block the others.
+  std::vector<QueuedTicket> Left;
+  for (const auto &Ticket : State.Queue.inOrder(Now)) {
+    if (Free.empty())
       return;
-    const auto RequestKey = m_KeyByTicket.at(Next->Number);
+    const auto RequestKey = m_KeyByTicket.at(Ticket.Number);
     const auto Waiter = m_Waiting.at(RequestKey);
-    if (tryGrant(Waiter, Targets, Now))
+    if (tryGrant(Waiter, Free, leastGainOf(Waiter.Request), Now)) {
       dequeue(RequestKey);
-    else
-      Skipped.insert(Next->Number);
+      std::erase_if(Free, [&](const auto &Each) { return isFull(Each, Now); });
+    } else {
+      Left.push_back(Ticket);
+    }
+  }
+
+  // Step 4. Give the rest to requests that are late wherever they run.
+  grantLate(Left, Free, Now);
+  for (const auto &Target : Free)
+    State.Unsuited.insert(Target->Hash);
+}
+
+void SlotBroker::grantLate(std::span<const QueuedTicket> Tickets,
+                           std::vector<TargetPtr> &Free, TimePoint Now) {
+  if (Free.empty() || Tickets.empty())
+    return;
+  const auto Targets = domainTargets(Free.front()->Entry.Service);
+  const auto WaiterOf = [&](const QueuedTicket &Ticket) {
+    return m_Waiting.at(m_KeyByTicket.at(Ticket.Number));
+  };
+  if (std::any_of(Tickets.begin(), Tickets.end(), [&](const auto &Ticket) {
+        return mayBeInTime(WaiterOf(Ticket), Targets, Now);
+      }))
+    return;
+  for (const auto &Ticket : Tickets) {
+    if (Free.empty())
+      return;
+    if (!tryGrant(WaiterOf(Ticket), Free, HarmlessGain, Now))
+      continue;
+    dequeue(m_KeyByTicket.at(Ticket.Number));
+    std::erase_if(Free, [&](const auto &Each) { return isFull(Each, Now); });
   }
 }
 
--- a/packages/gateway/src/targetregistry.cpp
+++ b/packages/gateway/src/targetregistry.cpp
@@ -27,6 +27,8 @@
 /// factor of five.
 constexpr double MinSlowdown = 0.3;
 constexpr double MaxSlowdown = 12.0;
+/// Weight of a new sample in the moving average of the occupation.
+constexpr double OccupationWeight = 0.05;
 /// Time after the end of a target's process at which its registration has
 /// expired, or was replaced by that of its next start.
 constexpr Duration ReregistrationTime = 6s;
@@ -60,6 +62,15 @@
   HasSlowdownSample = true;
 }
 
+void TrackedTarget::recordOccupation(Duration Occupied) {
+  m_MeanOccupation =
+      m_MeanOccupation == Duration{0}
+          ? Occupied
+          : fromSeconds(toSeconds(m_MeanOccupation) +
+                        OccupationWeight *
+                            toSeconds(Occupied - m_MeanOccupation));
+}
+
 void TrackedTarget::recordLoad(std::uint32_t Total, TimePoint Now) {
   ForeignRunning = Total > OwnRunning ? Total - OwnRunning : 0;
   ForeignRunningAt = Now;
--- a/packages/gateway/test/slotbroker_test.cpp
+++ b/packages/gateway/test/slotbroker_test.cpp
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(permit_forDaemonOfOtherDomain_isGrantedAtOnceOrRefused);
   CPPUNIT_TEST(permit_manyDaemonsRefused_requestsAreSpread);
   CPPUNIT_TEST(permit_targetWithoutLimitOrOfOtherDomain_isRefused);
+  CPPUNIT_TEST(longAnswer_onlySlowEngineFree_waitsAndShortOneIsGranted);
+  CPPUNIT_TEST(lateEverywhere_grantedOnlyWhileNoneInTimeWaits);
   CPPUNIT_TEST(saturation_manyDaemons_fillsSlotsAndServesHighRank);
   CPPUNIT_TEST(saturation_streamsTakenUp_goOnHalfAsOftenAsNewOnesBegin);
   CPPUNIT_TEST_SUITE_END();
@@ -351,6 +353,39 @@
     CPPUNIT_ASSERT_EQUAL(Fast->Hash, lastDecision().Target);
   }
 
+  /// Guards against long answers on engines where they are cut off at their
+  /// time limit, and against idle slow engines while short answers wait behind.
+  void longAnswer_onlySlowEngineFree_waitsAndShortOneIsGranted() {
+    addTarget("slow", 4)->Slowdown = 5;
+    const auto Fast = addTarget("fast", 1);
+    requestSlot("vm", 1);
+    requestSlot("vm", 2);
+    m_Broker->requestSlot(requestFor("vm", 3, 1500), m_Now);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Queued);
+    m_Broker->requestSlot(requestFor("vm", 4, 50), m_Now);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
+    CPPUNIT_ASSERT(lastDecision().Target != Fast->Hash);
+    endRequest("vm", 1, Fast);
+    CPPUNIT_ASSERT_EQUAL(TicketNumber(3), lastDecision().Number);
+    CPPUNIT_ASSERT_EQUAL(Fast->Hash, lastDecision().Target);
+  }
+
+  /// Guards against requests that earn nothing in time ahead of those that do,
+  /// and against leaving them waiting while nobody else wants the slot.
+  void lateEverywhere_grantedOnlyWhileNoneInTimeWaits() {
+    const auto Slow = addTarget("slow", 1);
+    Slow->Slowdown = 5;
+    m_Broker->requestSlot(requestFor("vm", 1, 6000), m_Now);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
+    requestSlot("vm", 2);
+    requestSlot("vm", 3);
+    m_Broker->requestSlot(requestFor("vm", 4, 6000), m_Now);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Queued);
+    endRequest("vm", 1, Slow);
+    CPPUNIT_ASSERT_EQUAL(TicketNumber(3), lastDecision().Number);
+    CPPUNIT_ASSERT(lastDecision().Result == SlotDecision::Kind::Granted);
+  }
+
   /// 30 daemons together request 1.5 times the capacity of ten engines of
   /// different speed. A third of the requests have the highest rank.
   /// Half as many requests again as the slots can serve; each tenth one takes
@@ -628,6 +663,13 @@
     m_Broker->requestSlot(Request, m_Now);
   }
 
+  static SlotRequest requestFor(const std::string &Vm, TicketNumber Number,
+                                TokenCount Output) {
+    auto Request = makeRequest(Vm, Number);
+    Request.Work.OutputTokens = Output;
+    return Request;
+  }
+
   void requestPermit(const std::string &Vm, TicketNumber Number,
                      std::uint64_t Target) {
     auto Request = makeRequest(Vm, Number);
