refusal: one place chooses status and Retry-After

Cause: each call chose its own status and Retry-After, with several bounds. A retry after a limit, a pause or a stop could be told a time beyond what its caller had left.

Change: chooseRefusal() does it by the cause, for refusals before admission, without a slot, during a pause and without memory. Retry-After is at most 0.3 of the time that the caller states to have left. A request that may have run still gets 502 from Exchange::refuse().

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -27,9 +27,6 @@
 
 namespace mangodeck {
 
-/// Shortest Retry-After of a refused request.
-inline constexpr Duration MinRetryAfter = 300ms;
-
 /// What a bad version may receive during a roll-out, over all daemons.
 struct RolloutLimits {
   /// Largest share of the service's requests between the order and its time
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,5 +1,7 @@
 #include "mangodeck/gateway/gateway.h"
 
+#include "mangodeck/gateway/refusal.h"
+
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
@@ -22,15 +24,6 @@
 /// balancer needs two failed readiness checks, one second apart, before it
 /// uses other daemons.
 constexpr Duration LoadBalancerDelay = 2500ms;
-/// Retry-After for a request that arrives on a kept-alive connection after
-/// LoadBalancerDelay: short, since another daemon can take it immediately.
-constexpr Duration StoppingRetryAfter = 20ms;
-/// Longest Retry-After of a refused request.
-constexpr Duration MaxRetryAfter = 4s;
-/// Time over which the retries are spread after a pause of all targets.
-constexpr Duration RetrySpreadAfterPause = 500ms;
-/// Largest share of a request's remaining time that its Retry-After may take.
-constexpr double MaxRetryAfterShare = 0.3;
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
@@ -86,42 +79,44 @@
   const auto Now = steadyNow();
   checkSuspension(Now);
   const auto Facts = parseRequestFacts(Message, m_Names);
-  const auto RefuseRequest = [&](int Status, std::string_view Reason,
-                                 std::optional<Duration> RetryAfter) {
+  const auto RefuseRequest = [&](RefusalCause Cause,
+                                 Duration ExpectedWait = Duration{0}) {
+    const auto Chosen =
+        chooseRefusal({Cause, ExpectedWait, Duration{0}, Facts.RemainingTime,
+                       m_Random.uniform()});
     m_Log.write("refused", {{"id", Facts.AttemptId},
-                            {"status", Status},
-                            {"reason", Reason},
+                            {"status", Chosen.Status},
+                            {"reason", Chosen.Reason},
                             {"path", Message.Head.Target},
                             {"plan", m_Plan ? m_Plan->Version : 0}});
-    answerCaller(Connection, Status, Reason, RetryAfter);
+    answerCaller(Connection, Chosen.Status, Chosen.Reason, Chosen.RetryAfter);
   };
   // Step 1. Without a plan no request can be judged: let the caller retry.
   if (!m_Plan)
-    return RefuseRequest(503, "no configuration yet", 1s);
+    return RefuseRequest(RefusalCause::NoConfiguration);
 
   // Step 2. Find the route of the request.
   const auto *Matched =
       m_Plan->findRoute(Message.Head.Fields.get("Host"), Message.Head.Target);
   if (!Matched)
-    return RefuseRequest(404, "no such route", std::nullopt);
+    return RefuseRequest(RefusalCause::NoRoute);
 
   // Step 3. Find the customer by its API key.
   const PlannedCustomer *Customer = nullptr;
   if (!m_Plan->Customers.empty() && !Matched->OpenToAll) {
     Customer = m_Plan->findCustomerByKey(Facts.ApiKey);
     if (!Customer)
-      return RefuseRequest(401, "unknown key", std::nullopt);
+      return RefuseRequest(RefusalCause::UnknownKey);
   }
 
   // Step 4. Refuse requests that arrive late in the shutdown: they might be
   // terminated before they are complete.
   if (m_Stopping && Now - m_StopStartedAt > LoadBalancerDelay)
-    return RefuseRequest(503, "stopping", StoppingRetryAfter);
+    return RefuseRequest(RefusalCause::Stopping);
 
   // Step 5. Refuse a request that has crashed the targets that ran it.
   if (const auto Left = m_CrashCauses.refuseNew(Facts.PossibleCauses, Now))
-    return RefuseRequest(503, CrashingRequestReason,
-                         std::max<Duration>(*Left, MinRetryAfter));
+    return RefuseRequest(RefusalCause::CrashingRequest, *Left);
 
   // Step 6. Charge the request to its customer's limit.
   if (Customer) {
@@ -140,9 +135,7 @@
                                  {"admitted_share", Refusal->AdmittedShare},
                                  {"reach", Refusal->LimitShare},
                                  {"wait_ms", toMs(Refusal->WaitTime)}});
-      return RefuseRequest(429, "over the customer's limit",
-                           std::clamp<Duration>(Refusal->WaitTime,
-                                                MinRetryAfter, MaxRetryAfter));
+      return RefuseRequest(RefusalCause::OverLimit, Refusal->WaitTime);
     }
   }
 
@@ -392,25 +385,22 @@
   if (!hasTargetOfVersion(Refused))
     return std::nullopt;
   const auto &State = m_Services[Refused.service().Text];
-  // Before the end of a common pause, a retry would only be refused again.
+  RefusalFacts Facts;
+  Facts.Draw = m_Random.uniform();
   if (const auto Pause = commonPause(m_Targets.targetsOf(Refused.service()),
-                                     Refused.version(), Now))
-    return *Pause +
-           fromSeconds(toSeconds(RetrySpreadAfterPause) * m_Random.uniform());
-  // The backlog gives the time until a slot is likely to be free; the random
-  // part spreads the retries of callers that were refused together.
+                                     Refused.version(), Now)) {
+    Facts.Cause = RefusalCause::TargetsPause;
+    Facts.ExpectedWait = *Pause;
+    return chooseRefusal(Facts).RetryAfter;
+  }
+  // The backlog gives the time until a slot is likely to be free.
   const auto Rate = std::max(1.0, State.Rate.perSecond(Now));
-  const auto Backlog =
+  Facts.ExpectedWait =
       isBrokerReachable(Now)
           ? State.BrokerBacklog
           : fromSeconds(static_cast<double>(State.Queue.size()) / Rate);
-  const auto MinWait = std::max<Duration>(Backlog, MinRetryAfter);
-  const auto Spread =
-      fromSeconds(toSeconds(MaxRetryAfter) * m_Random.uniform());
-  const auto MaxWait = fromSeconds(
-      MaxRetryAfterShare * std::max(0.0, toSeconds(Refused.deadline() - Now)));
-  return std::max<Duration>(
-      Duration{10ms}, std::min({MinWait + Spread, MaxRetryAfter, MaxWait}));
+  Facts.TimeLeft = Refused.deadline() - Now;
+  return chooseRefusal(Facts).RetryAfter;
 }
 
 void Gateway::onExchangeEnded(Exchange &Ended, bool MayHaveRun) {
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -2,6 +2,8 @@
 // graceful stop.
 #include "mangodeck/gateway/gateway.h"
 
+#include "mangodeck/gateway/refusal.h"
+
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
@@ -20,8 +22,6 @@
 /// Requests that still run this long before the end of the shutdown grace are
 /// terminated.
 constexpr Duration TerminationMargin = 250ms;
-/// Time over which callers return whose bodies there was no memory for.
-constexpr Duration MaxMemoryRetryAfter = 1s;
 /// Bytes of a rejected request's first line that are logged. The header fields
 /// are not logged, since they may hold API keys.
 constexpr std::size_t MaxLoggedLineBytes = 120;
@@ -204,10 +204,14 @@
 http::HeaderList Gateway::rejectionFields(int Status) {
   http::HeaderList Fields;
   if (Status == 503) // There is no memory for the body.
-    Fields.add(m_Names.RetryAfter,
-               fmt::format("{:.2f}", toSeconds(MinRetryAfter) +
-                                         toSeconds(MaxMemoryRetryAfter) *
-                                             m_Random.uniform()));
+    Fields.add(
+        m_Names.RetryAfter,
+        fmt::format("{:.2f}", toSeconds(*chooseRefusal({RefusalCause::NoMemory,
+                                                        {},
+                                                        {},
+                                                        std::nullopt,
+                                                        m_Random.uniform()})
+                                             .RetryAfter)));
   return Fields;
 }
 
