--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -32,9 +32,6 @@
 
 namespace mangodeck {
 
-/// Shortest Retry-After of a refused request.
-inline constexpr Duration MinRetryAfter = 300ms;
-
 /// Path of the call that explains a placement, beside the metrics.
 inline constexpr std::string_view PlacementPath = "/where";
 
--- a/packages/gateway/src/gatewaywhere.cpp
+++ b/packages/gateway/src/gatewaywhere.cpp
@@ -3,6 +3,7 @@
 #include "mangodeck/gateway/gateway.h"
 
 #include "mangodeck/gateway/placementreport.h"
+#include "mangodeck/gateway/refusal.h"
 
 #include <algorithm>
 #include <charconv>
@@ -15,8 +16,6 @@
 /// Shortest time between two calls: a call copies the broker's queue, some
 /// hundred microseconds under load.
 constexpr Duration MinTimeBetweenCalls = 200ms;
-/// Longest Retry-After of a request over its customer's limit.
-constexpr Duration LongestLimitWait = 4s;
 /// Fields of the call that are not fields of the request.
 constexpr std::string_view FieldPrefix = "Where-";
 
@@ -59,46 +58,46 @@
                                           TimePoint Now) {
   PlacementReport Report;
   Report.Daemon = m_Settings.Vm;
-  const auto Refuse = [&](int Status, std::string_view Reason,
-                          std::optional<Duration> RetryAfter) {
+  const auto Refuse = [&](RefusalCause Cause, Duration Wait = Duration{0}) {
+    RefusalFacts Reasons;
+    Reasons.Cause = Cause;
+    Reasons.ExpectedWait = Wait;
+    const auto Chosen = chooseRefusal(Reasons);
     Report.Outcome = PlacementReport::Result::Refused;
-    Report.Status = Status;
-    Report.Reason = Reason;
-    Report.RetryAfter = RetryAfter;
+    Report.Status = Chosen.Status;
+    Report.Reason = Chosen.Reason;
+    Report.RetryAfter = Chosen.RetryAfter;
     return Report;
   };
   // Step 1. What onRequest() refuses before it admits a request.
   const auto Facts = parseRequestFacts(Message, m_Names);
   if (!m_Plan)
-    return Refuse(503, "no configuration yet", 1s);
+    return Refuse(RefusalCause::NoConfiguration);
   const auto *Matched =
       m_Plan->findRoute(Message.Head.Fields.get("Host"), Message.Head.Target);
   if (!Matched)
-    return Refuse(404, "no such route", std::nullopt);
+    return Refuse(RefusalCause::NoRoute);
   Report.Route = Matched->Name;
   Report.Shares = Matched->Shares;
   const PlannedCustomer *Customer = nullptr;
   if (!m_Plan->Customers.empty() && !Matched->OpenToAll) {
     Customer = m_Plan->findCustomerByKey(Facts.ApiKey);
     if (!Customer)
-      return Refuse(401, "unknown key", std::nullopt);
+      return Refuse(RefusalCause::UnknownKey);
     Report.Customer = Customer->Name.Text;
   }
   if (m_Stopping)
-    return Refuse(503, "stopping", std::nullopt);
+    return Refuse(RefusalCause::Stopping);
   auto Causes = m_CrashCauses;
   if (const auto Left = Causes.refuseNew(Facts.PossibleCauses, Now))
-    return Refuse(503, CrashingRequestReason,
-                  std::max<Duration>(*Left, MinRetryAfter));
+    return Refuse(RefusalCause::CrashingRequest, *Left);
   if (Customer) {
     auto Quotas = m_Quotas;
     Report.Cost = quotaCost(Facts, *Customer);
     Report.LimitPerSecond = Customer->PerSecond;
     Report.ReachableShare = Quotas.reachableShare(Customer->Name, Now);
     if (const auto Over = Quotas.charge(Customer->Name, Report.Cost, Now))
-      return Refuse(429, "over the customer's limit",
-                    std::clamp<Duration>(Over->WaitTime, MinRetryAfter,
-                                         LongestLimitWait));
+      return Refuse(RefusalCause::OverLimit, Over->WaitTime);
   }
 
   // Step 2. The service: the one that is asked for, else that of the largest
