gateway: the end of a stop allows for a late event loop

Cause: running requests were terminated 250 ms before the end of the grace, counted from the moment at which the loop handled the signal. On a VM whose processor time does not suffice, the signal and the ticks are handled some hundred milliseconds late, so that the process was still there at the end.

Change: the loop's delay is measured at its ticks (LoopDelay). A punctual loop stops as before.

Measured: with pauses of 600 ms in the loop and a grace of 4 s, a running request kept the process beyond the grace (the new test fails without the measured delay); now it ends within it.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "mangodeck/gateway/crashcauses.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
+#include "mangodeck/gateway/loopdelay.h"
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/quotaledger.h"
 #include "mangodeck/gateway/slotbroker.h"
@@ -468,6 +469,8 @@
   bool m_Stopping = false;
   bool m_ListenerClosed = false;
   TimePoint m_StopStartedAt{};
+  TimePoint m_StopDeadline{}; ///< End of the shutdown grace.
+  LoopDelay m_LoopDelay;
   TimePoint m_NextTickAt{};
   std::uint64_t m_TickCount = 0;
   TimePoint m_LastReportAt{};
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -452,6 +452,7 @@
 void Gateway::tick() {
   const auto Now = steadyNow();
   ++m_TickCount;
+  m_LoopDelay.record(m_NextTickAt, Now);
   checkSuspension(Now);
   updateBroker(Now);
   if (std::exchange(m_UsedOwnSummary, usesOwnSummary()) != usesOwnSummary())
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -17,9 +17,6 @@
 /// balancer needs two failed readiness checks, one second apart, before it
 /// uses other daemons.
 constexpr Duration LoadBalancerDelay = 2500ms;
-/// Requests that still run this long before the end of the shutdown grace are
-/// terminated.
-constexpr Duration TerminationMargin = 250ms;
 /// Time over which callers return whose bodies there was no memory for.
 constexpr Duration MaxMemoryRetryAfter = 1s;
 /// Bytes of a rejected request's first line that are logged. The header fields
@@ -216,10 +213,13 @@
     return;
   m_Stopping = true;
   m_StopStartedAt = steadyNow();
+  m_StopDeadline = StopTiming::graceEnd(
+      m_StopStartedAt, m_Settings.ShutdownGrace, m_LoopDelay.worst());
   m_Peers.markStopping();
   m_LastReportAt = TimePoint{};
   m_Log.write("stop", {{"running", m_ExchangeByNumber.size()},
-                       {"connections", m_Callers.size()}});
+                       {"connections", m_Callers.size()},
+                       {"loop_delay_ms", toMs(m_LoopDelay.worst())}});
   m_Log.flush();
 }
 
@@ -244,7 +244,10 @@
 
   // Step 3. At the end of the shutdown grace, terminate the requests that
   // still run.
-  if (Elapsed > m_Settings.ShutdownGrace - TerminationMargin) {
+  const bool IsTerminating =
+      Now > m_StopDeadline - StopTiming::terminationMargin(
+                                 m_Settings.ShutdownGrace, m_LoopDelay.worst());
+  if (IsTerminating) {
     std::vector<ExchangePtr> Running;
     for (const auto &[Number, Each] : m_ExchangeByNumber)
       Running.push_back(Each);
@@ -254,10 +257,9 @@
 
   // Step 4. Stop the loop when no request is left, and no connection is left
   // or the shutdown grace is over.
-  if (m_ExchangeByNumber.empty() &&
-      (m_Callers.empty() ||
-       Elapsed > m_Settings.ShutdownGrace - TerminationMargin)) {
-    m_Log.write("stopped", {{"after_ms", ageMs(m_StopStartedAt, Now)}});
+  if (m_ExchangeByNumber.empty() && (m_Callers.empty() || IsTerminating)) {
+    m_Log.write("stopped", {{"after_ms", ageMs(m_StopStartedAt, Now)},
+                            {"loop_delay_ms", toMs(m_LoopDelay.worst())}});
     m_Log.flush();
     m_Loop.stop();
   }
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -15,6 +15,7 @@
 /// A complete gateway between a caller and two scripted targets, on one event
 /// loop over loopback. Waits are bounded and end when their condition holds.
 class GatewayTest : public CppUnit::TestFixture {
+  static constexpr Duration ShutdownGrace = 4s;
   CPPUNIT_TEST_SUITE(GatewayTest);
   CPPUNIT_TEST(request_plain_isForwardedWithOwnFieldsOnly);
   CPPUNIT_TEST(request_beforeConfiguration_gets503);
@@ -61,6 +62,7 @@
   CPPUNIT_TEST(nonIdempotent_answerWithoutIdOnReusedConnection_getsNoPromise);
   CPPUNIT_TEST(stop_requestInListenBacklog_isAnswered);
   CPPUNIT_TEST(stop_requestNotReadYet_isAnswered);
+  CPPUNIT_TEST(stop_lateLoopAndRunningRequest_endsWithinGrace);
   CPPUNIT_TEST(broker_repeatsGrantOfTriedTarget_targetIsNotUsed);
   CPPUNIT_TEST(target_draining_getsNoRequests);
   CPPUNIT_TEST(target_announcesLeaving_getsNoFurtherRequests);
@@ -109,6 +111,7 @@
     Settings.MetricsPort = m_MetricsPort = freePort();
     Settings.PeerPort = freePort();
     Settings.ReadyPath = "/ready";
+    Settings.ShutdownGrace = ShutdownGrace;
     m_CallerPort = Settings.CallerPort;
     m_PeerPort = Settings.PeerPort;
     m_Gateway.emplace(*m_Loop, Settings, m_Names, *m_Log, *m_Metrics, m_Random);
@@ -610,6 +613,31 @@
     CPPUNIT_ASSERT(Answer.find("Connection: close") != Answer.npos);
   }
 
+  // On a VM without processor time to spare the signal and the ticks are
+  // handled late, and the process was still there at the end of the grace.
+  void stop_lateLoopAndRunningRequest_endsWithinGrace() {
+    constexpr Duration LoopPause = 600ms;
+    configure(RouteKind::Idempotent);
+    addTarget("a", *m_TargetA);
+    asio::ip::tcp::socket Caller(*m_Loop);
+    Caller.connect({asio::ip::make_address("127.0.0.1"), m_CallerPort});
+    asio::write(Caller, asio::buffer(requestText("1")));
+    runLoopFor(100ms);
+    std::this_thread::sleep_for(LoopPause);
+    runLoopFor(1ms);
+    const auto Signal = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(LoopPause);
+    m_Gateway->stop();
+    m_Loop->restart();
+    while (!m_Loop->stopped() &&
+           std::chrono::steady_clock::now() < Signal + 2 * ShutdownGrace) {
+      m_Loop->poll();
+      if (!m_Loop->stopped())
+        std::this_thread::sleep_for(LoopPause);
+    }
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() < Signal + ShutdownGrace);
+  }
+
   void broker_repeatsGrantOfTriedTarget_targetIsNotUsed() {
     configure(RouteKind::NonIdempotent, 3);
     addTarget("a", *m_TargetA);
