gateway: log lines and gauges of what a domain lacks; shorter offers are read

Cause: the broker's own view of its domain was seen only by the flows that followed elsewhere, and a report with an offer of fewer figures was dropped. Change: a line domain_lack when the lack of a service begins or ends, gauges offered_slots and lacking_slots; missing figures of an offer count as 0. Deployments of one domain skip the look at queued requests.

--- a/packages/gateway/include/mangodeck/gateway/domainoffers.h
+++ b/packages/gateway/include/mangodeck/gateway/domainoffers.h
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace mangodeck {
@@ -26,6 +27,12 @@
   std::uint32_t Slots = 0;
 };
 
+/// The domain has begun or ceased to lack slots of a service.
+struct LackChange {
+  ServiceOffer Now;
+  std::uint32_t Slots = 0; ///< Of the domain's targets.
+};
+
 /// What the broker of a failure domain offers of each plain service to the
 /// other domains, and what the domain lacks. Made for requests that are shorter
 /// (15 to 60 ms) than the reports that tell of them are old (100 to 500 ms), at
@@ -62,6 +69,9 @@
   /// The offers to state now. \p Targets: the domain's slots by service.
   std::vector<ServiceOffer> offers(std::span<const DomainSlots> Targets,
                                    TimePoint Now);
+  /// Changes since the last call that are to be logged, at most one a second
+  /// for each service.
+  std::vector<LackChange> takeChanges() { return std::exchange(m_Changes, {}); }
 
 private:
   struct Open {
@@ -74,6 +84,8 @@
     double SlotSeconds = 0; ///< Mean time of a request; 0 if not measured.
     TimePoint LackingElsewhereAt{};
     TimePoint LackedAt{};
+    bool WasLacking = false; ///< As of the last LackChange.
+    TimePoint ChangedAt{};
   };
   ServiceOffer offerOf(std::uint64_t Service, ServiceState &State,
                        std::uint32_t Slots, TimePoint Now) const;
@@ -81,6 +93,7 @@
   TimePoint m_Since{};
   std::map<RequestKey, Open> m_Open;
   std::map<std::uint64_t, ServiceState> m_Services;
+  std::vector<LackChange> m_Changes;
 };
 
 } // namespace mangodeck
--- a/packages/gateway/src/domainoffers.cpp
+++ b/packages/gateway/src/domainoffers.cpp
@@ -17,6 +17,8 @@
 constexpr double LackingShare = 0.85;
 /// Time for which figures are still stated after the last lack.
 constexpr Duration StatementTime = 3s;
+/// Shortest time between two changes of a service that are logged.
+constexpr Duration LogPeriod = 1s;
 /// Time of a request before any was measured.
 constexpr double DefaultSlotSeconds = 0.05;
 /// Weight of a measurement in the mean time of a request.
@@ -101,10 +103,16 @@
   std::vector<ServiceOffer> Result;
   for (auto &[Service, State] : m_Services) {
     const auto Found = Slots.find(Service);
-    const auto Offer =
-        offerOf(Service, State, Found == Slots.end() ? 0 : Found->second, Now);
-    if (Offer.LackingSlots > 0)
+    const auto Own = Found == Slots.end() ? 0 : Found->second;
+    const auto Offer = offerOf(Service, State, Own, Now);
+    const bool IsLacking = Offer.LackingSlots > 0;
+    if (IsLacking)
       State.LackedAt = Now;
+    if (IsLacking != State.WasLacking && Now - State.ChangedAt >= LogPeriod) {
+      State.WasLacking = IsLacking;
+      State.ChangedAt = Now;
+      m_Changes.push_back({Offer, Own});
+    }
     if (Now - std::max(State.LackedAt, State.LackingElsewhereAt) <
             StatementTime &&
         (Found != Slots.end() || Offer.LackingSlots > 0))
--- a/packages/gateway/src/gatewayspill.cpp
+++ b/packages/gateway/src/gatewayspill.cpp
@@ -69,6 +69,23 @@
       Slots.push_back(std::move(Each));
   }
   auto Offers = m_Offers.offers(Slots, Now);
+  double Free = 0;
+  double Lacking = 0;
+  for (const auto &Each : Offers) {
+    Free += Each.FreeSlots;
+    Lacking += Each.LackingSlots;
+  }
+  m_Metrics.setGauge("offered_slots", Free);
+  m_Metrics.setGauge("lacking_slots", Lacking);
+  for (const auto &Change : m_Offers.takeChanges())
+    for (const auto &[Name, Targets] : m_Targets.targetsByService())
+      if (hashOf(ServiceName(Name)) == Change.Now.Service)
+        m_Log.write("domain_lack", {{"service", Name},
+                                    {"lacking", Change.Now.LackingSlots},
+                                    {"free", Change.Now.FreeSlots},
+                                    {"slots", Change.Slots},
+                                    {"per_s", Change.Now.PerSecond},
+                                    {"slot_ms", toMs(Change.Now.SlotTime)}});
   applyOffers(m_Settings.Domain, Offers, Now);
   return Offers;
 }
@@ -136,6 +153,8 @@
 }
 
 void Gateway::tryLeaveQueue(TimePoint Now) {
+  if (!m_HasOtherDomains)
+    return;
   std::vector<std::pair<ExchangePtr, Duration>> Late;
   for (const auto &[Number, Pending] : m_PendingSlotRequests) {
     const auto Found = m_ExchangeByNumber.find(Number);
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -201,8 +201,11 @@
     if (Message.contains("o"))
       for (const auto &Each : Message["o"]) {
         const auto Figure = [&](std::size_t At) {
-          return std::clamp<std::int64_t>(Each.at(At).get<std::int64_t>(), 0,
-                                          MaxOfferFigure);
+          // Another build may send fewer figures.
+          return At < Each.size()
+                     ? std::clamp<std::int64_t>(Each[At].get<std::int64_t>(), 0,
+                                                MaxOfferFigure)
+                     : 0;
         };
         Report.Offers.push_back({Each.at(0).get<std::uint64_t>(),
                                  static_cast<double>(Figure(1)) / SlotPrecision,
--- a/packages/gateway/test/domainoffers_test.cpp
+++ b/packages/gateway/test/domainoffers_test.cpp
@@ -68,6 +68,13 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Stated.size());
     CPPUNIT_ASSERT_EQUAL(0.0, Stated[0].FreeSlots);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(9 - 5.1, Stated[0].LackingSlots, 0.6);
+    // One change to log, until the lack ends.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Offers.takeChanges().size());
+    offers(6);
+    CPPUNIT_ASSERT(m_Offers.takeChanges().empty());
+    play(5s, 20);
+    offers(6);
+    CPPUNIT_ASSERT_EQUAL(0.0, m_Offers.takeChanges().at(0).Now.LackingSlots);
   }
 
   void offers_repeatedRequests_countOnce() {
