--- a/packages/gateway/src/gatewaywhere.cpp
+++ b/packages/gateway/src/gatewaywhere.cpp
@@ -36,7 +36,7 @@
   const auto Text = Call.Fields.get("Where-Body-Bytes");
   std::size_t Bytes = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), Bytes);
-  Message.Body.resize(std::min(Bytes, MaxBodyBytes));
+  Message.Body = http::Body(std::string(std::min(Bytes, MaxBodyBytes), '\0'));
   return Message;
 }
 
@@ -108,8 +108,11 @@
   const auto Wanted = std::find_if(
       Matched->Shares.begin(), Matched->Shares.end(),
       [&](const auto &Each) { return Each.Service.Text == WantedService; });
-  if (Wanted == Matched->Shares.end() && !WantedService.empty())
-    return Refuse(404, "the route has no such service", std::nullopt);
+  if (Wanted == Matched->Shares.end() && !WantedService.empty()) {
+    Refuse(RefusalCause::NoRoute);
+    Report.Reason = "the route has no such service";
+    return Report;
+  }
   const auto Service = Wanted != Matched->Shares.end()    ? Wanted->Service
                        : Largest != Matched->Shares.end() ? Largest->Service
                                                           : ServiceName();
--- a/packages/gateway/test/placementreport_test.cpp
+++ b/packages/gateway/test/placementreport_test.cpp
@@ -93,7 +93,7 @@
       Message.Head.Fields.add("Authorization", "Bearer k");
       Message.Head.Fields.add("X-Tokens", "300,50");
       const auto Report = m_Daemon.Server->explainPlacement(
-          Message, "", std::chrono::steady_clock::now());
+          std::move(Message), "", std::chrono::steady_clock::now());
       switch (Report.Outcome) {
       case PlacementReport::Result::Sent:
         return "sent to " + Report.Target;
--- a/testing/soak/soakstore.cpp
+++ b/testing/soak/soakstore.cpp
@@ -71,7 +71,7 @@
     return {200, {{"TtlMs", LeaseLife.count()}}};
   }
   if (Target == "/kv-txn") {
-    const auto Body = Json::parse(Asked.Body);
+    const auto Body = Json::parse(Asked.Body.view());
     Json Current = Json::array();
     bool IsMet = true;
     for (const auto &Each : Body["Precondition"]) {
