gateway: waiting requests follow a verdict; services without streams switch later

Requests that waited for a version which was then barred were refused when their time was over. They get another choice at a verdict and at the last step. Targets are marked at changes and a few times a second, no longer at each renewal of a registration. A service without streams needs a second to drain, so its trial is 1.4 s longer of 12 s.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -320,6 +320,7 @@
   void writeRecord(const RolloutRecord &Next, StoreRevision Expected) override;
   std::uint32_t countElsewhere(const ServiceName &Service,
                                VersionId To) const override;
+  void reconsider(const ServiceName &Service) override;
   void giveUpElsewhere(const ServiceName &Service, VersionId To) override;
   /// Chooses the versions at which a request may run.
   void chooseVersion(const ExchangePtr &Waiting, bool IsNew, TimePoint Now);
--- a/packages/gateway/include/mangodeck/gateway/rolloutcontroller.h
+++ b/packages/gateway/include/mangodeck/gateway/rolloutcontroller.h
@@ -67,6 +67,9 @@
   /// the service than \p To.
   virtual std::uint32_t countElsewhere(const ServiceName &Service,
                                        VersionId To) const = 0;
+  /// Other versions of the service are barred than before: the waiting requests
+  /// need another choice().
+  virtual void reconsider(const ServiceName &Service) = 0;
   /// From now on no request of the service may run at another version than
   /// \p To.
   virtual void giveUpElsewhere(const ServiceName &Service, VersionId To) = 0;
@@ -90,6 +93,12 @@
   FailureDomain Domain;
 };
 
+/// What the configuration tells of a service.
+struct RolloutService {
+  bool IsEngine = false;
+  bool HasStreams = false;
+};
+
 /// Carries out the orders for rollouts as one daemon of the fleet: chooses the
 /// version of each request, counts answers, exchanges evidence, and as a
 /// delegate judges the versions, makes the steps and writes the verdicts. No
@@ -120,9 +129,8 @@
   /// The store's keys have been listed: from now on a version that appears is
   /// new.
   void onDirectoryComplete() { m_IsListed = true; }
-  /// The services that the configuration names, and whether they are engines.
-  /// An order for another one waits.
-  void setServices(std::map<std::string, bool> Services);
+  /// The services that the configuration names. An order for another one waits.
+  void setServices(std::map<std::string, RolloutService> Services);
 
   /// Handles a message of another daemon; false if it is of another kind.
   bool handle(std::string_view Bytes, TimePoint Now);
@@ -202,6 +210,8 @@
     TimePoint LastWriteAt{};
   };
 
+  /// Updates the schedule, which depends on the configuration.
+  void updateSchedule(Plan &Current) const;
   void begin(Service &At, const RolloutOrder &Order, TimePoint Now);
   void applyStore(Service &At, TimePoint Now);
   void applyStep(Plan &Current, RolloutStep Step, std::string_view Reason,
@@ -242,11 +252,11 @@
   EventLog &m_Log;
   RandomSource &m_Random;
   std::map<std::string, Service> m_Services;
-  /// Services of the configuration, and whether they are engines.
-  std::map<std::string, bool> m_Known;
+  std::map<std::string, RolloutService> m_Known; ///< Of the configuration.
   bool m_HasConfiguration = false;
   bool m_IsListed = false;
   std::chrono::milliseconds m_WallClock{0};
+  TimePoint m_MarkedAt{};
 };
 
 } // namespace mangodeck
--- a/packages/gateway/include/mangodeck/gateway/rolloutramp.h
+++ b/packages/gateway/include/mangodeck/gateway/rolloutramp.h
@@ -34,7 +34,9 @@
   Duration WriteBy{0}; ///< The verdict is to be written.
   Duration Limit{0};
 
-  static RolloutSchedule of(Duration TimeLimit);
+  /// \p HasStreams: requests of the service last for seconds, and need time to
+  /// end at the old version.
+  static RolloutSchedule of(Duration TimeLimit, bool HasStreams);
 };
 
 /// The share of the service's requests that goes to the new version,
--- a/packages/gateway/src/gatewaydirectory.cpp
+++ b/packages/gateway/src/gatewaydirectory.cpp
@@ -50,9 +50,14 @@
   m_Quotas.configure(*m_Plan, steadyNow());
   m_Pool.configure(*m_Plan);
   if (m_Rollouts) {
-    std::map<std::string, bool> Services;
+    std::map<std::string, RolloutService> Services;
     for (const auto &Each : m_Plan->Services)
-      Services[Each.Name.Text] = Each.IsEngine;
+      Services[Each.Name.Text].IsEngine = Each.IsEngine;
+    for (const auto &Each : m_Plan->Routes)
+      for (const auto &Share : Each.Shares)
+        if (const auto Known = Services.find(Share.Service.Text);
+            Known != Services.end() && Each.Kind == RouteKind::Stream)
+          Known->second.HasStreams = true;
     m_Rollouts->setServices(std::move(Services));
   }
 }
@@ -69,12 +74,12 @@
   m_VersionHistory.recordRegistered(Current->Entry, steadyNow());
   Current->NewStreamsFrom =
       m_VersionHistory.settledAt(Current->Entry.Service, Current->Version);
-  if (m_Rollouts)
-    m_Rollouts->markTargets(steadyNow());
   std::erase_if(m_ExpiredTargets,
                 [&](const auto &Expired) { return Expired.Id == Entry.Id; });
   if (Current == Previous && WasDraining == Entry.Draining)
     return;
+  if (m_Rollouts)
+    m_Rollouts->markTargets(steadyNow());
   m_Log.write(Entry.Draining ? "target_draining" : "target_ready",
               {{"target", Entry.Id.Text},
                {"service", Entry.Service.Text},
--- a/packages/gateway/src/gatewayrollout.cpp
+++ b/packages/gateway/src/gatewayrollout.cpp
@@ -131,6 +131,27 @@
   return Count;
 }
 
+void Gateway::reconsider(const ServiceName &Service) {
+  const auto Now = steadyNow();
+  std::vector<ExchangePtr> Waiting;
+  for (const auto &[Number, Each] : m_ExchangeByNumber)
+    if (Each->service() == Service && Each->isWaiting() &&
+        Each->version() == NoVersion)
+      Waiting.push_back(Each);
+  for (const auto &Each : Waiting) {
+    const auto Before = Each->versionChoice();
+    chooseVersion(Each, false, Now);
+    if (Each->versionChoice() == Before ||
+        !m_PendingSlotRequests.contains(Each->number()))
+      continue;
+    // The broker knows the request with the choice of before.
+    withdrawSlotRequest(Each->number(), Now);
+    requestSlot(Each, false, Now);
+  }
+  if (!Waiting.empty())
+    scheduleDispatch(Service);
+}
+
 void Gateway::giveUpElsewhere(const ServiceName &Service, VersionId To) {
   std::vector<ExchangePtr> Given;
   for (const auto &[Number, Each] : m_ExchangeByNumber) {
--- a/packages/gateway/src/rolloutcontroller.cpp
+++ b/packages/gateway/src/rolloutcontroller.cpp
@@ -44,7 +44,7 @@
 
 RolloutController::Plan::Plan(RolloutOrder Given, double Phase, TimePoint Now)
     : Order(std::move(Given)), To(versionIdOf(Order.Service, Order.To)),
-      StartedAt(Now), Schedule(RolloutSchedule::of(Order.TimeLimit)),
+      StartedAt(Now), Schedule(RolloutSchedule::of(Order.TimeLimit, true)),
       SteppedAt(Now), Share(Phase), ContactAt(Now) {}
 
 RolloutController::RolloutController(RolloutLimits Limits, RolloutProcess Own,
@@ -69,14 +69,27 @@
   });
 }
 
-void RolloutController::setServices(std::map<std::string, bool> Services) {
+void RolloutController::setServices(
+    std::map<std::string, RolloutService> Services) {
   m_Known = std::move(Services);
   m_HasConfiguration = true;
-  for (const auto &[Name, At] : m_Services)
-    if (At.Current && !At.Current->IsRemoved && !At.Current->Verdict &&
+  for (auto &[Name, At] : m_Services) {
+    if (!At.Current)
+      continue;
+    updateSchedule(*At.Current);
+    if (!At.Current->IsRemoved && !At.Current->Verdict &&
         !m_Known.contains(Name))
       m_Log.write("rollout_order_invalid",
                   {{"service", Name}, {"reason", "unknown service"}});
+  }
+}
+
+void RolloutController::updateSchedule(Plan &Current) const {
+  const auto Known = m_Known.find(Current.Order.Service.Text);
+  Current.Schedule =
+      RolloutSchedule::of(Current.Order.TimeLimit,
+                          Known == m_Known.end() || Known->second.IsEngine ||
+                              Known->second.HasStreams);
 }
 
 void RolloutController::begin(Service &At, const RolloutOrder &Order,
@@ -86,6 +99,7 @@
     At.Superseded[At.Current->To] = At.Current->Order.To;
   At.Current.emplace(Order, m_Random.uniform(), Now);
   At.Current->Evidence.own(m_Own.Vm, m_Own.Incarnation);
+  updateSchedule(*At.Current);
   At.Superseded.erase(At.Current->To);
   m_Log.write("rollout_order", {{"service", Order.Service.Text},
                                 {"to", Order.To},
@@ -199,6 +213,7 @@
   if (*Current.Verdict == RolloutState::Completed &&
       !std::exchange(Current.IsGivenUp, true))
     m_Outlet.giveUpElsewhere(Current.Order.Service, Current.To);
+  m_Outlet.reconsider(Current.Order.Service);
 }
 
 void RolloutController::applyStep(Plan &Current, RolloutStep Step,
@@ -373,6 +388,7 @@
 }
 
 void RolloutController::markTargets(TimePoint Now) {
+  m_MarkedAt = Now;
   for (const auto &[Name, Targets] : m_Targets.targetsByService()) {
     auto &At = m_Services[Name];
     // Step 1. Which versions are new without an order.
--- a/packages/gateway/src/rolloutdelegate.cpp
+++ b/packages/gateway/src/rolloutdelegate.cpp
@@ -17,6 +17,10 @@
 constexpr Duration WritePeriod = 300ms;
 /// Period of the judgement, which goes through all rows.
 constexpr Duration JudgePeriod = 150ms;
+/// Periods at which the targets are marked apart from changes: what is known of
+/// them, and the time for which a version is held.
+constexpr Duration ActiveMarkPeriod = 50ms;
+constexpr Duration IdleMarkPeriod = 250ms;
 /// Time after a verdict for which it is told, also to daemons that the store
 /// refuses.
 constexpr Duration VerdictTellTime = 5s;
@@ -107,6 +111,7 @@
                {"other_answers", Totals.OtherAnswers},
                {"other_bad", Totals.OtherBad}});
   markTargets(Now);
+  m_Outlet.reconsider(Current.Order.Service);
 }
 
 void RolloutController::updateContact(Plan &Current,
@@ -244,9 +249,10 @@
         std::count_if(Targets.begin(), Targets.end(), [&](const auto &Each) {
           return Each->Version == Current.To;
         });
-    Current.Judged = judgeVersion(Current.Evidence.rowsWithStored(),
-                                  {m_Known.at(Current.Order.Service.Text),
-                                   static_cast<std::size_t>(Candidates)});
+    Current.Judged =
+        judgeVersion(Current.Evidence.rowsWithStored(),
+                     {m_Known.at(Current.Order.Service.Text).IsEngine,
+                      static_cast<std::size_t>(Candidates)});
   }
 
   // Step 2. Determine what is due. A bad version is condemned at once.
@@ -354,7 +360,8 @@
 
 void RolloutController::tick(const RolloutSurroundings &Around, TimePoint Now) {
   m_WallClock = Around.WallClock;
-  markTargets(Now);
+  if (Now - m_MarkedAt >= (isActive() ? ActiveMarkPeriod : IdleMarkPeriod))
+    markTargets(Now);
   for (auto &[Name, At] : m_Services) {
     if (!At.Current || At.Current->IsRemoved)
       continue;
@@ -364,8 +371,10 @@
     act(At, Around, Now);
     if (Current.Step == RolloutStep::Final && !Current.Verdict &&
         !Current.IsCondemned && isInContact(Current, Now) &&
-        !std::exchange(Current.IsGivenUp, true))
+        !std::exchange(Current.IsGivenUp, true)) {
       m_Outlet.giveUpElsewhere(Current.Order.Service, Current.To);
+      m_Outlet.reconsider(Current.Order.Service);
+    }
     if (!Current.Verdict || Now - Current.VerdictAt < VerdictTellTime)
       sendMessages(Current, Around, Now);
   }
--- a/packages/gateway/src/rolloutramp.cpp
+++ b/packages/gateway/src/rolloutramp.cpp
@@ -26,6 +26,9 @@
 /// DoubtfulLogRatio not at all.
 constexpr double SuspectLogRatio = 2.5;
 constexpr double DoubtfulLogRatio = 5.5;
+/// Time for requests to end at the old version; a plain one takes some
+/// milliseconds, and the switch reaches all daemons within half a second.
+constexpr Duration MinDrainTime = 1s;
 /// Time from the switch on for which the version is watched before it is
 /// completed.
 constexpr Duration MinSwitchedTime = 800ms;
@@ -48,12 +51,14 @@
 
 } // namespace
 
-RolloutSchedule RolloutSchedule::of(Duration TimeLimit) {
+RolloutSchedule RolloutSchedule::of(Duration TimeLimit, bool HasStreams) {
   RolloutSchedule Result;
   Result.Limit = TimeLimit;
   Result.WriteBy = TimeLimit - part(TimeLimit, 0.1, 1s, 2500ms);
   Result.FinalAt = Result.WriteBy - part(TimeLimit, 0.1, 1s, 3s);
-  Result.SwitchAt = Result.FinalAt - part(TimeLimit, 0.2, 1s, 15s);
+  Result.SwitchAt =
+      Result.FinalAt -
+      (HasStreams ? part(TimeLimit, 0.2, MinDrainTime, 15s) : MinDrainTime);
   Result.ConfirmTime = part(TimeLimit, 0.1, 500ms, 2s);
   Result.ConfirmAt = std::max<Duration>(
       Duration{0}, Result.SwitchAt - Result.ConfirmTime - SettleTime);
