gateway: the output's length and its spread are learned by route

Hints are right at the median and often far off; how far differs by route, and requests without a hint counted as half of their largest permitted output.

OutputLength learns, for each route, the median and the spread of the length relative to the hint or to the largest output, from answers that ended.

--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -5,6 +5,7 @@
 #include "mangodeck/gateway/dispatchqueue.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/gatewaymetrics.h"
+#include "mangodeck/gateway/outputlength.h"
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/requestfacts.h"
 #include "mangodeck/gateway/retrybudget.h"
@@ -99,6 +100,7 @@
   GatewayMetrics &Metrics;
   const HeaderNames &Names;
   ExchangeControl &Control;
+  OutputLength &Lengths;
 };
 
 /// One attempt of a caller, from its request to the end of its answer. Sends
@@ -237,6 +239,10 @@
   /// used for other requests.
   void releaseTarget(bool KeepConnection);
   void recordTargetFailure(TimePoint Now);
+  /// The work that the request is expected to cause at its service.
+  RequestWork currentWork() const;
+  /// Records the length of a stream that one target made from its beginning.
+  void recordOutput(bool IsWhole);
   /// Reports, once per send, that the answer that began at \p Begun is sound.
   void recordSoundAnswer(TimePoint Begun);
   void recordTargetSuccess(TimePoint Now);
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -411,6 +411,7 @@
   TargetRegistry m_Targets;
   TargetConnectionPool m_Pool;
   RetryBudget m_RetryBudget;
+  OutputLength m_Lengths;
   QuotaLedger m_Quotas;
   CrashCauses m_CrashCauses;
   TimePoint m_LastEvidenceAt{};
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -72,9 +72,7 @@
     : m_Context(Context), m_Number(Number), m_Caller(std::move(Caller)),
       m_Request(std::move(Message)), m_Facts(std::move(Facts)),
       m_Plan(std::move(Plan)), m_Route(Matched), m_Customer(Customer),
-      m_Service(std::move(Service)),
-      m_Work(expectedWork(m_Facts, m_Plan->findService(m_Service))),
-      m_Arrival(Arrival) {
+      m_Service(std::move(Service)), m_Work(currentWork()), m_Arrival(Arrival) {
   auto Limit = m_Facts.RemainingTime.value_or(DefaultTimeLimit);
   if (m_Route.Timeout > Duration{0})
     Limit = std::min(Limit, m_Route.Timeout);
@@ -86,10 +84,26 @@
 
 void Exchange::resumeAt(const ServiceName &Service, VersionId Version) {
   m_Service = Service;
-  m_Work = expectedWork(m_Facts, m_Plan->findService(m_Service));
+  m_Work = currentWork();
   m_Version = Version;
 }
 
+RequestWork Exchange::currentWork() const {
+  auto Work = expectedWork(m_Facts, m_Plan->findService(m_Service));
+  if (Work.IsEngine)
+    m_Context.Lengths.expect(m_Route.Name, m_Facts.OutputHint, Work);
+  return Work;
+}
+
+void Exchange::recordOutput(bool IsWhole) {
+  const auto *Planned = m_Plan->findService(m_Service);
+  if (m_Work.IsEngine && Planned && m_SendCount == 1 && !m_Facts.isResume())
+    m_Context.Lengths.record(m_Route.Name, m_Facts.OutputHint, m_Work,
+                             static_cast<TokenCount>(m_EventCount) *
+                                 Planned->TokensPerEvent,
+                             IsWhole);
+}
+
 TargetRequirements Exchange::requirements() const {
   const bool IsResumable =
       m_Route.Kind == RouteKind::Stream && m_Route.Resumable;
@@ -390,6 +404,7 @@
     const bool WasSent = m_Phase == Phase::Sent;
     releaseTarget(false);
     if (m_StreamStarted) {
+      recordOutput(false);
       m_Caller->abort();
       return end("broken_off", "time limit passed", 0);
     }
@@ -499,6 +514,7 @@
        {"whole_ms", ageMs(m_Arrival, Now)},
        {"prompt", m_Facts.PromptTokens},
        {"output", m_Work.OutputTokens},
+       {"output_spread", std::round(m_Work.OutputSpread * 100) / 100},
        {"slowness", m_Target ? std::round(m_Target->Slowdown * 100) / 100 : 0},
        {"worst_gap_ms", toMs(m_LongestEventGap)},
        {"last_event", m_LastEventId.value_or(-1)},
--- a/packages/gateway/src/exchangeanswer.cpp
+++ b/packages/gateway/src/exchangeanswer.cpp
@@ -224,6 +224,7 @@
   if (m_IsStream && IsStreamWhole) {
     recordTargetSuccess(Now);
     recordSoundAnswer(m_AnswerBegunAt);
+    recordOutput(true);
     if (m_EventCount >= MinEventsForPace)
       if (const auto *Planned = m_Plan->findService(m_Service))
         m_Target->recordEventGap(m_LowEventGap, Planned->TokensPerEvent);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -145,8 +145,8 @@
   const auto Service = pickService(*Matched);
   m_RetryBudget.recordRequest(Service, Now);
   auto Caller = m_Callers.at(&Connection);
-  ExchangeContext Context{m_Pool,    m_RetryBudget, m_Log,
-                          m_Metrics, m_Names,       *this};
+  ExchangeContext Context{m_Pool,  m_RetryBudget, m_Log,    m_Metrics,
+                          m_Names, *this,         m_Lengths};
   // The connection has just released as much or more.
   m_Buffers.reserveBody(Message.Body.size(), 0);
   auto New = std::make_shared<Exchange>(
--- a/packages/gateway/src/slotmessages.cpp
+++ b/packages/gateway/src/slotmessages.cpp
@@ -4,12 +4,18 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace mangodeck {
 
 namespace {
 
+/// Spreads of the output in messages are whole multiples of 1 / this.
+constexpr double SpreadPrecision = 100;
+/// Bound of a spread from a message.
+constexpr double MaxSpread = 3;
+
 constexpr int RequestTag = 1;
 constexpr int DecisionTag = 2;
 constexpr int UpdateTag = 3;
@@ -49,12 +55,17 @@
                            Request.Version,
                            Request.Incarnation};
   if (Request.AvoidedVersion != NoVersion || Request.Fingerprint != 0 ||
-      Request.Customer != 0 || Request.Route != 0)
+      Request.Customer != 0 || Request.Route != 0 ||
+      Request.Work.OutputSpread != DefaultOutputSpread) {
     for (const auto Optional :
          {Request.AvoidedVersion, Request.Fingerprint, Request.Customer,
           Request.Route,
           static_cast<std::uint64_t>(Request.Work.MaxOutputTokens)})
       Fields.push_back(Optional);
+    if (Request.Work.OutputSpread != DefaultOutputSpread)
+      Fields.push_back(
+          std::lround(Request.Work.OutputSpread * SpreadPrecision));
+  }
   return Fields;
 }
 
@@ -125,6 +136,9 @@
     Request.Route = Fields[22].get<std::uint64_t>();
     Request.Work.MaxOutputTokens = Fields[23].get<TokenCount>();
   }
+  if (Fields.size() > 24)
+    Request.Work.OutputSpread =
+        std::clamp(Fields[24].get<double>() / SpreadPrecision, 0.0, MaxSpread);
   return Request;
 }
 
--- a/packages/gateway/test/placement_test.cpp
+++ b/packages/gateway/test/placement_test.cpp
@@ -1,4 +1,5 @@
 // Placement of requests in a model of engines: what callers get.
+#include "mangodeck/gateway/outputlength.h"
 #include "mangodeck/gateway/slotbroker.h"
 
 #include "enginemodel.h"
@@ -142,7 +143,7 @@
   struct ModelRequest {
     std::size_t KindIndex = 0;
     RequestWork Work;
-    TokenCount Output = 0;
+    TokenCount Output = 0, Hint = 0;
     Duration LatencyTarget{0}, GapTarget{0};
     TimePoint Arrival{}, Sent{}, Deadline{};
     bool IsLate = false;
@@ -197,6 +198,8 @@
         static_cast<TokenCount>(static_cast<double>(New.Output) *
                                 std::exp(m_Scenario.HintError * normal())),
         1, New.Work.MaxOutputTokens);
+    New.Hint = New.Work.OutputTokens;
+    m_Lengths.expect(Drawn.Name, New.Hint, New.Work);
     New.LatencyTarget = either(Drawn.LatencyTargets);
     New.GapTarget = either(std::array<Duration, 2>{300ms, 500ms});
     New.Arrival = m_Now;
@@ -255,6 +258,7 @@
       refuse(Number);
     }
     for (const auto Number : Cut) {
+      recordOutput(m_Requests.at(Number), false);
       ++countsOf(m_Requests.at(Number)).Cut;
       m_Engines.at(m_Requests.at(Number).Target).remove(Number);
       end(Number, SlotOutcome::Unknown);
@@ -282,6 +286,7 @@
     Of.LastEventAt = At;
     if (Stream.Made < Stream.OutputTokens)
       return;
+    recordOutput(Of, true);
     if (At > Of.Deadline)
       ++countsOf(Of).Cut;
     else
@@ -289,6 +294,11 @@
     end(Stream.Number, SlotOutcome::Success);
   }
 
+  void recordOutput(const ModelRequest &Of, bool IsWhole) {
+    m_Lengths.record(Kinds[Of.KindIndex].Name, Of.Hint, Of.Work,
+                     Of.Events * TokensPerEvent, IsWhole);
+  }
+
   void update(TicketNumber Number, SlotUpdate::Kind Change,
               SlotOutcome Result) {
     const auto &Of = m_Requests.at(Number);
@@ -315,6 +325,7 @@
   SeededRandom m_Random;
   TargetRegistry m_Targets;
   SlotBroker m_Broker;
+  OutputLength m_Lengths;
   std::map<std::uint64_t, EngineModel> m_Engines; ///< By target.
   double m_EnginesPerNominal = 0;
   std::map<TicketNumber, ModelRequest> m_Requests;
--- a/packages/gateway/test/slotmessages_test.cpp
+++ b/packages/gateway/test/slotmessages_test.cpp
@@ -43,12 +43,14 @@
     Request.Customer = 13;
     Request.Route = 14;
     Request.Work.MaxOutputTokens = 15;
+    Request.Work.OutputSpread = 0.25;
     const auto Decoded = decodeRequest(encodeSlotMessage(Request));
     CPPUNIT_ASSERT_EQUAL(VersionId(11), Decoded.AvoidedVersion);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), Decoded.Fingerprint);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), Decoded.Customer);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(14), Decoded.Route);
     CPPUNIT_ASSERT_EQUAL(TokenCount(15), Decoded.Work.MaxOutputTokens);
+    CPPUNIT_ASSERT_EQUAL(0.25, Decoded.Work.OutputSpread);
   }
 
   void request_withoutLaterFields_isNotLonger() {
@@ -57,6 +59,8 @@
     Request.Work.MaxOutputTokens = 15;
     CPPUNIT_ASSERT_EQUAL(Plain, encodeSlotMessage(Request));
     CPPUNIT_ASSERT_EQUAL(NoVersion, decodeRequest(Plain).AvoidedVersion);
+    CPPUNIT_ASSERT_EQUAL(DefaultOutputSpread,
+                         decodeRequest(Plain).Work.OutputSpread);
   }
 
   void update_withPace_isDecodedWhole() {
