--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -152,8 +152,8 @@
   const auto Service = pickService(*Matched);
   m_RetryBudget.recordRequest(Service, Now);
   auto Caller = m_Callers.find(Connection);
-  ExchangeContext Context{m_Pool,    m_RetryBudget, m_Log,
-                          m_Metrics, m_Names,       *this};
+  ExchangeContext Context{m_Pool,  m_RetryBudget, m_Log,    m_Metrics,
+                          m_Names, *this,         m_Lengths};
   auto New = std::make_shared<Exchange>(
       Context, m_NextTicketNumber++, std::move(Caller), std::move(Message),
       Facts, m_Plan, *Matched, Customer, Service, FirstByte);
