--- a/packages/gateway/src/gatewaywhere.cpp
+++ b/packages/gateway/src/gatewaywhere.cpp
@@ -117,8 +117,8 @@
                        : Largest != Matched->Shares.end() ? Largest->Service
                                                           : ServiceName();
   Report.Service = Service.Text;
-  const ExchangeContext Context{m_Pool,    m_RetryBudget, m_Log,
-                                m_Metrics, m_Names,       *this};
+  const ExchangeContext Context{m_Pool,  m_RetryBudget, m_Log,    m_Metrics,
+                                m_Names, *this,         m_Lengths};
   const auto New = std::make_shared<Exchange>(
       Context, m_NextTicketNumber, nullptr, std::move(Message), Facts, m_Plan,
       *Matched, Customer, Service, Now);
