--- a/packages/gateway/include/mangodeck/gateway/rolloutevidence.h
+++ b/packages/gateway/include/mangodeck/gateway/rolloutevidence.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -27,7 +28,10 @@
   std::uint16_t Route = 0;  ///< Hash of the route's name.
   std::uint32_t Target = 0; ///< Hash; 0: any of those that are not told apart.
   bool IsCandidate = false; ///< Of the version that is ordered.
-  auto operator<=>(const EvidenceKey &) const = default;
+  bool operator<(const EvidenceKey &Other) const {
+    return std::tie(Slice, Route, Target, IsCandidate) <
+           std::tie(Other.Slice, Other.Route, Other.Target, Other.IsCandidate);
+  }
 };
 
 /// Counts of answers; they only grow.
