--- a/packages/gateway/include/mangodeck/gateway/rolloutcontroller.h
+++ b/packages/gateway/include/mangodeck/gateway/rolloutcontroller.h
@@ -175,6 +175,7 @@
     RolloutSchedule Schedule;
     RolloutStep Step = RolloutStep::Waiting;
     TimePoint SteppedAt;
+    std::uint8_t SwitchSlice = 0;        ///< Of the step to Switched.
     std::optional<RolloutState> Verdict; ///< Final, from the store.
     bool IsCondemned = false;
     std::string Reason; ///< Of the condemnation or the verdict.
--- a/packages/gateway/include/mangodeck/gateway/rolloutevidence.h
+++ b/packages/gateway/include/mangodeck/gateway/rolloutevidence.h
@@ -28,6 +28,7 @@
   std::uint16_t Route = 0;  ///< Hash of the route's name.
   std::uint32_t Target = 0; ///< Hash; 0: any of those that are not told apart.
   bool IsCandidate = false; ///< Of the version that is ordered.
+  bool operator==(const EvidenceKey &) const = default;
   bool operator<(const EvidenceKey &Other) const {
     return std::tie(Slice, Route, Target, IsCandidate) <
            std::tie(Other.Slice, Other.Route, Other.Target, Other.IsCandidate);
--- a/packages/gateway/include/mangodeck/gateway/versioncomparison.h
+++ b/packages/gateway/include/mangodeck/gateway/versioncomparison.h
@@ -36,6 +36,9 @@
   bool SpeedsVary = false;
   /// Registered targets of the ordered version.
   std::size_t Candidates = 0;
+  /// Slice in which all requests were switched to the version: from it on there
+  /// are no answers of the others at the same time.
+  std::uint8_t AloneFrom = RolloutSlices;
 };
 
 /// Judges the ordered version by the answers of all processes. The load for
--- a/packages/gateway/src/rolloutcontroller.cpp
+++ b/packages/gateway/src/rolloutcontroller.cpp
@@ -227,6 +227,8 @@
                                {"reason", Reason},
                                {"elapsed_ms", ageMs(Current.StartedAt, Now)},
                                {"log_ratio", Current.Judged.LogRatio}});
+  if (Current.Step < RolloutStep::Switched)
+    Current.SwitchSlice = sliceOf(Current, Now);
   Current.Step = Step;
   Current.SteppedAt = Now;
   Current.IsAnnounced = false;
--- a/packages/gateway/src/rolloutdelegate.cpp
+++ b/packages/gateway/src/rolloutdelegate.cpp
@@ -249,10 +249,12 @@
         std::count_if(Targets.begin(), Targets.end(), [&](const auto &Each) {
           return Each->Version == Current.To;
         });
-    Current.Judged =
-        judgeVersion(Current.Evidence.rowsWithStored(),
-                     {m_Known.at(Current.Order.Service.Text).IsEngine,
-                      static_cast<std::size_t>(Candidates)});
+    Current.Judged = judgeVersion(
+        Current.Evidence.rowsWithStored(),
+        {m_Known.at(Current.Order.Service.Text).IsEngine,
+         static_cast<std::size_t>(Candidates),
+         Current.Step >= RolloutStep::Switched ? Current.SwitchSlice
+                                               : RolloutSlices});
   }
 
   // Step 2. Determine what is due. A bad version is condemned at once.
--- a/packages/gateway/src/versioncomparison.cpp
+++ b/packages/gateway/src/versioncomparison.cpp
@@ -109,9 +109,9 @@
 }
 
 void addStratum(RouteSums &Sums, const Stratum &Each, const Counts &Before,
-                bool IsWorseAlone) {
+                bool IsAlone, bool IsWorseAlone) {
   auto Tested = Each;
-  if (isAlone(Each)) {
+  if (IsAlone || isAlone(Each)) {
     if (!IsWorseAlone || Before.Answers <= 0)
       return;
     Tested.Other = Before;
@@ -136,7 +136,8 @@
   Best.CandidateAnswers = static_cast<std::uint32_t>(Sums.Candidate.Answers);
 }
 
-void judgeFailures(VersionJudgement &Best, const StrataByRoute &Strata) {
+void judgeFailures(VersionJudgement &Best, const StrataByRoute &Strata,
+                   std::uint8_t AloneFrom) {
   // Which slices show a version that is worse though it is alone.
   std::array<bool, RolloutSlices> IsWorse{};
   Counts AllBefore;
@@ -158,8 +159,9 @@
         const auto &Each = Slices[static_cast<std::size_t>(Slice)];
         if (Slice >= First) {
           const bool Worse = IsWorse[static_cast<std::size_t>(Slice)];
-          addStratum(Sums, Each, Before, Worse);
-          addStratum(All, Each, Before, Worse);
+          const bool IsAlone = Slice >= AloneFrom;
+          addStratum(Sums, Each, Before, IsAlone, Worse);
+          addStratum(All, Each, Before, IsAlone, Worse);
         }
         Before.add(Each.Other);
       }
@@ -290,19 +292,22 @@
                               const ComparedTargets &Targets) {
   VersionJudgement Best;
   StrataByRoute Strata;
+  EvidenceRows Together; // Of the slices with answers of both.
   std::set<std::uint16_t> Routes;
   for (const auto &[Key, Each] : Rows) {
+    if (Key.Slice < Targets.AloneFrom)
+      Together[Key] = Each;
     auto &Stratum = Strata[Key.Route][Key.Slice];
     (Key.IsCandidate ? Stratum.Candidate : Stratum.Other).add(Each);
     Routes.insert(Key.Route);
   }
-  judgeFailures(Best, Strata);
+  judgeFailures(Best, Strata, Targets.AloneFrom);
   SpeedPrior Prior;
   if (Targets.Candidates == 1)
     Prior.OddShare = std::exp(-BadLogRatio) / 4;
   if (Targets.SpeedsVary)
     Prior.AnyShare = AnySpeedShare;
-  judgeSlowness(Best, Rows, Routes, Prior);
+  judgeSlowness(Best, Together, Routes, Prior);
   Best.IsBad = Best.LogRatio >= BadLogRatio;
   return Best;
 }
