gateway: placement uses the pace that targets state

A machine that is slowed down for a moment got requests as if it ran as usual.

Expected times use it, and a daemon passes it on to the slot broker with the first event. Targets that state no pace are placed as before, and no field is sent.

--- a/packages/gateway/include/mangodeck/gateway/answerforecast.h
+++ b/packages/gateway/include/mangodeck/gateway/answerforecast.h
@@ -8,7 +8,9 @@
 /// Load and speed of an engine, as a forecast uses them.
 struct EngineState {
   double Slowdown =
-      1; ///< Time for a given work relative to the nominal engine.
+      1;              ///< Time for a given work relative to the nominal engine.
+  double PaceNow = 1; ///< Of the machine, until the first event.
+  double PaceMeanwhile = 1; ///< The same while the answer is made.
   std::uint32_t Slots = 1;
   std::uint32_t Running = 0;    ///< Requests there, also those without a slot.
   TokenCount PrefillTokens = 0; ///< Prompt tokens without a first event.
@@ -16,8 +18,9 @@
   Duration MeanOccupation{0};
 };
 
-EngineState stateOf(const TrackedTarget &Engine);
+EngineState stateOf(const TrackedTarget &Engine, TimePoint Now);
 /// The same engine without any request.
+/// At the usual pace of its machine.
 EngineState idleStateOf(const TrackedTarget &Engine);
 
 /// What the caller of a request needs, from now on.
--- a/packages/gateway/include/mangodeck/gateway/exchange.h
+++ b/packages/gateway/include/mangodeck/gateway/exchange.h
@@ -207,6 +207,7 @@
   std::string serializeFor(const TrackedTarget &Target, TimePoint Now) const;
   /// Acts on what the head of an answer states about the target itself.
   void recordTargetState(const http::ResponseHead &Head, TimePoint Now);
+  void recordTargetLoad(const TargetLoadStatement &Load, TimePoint Now);
   /// Records the rate limit that the head of an answer to this request states.
   /// An answer without one lifts the limit if the request was sent after the
   /// limit was last stated: answers on different connections can arrive in
--- a/packages/gateway/include/mangodeck/gateway/targetregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/targetregistry.h
@@ -4,6 +4,7 @@
 #include "mangodeck/common/ids.h"
 #include "mangodeck/common/units.h"
 #include "mangodeck/gateway/softwareversion.h"
+#include "mangodeck/gateway/targetpace.h"
 #include "mangodeck/gateway/targetratelimit.h"
 
 #include <algorithm>
@@ -114,6 +115,8 @@
   /// Time for a given work relative to the nominal engine; 2 is half as fast.
   double Slowdown = 1.0;
   bool HasSlowdownSample = false;
+  /// Of the machine at this moment, as last stated.
+  TargetPace Pace;
 
   /// Of a target in another failure domain: time from which on this daemon may
   /// request a permit from the slot broker there.
--- a/packages/gateway/src/answerforecast.cpp
+++ b/packages/gateway/src/answerforecast.cpp
@@ -56,10 +56,12 @@
   return FirstInTime * EndInTime - ValueOfOtherStream * StalledStreams;
 }
 
-EngineState stateOf(const TrackedTarget &Engine) {
+EngineState stateOf(const TrackedTarget &Engine, TimePoint Now) {
   auto State = idleStateOf(Engine);
   State.Running = Engine.running();
   State.PrefillTokens = Engine.prefillTokens();
+  State.PaceNow = Engine.Pace.expected(Now);
+  State.PaceMeanwhile = Engine.Pace.expectedOver(1s, Now);
   return State;
 }
 
@@ -76,10 +78,10 @@
                               const AnswerNeeds &Needs) {
   AnswerForecast Result;
   // Step 1. The first event follows the prompts ahead and the own one.
-  const double First =
-      Engine.Slowdown * (toSeconds(nominalPrefillTime(Engine.PrefillTokens)) +
-                         toSeconds(nominalPrefillTime(Work.PromptTokens)) +
-                         toSeconds(nominalFirstTokenDelay()));
+  const double First = Engine.Slowdown * Engine.PaceNow *
+                       (toSeconds(nominalPrefillTime(Engine.PrefillTokens)) +
+                        toSeconds(nominalPrefillTime(Work.PromptTokens)) +
+                        toSeconds(nominalFirstTokenDelay()));
   Result.TimeToFirstEvent = fromSeconds(First);
   Result.FirstInTime =
       chanceOfFirstEvent(Engine, First, toSeconds(Needs.TimeToLatencyTarget));
@@ -88,7 +90,8 @@
   // the time that is left.
   const double Load =
       std::min(1.0, (Engine.Running + 1.0) / static_cast<double>(Engine.Slots));
-  const double Step = Engine.Slowdown * (1 + PrefillStretch * Load) *
+  const double Step = Engine.Slowdown * Engine.PaceMeanwhile *
+                      (1 + PrefillStretch * Load) *
                       toSeconds(nominalStepTime(Engine.Running));
   const double OutputInTime = (toSeconds(Needs.TimeToDeadline) - First) / Step;
   const double Output =
--- a/packages/gateway/src/choosetarget.cpp
+++ b/packages/gateway/src/choosetarget.cpp
@@ -112,9 +112,9 @@
 }
 
 Candidate assessEngine(const TargetPtr &Target, const TargetChoiceInput &Input,
-                       bool IsRemote) {
+                       bool IsRemote, TimePoint Now) {
   const auto Forecast =
-      forecastAnswer(stateOf(*Target), Input.Work, needsOf(Input));
+      forecastAnswer(stateOf(*Target, Now), Input.Work, needsOf(Input));
   const double Gain = Forecast.gain();
   const bool IsSufficient = Gain >= SufficientGain;
   const bool IsInTime = Gain >= MinGainInTime;
@@ -153,8 +153,9 @@
       continue;
 
     // Step 2. Compare what is expected there with the best target so far.
-    auto Current = Input.Work.IsEngine ? assessEngine(Target, Input, IsRemote)
-                                       : assessPlain(Target, Input, IsRemote);
+    auto Current = Input.Work.IsEngine
+                       ? assessEngine(Target, Input, IsRemote, Now)
+                       : assessPlain(Target, Input, IsRemote);
     if (Input.Work.IsEngine && Current.Gain < Input.LeastGain)
       continue;
     if (!Best || Current.Order < Best->Order)
--- a/packages/gateway/src/exchangeanswer.cpp
+++ b/packages/gateway/src/exchangeanswer.cpp
@@ -76,7 +76,7 @@
     return;
   }
   if (const auto Load = parseTargetLoad(Head.Fields.get(Names.TargetLoad)))
-    m_Target->recordLoad(Load->Requests, Now);
+    recordTargetLoad(*Load, Now);
   if (IsLeaving)
     m_Context.Control.onTargetLeaving(m_Target);
   const auto *RetryAfter = Head.Fields.find(Names.RetryAfter);
@@ -89,6 +89,13 @@
   m_Context.Control.onTargetPaused(m_Target);
 }
 
+void Exchange::recordTargetLoad(const TargetLoadStatement &Load,
+                                TimePoint Now) {
+  m_Target->recordLoad(Load.Requests, Now);
+  if (Load.Pace)
+    m_Target->Pace.record(*Load.Pace, Now);
+}
+
 void Exchange::recordTargetRateLimit(const http::ResponseHead &Head,
                                      TimePoint Now) {
   const auto *Field = Head.Fields.find(m_Context.Names.TargetRateLimit);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Age up to which a target's pace is passed on to the slot broker as it
+/// stands: it still holds for nine tenths of the machines then.
+constexpr Duration MaxPaceDelay = 50ms;
+
 /// Period of the main tick, which checks time limits: a tenth of the shortest
 /// pause that has to be detected.
 constexpr Duration TickPeriod = 25ms;
@@ -367,6 +371,8 @@
   Update.Number = Reported->Number;
   Update.Change = SlotUpdate::Kind::PrefillDone;
   Update.Target = Reported->Target;
+  // The head of the answer, which states the pace, has come just before.
+  Update.Pace = Running.target()->Pace.statedWithin(MaxPaceDelay, steadyNow());
   sendToBroker(Update, steadyNow());
 }
 
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -217,6 +217,8 @@
   const Key RequestKey({Update.Vm, Update.Incarnation}, Update.Number);
   const auto Target = m_Targets.findByHash(Update.Target);
   const auto Held = m_Grants.find(RequestKey);
+  if (Target && Update.Pace)
+    Target->Pace.record(*Update.Pace, Now);
   const bool Holds =
       Held != m_Grants.end() && (Held->second.Target == Update.Target ||
                                  Update.Change == SlotUpdate::Kind::Withdrawn);
--- a/packages/gateway/test/placement_test.cpp
+++ b/packages/gateway/test/placement_test.cpp
@@ -81,6 +81,7 @@
   std::uint64_t Seed = 1;
   double HintError = 0.6; ///< Standard deviation of the logarithm.
   bool HasNoise = true;
+  bool StatesPace = false; ///< As its answers begin.
   double Seconds = 20;
 };
 
@@ -308,6 +309,8 @@
     Update.Change = Change;
     Update.Target = Of.Target;
     Update.Outcome = Result;
+    if (m_Scenario.StatesPace && Change == SlotUpdate::Kind::PrefillDone)
+      Update.Pace = m_Engines.at(Of.Target).pace();
     if (Change == SlotUpdate::Kind::Ended && Of.Events >= 4) {
       Update.MeanEventGap = Of.LowEventGap;
       Update.TokensPerEvent = TokensPerEvent;
