refusal: the end of a pause and of a refused cause is stated whole

Cause: the bound by the caller's time also cut the times after which a crashing request or a paused service may be tried again (crashEvidence_ofPeer_refusesPartUntilItIsRefuted failed). An earlier retry would only be refused again.

Change: these two causes are not bounded, as before.

--- a/packages/gateway/include/mangodeck/gateway/refusal.h
+++ b/packages/gateway/include/mangodeck/gateway/refusal.h
@@ -49,7 +49,8 @@
 /// answers promise that the request has not run; an exchange whose request may
 /// have run answers 502 instead, see Exchange::refuse(). Retry-After is at most
 /// a third of the time that the caller has left, so that its retry can still be
-/// served.
+/// served; during a pause and for a request that crashes targets it is the time
+/// until the cause ends.
 Refusal chooseRefusal(const RefusalFacts &Facts);
 
 } // namespace mangodeck
--- a/packages/gateway/src/refusal.cpp
+++ b/packages/gateway/src/refusal.cpp
@@ -72,7 +72,11 @@
 
 Refusal chooseRefusal(const RefusalFacts &Facts) {
   auto Chosen = withoutBound(Facts);
-  if (Chosen.RetryAfter && Facts.TimeLeft)
+  // During a pause, or while the request counts as crashing, an earlier retry
+  // would only be refused again, so the true time is stated.
+  const bool IsBounded = Facts.Cause != RefusalCause::TargetsPause &&
+                         Facts.Cause != RefusalCause::CrashingRequest;
+  if (Chosen.RetryAfter && Facts.TimeLeft && IsBounded)
     Chosen.RetryAfter = std::max(
         ShortestRetryAfter,
         std::min(*Chosen.RetryAfter,
