gateway: requests are granted at once while slots are plenty; where tells the chance at a limit

A limit admits by a draw near its bound, which the report of a placement cannot foresee. A version without an order was held for 10 s, longer than a release of new versions bears. Change: while a quarter of a domain's slots is free, a request gets the best of them at once. The report states the chance of admission, and its test accepts a 429 where that is between 0 and 1. The hold is 2 s.

--- a/apps/mangodeck/wherecommand.cpp
+++ b/apps/mangodeck/wherecommand.cpp
@@ -57,8 +57,9 @@
                textOf(Each["weight"]));
   const auto &Limit = Report["limit"];
   if (Limit["per_s"] != 0.0)
-    fmt::print("  limit: cost {}, {} per s, reach {}\n", textOf(Limit["cost"]),
-               textOf(Limit["per_s"]), textOf(Limit["reach"]));
+    fmt::print("  limit: cost {}, {} per s, reach {}, chance {}\n",
+               textOf(Limit["cost"]), textOf(Limit["per_s"]),
+               textOf(Limit["reach"]), textOf(Limit["chance"]));
   const auto &Queue = Report["queue"];
   fmt::print("  broker {} ({}); queue: {} waiting, {} ahead, {} ms\n",
              textOf(Report["broker"]["vm"]),
--- a/packages/gateway/include/mangodeck/gateway/placementreport.h
+++ b/packages/gateway/include/mangodeck/gateway/placementreport.h
@@ -65,6 +65,9 @@
   double Cost = 0;         ///< Units of the customer's limit.
   double LimitPerSecond = 0;
   double ReachableShare = 1; ///< Of the limit.
+  /// Probability with which the limit admits the request. The rest tells what
+  /// happens if it does.
+  double AdmissionChance = 1;
   std::vector<PlacementCandidate> Candidates;
   std::vector<PlacementDomain> Domains;
 };
--- a/packages/gateway/include/mangodeck/gateway/quotaledger.h
+++ b/packages/gateway/include/mangodeck/gateway/quotaledger.h
@@ -110,6 +110,10 @@
   /// else returns what decided.
   std::optional<QuotaRefusal> charge(const CustomerName &Customer, double Cost,
                                      TimePoint Now);
+  /// Probability with which charge() would admit \p Cost units now; 1 without
+  /// a limit. Records the demand like charge(), so explanations ask a copy.
+  double admissionChance(const CustomerName &Customer, double Cost,
+                         TimePoint Now);
   /// Returns the units charged for a request that was not run.
   void refund(const CustomerName &Customer, double Cost);
   /// Usage of this daemon by customer, for its reports.
@@ -220,6 +224,19 @@
   /// The probability with which a request is admitted if \p DemandPerSecond is
   /// requested in all.
   static double admittedShare(const Account &State, double DemandPerSecond);
+  /// What decides on a request under a limit.
+  struct Assessment {
+    Account &State;
+    double RequiredUnits = 0;
+    double Share = 1; ///< Probability of admission, if there are units.
+    bool HasOwnUnits = true;
+    bool hasUnits() const {
+      return HasOwnUnits && State.UnitsLeft >= RequiredUnits;
+    }
+  };
+  /// Records the demand of a request; std::nullopt without a limit.
+  std::optional<Assessment> assess(const CustomerName &Customer, double Cost,
+                                   TimePoint Now);
   static void updateDemand(Account &State, TimePoint Now);
   /// Begins the time in which the reports of all others arrive for the first
   /// time. Until then this daemon admits as much as its own share of the limit
--- a/packages/gateway/src/gatewaywhere.cpp
+++ b/packages/gateway/src/gatewaywhere.cpp
@@ -96,8 +96,12 @@
     Report.Cost = quotaCost(Facts, *Customer);
     Report.LimitPerSecond = Customer->PerSecond;
     Report.ReachableShare = Quotas.reachableShare(Customer->Name, Now);
-    if (const auto Over = Quotas.charge(Customer->Name, Report.Cost, Now))
-      return Refuse(RefusalCause::OverLimit, Over->WaitTime);
+    Report.AdmissionChance =
+        Quotas.admissionChance(Customer->Name, Report.Cost, Now);
+    if (Report.AdmissionChance <= 0)
+      return Refuse(
+          RefusalCause::OverLimit,
+          fromSeconds(Report.Cost / std::max(1.0, Report.LimitPerSecond)));
   }
 
   // Step 2. The service: the one that is asked for, else that of the largest
--- a/packages/gateway/src/placementreport.cpp
+++ b/packages/gateway/src/placementreport.cpp
@@ -108,7 +108,8 @@
                   {"backlog_ms", toMs(Report.Backlog)}};
   Out["limit"] = {{"cost", Report.Cost},
                   {"per_s", Report.LimitPerSecond},
-                  {"reach", Report.ReachableShare}};
+                  {"reach", Report.ReachableShare},
+                  {"chance", Report.AdmissionChance}};
   auto &Candidates = Out["candidates"] = nlohmann::ordered_json::array();
   for (const auto &Each : Report.Candidates)
     Candidates.push_back({{"target", Each.Target},
--- a/packages/gateway/src/quotaledger.cpp
+++ b/packages/gateway/src/quotaledger.cpp
@@ -377,8 +377,8 @@
   }
 }
 
-std::optional<QuotaRefusal> QuotaLedger::charge(const CustomerName &Customer,
-                                                double Cost, TimePoint Now) {
+std::optional<QuotaLedger::Assessment>
+QuotaLedger::assess(const CustomerName &Customer, double Cost, TimePoint Now) {
   const auto Found = m_Accounts.find(Customer.Text);
   if (Found == m_Accounts.end())
     return std::nullopt;
@@ -401,9 +401,23 @@
       BaseShare >= 1 ? 1
                      : BaseShare * std::clamp(State.MeanCost / Cost,
                                               MinCostFactor, MaxCostFactor);
-  const bool HasOwnUnits = !State.isGathering() || State.GatheredUnits > 0;
-  if (HasOwnUnits && State.UnitsLeft >= RequiredUnits &&
-      m_Random.uniform() < Share) {
+  return Assessment{State, RequiredUnits, Share,
+                    !State.isGathering() || State.GatheredUnits > 0};
+}
+
+double QuotaLedger::admissionChance(const CustomerName &Customer, double Cost,
+                                    TimePoint Now) {
+  const auto Assessed = assess(Customer, Cost, Now);
+  return !Assessed ? 1 : Assessed->hasUnits() ? Assessed->Share : 0;
+}
+
+std::optional<QuotaRefusal> QuotaLedger::charge(const CustomerName &Customer,
+                                                double Cost, TimePoint Now) {
+  const auto Assessed = assess(Customer, Cost, Now);
+  if (!Assessed)
+    return std::nullopt;
+  auto &[State, RequiredUnits, Share, HasOwnUnits] = *Assessed;
+  if (Assessed->hasUnits() && m_Random.uniform() < Share) {
     State.UnitsLeft -= Cost;
     State.GatheredUnits -= Cost;
     State.OwnUsage.AdmittedUnits += Cost;
--- a/packages/gateway/src/rolloutcontroller.cpp
+++ b/packages/gateway/src/rolloutcontroller.cpp
@@ -12,7 +12,7 @@
 
 /// A version that appears beside others without an order gets no requests for
 /// this long: its order may be under way.
-constexpr Duration UnorderedHold = 10s;
+constexpr Duration UnorderedHold = 2s;
 /// Targets of the other versions whose times are told apart in the evidence;
 /// enough to show how the speeds of targets differ.
 constexpr std::ptrdiff_t ReferenceTargets = 12;
--- a/packages/gateway/src/slotbroker.cpp
+++ b/packages/gateway/src/slotbroker.cpp
@@ -27,6 +27,15 @@
 /// a stream of another request at most.
 constexpr double HarmlessGain = -0.1;
 constexpr double AnyGain = -std::numeric_limits<double>::infinity();
+/// While at least this part of a domain's slots is free, a request is granted
+/// the best of them at once: better ones are unlikely to come, and a free slot
+/// that nobody uses serves no one.
+constexpr std::uint32_t PlentyDivisor = 4;
+
+bool hasPlentyFree(std::span<const TargetPtr> Targets, TimePoint Now) {
+  const auto Capacity = capacityOf(Targets, Now);
+  return Capacity.FreeSlots * PlentyDivisor >= Capacity.Slots;
+}
 
 /// The targets of \p Targets that accept a request now.
 std::vector<TargetPtr> freeTargets(std::span<const TargetPtr> Targets,
@@ -151,7 +160,8 @@
   if (!Waiter.Request.Work.IsEngine)
     return Ahead == 0 && tryGrant(Waiter, Targets, AnyGain, Now);
   dispatchWaiting(Waiter.Request.Service, Now);
-  if (tryGrant(Waiter, Targets, leastGainOf(Waiter.Request), Now))
+  if (tryGrant(Waiter, Targets, leastGainOf(Waiter.Request), Now) ||
+      (hasPlentyFree(Targets, Now) && tryGrant(Waiter, Targets, AnyGain, Now)))
     return true;
   return Ahead == 0 && !mayBeInTime(Waiter, Targets, Now) &&
          tryGrant(Waiter, Targets, HarmlessGain, Now);
@@ -416,17 +426,20 @@
   if (Free.empty() || Tickets.empty())
     return;
   const auto Targets = domainTargets(Free.front()->Entry.Service);
+  const bool IsPlenty = hasPlentyFree(Targets, Now);
   const auto WaiterOf = [&](const QueuedTicket &Ticket) {
     return m_Waiting.at(m_KeyByTicket.at(Ticket.Number));
   };
-  if (std::any_of(Tickets.begin(), Tickets.end(), [&](const auto &Ticket) {
+  if (!IsPlenty &&
+      std::any_of(Tickets.begin(), Tickets.end(), [&](const auto &Ticket) {
         return mayBeInTime(WaiterOf(Ticket), Targets, Now);
       }))
     return;
   for (const auto &Ticket : Tickets) {
     if (Free.empty())
       return;
-    if (!tryGrant(WaiterOf(Ticket), Free, HarmlessGain, Now))
+    if (!tryGrant(WaiterOf(Ticket), Free, IsPlenty ? AnyGain : HarmlessGain,
+                  Now))
       continue;
     dequeue(m_KeyByTicket.at(Ticket.Number));
     std::erase_if(Free, [&](const auto &Each) { return isFull(Each, Now); });
--- a/packages/gateway/test/placementreport_test.cpp
+++ b/packages/gateway/test/placementreport_test.cpp
@@ -94,6 +94,7 @@
       Message.Head.Fields.add("X-Tokens", "300,50");
       const auto Report = m_Daemon.Server->explainPlacement(
           std::move(Message), "", std::chrono::steady_clock::now());
+      m_AdmissionChance = Report.AdmissionChance;
       switch (Report.Outcome) {
       case PlacementReport::Result::Sent:
         return "sent to " + Report.Target;
@@ -115,6 +116,11 @@
                  : "refused with " + Probe->Answer.substr(9, 3);
     }
 
+    /// Whether the last report said that the limit decides by chance.
+    bool isByChance() const {
+      return m_AdmissionChance > 0 && m_AdmissionChance < 1;
+    }
+
   private:
     std::uint64_t draw(std::uint64_t Bound) { return m_Random.below(Bound); }
     std::string path() const { return "/p/x"; }
@@ -131,6 +137,7 @@
     std::vector<std::unique_ptr<ScriptedTarget>> m_Targets;
     FleetDaemon m_Daemon;
     std::vector<std::unique_ptr<Call>> m_Calls;
+    double m_AdmissionChance = 1;
   };
 
 public:
@@ -143,8 +150,10 @@
       State Drawn(Seed);
       const auto Reported = Drawn.report();
       const auto Observed = Drawn.observe();
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}", Seed), Reported,
-                                   Observed);
+      // Near a limit, requests are admitted by a draw that no report foresees.
+      if (!Drawn.isByChance() || Observed != "refused with 429")
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}", Seed), Reported,
+                                     Observed);
       ++Seen[Reported.substr(0, Reported.find(' '))];
     }
     // The states are to be of all kinds.
