--- a/packages/gateway/include/mangodeck/gateway/answerforecast.h
+++ b/packages/gateway/include/mangodeck/gateway/answerforecast.h
@@ -7,9 +7,8 @@
 
 /// Load and speed of an engine, as a forecast uses them.
 struct EngineState {
-  double Slowdown =
-      1;              ///< Time for a given work relative to the nominal engine.
-  double PaceNow = 1; ///< Of the machine, until the first event.
+  double Slowdown = 1;      ///< Time for a work relative to the nominal engine.
+  double PaceNow = 1;       ///< Of the machine, until the first event.
   double PaceMeanwhile = 1; ///< The same while the answer is made.
   std::uint32_t Slots = 1;
   std::uint32_t Running = 0;    ///< Requests there, also those without a slot.
@@ -19,8 +18,7 @@
 };
 
 EngineState stateOf(const TrackedTarget &Engine, TimePoint Now);
-/// The same engine without any request.
-/// At the usual pace of its machine.
+/// The same engine without any request, at the usual pace of its machine.
 EngineState idleStateOf(const TrackedTarget &Engine);
 
 /// What the caller of a request needs, from now on.
