gateway: logs and metrics tell which view of the store decided a refusal

Change: DirectoryView holds how current the knowledge is and by which way it came. refused and plan_in_force state both, relay_incomplete is new, gauges plan_version, plan_taken_unix_seconds, directory_age_seconds. Messages of the relay name their process; those of a former process are dropped, those of the version before are accepted.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_GATEWAY_CHANGERELAY_H
 #define MANGODECK_GATEWAY_CHANGERELAY_H
 
+#include "mangodeck/gateway/incarnationtracker.h"
 #include "mangodeck/gateway/keyvaluestore.h"
 
 #include <optional>
@@ -29,6 +30,10 @@
   /// Time since the store confirmed To.
   Duration Age{0};
   std::vector<RelayedChange> Changes;
+  /// The process that sends the message; empty and UnknownIncarnation if it
+  /// does not state them.
+  std::string Vm;
+  IncarnationId Incarnation = UnknownIncarnation;
 };
 
 /// Encodes the changes as a MessagePack array.
@@ -42,6 +47,8 @@
   virtual ~ChangeRelay() = default;
   /// Whether this daemon relays changes to the others at present.
   virtual bool isRelaying() const = 0;
+  /// States this process as the sender.
+  virtual void stamp(RelayedChanges &Message) const {}
   /// Sends \p Bytes to each of the others; may lose it.
   virtual void sendToDomain(std::string_view Bytes) = 0;
 };
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/directoryview.h
@@ -0,0 +1,39 @@
+#ifndef MANGODECK_GATEWAY_DIRECTORYVIEW_H
+#define MANGODECK_GATEWAY_DIRECTORYVIEW_H
+
+#include "mangodeck/common/units.h"
+#include "mangodeck/gateway/changeorigin.h"
+
+namespace mangodeck {
+
+/// How current a daemon's knowledge of the store is: up to when all changes are
+/// known, and by which way it learned that. Decisions that would be wrong with
+/// an outdated configuration ask for the age.
+class DirectoryView {
+public:
+  /// The changes and confirmations that follow were learned by \p Origin.
+  void setOrigin(const ChangeOrigin &Origin) { m_Origin = Origin; }
+  /// All changes of the store up to \p Time are known. Ignored if \p Time
+  /// precedes the last suspension of the process, whose steady clock may not
+  /// have counted it.
+  void confirm(TimePoint Time);
+  /// The process was suspended until \p Now. Nothing is confirmed any longer.
+  void invalidate(TimePoint Now);
+
+  /// TimePoint{} if nothing is confirmed.
+  TimePoint confirmedAt() const { return m_ConfirmedAt; }
+  /// Of the last confirmation; kept by invalidate().
+  const ChangeOrigin &confirmedBy() const { return m_ConfirmedBy; }
+  const ChangeOrigin &origin() const { return m_Origin; }
+  bool isConfirmedWithin(Duration MaxAge, TimePoint Now) const;
+
+private:
+  TimePoint m_ConfirmedAt{};
+  TimePoint m_ResumedAt{};
+  ChangeOrigin m_ConfirmedBy;
+  ChangeOrigin m_Origin;
+};
+
+} // namespace mangodeck
+
+#endif
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "mangodeck/gateway/callertable.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/crashcauses.h"
+#include "mangodeck/gateway/directoryview.h"
 #include "mangodeck/gateway/domainoffers.h"
 #include "mangodeck/gateway/exchange.h"
 #include "mangodeck/gateway/keyfollower.h"
@@ -97,6 +98,8 @@
   /// All changes of the store up to \p Time have been reported. That is the
   /// time of the call, not of its answer, which may have been delayed.
   virtual void onDirectoryConfirmed(TimePoint Time) = 0;
+  /// The reports that follow were learned by \p Origin.
+  virtual void onDirectoryOrigin(const ChangeOrigin &Origin) {}
 };
 
 /// Accepts connections of callers and routes their requests to targets.
@@ -151,11 +154,13 @@
                        std::optional<RolloutRecord> Record) override;
   void onDirectoryComplete() override;
   void onDirectoryConfirmed(TimePoint Time) override;
+  void onDirectoryOrigin(const ChangeOrigin &Origin) override;
   /// A write of OnRolloutStatus or OnRolloutRecord has ended.
   void onRolloutWritten(const ServiceName &Service);
 
   /// The delegate of a large failure domain relays.
   bool isRelaying() const override;
+  void stamp(RelayedChanges &Message) const override;
   void sendToDomain(std::string_view Bytes) override;
 
   bool isReady() const;
@@ -538,9 +543,7 @@
   /// was last in force.
   std::map<std::string, TimePoint> m_StreamServices;
   bool m_SharesOrigins = false; ///< Several versions were possible.
-  /// Up to this time all changes of the store are known.
-  TimePoint m_DirectoryConfirmedAt{};
-  TimePoint m_ResumedAt{}; ///< End of the last suspension.
+  DirectoryView m_View;
   TimePoint m_OriginsSharedAt{};
   /// Since when the store lacks records of versions.
   std::optional<TimePoint> m_RecordsDueSince;
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -1,6 +1,7 @@
 #ifndef MANGODECK_GATEWAY_KEYFOLLOWER_H
 #define MANGODECK_GATEWAY_KEYFOLLOWER_H
 
+#include "mangodeck/gateway/changeorigin.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/keyvaluestore.h"
@@ -31,6 +32,8 @@
   virtual void onListed() = 0;
   /// All changes of the store up to \p Time have been reported.
   virtual void onConfirmed(TimePoint Time) = 0;
+  /// The reports that follow were learned by \p Origin.
+  virtual void onOrigin(const ChangeOrigin &Origin) {}
 };
 
 /// Time for which a watch waits for a change if changes must take effect within
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -13,9 +13,11 @@
 
 /// First element of the array; differs from the tags of slot messages.
 constexpr int RelayTag = 4;
-/// First byte of a MessagePack array of RelayFields elements.
-constexpr unsigned char ArrayMarker = 0x96;
-constexpr std::size_t RelayFields = 6;
+/// First byte of a MessagePack array of up to 15 elements, plus their number.
+constexpr unsigned char ArrayMarker = 0x90;
+/// Elements of a message, and of one that does not state its sender.
+constexpr std::size_t RelayFields = 8;
+constexpr std::size_t AnonymousRelayFields = 6;
 /// Values above this size are left out of messages.
 constexpr std::size_t MaxRelayedValueBytes = 2048;
 /// Size of the keys and values in a message; a datagram of this size and the
@@ -40,18 +42,21 @@
       {RelayTag, Message.To.Era, Message.From.Number, Message.To.Number,
        std::chrono::duration_cast<std::chrono::microseconds>(Message.Age)
            .count(),
-       std::move(Changes)});
+       std::move(Changes), Message.Vm, Message.Incarnation});
   std::string Bytes;
   Json::to_msgpack(Fields, Bytes);
   return Bytes;
 }
 
 std::optional<RelayedChanges> decodeRelayedChanges(std::string_view Bytes) {
-  if (Bytes.size() < 2 || static_cast<unsigned char>(Bytes[0]) != ArrayMarker ||
-      Bytes[1] != RelayTag)
+  if (Bytes.size() < 2 || Bytes[1] != RelayTag)
+    return std::nullopt;
+  const auto Marker = static_cast<unsigned char>(Bytes[0]);
+  if (Marker != ArrayMarker + RelayFields &&
+      Marker != ArrayMarker + AnonymousRelayFields)
     return std::nullopt;
   const auto Fields = parseBoundedMessagePack(Bytes);
-  if (!Fields.is_array() || Fields.size() != RelayFields)
+  if (!Fields.is_array())
     return std::nullopt;
   // The library throws if a value has the wrong type or is missing.
   try {
@@ -71,6 +76,10 @@
         Relayed.Change.Value = Item.at(4).get<std::string>();
       Message.Changes.push_back(std::move(Relayed));
     }
+    if (Fields.size() == RelayFields) {
+      Message.Vm = Fields[6].get<std::string>();
+      Message.Incarnation = Fields[7].get<IncarnationId>();
+    }
     return Message;
   } catch (const Json::exception &) {
     return std::nullopt;
--- /dev/null
+++ b/packages/gateway/src/directoryview.cpp
@@ -0,0 +1,39 @@
+#include "mangodeck/gateway/directoryview.h"
+
+#include <fmt/format.h>
+
+namespace mangodeck {
+
+std::string toString(const ChangeOrigin &Origin) {
+  switch (Origin.Source) {
+  case ChangeSource::None:
+    break;
+  case ChangeSource::Listing:
+    return "listing";
+  case ChangeSource::Watch:
+    return "watch";
+  case ChangeSource::Relay:
+    return fmt::format("relay {}", Origin.Vm);
+  case ChangeSource::Peer:
+    return fmt::format("peer {}", Origin.Vm);
+  }
+  return "none";
+}
+
+void DirectoryView::confirm(TimePoint Time) {
+  if (Time < m_ResumedAt || Time <= m_ConfirmedAt)
+    return;
+  m_ConfirmedAt = Time;
+  m_ConfirmedBy = m_Origin;
+}
+
+void DirectoryView::invalidate(TimePoint Now) {
+  m_ResumedAt = Now;
+  m_ConfirmedAt = TimePoint{};
+}
+
+bool DirectoryView::isConfirmedWithin(Duration MaxAge, TimePoint Now) const {
+  return m_ConfirmedAt != TimePoint{} && Now - m_ConfirmedAt <= MaxAge;
+}
+
+} // namespace mangodeck
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -101,7 +101,9 @@
                             {"status", Chosen.Status},
                             {"reason", Chosen.Reason},
                             {"path", Message.Head.Target},
-                            {"plan", m_Plan ? m_Plan->Version : 0}});
+                            {"plan", m_Plan ? m_Plan->Version : 0},
+                            {"confirmed_ms", ageMs(m_View.confirmedAt(), Now)},
+                            {"confirmed_by", toString(m_View.confirmedBy())}});
     answerCaller(Connection, Chosen.Status, Chosen.Reason, Chosen.RetryAfter);
   };
   // Step 1. Without a plan no request can be judged: let the caller retry.
@@ -454,8 +456,7 @@
   if (Suspended <= Duration{0})
     return;
   m_Log.write("woken", {{"stood_still_ms", toMs(Suspended)}});
-  m_ResumedAt = Now;
-  m_DirectoryConfirmedAt = TimePoint{};
+  m_View.invalidate(Now);
   m_Pool.closeIdle();
   for (const auto &[Number, Each] : m_ExchangeByNumber)
     Each->restartSilence(Now);
@@ -508,6 +509,10 @@
     m_Callers.update(Now);
     m_Pool.prune(Now);
     updateVersions(Now);
+    m_Metrics.setGauge("directory_age_seconds",
+                       m_View.confirmedAt() == TimePoint{}
+                           ? -1
+                           : toSeconds(Now - m_View.confirmedAt()));
     m_Metrics.setGauge("in_flight",
                        static_cast<double>(m_ExchangeByNumber.size()));
     const auto Support = m_Peers.delegateSupport(Now);
--- a/packages/gateway/src/gatewaydirectory.cpp
+++ b/packages/gateway/src/gatewaydirectory.cpp
@@ -41,11 +41,17 @@
 void Gateway::onPlan(RoutePlanPtr Plan) {
   if (m_Plan && Plan->Version <= m_Plan->Version)
     return;
-  m_Log.write("plan_in_force", {{"version", Plan->Version},
-                                {"before", m_Plan ? m_Plan->Version : 0},
-                                {"routes", Plan->Routes.size()},
-                                {"customers", Plan->Customers.size()}});
+  m_Log.write("plan_in_force",
+              {{"version", Plan->Version},
+               {"before", m_Plan ? m_Plan->Version : 0},
+               {"told_by", toString(m_View.origin())},
+               {"confirmed_ms", ageMs(m_View.confirmedAt(), steadyNow())},
+               {"routes", Plan->Routes.size()},
+               {"customers", Plan->Customers.size()}});
   m_Plan = std::move(Plan);
+  m_Metrics.setGauge("plan_version", static_cast<double>(m_Plan->Version));
+  m_Metrics.setGauge("plan_taken_unix_seconds",
+                     static_cast<double>(wallClock().count()) / 1000);
   recordStreamServices(steadyNow());
   m_Quotas.configure(*m_Plan, steadyNow());
   m_Pool.configure(*m_Plan);
@@ -124,10 +130,10 @@
   }
 }
 
-void Gateway::onDirectoryConfirmed(TimePoint Time) {
-  // A call of before the suspension tells nothing of the time since.
-  if (Time >= m_ResumedAt)
-    m_DirectoryConfirmedAt = std::max(m_DirectoryConfirmedAt, Time);
+void Gateway::onDirectoryConfirmed(TimePoint Time) { m_View.confirm(Time); }
+
+void Gateway::onDirectoryOrigin(const ChangeOrigin &Origin) {
+  m_View.setOrigin(Origin);
 }
 
 } // namespace mangodeck
--- a/packages/gateway/src/gatewayorigins.cpp
+++ b/packages/gateway/src/gatewayorigins.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 bool Gateway::isDirectoryFresh(TimePoint Now) const {
-  return m_DirectoryComplete && Now - m_DirectoryConfirmedAt < DirectoryTimeout;
+  return m_DirectoryComplete && m_View.isConfirmedWithin(DirectoryTimeout, Now);
 }
 
 std::optional<VersionId> Gateway::soleVersion(TimePoint Now) const {
@@ -88,7 +88,7 @@
   m_VersionHistory.refresh(m_Targets.targetsByService(), Now);
   for (const auto &[Name, Targets] : m_Targets.targetsByService())
     for (const auto &Target : Targets)
-      Target->confirmRegistration(m_DirectoryConfirmedAt);
+      Target->confirmRegistration(m_View.confirmedAt());
   storeVersions(Now);
   std::erase_if(m_UnlistedHolders, [&](const auto &Entry) {
     const bool IsOver = Now - Entry.second >= UnlistedHolderTime;
--- a/packages/gateway/src/gatewayreports.cpp
+++ b/packages/gateway/src/gatewayreports.cpp
@@ -82,7 +82,12 @@
         const std::string_view Bytes(m_PeerBuffer.data(), Error ? 0 : Size);
         m_Metrics.countPeerMessage("received", Bytes.size());
         if (const auto Changes = decodeRelayedChanges(Bytes)) {
-          if (OnRelayedChanges)
+          const bool IsFormer = !Changes->Vm.empty() &&
+                                observePeer(Changes->Vm, Changes->Incarnation,
+                                            Now) == IncarnationStanding::Former;
+          if (IsFormer)
+            m_Metrics.countStaleMessage("changes");
+          else if (OnRelayedChanges)
             OnRelayedChanges(*Changes);
           return receivePeerMessage();
         }
@@ -183,6 +188,11 @@
              minDaemonsForRelay(m_Settings.ChangeDeadline);
 }
 
+void Gateway::stamp(RelayedChanges &Message) const {
+  Message.Vm = m_Settings.Vm;
+  Message.Incarnation = m_Settings.Incarnation;
+}
+
 void Gateway::sendToDomain(std::string_view Bytes) {
   sendTo(m_Peers.ownDomainEndpoints(), Bytes);
 }
--- a/packages/gateway/src/gatewayrollout.cpp
+++ b/packages/gateway/src/gatewayrollout.cpp
@@ -83,7 +83,7 @@
   Around.IsDelegate = !m_RemoteBroker;
   Around.ReachablePeers = m_Peers.countReachableInOwnDomain(Now);
   Around.RemoteDomains = m_Peers.remoteDomains();
-  Around.StoreConfirmedAt = m_DirectoryConfirmedAt;
+  Around.StoreConfirmedAt = m_View.confirmedAt();
   Around.WallClock = wallClock();
   Around.Period = std::clamp<Duration>(reportPeriod() / 2, MinRolloutPeriod,
                                        MaxRolloutPeriod);
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -105,6 +105,7 @@
   // starts at the revision of the first page.
   if (!m_ListingRevision)
     m_ListingRevision = Page->AsOf;
+  m_Observer.onOrigin({ChangeSource::Listing, {}});
   for (const auto &Item : Page->Items) {
     m_Listed.insert(Item.Key);
     apply(Item, false);
@@ -161,6 +162,7 @@
     return IsHistoryDropped ? list() : retry();
   }
   recordAnswer();
+  m_Observer.onOrigin({ChangeSource::Watch, {}});
   for (const auto &Change : Answer->Changes)
     if (Change.Revision > m_Revision) // Else the relay has told it.
       apply(Change, isAfterOutage(steadyNow()));
@@ -198,11 +200,11 @@
 }
 
 void KeyFollower::publish() {
-  if (m_Relay.isRelaying())
-    m_Relay.sendToDomain(
-        encodeRelayedChanges(m_Window.takeMessage(m_Revision)));
-  else
-    m_Window.restart(m_Revision);
+  if (!m_Relay.isRelaying())
+    return m_Window.restart(m_Revision);
+  auto Message = m_Window.takeMessage(m_Revision);
+  m_Relay.stamp(Message);
+  m_Relay.sendToDomain(encodeRelayedChanges(Message));
 }
 
 void KeyFollower::onRelayedChanges(const RelayedChanges &Message) {
@@ -218,7 +220,14 @@
       Message.Changes.begin(), Message.Changes.end(), [&](const auto &Relayed) {
         return Relayed.ValueOmitted && Relayed.Change.Revision > m_Revision;
       });
+  m_Observer.onOrigin({ChangeSource::Relay, Message.Vm, Message.Incarnation});
   if (Message.From > m_Revision || MissesValue) {
+    m_Log.write("relay_incomplete", {{"revision", m_Revision.Number},
+                                     {"from", Message.From.Number},
+                                     {"to", Message.To.Number},
+                                     {"value_omitted", MissesValue},
+                                     {"relay", Message.Vm},
+                                     {"store_reachable", m_StoreReachable}});
     m_RelayConfirmedAt = TimePoint{};
     if (m_FollowsRelay)
       watch();
--- /dev/null
+++ b/packages/gateway/test/directoryview_test.cpp
@@ -0,0 +1,51 @@
+#include "mangodeck/gateway/directoryview.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mangodeck {
+
+class DirectoryViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DirectoryViewTest);
+  CPPUNIT_TEST(view_confirmedTwice_keepsLaterWithItsOrigin);
+  CPPUNIT_TEST(view_confirmationOfBeforeSuspension_isIgnored);
+  CPPUNIT_TEST(view_neverConfirmed_isNotFresh);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void view_confirmedTwice_keepsLaterWithItsOrigin() {
+    DirectoryView View;
+    View.setOrigin({ChangeSource::Relay, "vm-2", 7});
+    View.confirm(Start + 2s);
+    View.setOrigin({ChangeSource::Listing, {}});
+    View.confirm(Start + 1s);
+    CPPUNIT_ASSERT(View.confirmedAt() == Start + 2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("relay vm-2"),
+                         toString(View.confirmedBy()));
+    CPPUNIT_ASSERT(View.isConfirmedWithin(1s, Start + 3s));
+    CPPUNIT_ASSERT(!View.isConfirmedWithin(1s, Start + 3001ms));
+  }
+
+  void view_confirmationOfBeforeSuspension_isIgnored() {
+    DirectoryView View;
+    View.setOrigin({ChangeSource::Watch, {}});
+    View.confirm(Start + 1s);
+    View.invalidate(Start + 5s);
+    View.confirm(Start + 4s);
+    CPPUNIT_ASSERT(!View.isConfirmedWithin(10s, Start + 5s));
+    View.confirm(Start + 6s);
+    CPPUNIT_ASSERT(View.isConfirmedWithin(1s, Start + 6s));
+  }
+
+  void view_neverConfirmed_isNotFresh() {
+    CPPUNIT_ASSERT(!DirectoryView().isConfirmedWithin(3600s, Start));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"),
+                         toString(DirectoryView().confirmedBy()));
+  }
+
+private:
+  const TimePoint Start{3600s};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryViewTest);
+
+} // namespace mangodeck
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -109,6 +109,8 @@
   CPPUNIT_TEST(relaying_changes_areSentOnce);
   CPPUNIT_TEST(relaying_noChanges_confirmsPeriodically);
   CPPUNIT_TEST(relayMessage_encodedAndDecoded_isUnchanged);
+  CPPUNIT_TEST(relayMessage_withSender_tellsProcess);
+  CPPUNIT_TEST(relayMessage_withoutSender_isAccepted);
   CPPUNIT_TEST(relayMessage_invalidBytes_areRejected);
   CPPUNIT_TEST(minDaemonsForRelay_anyDeadline_savesCalls);
   CPPUNIT_TEST(watch_frequentChanges_callsAreBounded);
@@ -457,6 +459,26 @@
     CPPUNIT_ASSERT(Decoded->Changes[2].ValueOmitted);
   }
 
+  void relayMessage_withSender_tellsProcess() {
+    RelayedChanges Message{{1, 1}, {1, 2}, 0ms, {change("a", "v", 2)}};
+    Message.Vm = "vm-7";
+    Message.Incarnation = 41;
+    const auto Decoded = decodeRelayedChanges(encodeRelayedChanges(Message));
+    CPPUNIT_ASSERT(Decoded.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("vm-7"), Decoded->Vm);
+    CPPUNIT_ASSERT_EQUAL(IncarnationId(41), Decoded->Incarnation);
+  }
+
+  /// Daemons of the version before send messages of six elements.
+  void relayMessage_withoutSender_isAccepted() {
+    const char Bytes[] = "\x96\x04\x01\x01\x02\x00\x90";
+    const auto Decoded =
+        decodeRelayedChanges(std::string_view(Bytes, sizeof(Bytes) - 1));
+    CPPUNIT_ASSERT(Decoded.has_value());
+    CPPUNIT_ASSERT(Decoded->To == (StoreRevision{1, 2}));
+    CPPUNIT_ASSERT(Decoded->Vm.empty());
+  }
+
   void relayMessage_invalidBytes_areRejected() {
     auto Bytes =
         encodeRelayedChanges({{1, 1}, {1, 2}, 0ms, {change("a", "v", 2)}});
