keyfollower: a fleet in simulated time shows late configurations

Cause: a daemon that the store rejects, or does not answer, takes a changed configuration only once the store answers it again, though its neighbours have it: the relay leaves values over 2,048 bytes out, and nothing but the store gives them. Change: KeyFollower takes its clock and its delays from outside, no change of function.

--- a/packages/gateway/include/mangodeck/gateway/changeorigin.h
+++ b/packages/gateway/include/mangodeck/gateway/changeorigin.h
@@ -21,7 +21,7 @@
 struct ChangeOrigin {
   ChangeSource Source = ChangeSource::None;
   /// The process that sent it, of Relay and Peer.
-  std::string Vm;
+  std::string Vm = {};
   IncarnationId Incarnation = UnknownIncarnation;
 };
 
--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -32,7 +32,7 @@
   std::vector<RelayedChange> Changes;
   /// The process that sends the message; empty and UnknownIncarnation if it
   /// does not state them.
-  std::string Vm;
+  std::string Vm = {};
   IncarnationId Incarnation = UnknownIncarnation;
 };
 
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -1,15 +1,14 @@
 #ifndef MANGODECK_GATEWAY_KEYFOLLOWER_H
 #define MANGODECK_GATEWAY_KEYFOLLOWER_H
 
+#include "mangodeck/common/clock.h"
+#include "mangodeck/common/executor.h"
 #include "mangodeck/gateway/changeorigin.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/keyvaluestore.h"
 #include "mangodeck/gateway/storeera.h"
 
-#include <asio/any_io_executor.hpp>
-#include <asio/steady_timer.hpp>
-#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -66,7 +65,7 @@
 public:
   /// \p ChangeDeadline: time after a write within which the daemons must act on
   /// it.
-  KeyFollower(asio::any_io_executor Executor, KeyValueStore &Store,
+  KeyFollower(const Clock &Time, Executor &Loop, KeyValueStore &Store,
               KeyObserver &Observer, ChangeRelay &Relay, EventLog &Log,
               Duration ChangeDeadline);
 
@@ -116,12 +115,15 @@
   /// seconds.
   bool isAfterOutage(TimePoint Now) const;
 
+  const Clock &m_Time;
+  Executor &m_Loop;
   KeyValueStore &m_Store;
   KeyObserver &m_Observer;
   ChangeRelay &m_Relay;
   EventLog &m_Log;
   Duration m_ChangeDeadline;
-  asio::steady_timer m_Timer;
+  /// Number of the last delayed step; a later one takes the place of it.
+  std::uint64_t m_DelayedStep = 0;
   RelayWindow m_Window;
   /// Revisions by key, as last reported to the observer.
   std::unordered_map<std::string, StoreRevision> m_Revisions;
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -35,8 +35,6 @@
 /// leases expired during the outage.
 constexpr Duration LeaseRecoveryTime = 2s;
 
-TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 Duration watchWait(Duration ChangeDeadline) {
@@ -55,11 +53,12 @@
          1;
 }
 
-KeyFollower::KeyFollower(asio::any_io_executor Executor, KeyValueStore &Store,
-                         KeyObserver &Observer, ChangeRelay &Relay,
-                         EventLog &Log, Duration ChangeDeadline)
-    : m_Store(Store), m_Observer(Observer), m_Relay(Relay), m_Log(Log),
-      m_ChangeDeadline(ChangeDeadline), m_Timer(Executor) {}
+KeyFollower::KeyFollower(const Clock &Time, Executor &Loop,
+                         KeyValueStore &Store, KeyObserver &Observer,
+                         ChangeRelay &Relay, EventLog &Log,
+                         Duration ChangeDeadline)
+    : m_Time(Time), m_Loop(Loop), m_Store(Store), m_Observer(Observer),
+      m_Relay(Relay), m_Log(Log), m_ChangeDeadline(ChangeDeadline) {}
 
 void KeyFollower::start() { list(); }
 
@@ -78,7 +77,7 @@
 }
 
 void KeyFollower::list() {
-  m_ListingStart = steadyNow();
+  m_ListingStart = m_Time.now();
   m_IsListed = false;
   m_FollowsRelay = false;
   m_RelayConfirmedAt = TimePoint{};
@@ -118,19 +117,19 @@
 void KeyFollower::finishListing() {
   // The processes whose keys the copy lacks need time to write them again.
   if (std::exchange(m_Restored, false))
-    m_OutageEnd = steadyNow();
+    m_OutageEnd = m_Time.now();
   std::vector<KeyChange> Removed;
   for (const auto &[Key, Revision] : m_Revisions)
     if (!m_Listed.contains(Key))
       Removed.push_back({Key, std::string(), *m_ListingRevision, true});
   for (const auto &Change : Removed)
-    apply(Change, isAfterOutage(steadyNow()));
+    apply(Change, isAfterOutage(m_Time.now()));
   m_Listed.clear();
   m_Revision = *m_ListingRevision;
   m_IsListed = m_HasListing = true;
   m_Window.restart(m_Revision);
   m_Observer.onListed();
-  m_WatchStart = steadyNow();
+  m_WatchStart = m_Time.now();
   // The answer may have been delayed, but is not older than the call.
   m_Observer.onConfirmed(m_ListingStart);
   awaitNextWatch();
@@ -138,7 +137,7 @@
 
 void KeyFollower::watch() {
   m_FollowsRelay = false;
-  m_WatchStart = steadyNow();
+  m_WatchStart = m_Time.now();
   m_Store.watch(m_Revision,
                 m_Relay.isRelaying() ? relayWait(m_ChangeDeadline)
                                      : watchWait(m_ChangeDeadline),
@@ -165,7 +164,7 @@
   m_Observer.onOrigin({ChangeSource::Watch, {}});
   for (const auto &Change : Answer->Changes)
     if (Change.Revision > m_Revision) // Else the relay has told it.
-      apply(Change, isAfterOutage(steadyNow()));
+      apply(Change, isAfterOutage(m_Time.now()));
   m_Revision = std::max(m_Revision, Answer->AsOf);
   m_Observer.onConfirmed(m_WatchStart);
   publish();
@@ -173,7 +172,7 @@
 }
 
 void KeyFollower::awaitNextWatch() {
-  const auto Now = steadyNow();
+  const auto Now = m_Time.now();
   const bool IsRelay = m_Relay.isRelaying();
   m_FollowsRelay = !IsRelay && isRelayFresh(Now);
   if (std::exchange(m_FollowedRelay, m_FollowsRelay) != m_FollowsRelay)
@@ -208,7 +207,7 @@
 }
 
 void KeyFollower::onRelayedChanges(const RelayedChanges &Message) {
-  const auto Now = steadyNow();
+  const auto Now = m_Time.now();
   // Step 1. Ignore the message if it is of an earlier era, or if this daemon
   // relays itself or is listing all keys.
   if (!m_IsListed || m_Relay.isRelaying() || Message.To.Era < m_Revision.Era)
@@ -246,12 +245,11 @@
 }
 
 void KeyFollower::runAfter(Duration Delay, void (KeyFollower::*Step)()) {
-  m_Timer.expires_after(Delay);
-  m_Timer.async_wait(
-      [this, Step, Generation = m_Generation](std::error_code Error) {
-        if (!Error && Generation == m_Generation)
-          (this->*Step)();
-      });
+  const auto Number = ++m_DelayedStep;
+  m_Loop.postAfter(Delay, [this, Step, Number, Generation = m_Generation] {
+    if (Number == m_DelayedStep && Generation == m_Generation)
+      (this->*Step)();
+  });
 }
 
 void KeyFollower::apply(const KeyChange &Change, bool AfterOutage) {
@@ -288,14 +286,14 @@
 }
 
 void KeyFollower::recover() {
-  if (m_IsListed && !m_Relay.isRelaying() && isRelayFresh(steadyNow()))
+  if (m_IsListed && !m_Relay.isRelaying() && isRelayFresh(m_Time.now()))
     awaitNextWatch();
   else
     list();
 }
 
 void KeyFollower::recordAnswer() {
-  m_LastAnswerTime = steadyNow();
+  m_LastAnswerTime = m_Time.now();
   m_ConsecutiveFailures = 0;
   if (m_StoreReachable)
     return;
@@ -314,7 +312,7 @@
   if (m_StoreReachable || m_ConsecutiveFailures == 1)
     m_Log.write("store_lost",
                 {{"error", Error.message()},
-                 {"last_answer_ms", ageMs(m_LastAnswerTime, steadyNow())}});
+                 {"last_answer_ms", ageMs(m_LastAnswerTime, m_Time.now())}});
   m_StoreReachable = false;
 }
 
--- /dev/null
+++ b/packages/gateway/test/changefleet.h
@@ -0,0 +1,192 @@
+#ifndef MANGODECK_GATEWAY_TEST_CHANGEFLEET_H
+#define MANGODECK_GATEWAY_TEST_CHANGEFLEET_H
+
+#include "mangodeck/common/clock.h"
+#include "mangodeck/common/executor.h"
+#include "mangodeck/common/random.h"
+#include "mangodeck/gateway/keyfollower.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace mangodeck {
+
+/// A clock and the functions that are to run at its times.
+class SimulatedTime : public Clock {
+public:
+  TimePoint now() const override { return m_Now; }
+  WallMilliseconds wallNow() const override { return 0; }
+  void at(TimePoint When, std::function<void()> Work);
+  void runUntil(TimePoint End);
+
+private:
+  struct Event {
+    TimePoint When;
+    std::uint64_t Number;
+    std::function<void()> Work;
+    bool operator>(const Event &Other) const {
+      return When != Other.When ? When > Other.When : Number > Other.Number;
+    }
+  };
+  TimePoint m_Now{3600s};
+  std::uint64_t m_Number = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_Events;
+};
+
+/// How the store answers a daemon.
+enum class StoreAccess { Answers, Rejects, IsSilent };
+
+/// The store, with its history.
+class SimulatedStore {
+public:
+  void write(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  KeyPage list() const;
+  bool hasHistory(StoreRevision After) const {
+    return After.Number >= m_HistoryFrom;
+  }
+  KeyChanges changesAfter(StoreRevision After) const;
+  StoreRevision revision() const { return {1, m_Revision}; }
+  void dropHistory() { m_HistoryFrom = m_Revision; }
+  /// Called after each change.
+  std::vector<std::function<void()>> OnChange;
+
+private:
+  void append(KeyChange Change);
+
+  std::int64_t m_Revision = 1;
+  std::int64_t m_HistoryFrom = 0;
+  std::map<std::string, KeyChange> m_Items;
+  std::vector<KeyChange> m_History;
+};
+
+struct ChangeFleetSettings {
+  std::size_t Daemons = 8;
+  std::size_t Domains = 3;
+  Duration ChangeDeadline = 3s;
+  std::size_t ValueBytes = 12000; ///< Of the configuration.
+  std::uint64_t Seed = 1;
+};
+
+/// Daemons that follow the store, with the real KeyFollower, over a simulated
+/// network. The daemons of a domain have the first one that runs as their
+/// relay, as Gateway does.
+class ChangeFleet {
+public:
+  class Daemon;
+  explicit ChangeFleet(const ChangeFleetSettings &Settings);
+  ~ChangeFleet();
+
+  /// Starts all daemons with a first version and lets them settle.
+  void start();
+  /// Writes the next version of the configuration; returns its number.
+  int writeVersion();
+  void runFor(Duration Span) { m_Time.runUntil(m_Time.now() + Span); }
+  SimulatedTime &time() { return m_Time; }
+  SimulatedStore &store() { return m_Store; }
+  std::size_t size() const { return m_Daemons.size(); }
+  Daemon &operator[](std::size_t Index) { return *m_Daemons[Index]; }
+  std::vector<std::size_t> membersOf(std::size_t Domain) const;
+  /// Longest time from the write of a version to the daemon that knew it last,
+  /// of the daemons for which \p Counts holds.
+  Duration slowest(const std::function<bool(const Daemon &)> &Counts) const;
+  /// Whether a daemon has reported a lower version after a higher one.
+  bool hasRegressed() const { return m_HasRegressed; }
+  /// Calls to the store of all daemons.
+  std::size_t storeCalls() const { return m_StoreCalls; }
+  std::size_t relayOf(std::size_t Domain) const;
+  RandomSource &random() { return m_Random; }
+
+  /// Share of datagrams between daemons that get lost.
+  double LossShare = 0;
+  /// Datagrams of the relays during this time get lost.
+  TimePoint RelayLossUntil{};
+
+private:
+  friend class Daemon;
+  void sendWithinDomain(Daemon &From, std::string Bytes);
+
+  ChangeFleetSettings m_Settings;
+  SimulatedTime m_Time;
+  SimulatedStore m_Store;
+  SeededRandom m_Random;
+  EventLog m_Log;
+  std::vector<std::unique_ptr<Daemon>> m_Daemons;
+  std::vector<TimePoint> m_WrittenAt; ///< By version.
+  bool m_HasRegressed = false;
+  std::size_t m_StoreCalls = 0;
+};
+
+/// One daemon with its follower.
+class ChangeFleet::Daemon : public Executor,
+                            public KeyValueStore,
+                            public KeyObserver,
+                            public ChangeRelay {
+public:
+  Daemon(ChangeFleet &Fleet, std::size_t Index, std::size_t Domain);
+
+  void start();
+  /// Stops running for \p Span, then handles what has arrived meanwhile.
+  void freeze(Duration Span);
+  void kill() { IsRunning = false; }
+  /// Existing connections to the store go silent; new ones work.
+  void silenceConnections();
+
+  bool IsRunning = true;
+  StoreAccess Access = StoreAccess::Answers;
+  const std::size_t Index;
+  const std::size_t Domain;
+  int Version = 0;
+  std::map<int, TimePoint> TakenAt; ///< First time with that version or later.
+  std::string Id;
+  KeyFollower &follower() { return *m_Follower; }
+
+  // Executor.
+  void post(std::function<void()> Work) override;
+  void postAfter(Duration Delay, std::function<void()> Work) override;
+  // KeyValueStore.
+  void list(std::string_view After, Callback<KeyPage> Done) override;
+  void watch(StoreRevision After, Duration Wait,
+             Callback<KeyChanges> Done) override;
+  void grantLease(Duration, Callback<KeyLease>) override {}
+  void keepLease(std::int64_t, Callback<KeyLease>) override {}
+  void put(std::string_view, std::string_view, std::int64_t,
+           Callback<bool>) override {}
+  void reconnect() override {}
+  // KeyObserver.
+  bool onKeyUpdated(const KeyChange &Change) override;
+  void onKeyRemoved(const KeyChange &, bool) override {}
+  void onListed() override {}
+  void onConfirmed(TimePoint Time) override { ConfirmedAt = Time; }
+  // ChangeRelay.
+  bool isRelaying() const override;
+  void sendToDomain(std::string_view Bytes) override;
+
+  TimePoint ConfirmedAt{};
+
+private:
+  friend class ChangeFleet;
+  /// Runs \p Work on this daemon at \p When, or when it runs again.
+  void runAt(TimePoint When, std::function<void()> Work);
+  /// Answers a call to the store, by the access of this daemon.
+  template <typename T>
+  void answer(Duration Timeout, std::function<void(Expected<T>)> Done,
+              std::function<Expected<T>()> Read);
+  void tryAnswerWatch(std::shared_ptr<struct PendingWatch> Watch);
+
+  ChangeFleet &m_Fleet;
+  TimePoint m_FrozenUntil{};
+  bool m_IsSuspended = false;
+  std::uint64_t m_ConnectionsFrom = 0; ///< Calls before this one are silent.
+  std::uint64_t m_Calls = 0;
+  std::vector<std::shared_ptr<PendingWatch>> m_Watches;
+  std::unique_ptr<KeyFollower> m_Follower;
+};
+
+} // namespace mangodeck
+
+#endif
--- /dev/null
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -0,0 +1,142 @@
+#include "changefleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <functional>
+
+namespace mangodeck {
+
+namespace {
+
+using Fault = std::function<void(ChangeFleet &)>;
+
+constexpr std::size_t Sizes[] = {2, 8, 96, 295};
+constexpr Duration Deadlines[] = {2s, 3s, 4s};
+
+bool isRunning(const ChangeFleet::Daemon &Each) { return Each.IsRunning; }
+
+} // namespace
+
+/// Time from the store's acknowledgement of a change to the last daemon, with
+/// one stage of the way failing at a time.
+class ChangeFleetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChangeFleetTest);
+  CPPUNIT_TEST(change_nothingFails_reachesAllInTime);
+  CPPUNIT_TEST(change_storeRejectsThirdOfDaemons_reachesAllInTime);
+  CPPUNIT_TEST(change_storeSilentToThirdOfDaemons_reachesAllInTime);
+  CPPUNIT_TEST(change_storeRejectsWholeDomain_reachesAllInTime);
+  CPPUNIT_TEST(change_storeSilentToRelays_reachesAllInTime);
+  CPPUNIT_TEST(change_relayKilled_reachesAllInTime);
+  CPPUNIT_TEST(change_relayFrozen_reachesOthersInTime);
+  CPPUNIT_TEST(change_relayMessageLost_reachesAllInTime);
+  CPPUNIT_TEST(change_someMessagesLost_reachesAllInTime);
+  CPPUNIT_TEST(change_storeConnectionsSilent_reachesAllInTime);
+  CPPUNIT_TEST(change_historyDropped_reachesAllInTime);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void change_nothingFails_reachesAllInTime() {
+    checkEach([](ChangeFleet &) {});
+  }
+
+  void change_storeRejectsThirdOfDaemons_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) {
+      setAccess(Fleet, 1.0 / 3, StoreAccess::Rejects);
+    });
+  }
+
+  void change_storeSilentToThirdOfDaemons_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) {
+      setAccess(Fleet, 1.0 / 3, StoreAccess::IsSilent);
+    });
+  }
+
+  void change_storeRejectsWholeDomain_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) {
+      for (const auto Index : Fleet.membersOf(0))
+        Fleet[Index].Access = StoreAccess::Rejects;
+    });
+  }
+
+  void change_storeSilentToRelays_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) {
+      if (Fleet.size() > 2) // Else no daemon is left that reads the store.
+        for (std::size_t Domain = 0; Domain < 3; ++Domain)
+          Fleet[Fleet.relayOf(Domain)].Access = StoreAccess::IsSilent;
+    });
+  }
+
+  void change_relayKilled_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) { Fleet[Fleet.relayOf(0)].kill(); });
+  }
+
+  void change_relayFrozen_reachesOthersInTime() {
+    checkEach([](ChangeFleet &Fleet) { Fleet[Fleet.relayOf(0)].freeze(5s); },
+              [](const ChangeFleet::Daemon &Each) { return Each.Index != 0; });
+  }
+
+  void change_relayMessageLost_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) {
+      Fleet.RelayLossUntil = Fleet.time().now() + 300ms;
+    });
+  }
+
+  void change_someMessagesLost_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) { Fleet.LossShare = 0.1; });
+  }
+
+  void change_storeConnectionsSilent_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) {
+      for (std::size_t I = 0; I < Fleet.size(); ++I)
+        Fleet[I].silenceConnections();
+    });
+  }
+
+  void change_historyDropped_reachesAllInTime() {
+    checkEach([](ChangeFleet &Fleet) { Fleet.store().dropHistory(); });
+  }
+
+private:
+  /// The store stops answering a share of the daemons, among them the relay of
+  /// the first domain.
+  static void setAccess(ChangeFleet &Fleet, double Share, StoreAccess Access) {
+    const auto Count = std::max<std::size_t>(
+        1, static_cast<std::size_t>(Share * static_cast<double>(Fleet.size())));
+    for (std::size_t I = 0; I < Count; ++I)
+      Fleet[I * Fleet.size() / Count].Access = Access;
+  }
+
+  /// Writes versions at several phases of the daemons' calls after the fault.
+  static void checkEach(const Fault &Break,
+                        const std::function<bool(const ChangeFleet::Daemon &)>
+                            &Counts = isRunning) {
+    for (const auto Deadline : Deadlines)
+      for (const auto Size : Sizes)
+        for (std::uint64_t Seed = 1; Seed <= (Size > 100 ? 2u : 6u); ++Seed) {
+          ChangeFleetSettings Settings;
+          Settings.Daemons = Size;
+          Settings.Domains = Size > 100 ? 5 : std::min<std::size_t>(Size, 3);
+          Settings.ChangeDeadline = Deadline;
+          Settings.Seed = Seed;
+          ChangeFleet Fleet(Settings);
+          Fleet.start();
+          Fleet.runFor(fromSeconds(Fleet.random().uniform()));
+          Break(Fleet);
+          for (int I = 0; I < 4; ++I) {
+            Fleet.writeVersion();
+            Fleet.runFor(fromSeconds(1.5 * Fleet.random().uniform()));
+          }
+          Fleet.runFor(2 * Deadline);
+          const auto Slowest = Fleet.slowest(Counts);
+          CPPUNIT_ASSERT_MESSAGE(
+              fmt::format("{} daemons, deadline {} s, seed {}: {:.2f} s", Size,
+                          toSeconds(Deadline), Seed, toSeconds(Slowest)),
+              Slowest <= Deadline);
+          CPPUNIT_ASSERT(!Fleet.hasRegressed());
+        }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChangeFleetTest);
+
+} // namespace mangodeck
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -1,4 +1,5 @@
 #include "mangodeck/gateway/keyfollower.h"
+#include "mangodeck/gateway/loopexecutor.h"
 
 #include <asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -162,7 +163,8 @@
     m_Observer = RecordingObserver();
     m_Relay = RecordingRelay();
     m_Log.emplace(-1, "vm", "1", 1000);
-    m_Follower.emplace(m_Loop->get_executor(), m_Store, m_Observer, m_Relay,
+    m_Executor.emplace(m_Loop->get_executor());
+    m_Follower.emplace(m_Time, *m_Executor, m_Store, m_Observer, m_Relay,
                        *m_Log, ChangeDeadline);
     m_Follower->start();
   }
@@ -525,6 +527,8 @@
   }
 
   std::optional<asio::io_context> m_Loop;
+  SystemClock m_Time;
+  std::optional<LoopExecutor> m_Executor;
   ScriptedStore m_Store;
   RecordingObserver m_Observer;
   RecordingRelay m_Relay;
