--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -164,6 +164,11 @@
   void sendToDomain(std::string_view Bytes) override;
 
   bool isReady() const;
+  /// The other daemons whose addresses are known.
+  std::vector<PeerEndpoint> peers() const { return m_Peers.endpoints(); }
+  /// To be called before an answer of the store is used, since it may have
+  /// arrived before a suspension that no tick has noticed yet.
+  void checkSuspension() { checkSuspension(std::chrono::steady_clock::now()); }
 
   /// Where a request would go now, and why. Sends and reserves nothing; draws a
   /// random number for the Retry-After. \p WantedService: of a route with
--- a/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
+++ b/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
@@ -41,6 +41,9 @@
   void countStoreCall(std::string_view Call, std::string_view Outcome);
   /// A datagram to or from another daemon; \p Direction is sent or received.
   void countPeerMessage(std::string_view Direction, std::size_t Bytes);
+  /// A query for changes of the store's keys: to another daemon (answered,
+  /// failed) or of another one (served, unknown).
+  void countPeerQuery(std::string_view Outcome);
   /// A request took up a stream; \p Source tells how its version is known.
   void countResume(std::string_view Source);
   /// Counts a datagram that was dropped since it is of a process that no longer
@@ -66,6 +69,7 @@
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
   prometheus::Family<prometheus::Counter> &m_PeerMessages;
   prometheus::Family<prometheus::Counter> &m_PeerBytes;
+  prometheus::Family<prometheus::Counter> &m_PeerQueries;
   prometheus::Family<prometheus::Counter> &m_Resumes;
   prometheus::Family<prometheus::Counter> &m_StaleMessages;
   prometheus::Family<prometheus::Counter> &m_Memory;
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -6,12 +6,13 @@
 #include "mangodeck/gateway/changeorigin.h"
 #include "mangodeck/gateway/changerelay.h"
 #include "mangodeck/gateway/eventlog.h"
+#include "mangodeck/gateway/keyreplica.h"
 #include "mangodeck/gateway/keyvaluestore.h"
+#include "mangodeck/gateway/peercatchup.h"
 #include "mangodeck/gateway/storeera.h"
 
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <unordered_set>
 
 namespace mangodeck {
@@ -61,13 +62,18 @@
 /// with daemons times changes. The relay only saves calls: a daemon that has
 /// missed a message, or gets none for some time, watches by itself from the
 /// revision that it has.
-class KeyFollower : public StoreEraObserver {
+///
+/// What a daemon learns of another one has an age: the time since the call to
+/// the store from which it stems. A daemon whose knowledge becomes too old, or
+/// that the store does not give a change that it knows to be missing, asks
+/// other daemons (PeerCatchUp), which answer from their KeyReplica.
+class KeyFollower : public StoreEraObserver, private PeerChangeObserver {
 public:
   /// \p ChangeDeadline: time after a write within which the daemons must act on
   /// it.
   KeyFollower(const Clock &Time, Executor &Loop, KeyValueStore &Store,
-              KeyObserver &Observer, ChangeRelay &Relay, EventLog &Log,
-              Duration ChangeDeadline);
+              PeerChangeReader &Peers, KeyObserver &Observer,
+              ChangeRelay &Relay, EventLog &Log, Duration ChangeDeadline);
 
   void start();
   /// Reconnects and lists all keys again; called after the process was
@@ -76,6 +82,10 @@
 
   /// Applies what the relay of the failure domain has sent.
   void onRelayedChanges(const RelayedChanges &Message);
+  /// The changes after \p After, for another daemon that asks for them;
+  /// std::nullopt before the first complete listing. From of the answer is
+  /// later than \p After if removals in between are no longer known.
+  std::optional<RelayedChanges> changesAfter(StoreRevision After) const;
 
   /// Lists all keys again, since the revisions reported so far are void. Keys
   /// that the copy lacks are reported as removed after an outage: the processes
@@ -90,12 +100,25 @@
   void onPage(Expected<KeyPage> Page);
   void finishListing();
   void watch();
-  void onChanges(Expected<KeyChanges> Answer);
+  Duration nextWait(TimePoint Now) const;
+  /// \p Start, \p Wait: of the watch.
+  void onChanges(Expected<KeyChanges> Answer, TimePoint Start, Duration Wait);
+  std::optional<StoreRevision> knownRevision() const override;
+  void onPeerChanges(const RelayedChanges &Message, TimePoint SentAt) override;
+  /// Applies the changes of a message that are newer than what is known.
+  void applyAll(const RelayedChanges &Message);
+  /// All changes up to \p Time have been reported.
+  void confirm(TimePoint Time);
+  /// A change up to \p Revision is known to be missing. The call in progress,
+  /// or a new one, is to give it soon; else other daemons are asked.
+  void requireRevision(StoreRevision Revision);
   /// Reports the change if it is newer than what was reported of its key.
   void apply(const KeyChange &Change, bool AfterOutage);
   /// Sends the changes since the last message to the other daemons if this
   /// daemon is the relay.
   void publish();
+  /// Changes were learned from another daemon.
+  void onTold(TimePoint ConfirmedAt);
   /// Waits until the next watch is due. While the relay is fresh none is.
   void awaitNextWatch();
   bool isRelayFresh(TimePoint Now) const;
@@ -124,9 +147,9 @@
   Duration m_ChangeDeadline;
   /// Number of the last delayed step; a later one takes the place of it.
   std::uint64_t m_DelayedStep = 0;
+  PeerCatchUp m_CatchUp;
   RelayWindow m_Window;
-  /// Revisions by key, as last reported to the observer.
-  std::unordered_map<std::string, StoreRevision> m_Revisions;
+  KeyReplica m_Replica; ///< As last reported to the observer.
   /// Keys on the pages of the current listing.
   std::unordered_set<std::string> m_Listed;
   StoreRevision m_Revision; ///< Watches start after this revision.
@@ -142,6 +165,13 @@
   unsigned m_ConsecutiveFailures = 0;
   TimePoint m_ListingStart{}; ///< Of the call for the first page.
   TimePoint m_WatchStart{};
+  /// All changes up to this time are known.
+  TimePoint m_ConfirmedAt{};
+  /// The latest revision that is known to exist.
+  StoreRevision m_RequiredRevision;
+  /// The process was suspended and nothing has been confirmed since: messages
+  /// that arrived meanwhile may be of any age.
+  bool m_IsResuming = false;
   /// A listing has been completed, and none is in progress.
   bool m_IsListed = false;
   /// A listing has been completed since the start, or since the store was
@@ -150,9 +180,8 @@
   /// No call is in progress or due: the relay tells the changes.
   bool m_FollowsRelay = false;
   bool m_FollowedRelay = false; ///< As last logged.
-  /// Latest time at which, by the relay's messages, the store had no changes
-  /// after m_Revision.
-  TimePoint m_RelayConfirmedAt{};
+  /// The same by what other daemons have told.
+  TimePoint m_ToldConfirmedAt{};
   TimePoint m_LastAnswerTime{};
   TimePoint m_OutageEnd{};
 };
--- /dev/null
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -0,0 +1,94 @@
+#ifndef MANGODECK_GATEWAY_PEERCATCHUP_H
+#define MANGODECK_GATEWAY_PEERCATCHUP_H
+
+#include "mangodeck/common/clock.h"
+#include "mangodeck/common/executor.h"
+#include "mangodeck/gateway/changerelay.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+namespace mangodeck {
+
+/// Asks other daemons for changes of the store's keys.
+class PeerChangeReader {
+public:
+  template <typename T> using Callback = std::function<void(Expected<T>)>;
+  virtual ~PeerChangeReader() = default;
+  /// Asks one other daemon for the changes after \p After. Successive calls ask
+  /// different daemons and failure domains. \p Done runs once, on the caller's
+  /// event loop; with an error if there is no other daemon, or no answer within
+  /// \p Timeout.
+  virtual void query(StoreRevision After, Duration Timeout,
+                     Callback<RelayedChanges> Done) = 0;
+};
+
+/// Uses what another daemon has told.
+class PeerChangeObserver {
+public:
+  virtual ~PeerChangeObserver() = default;
+  /// The revision up to which all changes are known; std::nullopt if that is
+  /// none, so that changes after it would mean nothing.
+  virtual std::optional<StoreRevision> knownRevision() const = 0;
+  /// \p Message answers a query that was sent at \p SentAt.
+  virtual void onPeerChanges(const RelayedChanges &Message,
+                             TimePoint SentAt) = 0;
+};
+
+/// Age of a daemon's knowledge of the store from which on it asks other
+/// daemons, if changes must take effect within \p ChangeDeadline. Above the age
+/// that is reached while its own calls, or the relay, succeed.
+Duration peerQueryAge(Duration ChangeDeadline);
+/// Time between two rounds of queries, and time-out of a query.
+Duration peerQueryPeriod(Duration ChangeDeadline);
+
+/// Decides when a daemon asks others for the changes of the store's keys: when
+/// its knowledge has reached peerQueryAge(), whichever stage of the way from
+/// the store fails, or at once when it knows that it lacks a change and the
+/// store does not give it. So each daemon learns of a change within
+/// ChangeDeadline if one of the daemons that it asks has. Costs no message
+/// while the store, or the relay, answers. While no daemon knows more, the
+/// rounds become less frequent.
+class PeerCatchUp {
+public:
+  PeerCatchUp(const Clock &Time, Executor &Loop, PeerChangeReader &Peers,
+              PeerChangeObserver &Observer, Duration ChangeDeadline);
+
+  /// All changes up to \p Time are known.
+  void onConfirmed(TimePoint Time);
+  /// Queries within \p Delay unless complete() is called before: the daemon
+  /// knows that it lacks a change.
+  void requireWithin(Duration Delay);
+  /// The daemon no longer lacks a change that it knows of.
+  void complete() { m_IsIncomplete = false; }
+  /// Nothing is confirmed any longer: the process was suspended.
+  void invalidate();
+
+private:
+  void restartRounds();
+  bool isDue(TimePoint Now) const;
+  void schedule(TimePoint When);
+  void check();
+  void queryRound(TimePoint Now);
+  void sendQuery();
+
+  const Clock &m_Time;
+  Executor &m_Loop;
+  PeerChangeReader &m_Peers;
+  PeerChangeObserver &m_Observer;
+  Duration m_QueryAge;
+  Duration m_ShortestPeriod;
+  Duration m_LongestPeriod;
+  Duration m_Period;
+  unsigned m_Rounds = 0; ///< Since the knowledge was current.
+  TimePoint m_ConfirmedAt{};
+  bool m_IsIncomplete = false;
+  TimePoint m_NextCheckAt = TimePoint::max();
+  std::uint64_t m_ScheduledCheck = 0;
+  TimePoint m_LastRoundAt{};
+};
+
+} // namespace mangodeck
+
+#endif
--- a/packages/gateway/include/mangodeck/gateway/peerregistry.h
+++ b/packages/gateway/include/mangodeck/gateway/peerregistry.h
@@ -175,6 +175,9 @@
   /// sends.
   bool accept(PeerReport Report, TimePoint Now);
 
+  /// Endpoints of all other daemons, also of those that the store no longer
+  /// lists: their registrations may have expired in an outage of the store.
+  std::vector<PeerEndpoint> endpoints() const;
   /// Endpoints of all other daemons of the own failure domain.
   std::vector<PeerEndpoint> ownDomainEndpoints() const;
   /// Number of other daemons of the own failure domain with an endpoint.
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -2,6 +2,7 @@
 
 #include "mangodeck/common/boundedjson.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -23,6 +24,8 @@
 /// Size of the keys and values in a message; a datagram of this size and the
 /// other fields stays below the receivers' buffers.
 constexpr std::size_t MaxMessageBytes = 8192;
+/// Fits into the 32 bits of the field.
+constexpr Duration MaxStatedAge = 3600s;
 
 std::size_t sizeOf(const RelayedChange &Relayed) {
   constexpr std::size_t OtherFieldsBytes = 32;
@@ -38,11 +41,11 @@
     Changes.push_back(
         Json::array({Change.Key, Change.Revision.Number, Change.Removed,
                      AfterOutage, ValueOmitted ? Json() : Json(Change.Value)}));
+  const auto Age = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::min<Duration>(Message.Age, MaxStatedAge));
   const Json Fields = Json::array(
       {RelayTag, Message.To.Era, Message.From.Number, Message.To.Number,
-       std::chrono::duration_cast<std::chrono::microseconds>(Message.Age)
-           .count(),
-       std::move(Changes), Message.Vm, Message.Incarnation});
+       Age.count(), std::move(Changes), Message.Vm, Message.Incarnation});
   std::string Bytes;
   Json::to_msgpack(Fields, Bytes);
   return Bytes;
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -44,6 +44,9 @@
                                       "Datagrams between daemons.")),
       m_PeerBytes(registerCounters(*m_Registry, "mangodeck_peer_bytes_total",
                                    "Bytes of datagrams between daemons.")),
+      m_PeerQueries(registerCounters(
+          *m_Registry, "mangodeck_peer_queries_total",
+          "Queries between daemons for changes of the store.")),
       m_Resumes(registerCounters(
           *m_Registry, "mangodeck_resumes_total",
           "Requests that took up a stream, by how its version is known.")),
@@ -124,6 +127,10 @@
   m_PeerBytes.Add(Labels).Increment(static_cast<double>(Bytes));
 }
 
+void GatewayMetrics::countPeerQuery(std::string_view Outcome) {
+  m_PeerQueries.Add({{"outcome", std::string(Outcome)}}).Increment();
+}
+
 void GatewayMetrics::countResume(std::string_view Source) {
   m_Resumes.Add({{"known_by", std::string(Source)}}).Increment();
 }
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -16,6 +16,21 @@
 /// Rest of that time after the wait of a watch: for the time-out of its call
 /// and a new listing.
 constexpr Duration SilenceAllowance = 1300ms;
+/// Time for which a relayed message may be on its way; part of the age that it
+/// states. Otherwise two daemons that tell each other the same confirmation
+/// would make it younger each time.
+constexpr Duration RelayTransitTime = 50ms;
+/// Part of that time for which a watch waits at most, so that the daemon's
+/// knowledge does not reach the age at which it asks other daemons.
+constexpr double MaxWatchWaitShare = 0.6;
+/// Age of the knowledge at the start of a watch, as a share of that time, from
+/// which on its wait is shortened; see nextWait().
+constexpr double WatchAgeAllowanceShare = 0.1;
+/// Shortest wait of a watch, as a share of that time.
+constexpr double MinWaitShare = 0.0625;
+/// Time for an own call to give a change that is known to be missing, as a
+/// share of that time.
+constexpr double OwnReadShare = 0.1;
 /// Minimum time between the starts of two watches, as a part of the time within
 /// which changes must take effect. Each change ends a watch, so the interval
 /// bounds the calls while many keys change, as at the start of all daemons.
@@ -35,11 +50,17 @@
 /// leases expired during the outage.
 constexpr Duration LeaseRecoveryTime = 2s;
 
+Duration share(Duration Whole, double Part) {
+  return fromSeconds(toSeconds(Whole) * Part);
+}
+
 } // namespace
 
 Duration watchWait(Duration ChangeDeadline) {
-  return std::max<Duration>(ChangeDeadline / WatchWaitDivisor,
-                            ChangeDeadline - SilenceAllowance);
+  return std::max<Duration>(
+      ChangeDeadline / WatchWaitDivisor,
+      std::min<Duration>(ChangeDeadline - SilenceAllowance,
+                         share(ChangeDeadline, MaxWatchWaitShare)));
 }
 
 Duration relayWait(Duration ChangeDeadline) {
@@ -54,11 +75,12 @@
 }
 
 KeyFollower::KeyFollower(const Clock &Time, Executor &Loop,
-                         KeyValueStore &Store, KeyObserver &Observer,
-                         ChangeRelay &Relay, EventLog &Log,
-                         Duration ChangeDeadline)
+                         KeyValueStore &Store, PeerChangeReader &Peers,
+                         KeyObserver &Observer, ChangeRelay &Relay,
+                         EventLog &Log, Duration ChangeDeadline)
     : m_Time(Time), m_Loop(Loop), m_Store(Store), m_Observer(Observer),
-      m_Relay(Relay), m_Log(Log), m_ChangeDeadline(ChangeDeadline) {}
+      m_Relay(Relay), m_Log(Log), m_ChangeDeadline(ChangeDeadline),
+      m_CatchUp(Time, Loop, Peers, *this, ChangeDeadline) {}
 
 void KeyFollower::start() { list(); }
 
@@ -66,6 +88,9 @@
   ++m_Generation;
   m_Store.reconnect();
   m_ConsecutiveFailures = 0;
+  m_ConfirmedAt = m_ToldConfirmedAt = TimePoint{};
+  m_IsResuming = true;
+  m_CatchUp.invalidate();
   list();
 }
 
@@ -80,13 +105,13 @@
   m_ListingStart = m_Time.now();
   m_IsListed = false;
   m_FollowsRelay = false;
-  m_RelayConfirmedAt = TimePoint{};
   m_Listed.clear();
   m_ListingRevision.reset();
   listFrom(std::string());
 }
 
 void KeyFollower::listFrom(std::string After) {
+  ++m_DelayedStep; // A step that was due is replaced by this call.
   m_Store.list(After,
                [this, Generation = m_Generation](Expected<KeyPage> Page) {
                  if (Generation == m_Generation)
@@ -118,36 +143,57 @@
   // The processes whose keys the copy lacks need time to write them again.
   if (std::exchange(m_Restored, false))
     m_OutageEnd = m_Time.now();
-  std::vector<KeyChange> Removed;
-  for (const auto &[Key, Revision] : m_Revisions)
-    if (!m_Listed.contains(Key))
-      Removed.push_back({Key, std::string(), *m_ListingRevision, true});
-  for (const auto &Change : Removed)
+  for (const auto &Change :
+       m_Replica.findUnlisted(m_Listed, *m_ListingRevision))
     apply(Change, isAfterOutage(m_Time.now()));
   m_Listed.clear();
-  m_Revision = *m_ListingRevision;
-  m_IsListed = m_HasListing = true;
-  m_Window.restart(m_Revision);
+  // Other daemons may have told later changes meanwhile.
+  m_Revision = std::max(m_Revision, *m_ListingRevision);
+  m_IsListed = true;
+  const bool IsFirst = !std::exchange(m_HasListing, true);
+  if (IsFirst) {
+    m_Replica.restart(m_Revision);
+    m_Window.restart(m_Revision);
+  }
   m_Observer.onListed();
-  m_WatchStart = m_Time.now();
   // The answer may have been delayed, but is not older than the call.
-  m_Observer.onConfirmed(m_ListingStart);
+  confirm(m_ListingStart);
+  if (!IsFirst)
+    publish();
+  m_WatchStart = TimePoint{}; // The first watch need not wait for its turn.
   awaitNextWatch();
 }
 
+// The next confirmation comes at the end of the wait. The wait is shorter the
+// older the knowledge already is, as after a change that ended the watch before
+// late in its wait.
+Duration KeyFollower::nextWait(TimePoint Now) const {
+  const auto Age = Now - m_ConfirmedAt;
+  const bool IsRelay = m_Relay.isRelaying();
+  const Duration Longest =
+      IsRelay ? relayWait(m_ChangeDeadline) : watchWait(m_ChangeDeadline);
+  const Duration Allowed =
+      share(m_ChangeDeadline, IsRelay ? 0 : WatchAgeAllowanceShare);
+  return std::clamp<Duration>(Longest - (Age - Allowed),
+                              share(m_ChangeDeadline, MinWaitShare), Longest);
+}
+
 void KeyFollower::watch() {
+  ++m_DelayedStep; // A step that was due is replaced by this call.
   m_FollowsRelay = false;
-  m_WatchStart = m_Time.now();
-  m_Store.watch(m_Revision,
-                m_Relay.isRelaying() ? relayWait(m_ChangeDeadline)
-                                     : watchWait(m_ChangeDeadline),
-                [this, Generation = m_Generation](Expected<KeyChanges> Answer) {
+  const auto Now = m_Time.now();
+  const auto Wait = nextWait(Now);
+  m_WatchStart = Now;
+  m_Store.watch(m_Revision, Wait,
+                [this, Generation = m_Generation, Start = Now,
+                 Wait](Expected<KeyChanges> Answer) {
                   if (Generation == m_Generation)
-                    onChanges(std::move(Answer));
+                    onChanges(std::move(Answer), Start, Wait);
                 });
 }
 
-void KeyFollower::onChanges(Expected<KeyChanges> Answer) {
+void KeyFollower::onChanges(Expected<KeyChanges> Answer, TimePoint Start,
+                            Duration Wait) {
   if (!Answer) {
     const bool IsHistoryDropped =
         Answer.error() == make_error_code(Errc::StaleStore);
@@ -166,7 +212,11 @@
     if (Change.Revision > m_Revision) // Else the relay has told it.
       apply(Change, isAfterOutage(m_Time.now()));
   m_Revision = std::max(m_Revision, Answer->AsOf);
-  m_Observer.onConfirmed(m_WatchStart);
+  // An answer without changes is sent at the end of the wait; one with changes
+  // may have been on its way for any time since the start.
+  const bool HasWaited =
+      Answer->Changes.empty() && m_Time.now() - Start >= Wait;
+  confirm(HasWaited ? Start + Wait : Start);
   publish();
   awaitNextWatch();
 }
@@ -179,9 +229,9 @@
     m_Log.write(m_FollowsRelay ? "relay_followed" : "relay_lost",
                 {{"revision", m_Revision.Number},
                  {"relaying", IsRelay},
-                 {"confirmed_ms", ageMs(m_RelayConfirmedAt, Now)}});
+                 {"confirmed_ms", ageMs(m_ToldConfirmedAt, Now)}});
   if (m_FollowsRelay)
-    return runAfter(m_RelayConfirmedAt + relayTimeout() - Now,
+    return runAfter(m_ToldConfirmedAt + relayTimeout() - Now,
                     &KeyFollower::awaitNextWatch);
   const auto Elapsed = Now - m_WatchStart;
   const auto Interval = m_ChangeDeadline / WatchIntervalDivisor;
@@ -191,7 +241,7 @@
 }
 
 bool KeyFollower::isRelayFresh(TimePoint Now) const {
-  return Now - m_RelayConfirmedAt < relayTimeout();
+  return Now - m_ToldConfirmedAt < relayTimeout();
 }
 
 Duration KeyFollower::relayTimeout() const {
@@ -202,6 +252,7 @@
   if (!m_Relay.isRelaying())
     return m_Window.restart(m_Revision);
   auto Message = m_Window.takeMessage(m_Revision);
+  Message.Age = m_Time.now() - m_ConfirmedAt + RelayTransitTime;
   m_Relay.stamp(Message);
   m_Relay.sendToDomain(encodeRelayedChanges(Message));
 }
@@ -209,15 +260,16 @@
 void KeyFollower::onRelayedChanges(const RelayedChanges &Message) {
   const auto Now = m_Time.now();
   // Step 1. Ignore the message if it is of an earlier era, or if this daemon
-  // relays itself or is listing all keys.
-  if (!m_IsListed || m_Relay.isRelaying() || Message.To.Era < m_Revision.Era)
+  // relays itself or has nothing that changes could be added to.
+  if (!m_HasListing || m_Relay.isRelaying() || Message.To.Era < m_Revision.Era)
     return;
 
   // Step 2. After a gap, or if a value was left out, read the changes from the
   // store. A later era is noticed by that call, too.
   const bool MissesValue = std::any_of(
       Message.Changes.begin(), Message.Changes.end(), [&](const auto &Relayed) {
-        return Relayed.ValueOmitted && Relayed.Change.Revision > m_Revision;
+        return Relayed.ValueOmitted && Relayed.Change.Revision > m_Revision &&
+               m_Replica.isNewer(Relayed.Change);
       });
   m_Observer.onOrigin({ChangeSource::Relay, Message.Vm, Message.Incarnation});
   if (Message.From > m_Revision || MissesValue) {
@@ -227,21 +279,85 @@
                                      {"value_omitted", MissesValue},
                                      {"relay", Message.Vm},
                                      {"store_reachable", m_StoreReachable}});
-    m_RelayConfirmedAt = TimePoint{};
-    if (m_FollowsRelay)
-      watch();
+    m_ToldConfirmedAt = TimePoint{};
+    requireRevision(Message.To);
     return;
   }
 
   // Step 3. Apply the changes. A watch in progress may report them again.
+  applyAll(Message);
+  if (Message.To == m_Revision && !m_IsResuming)
+    onTold(Now - Message.Age);
+}
+
+std::optional<RelayedChanges>
+KeyFollower::changesAfter(StoreRevision After) const {
+  if (!m_HasListing || m_ConfirmedAt == TimePoint{})
+    return std::nullopt;
+  RelayedChanges Message;
+  Message.From = std::max(After, m_Replica.completeFrom());
+  // Revisions of an earlier era tell nothing of this one.
+  if (After.Era != m_Revision.Era)
+    Message.From = m_Revision;
+  Message.To = m_Revision;
+  Message.Age = m_Time.now() - m_ConfirmedAt;
+  Message.Changes = m_Replica.changesAfter(After);
+  m_Relay.stamp(Message);
+  return Message;
+}
+
+std::optional<StoreRevision> KeyFollower::knownRevision() const {
+  return m_HasListing ? std::optional(m_Revision) : std::nullopt;
+}
+
+void KeyFollower::onPeerChanges(const RelayedChanges &Message,
+                                TimePoint SentAt) {
+  if (!m_HasListing || Message.To < m_Revision)
+    return;
+  m_Observer.onOrigin({ChangeSource::Peer, Message.Vm, Message.Incarnation});
+  // After a gap, the changes of each key are right, but those of others may be
+  // missing.
+  if (Message.From > m_Revision) {
+    for (const auto &Relayed : Message.Changes)
+      if (!Relayed.Change.Removed)
+        apply(Relayed.Change, Relayed.AfterOutage);
+    return;
+  }
+  applyAll(Message);
+  onTold(SentAt - Message.Age);
+  publish();
+}
+
+void KeyFollower::applyAll(const RelayedChanges &Message) {
   for (const auto &Relayed : Message.Changes)
-    if (Relayed.Change.Revision > m_Revision)
+    if (Relayed.Change.Revision > m_Revision && !Relayed.ValueOmitted)
       apply(Relayed.Change, Relayed.AfterOutage);
   m_Revision = std::max(m_Revision, Message.To);
-  m_Window.restart(m_Revision);
-  if (Message.To == m_Revision)
-    m_RelayConfirmedAt = std::max(m_RelayConfirmedAt, Now - Message.Age);
-  m_Observer.onConfirmed(m_RelayConfirmedAt);
+  if (!m_Relay.isRelaying())
+    m_Window.restart(m_Revision);
+}
+
+void KeyFollower::onTold(TimePoint ConfirmedAt) {
+  m_ToldConfirmedAt = std::max(m_ToldConfirmedAt, ConfirmedAt);
+  confirm(ConfirmedAt);
+}
+
+void KeyFollower::confirm(TimePoint Time) {
+  m_IsResuming = false;
+  if (m_Revision >= m_RequiredRevision)
+    m_CatchUp.complete();
+  m_ConfirmedAt = std::max(m_ConfirmedAt, Time);
+  m_CatchUp.onConfirmed(m_ConfirmedAt);
+  m_Observer.onConfirmed(Time);
+}
+
+void KeyFollower::requireRevision(StoreRevision Revision) {
+  m_RequiredRevision = std::max(m_RequiredRevision, Revision);
+  if (m_FollowsRelay)
+    watch();
+  // A call that fails asks the other daemons by itself, see retry().
+  m_CatchUp.requireWithin(
+      m_StoreReachable ? share(m_ChangeDeadline, OwnReadShare) : Duration{0});
 }
 
 void KeyFollower::runAfter(Duration Delay, void (KeyFollower::*Step)()) {
@@ -253,17 +369,17 @@
 }
 
 void KeyFollower::apply(const KeyChange &Change, bool AfterOutage) {
-  const auto Reported = m_Revisions.find(Change.Key);
-  if (Reported != m_Revisions.end() && Reported->second >= Change.Revision)
+  if (!m_Replica.isNewer(Change))
     return;
   if (!Change.Removed) {
-    m_Revisions[Change.Key] = Change.Revision;
-    if (m_Observer.onKeyUpdated(Change))
-      m_Window.record(Change, AfterOutage);
-    else
+    const bool IsHeartbeat = !m_Observer.onKeyUpdated(Change);
+    m_Replica.update(Change, IsHeartbeat);
+    if (IsHeartbeat)
       m_Window.recordHeartbeat(Change);
-  } else if (Reported != m_Revisions.end()) {
-    m_Revisions.erase(Reported);
+    else
+      m_Window.record(Change, AfterOutage);
+  } else if (m_Replica.contains(Change.Key)) {
+    m_Replica.remove(Change, AfterOutage);
     m_Observer.onKeyRemoved(Change, AfterOutage);
     m_Window.record(Change, AfterOutage);
   }
@@ -273,6 +389,8 @@
   // Until the call is repeated, the relay's messages are applied to what the
   // last complete listing and the changes since have shown.
   m_IsListed = m_HasListing;
+  if (m_Revision < m_RequiredRevision)
+    m_CatchUp.requireWithin(Duration{0});
   runAfter(retryDelay(), &KeyFollower::recover);
 }
 
--- /dev/null
+++ b/packages/gateway/src/peercatchup.cpp
@@ -0,0 +1,119 @@
+#include "mangodeck/gateway/peercatchup.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangodeck {
+
+namespace {
+
+/// Shares of the time within which changes must take effect. Own calls and the
+/// relay confirm the daemon's knowledge before QueryAgeShare; after it, three
+/// rounds with their time-outs fit into the rest.
+constexpr double QueryAgeShare = 0.75;
+constexpr double QueryPeriodShare = 0.08;
+constexpr double LongestPeriodShare = 0.5;
+/// Rounds before the time between them is doubled.
+constexpr unsigned RoundsAtFullRate = 3;
+/// Daemons that are asked in a round, in different failure domains if there are
+/// several.
+constexpr int QueriesPerRound = 2;
+
+Duration share(Duration Whole, double Part) {
+  return fromSeconds(toSeconds(Whole) * Part);
+}
+
+} // namespace
+
+Duration peerQueryAge(Duration ChangeDeadline) {
+  return share(ChangeDeadline, QueryAgeShare);
+}
+
+Duration peerQueryPeriod(Duration ChangeDeadline) {
+  return share(ChangeDeadline, QueryPeriodShare);
+}
+
+PeerCatchUp::PeerCatchUp(const Clock &Time, Executor &Loop,
+                         PeerChangeReader &Peers, PeerChangeObserver &Observer,
+                         Duration ChangeDeadline)
+    : m_Time(Time), m_Loop(Loop), m_Peers(Peers), m_Observer(Observer),
+      m_QueryAge(peerQueryAge(ChangeDeadline)),
+      m_ShortestPeriod(peerQueryPeriod(ChangeDeadline)),
+      m_LongestPeriod(share(ChangeDeadline, LongestPeriodShare)),
+      m_Period(m_ShortestPeriod) {}
+
+void PeerCatchUp::onConfirmed(TimePoint Time) {
+  if (Time <= m_ConfirmedAt)
+    return;
+  m_ConfirmedAt = Time;
+  // While a round is due, its time is set already.
+  if (!isDue(m_Time.now()))
+    restartRounds();
+  else if (m_NextCheckAt != TimePoint::max())
+    return;
+  schedule(m_ConfirmedAt + m_QueryAge);
+}
+
+void PeerCatchUp::requireWithin(Duration Delay) {
+  const auto Now = m_Time.now();
+  if (!std::exchange(m_IsIncomplete, true))
+    restartRounds();
+  schedule(std::max(Now + Delay, m_LastRoundAt + m_ShortestPeriod));
+}
+
+void PeerCatchUp::invalidate() {
+  m_ConfirmedAt = TimePoint{};
+  restartRounds();
+  schedule(m_Time.now());
+}
+
+void PeerCatchUp::restartRounds() {
+  m_Rounds = 0;
+  m_Period = m_ShortestPeriod;
+}
+
+bool PeerCatchUp::isDue(TimePoint Now) const {
+  return m_IsIncomplete || Now - m_ConfirmedAt >= m_QueryAge;
+}
+
+void PeerCatchUp::schedule(TimePoint When) {
+  if (When >= m_NextCheckAt)
+    return;
+  m_NextCheckAt = When;
+  const auto Number = ++m_ScheduledCheck;
+  m_Loop.postAfter(std::max<Duration>(When - m_Time.now(), Duration{0}),
+                   [this, Number] {
+                     if (Number == m_ScheduledCheck)
+                       check();
+                   });
+}
+
+void PeerCatchUp::check() {
+  const auto Now = m_Time.now();
+  m_NextCheckAt = TimePoint::max();
+  if (!isDue(Now))
+    return schedule(m_ConfirmedAt + m_QueryAge);
+  queryRound(Now);
+  schedule(Now + m_Period);
+  if (++m_Rounds >= RoundsAtFullRate)
+    m_Period = std::min(2 * m_Period, m_LongestPeriod);
+}
+
+void PeerCatchUp::queryRound(TimePoint Now) {
+  m_LastRoundAt = Now;
+  for (int I = 0; I < QueriesPerRound; ++I)
+    sendQuery();
+}
+
+void PeerCatchUp::sendQuery() {
+  const auto Known = m_Observer.knownRevision();
+  if (!Known)
+    return;
+  m_Peers.query(*Known, m_ShortestPeriod,
+                [this, SentAt = m_Time.now()](Expected<RelayedChanges> Answer) {
+                  if (Answer)
+                    m_Observer.onPeerChanges(*Answer, SentAt);
+                });
+}
+
+} // namespace mangodeck
--- /dev/null
+++ b/packages/gateway/src/peerchanges.cpp
@@ -0,0 +1,132 @@
+#include "mangodeck/gateway/peerchanges.h"
+
+#include <algorithm>
+#include <asio/ip/address.hpp>
+#include <asio/post.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <utility>
+
+namespace mangodeck {
+
+namespace {
+
+/// Answers that are under way at the same time; each may hold all keys of the
+/// store.
+constexpr std::size_t MaxConnections = 8;
+constexpr Duration ServerTimeout = 2s;
+constexpr std::string_view EraParameter = "era=";
+constexpr std::string_view RevisionParameter = "after=";
+
+/// The number behind \p Name in a query.
+template <typename Number>
+std::optional<Number> parameterOf(std::string_view Target,
+                                  std::string_view Name) {
+  const auto Begin = Target.find(Name);
+  if (Begin == std::string_view::npos)
+    return std::nullopt;
+  const auto Text = Target.substr(Begin + Name.size());
+  Number Value{};
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  const bool IsWhole = End == Text.data() + Text.size() || *End == '&';
+  return Error == std::errc() && IsWhole ? std::optional(Value) : std::nullopt;
+}
+
+} // namespace
+
+PeerChangeServer::PeerChangeServer(asio::any_io_executor Executor,
+                                   const KeyFollower &Follower,
+                                   GatewayMetrics &Metrics)
+    : m_Follower(Follower), m_Metrics(Metrics),
+      m_Server(
+          std::move(Executor),
+          [this](const http::RequestHead &Call) { return answer(Call); },
+          MaxConnections, ServerTimeout) {}
+
+std::error_code PeerChangeServer::listen(const std::string &Ip,
+                                         std::uint16_t Port) {
+  std::error_code Error;
+  const auto Address = asio::ip::make_address(Ip, Error);
+  return Error ? Error : m_Server.listen({Address, Port});
+}
+
+http::CallReply PeerChangeServer::answer(const http::RequestHead &Call) {
+  const std::string_view Target = Call.Target;
+  const auto Era = parameterOf<std::uint64_t>(Target, EraParameter);
+  const auto After = parameterOf<std::int64_t>(Target, RevisionParameter);
+  if (!Target.starts_with(PeerChangesPath))
+    return {404, {}};
+  if (!Era || !After)
+    return {400, {}};
+  const auto Changes = m_Follower.changesAfter({*Era, *After});
+  m_Metrics.countPeerQuery(Changes ? "served" : "unknown");
+  return Changes ? http::CallReply{200, encodeRelayedChanges(*Changes)}
+                 : http::CallReply{503, {}};
+}
+
+PeerChangeClient::PeerChangeClient(asio::any_io_executor Executor,
+                                   FailureDomain OwnDomain, Endpoints Peers,
+                                   GatewayMetrics &Metrics,
+                                   RandomSource &Random)
+    : m_Executor(std::move(Executor)), m_OwnDomain(std::move(OwnDomain)),
+      m_Peers(std::move(Peers)), m_Metrics(Metrics), m_Random(Random) {}
+
+std::optional<PeerEndpoint> PeerChangeClient::next(bool IsOwnDomain) {
+  auto &Order = IsOwnDomain ? m_OwnOrder : m_RemoteOrder;
+  if (Order.empty()) {
+    for (auto &Each : m_Peers())
+      if ((Each.Domain == m_OwnDomain) == IsOwnDomain)
+        Order.push_back(std::move(Each));
+    for (auto I = Order.size(); I > 1; --I)
+      std::swap(Order[I - 1],
+                Order[static_cast<std::size_t>(m_Random.uniform() *
+                                               static_cast<double>(I))]);
+  }
+  if (Order.empty())
+    return std::nullopt;
+  auto Peer = std::move(Order.back());
+  Order.pop_back();
+  return Peer;
+}
+
+void PeerChangeClient::query(StoreRevision After, Duration Timeout,
+                             Callback<RelayedChanges> Done) {
+  m_AskedOwnDomain = !m_AskedOwnDomain;
+  auto Peer = next(m_AskedOwnDomain);
+  if (!Peer)
+    Peer = next(!m_AskedOwnDomain);
+  std::error_code Error = make_error_code(Errc::Unavailable);
+  const auto Address =
+      Peer ? asio::ip::make_address(Peer->Ip, Error) : asio::ip::address();
+  if (Error)
+    return asio::post(m_Executor, [Done = std::move(Done), Error] {
+      Done(unexpected(Error));
+    });
+  const auto Number = ++m_NextCall;
+  auto &Client = m_Calls[Number] = std::make_unique<http::Client>(
+      m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port));
+  Client->call("GET",
+               fmt::format("{}?{}{}&{}{}", PeerChangesPath, EraParameter,
+                           After.Era, RevisionParameter, After.Number),
+               "", Timeout,
+               [this, Alive = m_Alive, Number,
+                Done = std::move(Done)](Expected<http::CallAnswer> Answer) {
+                 // The client must outlive this call of its callback.
+                 asio::post(m_Executor, [this, Alive, Number] {
+                   if (*Alive)
+                     m_Calls.erase(Number);
+                 });
+                 std::optional<RelayedChanges> Changes;
+                 if (Answer && Answer->Status == 200)
+                   Changes = decodeRelayedChanges(Answer->Body);
+                 m_Metrics.countPeerQuery(Changes ? "answered" : "failed");
+                 if (Changes)
+                   Done(std::move(*Changes));
+                 else
+                   Done(unexpected(Answer ? make_error_code(Errc::Unavailable)
+                                          : Answer.error()));
+               });
+}
+
+} // namespace mangodeck
--- a/packages/gateway/src/peerregistry.cpp
+++ b/packages/gateway/src/peerregistry.cpp
@@ -284,6 +284,14 @@
   return Other.Endpoint && Other.Endpoint->Domain == m_OwnDomain;
 }
 
+std::vector<PeerEndpoint> PeerRegistry::endpoints() const {
+  std::vector<PeerEndpoint> Result;
+  for (const auto &[Vm, Peer] : m_Peers)
+    if (Peer.Endpoint)
+      Result.push_back(*Peer.Endpoint);
+  return Result;
+}
+
 std::vector<PeerEndpoint> PeerRegistry::ownDomainEndpoints() const {
   std::vector<PeerEndpoint> Result;
   for (const auto &[Vm, Peer] : m_Peers)
--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -152,8 +152,8 @@
                             std::size_t Domain)
     : Index(Index), Domain(Domain), Id("vm-" + std::to_string(Index)),
       m_Fleet(Fleet), m_Follower(std::make_unique<KeyFollower>(
-                          Fleet.m_Time, *this, *this, *this, *this, Fleet.m_Log,
-                          Fleet.m_Settings.ChangeDeadline)) {}
+                          Fleet.m_Time, *this, *this, *this, *this, *this,
+                          Fleet.m_Log, Fleet.m_Settings.ChangeDeadline)) {}
 
 void ChangeFleet::Daemon::start() {
   m_Fleet.m_Store.OnChange.push_back([this] {
@@ -220,14 +220,15 @@
   });
 }
 
-void ChangeFleet::Daemon::list(std::string_view, Callback<KeyPage> Done) {
+void ChangeFleet::Daemon::list(std::string_view,
+                               KeyValueStore::Callback<KeyPage> Done) {
   answer<KeyPage>(CallTimeout, std::move(Done), [this]() -> Expected<KeyPage> {
     return m_Fleet.m_Store.list();
   });
 }
 
 void ChangeFleet::Daemon::watch(StoreRevision After, Duration Wait,
-                                Callback<KeyChanges> Done) {
+                                KeyValueStore::Callback<KeyChanges> Done) {
   if (Access != StoreAccess::Answers)
     return answer<KeyChanges>(Wait + CallTimeout, std::move(Done), {});
   ++m_Fleet.m_StoreCalls;
@@ -267,6 +268,42 @@
   runAt(Now + StoreLatency / 2, [Done, Result] { Done(Result); });
 }
 
+void ChangeFleet::Daemon::query(
+    StoreRevision After, Duration Timeout,
+    PeerChangeReader::Callback<RelayedChanges> Done) {
+  ++m_Fleet.m_PeerQueries;
+  // By turns one of the own failure domain and one of another.
+  const bool IsOwn = ++m_Queries % 2 == 1;
+  std::vector<Daemon *> Candidates;
+  for (auto &Each : m_Fleet.m_Daemons)
+    if (Each.get() != this && (Each->Domain == Domain) == IsOwn)
+      Candidates.push_back(Each.get());
+  const auto Now = m_Fleet.m_Time.now();
+  const auto Pending = std::make_shared<decltype(Done)>(std::move(Done));
+  const auto Finish = [Pending](Expected<RelayedChanges> Answer) {
+    if (const auto Callback = std::exchange(*Pending, nullptr))
+      Callback(std::move(Answer));
+  };
+  runAt(Now + Timeout,
+        [Finish] { Finish(unexpected(make_error_code(Errc::Timeout))); });
+  if (Candidates.empty())
+    return;
+  auto &Peer = *Candidates[static_cast<std::size_t>(
+      m_Fleet.m_Random.uniform() * static_cast<double>(Candidates.size()))];
+  // A connection takes a round trip, the call another one.
+  const auto Latency =
+      fromSeconds(toSeconds(MaxPeerLatency) * (1 + m_Fleet.m_Random.uniform()));
+  Peer.runAt(Now + 3 * Latency, [this, &Peer, After, Finish, Latency] {
+    const auto Answer = Peer.follower().changesAfter(After);
+    if (Answer)
+      runAt(m_Fleet.m_Time.now() + Latency, [Finish, Answer] {
+        // As it is sent.
+        if (auto Decoded = decodeRelayedChanges(encodeRelayedChanges(*Answer)))
+          Finish(std::move(*Decoded));
+      });
+  });
+}
+
 bool ChangeFleet::Daemon::onKeyUpdated(const KeyChange &Change) {
   if (Change.Key != ConfigurationKey)
     return !Change.Value.starts_with("heartbeat");
@@ -278,6 +315,14 @@
   return true;
 }
 
+void ChangeFleet::Daemon::onConfirmed(TimePoint Time) {
+  ConfirmedAt = std::max(ConfirmedAt, Time);
+  const auto &WrittenAt = m_Fleet.m_WrittenAt;
+  const auto Next = static_cast<std::size_t>(Version) + 1;
+  if (Next < WrittenAt.size() && WrittenAt[Next] < Time)
+    m_Fleet.m_HasFalseConfirmation = true;
+}
+
 bool ChangeFleet::Daemon::isRelaying() const {
   return m_Fleet.relayOf(Domain) == Index &&
          m_Fleet.membersOf(Domain).size() >=
--- a/packages/gateway/test/changefleet.h
+++ b/packages/gateway/test/changefleet.h
@@ -96,8 +96,13 @@
   Duration slowest(const std::function<bool(const Daemon &)> &Counts) const;
   /// Whether a daemon has reported a lower version after a higher one.
   bool hasRegressed() const { return m_HasRegressed; }
+  /// Whether a daemon has taken its knowledge for current as of a time before
+  /// which a version was written that it lacked.
+  bool hasFalseConfirmation() const { return m_HasFalseConfirmation; }
   /// Calls to the store of all daemons.
   std::size_t storeCalls() const { return m_StoreCalls; }
+  /// Queries of all daemons to each other.
+  std::size_t peerQueries() const { return m_PeerQueries; }
   std::size_t relayOf(std::size_t Domain) const;
   RandomSource &random() { return m_Random; }
 
@@ -118,12 +123,15 @@
   std::vector<std::unique_ptr<Daemon>> m_Daemons;
   std::vector<TimePoint> m_WrittenAt; ///< By version.
   bool m_HasRegressed = false;
+  bool m_HasFalseConfirmation = false;
   std::size_t m_StoreCalls = 0;
+  std::size_t m_PeerQueries = 0;
 };
 
 /// One daemon with its follower.
 class ChangeFleet::Daemon : public Executor,
                             public KeyValueStore,
+                            public PeerChangeReader,
                             public KeyObserver,
                             public ChangeRelay {
 public:
@@ -149,19 +157,23 @@
   void post(std::function<void()> Work) override;
   void postAfter(Duration Delay, std::function<void()> Work) override;
   // KeyValueStore.
-  void list(std::string_view After, Callback<KeyPage> Done) override;
+  void list(std::string_view After,
+            KeyValueStore::Callback<KeyPage> Done) override;
   void watch(StoreRevision After, Duration Wait,
-             Callback<KeyChanges> Done) override;
-  void grantLease(Duration, Callback<KeyLease>) override {}
-  void keepLease(std::int64_t, Callback<KeyLease>) override {}
+             KeyValueStore::Callback<KeyChanges> Done) override;
+  void grantLease(Duration, KeyValueStore::Callback<KeyLease>) override {}
+  void keepLease(std::int64_t, KeyValueStore::Callback<KeyLease>) override {}
   void put(std::string_view, std::string_view, std::int64_t,
-           Callback<bool>) override {}
+           KeyValueStore::Callback<bool>) override {}
   void reconnect() override {}
+  // PeerChangeReader.
+  void query(StoreRevision After, Duration Timeout,
+             PeerChangeReader::Callback<RelayedChanges> Done) override;
   // KeyObserver.
   bool onKeyUpdated(const KeyChange &Change) override;
   void onKeyRemoved(const KeyChange &, bool) override {}
   void onListed() override {}
-  void onConfirmed(TimePoint Time) override { ConfirmedAt = Time; }
+  void onConfirmed(TimePoint Time) override;
   // ChangeRelay.
   bool isRelaying() const override;
   void sendToDomain(std::string_view Bytes) override;
@@ -183,6 +195,7 @@
   bool m_IsSuspended = false;
   std::uint64_t m_ConnectionsFrom = 0; ///< Calls before this one are silent.
   std::uint64_t m_Calls = 0;
+  std::size_t m_Queries = 0;
   std::vector<std::shared_ptr<PendingWatch>> m_Watches;
   std::unique_ptr<KeyFollower> m_Follower;
 };
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -32,6 +32,9 @@
   CPPUNIT_TEST(change_someMessagesLost_reachesAllInTime);
   CPPUNIT_TEST(change_storeConnectionsSilent_reachesAllInTime);
   CPPUNIT_TEST(change_historyDropped_reachesAllInTime);
+  CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
+  CPPUNIT_TEST(storeDown_anySize_queriesAreBounded);
+  CPPUNIT_TEST(budget_eachSingleFailure_sumsToDeadline);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,6 +99,75 @@
     checkEach([](ChangeFleet &Fleet) { Fleet.store().dropHistory(); });
   }
 
+  /// Calls to the store a daemon, with a change every 5 s.
+  void calm_anySize_asksNoPeersAndCallsDoNotGrow() {
+    double Least = 1e9;
+    for (const std::size_t Size : {30, 96, 295}) {
+      ChangeFleetSettings Settings;
+      Settings.Daemons = Size;
+      ChangeFleet Fleet(Settings);
+      Fleet.start();
+      Fleet.runFor(5s);
+      const auto Calls = Fleet.storeCalls();
+      const auto Queries = Fleet.peerQueries();
+      for (int I = 0; I < 6; ++I) {
+        Fleet.writeVersion();
+        Fleet.runFor(5s);
+      }
+      CPPUNIT_ASSERT_EQUAL(Queries, Fleet.peerQueries());
+      const auto PerDaemon = static_cast<double>(Fleet.storeCalls() - Calls) /
+                             static_cast<double>(Size);
+      Least = std::min(Least, PerDaemon);
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("{} daemons: {:.1f}", Size, PerDaemon),
+                             PerDaemon <= 1.1 * Least);
+    }
+  }
+
+  /// No daemon knows more than the others, so asking is of no use.
+  void storeDown_anySize_queriesAreBounded() {
+    for (const auto Size : Sizes) {
+      ChangeFleetSettings Settings;
+      Settings.Daemons = Size;
+      Settings.Domains = std::min<std::size_t>(Size, 3);
+      ChangeFleet Fleet(Settings);
+      Fleet.start();
+      for (std::size_t I = 0; I < Size; ++I)
+        Fleet[I].Access = StoreAccess::Rejects;
+      Fleet.runFor(10s);
+      const auto Queries = Fleet.peerQueries();
+      Fleet.runFor(20s);
+      // Two queries in half a deadline.
+      CPPUNIT_ASSERT(static_cast<double>(Fleet.peerQueries() - Queries) <=
+                     1.1 * 2 * 20 / 1.5 * static_cast<double>(Size));
+    }
+  }
+
+  /// The way from the store to a daemon, as the sum of its stages.
+  void budget_eachSingleFailure_sumsToDeadline() {
+    constexpr Duration Network =
+        50ms; // Round trips of a connection and a call.
+    for (const auto Deadline : Deadlines) {
+      const Duration Interval = Deadline / 4;
+      // Nothing fails: the relay's next watch, and its message.
+      CPPUNIT_ASSERT(Interval + 2 * Network <= Deadline);
+      // A message is lost: the next one tells of the gap, the store is read.
+      CPPUNIT_ASSERT(Interval + relayWait(Deadline) + 3 * Network <= Deadline);
+      // Any other stage: the knowledge reaches the age at which others are
+      // asked, and three rounds of queries follow.
+      CPPUNIT_ASSERT(peerQueryAge(Deadline) + 3 * peerQueryPeriod(Deadline) <=
+                     Deadline);
+      // The daemons that are asked have the change by then: by their relay, or
+      // by their own watch once that is silent.
+      CPPUNIT_ASSERT(fromSeconds(0.6 * toSeconds(Deadline)) + Network <=
+                     peerQueryAge(Deadline));
+      // Without a failure nobody is asked.
+      CPPUNIT_ASSERT(watchWait(Deadline) +
+                         fromSeconds(0.1 * toSeconds(Deadline)) + Network <=
+                     peerQueryAge(Deadline));
+      CPPUNIT_ASSERT(relayWait(Deadline) + Network <= peerQueryAge(Deadline));
+    }
+  }
+
 private:
   /// The store stops answering a share of the daemons, among them the relay of
   /// the first domain.
@@ -133,6 +205,7 @@
                           toSeconds(Deadline), Seed, toSeconds(Slowest)),
               Slowest <= Deadline);
           CPPUNIT_ASSERT(!Fleet.hasRegressed());
+          CPPUNIT_ASSERT(!Fleet.hasFalseConfirmation());
         }
   }
 };
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -26,6 +26,7 @@
              Callback<KeyChanges> Done) override {
     Watches.push_back(After);
     LastWait = Wait;
+    LastWatchAt = std::chrono::steady_clock::now();
     WatchDone = std::move(Done);
   }
   void grantLease(Duration, Callback<KeyLease>) override {}
@@ -46,11 +47,23 @@
   std::vector<std::string> Lists;
   std::vector<StoreRevision> Watches;
   Duration LastWait{0}; ///< Of the last watch.
+  TimePoint LastWatchAt{};
   Callback<KeyPage> ListDone;
   Callback<KeyChanges> WatchDone;
   int Reconnects = 0;
 };
 
+/// Other daemons whose answers the test supplies.
+struct ScriptedPeers : PeerChangeReader {
+  void query(StoreRevision After, Duration,
+             Callback<RelayedChanges> Done) override {
+    Queries.push_back(After);
+    LastDone = std::move(Done);
+  }
+  std::vector<StoreRevision> Queries;
+  Callback<RelayedChanges> LastDone;
+};
+
 struct RecordingObserver : KeyObserver {
   /// Values that begin with "heartbeat" make no difference.
   bool onKeyUpdated(const KeyChange &Change) override {
@@ -109,6 +122,16 @@
   CPPUNIT_TEST(relaying_manyChanges_leaveGap);
   CPPUNIT_TEST(relaying_changes_areSentOnce);
   CPPUNIT_TEST(relaying_noChanges_confirmsPeriodically);
+  CPPUNIT_TEST(relaying_delayedAnswer_statesAgeOfItsCall);
+  CPPUNIT_TEST(relaying_secondListing_tellsChangesOfMeanwhile);
+  CPPUNIT_TEST(relay_duringListing_isApplied);
+  CPPUNIT_TEST(listing_keyToldMeanwhile_isNotRemoved);
+  CPPUNIT_TEST(listing_keyRemovedMeanwhile_isNotBroughtBack);
+  CPPUNIT_TEST(relay_messageOfBeforeSuspension_confirmsNothing);
+  CPPUNIT_TEST(peers_storeReachable_areNotAsked);
+  CPPUNIT_TEST(peers_valueOmittedAndStoreRejects_giveValue);
+  CPPUNIT_TEST(peers_answerWithGap_givesValuesOnly);
+  CPPUNIT_TEST(peers_ownChanges_areTold);
   CPPUNIT_TEST(relayMessage_encodedAndDecoded_isUnchanged);
   CPPUNIT_TEST(relayMessage_withSender_tellsProcess);
   CPPUNIT_TEST(relayMessage_withoutSender_isAccepted);
@@ -160,12 +183,13 @@
   void setUp() override {
     m_Loop.emplace();
     m_Store = ScriptedStore();
+    m_Peers = ScriptedPeers();
     m_Observer = RecordingObserver();
     m_Relay = RecordingRelay();
     m_Log.emplace(-1, "vm", "1", 1000);
     m_Executor.emplace(m_Loop->get_executor());
-    m_Follower.emplace(m_Time, *m_Executor, m_Store, m_Observer, m_Relay,
-                       *m_Log, ChangeDeadline);
+    m_Follower.emplace(m_Time, *m_Executor, m_Store, m_Peers, m_Observer,
+                       m_Relay, *m_Log, ChangeDeadline);
     m_Follower->start();
   }
   void tearDown() override {
@@ -430,16 +454,146 @@
   void relaying_noChanges_confirmsPeriodically() {
     m_Relay.Relaying = true;
     answerFirstList();
-    m_Store.answerWatch(KeyChanges{{}, {0, 10}});
-    for (int I = 0; I < 2; ++I) {
-      runTimers();
-      std::this_thread::sleep_for(std::chrono::milliseconds(550));
+    for (int I = 0; I < 3; ++I) {
+      m_Loop->restart();
+      m_Loop->run_until(m_Store.LastWatchAt + m_Store.LastWait);
       m_Store.answerWatch(KeyChanges{{}, {0, 10}});
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_Relay.Sent.size());
     CPPUNIT_ASSERT(m_Relay.Sent.back().Age < 500ms);
   }
 
+  // Regression: a relay that was suspended, or whose link was cut, confirmed an
+  // old answer as current.
+  void relaying_delayedAnswer_statesAgeOfItsCall() {
+    m_Relay.Relaying = true;
+    answerFirstList();
+    const auto CalledAt = m_Store.LastWatchAt;
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    m_Store.answerWatch(KeyChanges{{{"a", "v", {0, 11}, false}}, {0, 11}});
+    CPPUNIT_ASSERT(m_Relay.Sent.at(0).Age >= 300ms);
+    CPPUNIT_ASSERT(m_Observer.ConfirmedAt <= CalledAt);
+  }
+
+  void relaying_secondListing_tellsChangesOfMeanwhile() {
+    m_Relay.Relaying = true;
+    answerFirstList();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::StaleStore)));
+    m_Store.answerList(
+        KeyPage{{{"a", "new", {0, 15}, false}, {"b", "2", {0, 6}, false}},
+                false,
+                {0, 20}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Relay.Sent.size());
+    CPPUNIT_ASSERT(m_Relay.Sent[0].From == (StoreRevision{0, 10}));
+    CPPUNIT_ASSERT(m_Relay.Sent[0].To == (StoreRevision{0, 20}));
+    CPPUNIT_ASSERT_EQUAL(std::string("new"),
+                         m_Relay.Sent[0].Changes.at(0).Change.Value);
+  }
+
+  // Regression: while a listing got no answer, the relay's messages were lost.
+  void relay_duringListing_isApplied() {
+    answerFirstList();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::StaleStore)));
+    m_Follower->onRelayedChanges(
+        {{0, 10}, {0, 20}, 0ms, {change("a", "told", 20)}});
+    CPPUNIT_ASSERT_EQUAL(std::string("told"), m_Observer.Values["a"]);
+  }
+
+  void listing_keyToldMeanwhile_isNotRemoved() {
+    answerFirstList();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::StaleStore)));
+    m_Follower->onRelayedChanges(
+        {{0, 10}, {0, 20}, 0ms, {change("c", "told", 20)}});
+    m_Store.answerList(KeyPage{{{"a", "1", {0, 5}, false}}, false, {0, 15}});
+    CPPUNIT_ASSERT_EQUAL(std::string("told"), m_Observer.Values["c"]);
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("b"));
+  }
+
+  void listing_keyRemovedMeanwhile_isNotBroughtBack() {
+    answerFirstList();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::StaleStore)));
+    RelayedChange Removed{{"a", "", {0, 20}, true}, false, false};
+    m_Follower->onRelayedChanges({{0, 10}, {0, 20}, 0ms, {Removed}});
+    m_Store.answerList(
+        KeyPage{{{"a", "1", {0, 5}, false}, {"b", "2", {0, 6}, false}},
+                false,
+                {0, 15}});
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("a"));
+  }
+
+  void relay_messageOfBeforeSuspension_confirmsNothing() {
+    followRelay();
+    m_Follower->refresh();
+    const auto Resumed = std::chrono::steady_clock::now();
+    m_Follower->onRelayedChanges({{0, 12}, {0, 12}, 0ms, {}});
+    CPPUNIT_ASSERT(m_Observer.ConfirmedAt < Resumed);
+  }
+
+  void peers_storeReachable_areNotAsked() {
+    followRelay();
+    auto Omitted = change("a", "", 17);
+    Omitted.ValueOmitted = true;
+    m_Follower->onRelayedChanges({{0, 10}, {0, 18}, 0ms, {Omitted}});
+    m_Store.answerWatch(KeyChanges{{{"a", "v", {0, 17}, false}}, {0, 18}});
+    runTimers();
+    CPPUNIT_ASSERT(m_Peers.Queries.empty());
+  }
+
+  // Regression: a daemon that the store rejected never got a value that the
+  // relay had left out, though every other daemon had it.
+  void peers_valueOmittedAndStoreRejects_giveValue() {
+    followRelay();
+    auto Omitted = change("a", "", 17);
+    Omitted.ValueOmitted = true;
+    m_Follower->onRelayedChanges({{0, 10}, {0, 18}, 0ms, {Omitted}});
+    m_Store.answerWatch(unexpected(make_error_code(Errc::LimitExceeded)));
+    m_Loop->restart();
+    m_Loop->run_for(std::chrono::milliseconds(20));
+    CPPUNIT_ASSERT(!m_Peers.Queries.empty());
+    CPPUNIT_ASSERT(m_Peers.Queries[0] == (StoreRevision{0, 12}));
+    const auto Before = std::chrono::steady_clock::now();
+    m_Peers.LastDone(
+        RelayedChanges{{0, 12}, {0, 18}, 100ms, {change("a", "v", 17)}});
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), m_Observer.Values["a"]);
+    CPPUNIT_ASSERT(m_Observer.ConfirmedAt <= Before - 100ms);
+  }
+
+  /// Changes are missing, so nothing is confirmed, and later ones are read.
+  void peers_answerWithGap_givesValuesOnly() {
+    beTurnedAway();
+    m_Loop->restart();
+    m_Loop->run_for(std::chrono::milliseconds(700));
+    CPPUNIT_ASSERT(!m_Peers.Queries.empty());
+    const auto Confirmed = m_Observer.ConfirmedAt;
+    m_Peers.LastDone(
+        RelayedChanges{{0, 15}, {0, 18}, 0ms, {change("a", "v", 17)}});
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), m_Observer.Values["a"]);
+    CPPUNIT_ASSERT(m_Observer.ConfirmedAt == Confirmed);
+    m_Follower->onRelayedChanges(
+        {{0, 12}, {0, 16}, 0ms, {change("b", "w", 16)}});
+    CPPUNIT_ASSERT_EQUAL(std::string("w"), m_Observer.Values["b"]);
+  }
+
+  void peers_ownChanges_areTold() {
+    CPPUNIT_ASSERT(!m_Follower->changesAfter({0, 0}));
+    answerFirstList();
+    m_Store.answerWatch(KeyChanges{{{"a", "heartbeat", {0, 11}, false},
+                                    {"b", "new", {0, 12}, false},
+                                    {"a", "", {0, 13}, true}},
+                                   {0, 14}});
+    const auto Told = m_Follower->changesAfter({0, 10});
+    CPPUNIT_ASSERT(Told.has_value());
+    CPPUNIT_ASSERT(Told->From == (StoreRevision{0, 10}));
+    CPPUNIT_ASSERT(Told->To == (StoreRevision{0, 14}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Told->Changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("heartbeat"),
+                         Told->Changes[0].Change.Value);
+    CPPUNIT_ASSERT(Told->Changes[2].Change.Removed);
+    // What was removed before the first listing is not known.
+    CPPUNIT_ASSERT(m_Follower->changesAfter({0, 4})->From ==
+                   (StoreRevision{0, 10}));
+  }
+
   void relayMessage_encodedAndDecoded_isUnchanged() {
     const RelayedChanges Message{
         {3, 10},
@@ -530,6 +684,7 @@
   SystemClock m_Time;
   std::optional<LoopExecutor> m_Executor;
   ScriptedStore m_Store;
+  ScriptedPeers m_Peers;
   RecordingObserver m_Observer;
   RecordingRelay m_Relay;
   std::optional<EventLog> m_Log;
