gateway: an outdated configuration refuses no request for good

What callers saw: 404 or 401 for a route or key that a later version had added, from daemons that had just been resumed after a suspension or had not heard of the store for longer than the bound. Cause: onRequest() decided by the plan in memory, whatever the age of the daemon's knowledge. It costs no call to the store, so made-up paths cannot cause any. Requests that the plan allows are served as before. DirectoryObserver moves to its own file.

--- a/packages/gateway/include/mangodeck/gateway/directoryview.h
+++ b/packages/gateway/include/mangodeck/gateway/directoryview.h
@@ -26,10 +26,15 @@
   const ChangeOrigin &confirmedBy() const { return m_ConfirmedBy; }
   const ChangeOrigin &origin() const { return m_Origin; }
   bool isConfirmedWithin(Duration MaxAge, TimePoint Now) const;
+  /// Whether there was a confirmation or a suspension, and no confirmation
+  /// since that is at most \p MaxAge old. At its start a daemon takes the
+  /// configuration from a listing in progress, which is current.
+  bool isOutdated(Duration MaxAge, TimePoint Now) const;
 
 private:
   TimePoint m_ConfirmedAt{};
   TimePoint m_ResumedAt{};
+  bool m_HasHistory = false; ///< See isOutdated().
   ChangeOrigin m_ConfirmedBy;
   ChangeOrigin m_Origin;
 };
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -4,7 +4,9 @@
 #include "mangodeck/common/random.h"
 #include "mangodeck/gateway/callertable.h"
 #include "mangodeck/gateway/changerelay.h"
+#include "mangodeck/gateway/confirmationqueue.h"
 #include "mangodeck/gateway/crashcauses.h"
+#include "mangodeck/gateway/directoryobserver.h"
 #include "mangodeck/gateway/directoryview.h"
 #include "mangodeck/gateway/domainoffers.h"
 #include "mangodeck/gateway/exchange.h"
@@ -13,6 +15,8 @@
 #include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/placementreport.h"
 #include "mangodeck/gateway/quotaledger.h"
+#include "mangodeck/gateway/refusal.h"
+#include "mangodeck/gateway/requestfacts.h"
 #include "mangodeck/gateway/rolloutcontroller.h"
 #include "mangodeck/gateway/rolloutramp.h"
 #include "mangodeck/gateway/slotbroker.h"
@@ -69,39 +73,6 @@
   SpillSettings Spill;
 };
 
-/// Receives the configuration, and the targets and daemons that the store
-/// lists.
-class DirectoryObserver {
-public:
-  virtual ~DirectoryObserver() = default;
-  virtual void onPlan(RoutePlanPtr Plan) = 0;
-  virtual void onTargetUpdated(const TargetEntry &Entry) = 0;
-  /// The registration of a target is gone. \p AfterOutage: the store is
-  /// unavailable or was so until just before, so that the registration may have
-  /// expired only because the target could not renew it.
-  virtual void onTargetRemoved(const TargetName &Id, bool AfterOutage) = 0;
-  virtual void onPeerUpdated(const std::string &Vm,
-                             const PeerEndpoint &Address) = 0;
-  virtual void onPeerRemoved(const std::string &Vm) = 0;
-  /// The store holds \p Records of the targets' software versions.
-  virtual void onVersionRecords(std::span<const VersionRecord> Records) = 0;
-  /// The store's keys on rollouts; std::nullopt: the key does not exist, or
-  /// holds no order.
-  virtual void onRolloutOrder(const ServiceName &Service,
-                              std::optional<RolloutOrder> Order) {}
-  virtual void onRolloutStatus(const ServiceName &Service,
-                               std::optional<RolloutStatus> Status) {}
-  virtual void onRolloutRecord(const ServiceName &Service,
-                               std::optional<RolloutRecord> Record) {}
-  /// Every target and daemon that the store lists has been reported once.
-  virtual void onDirectoryComplete() = 0;
-  /// All changes of the store up to \p Time have been reported. That is the
-  /// time of the call, not of its answer, which may have been delayed.
-  virtual void onDirectoryConfirmed(TimePoint Time) = 0;
-  /// The reports that follow were learned by \p Origin.
-  virtual void onDirectoryOrigin(const ChangeOrigin &Origin) {}
-};
-
 /// Accepts connections of callers and routes their requests to targets.
 /// Everything runs on one event loop: a request needs only a few microseconds
 /// of decisions between reads and writes, and handing it between threads would
@@ -470,6 +441,20 @@
   /// Updates, once per reportPeriod(), the load that other daemons cause at
   /// each target and the requests that this daemon may send there.
   void refreshTargetLoads(TimePoint Now);
+  /// Refuses a request for which the plan has no route or no customer. While
+  /// the plan may be outdated, the request is held until it is confirmed, and
+  /// is refused for the time being if that takes too long.
+  void refuseByPlan(http::CallerConnection &Connection, http::Request &&Message,
+                    TimePoint FirstByte, const RequestFacts &Facts,
+                    RefusalCause Cause);
+  /// The cause to state for a refusal by the plan.
+  RefusalCause planRefusal(RefusalCause Cause, TimePoint Now) const;
+  /// Decides on the held requests again.
+  void releaseUnconfirmed();
+  /// Logs and answers a request that is refused before its admission.
+  void refuseNew(http::CallerConnection &Connection,
+                 const http::RequestHead &Head, const RequestFacts &Facts,
+                 RefusalCause Cause, Duration ExpectedWait);
   void answerCaller(http::CallerConnection &Connection, int Status,
                     std::string_view Reason,
                     std::optional<Duration> RetryAfter);
@@ -549,6 +534,7 @@
   std::map<std::string, TimePoint> m_StreamServices;
   bool m_SharesOrigins = false; ///< Several versions were possible.
   DirectoryView m_View;
+  ConfirmationQueue m_Unconfirmed;
   TimePoint m_OriginsSharedAt{};
   /// Since when the store lacks records of versions.
   std::optional<TimePoint> m_RecordsDueSince;
--- a/packages/gateway/include/mangodeck/gateway/refusal.h
+++ b/packages/gateway/include/mangodeck/gateway/refusal.h
@@ -12,6 +12,7 @@
 /// Why the gateway answers a request itself.
 enum class RefusalCause : std::uint8_t {
   NoConfiguration,
+  Unconfirmed, ///< The configuration, which has no route or key for it.
   NoRoute,
   UnknownKey,
   Stopping,
--- a/packages/gateway/src/directoryview.cpp
+++ b/packages/gateway/src/directoryview.cpp
@@ -24,14 +24,20 @@
   if (Time < m_ResumedAt || Time <= m_ConfirmedAt)
     return;
   m_ConfirmedAt = Time;
+  m_HasHistory = true;
   m_ConfirmedBy = m_Origin;
 }
 
 void DirectoryView::invalidate(TimePoint Now) {
   m_ResumedAt = Now;
+  m_HasHistory = true;
   m_ConfirmedAt = TimePoint{};
 }
 
+bool DirectoryView::isOutdated(Duration MaxAge, TimePoint Now) const {
+  return m_HasHistory && !isConfirmedWithin(MaxAge, Now);
+}
+
 bool DirectoryView::isConfirmedWithin(Duration MaxAge, TimePoint Now) const {
   return m_ConfirmedAt != TimePoint{} && Now - m_ConfirmedAt <= MaxAge;
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -94,17 +94,7 @@
   const auto Facts = parseRequestFacts(Message, m_Names);
   const auto RefuseRequest = [&](RefusalCause Cause,
                                  Duration ExpectedWait = Duration{0}) {
-    const auto Chosen =
-        chooseRefusal({Cause, ExpectedWait, Duration{0}, Facts.RemainingTime,
-                       m_Random.uniform()});
-    m_Log.write("refused", {{"id", Facts.AttemptId},
-                            {"status", Chosen.Status},
-                            {"reason", Chosen.Reason},
-                            {"path", Message.Head.Target},
-                            {"plan", m_Plan ? m_Plan->Version : 0},
-                            {"confirmed_ms", ageMs(m_View.confirmedAt(), Now)},
-                            {"confirmed_by", toString(m_View.confirmedBy())}});
-    answerCaller(Connection, Chosen.Status, Chosen.Reason, Chosen.RetryAfter);
+    refuseNew(Connection, Message.Head, Facts, Cause, ExpectedWait);
   };
   // Step 1. Without a plan no request can be judged: let the caller retry.
   if (!m_Plan)
@@ -114,14 +104,16 @@
   const auto *Matched =
       m_Plan->findRoute(Message.Head.Fields.get("Host"), Message.Head.Target);
   if (!Matched)
-    return RefuseRequest(RefusalCause::NoRoute);
+    return refuseByPlan(Connection, std::move(Message), FirstByte, Facts,
+                        RefusalCause::NoRoute);
 
   // Step 3. Find the customer by its API key.
   const PlannedCustomer *Customer = nullptr;
   if (!m_Plan->Customers.empty() && !Matched->OpenToAll) {
     Customer = m_Plan->findCustomerByKey(Facts.ApiKey);
     if (!Customer)
-      return RefuseRequest(RefusalCause::UnknownKey);
+      return refuseByPlan(Connection, std::move(Message), FirstByte, Facts,
+                          RefusalCause::UnknownKey);
   }
 
   // Step 4. Refuse requests that arrive late in the shutdown: they might be
@@ -495,6 +487,10 @@
     if (!State.Queue.empty())
       dispatchWaiting(ServiceName(Name));
   m_LocalBroker.dispatchAllWaiting(Now);
+  while (auto Held = m_Unconfirmed.popExpired(Now))
+    refuseNew(*Held->Connection, Held->Message.Head,
+              parseRequestFacts(Held->Message, m_Names),
+              RefusalCause::Unconfirmed, Duration{0});
   for (const auto &Expired : std::vector<ExpiredTarget>(m_ExpiredTargets))
     if (Expired.Until <= Now) {
       m_Log.write("target_dropped",
@@ -555,7 +551,7 @@
 Duration Gateway::tickPeriod() const {
   const bool HasWaiting =
       !m_PendingSlotRequests.empty() || m_Origins.hasLookups() ||
-      m_LocalBroker.waitingCount() > 0 ||
+      m_Unconfirmed.size() > 0 || m_LocalBroker.waitingCount() > 0 ||
       std::any_of(m_Services.begin(), m_Services.end(), [](const auto &Entry) {
         return !Entry.second.Queue.empty();
       });
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -206,7 +206,25 @@
   (*Read)();
 }
 
+void Gateway::refuseNew(http::CallerConnection &Connection,
+                        const http::RequestHead &Head,
+                        const RequestFacts &Facts, RefusalCause Cause,
+                        Duration ExpectedWait) {
+  const auto Chosen = chooseRefusal({Cause, ExpectedWait, Duration{0},
+                                     Facts.RemainingTime, m_Random.uniform()});
+  m_Log.write("refused",
+              {{"id", Facts.AttemptId},
+               {"status", Chosen.Status},
+               {"reason", Chosen.Reason},
+               {"path", Head.Target},
+               {"plan", m_Plan ? m_Plan->Version : 0},
+               {"confirmed_ms", ageMs(m_View.confirmedAt(), steadyNow())},
+               {"confirmed_by", toString(m_View.confirmedBy())}});
+  answerCaller(Connection, Chosen.Status, Chosen.Reason, Chosen.RetryAfter);
+}
+
 void Gateway::onCallerLeft(http::CallerConnection &Connection) {
+  m_Unconfirmed.remove(Connection);
   const auto Found = m_ExchangeByCaller.find(&Connection);
   if (Found == m_ExchangeByCaller.end())
     return;
@@ -224,6 +242,7 @@
 }
 
 void Gateway::onClosed(http::CallerConnection &Connection) {
+  m_Unconfirmed.remove(Connection);
   // The connection's functions on the call stack have to return first.
   asio::post(m_Loop, [Kept = m_Callers.remove(Connection)] {});
 }
--- a/packages/gateway/src/gatewaydirectory.cpp
+++ b/packages/gateway/src/gatewaydirectory.cpp
@@ -3,6 +3,7 @@
 #include "mangodeck/gateway/gateway.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <utility>
 
 namespace mangodeck {
@@ -14,6 +15,11 @@
 /// allowed for noticing that a target has left.
 constexpr Duration ExpiredTargetRetention = 1700ms;
 
+/// Longest time for which a request is held until the configuration is
+/// confirmed, and the same as a share of the time that its caller has left.
+constexpr Duration MaxConfirmationWait = 500ms;
+constexpr double MaxConfirmationShare = 0.25;
+
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
 } // namespace
@@ -130,7 +136,43 @@
   }
 }
 
-void Gateway::onDirectoryConfirmed(TimePoint Time) { m_View.confirm(Time); }
+void Gateway::onDirectoryConfirmed(TimePoint Time) {
+  m_View.confirm(Time);
+  if (m_Unconfirmed.size() > 0 &&
+      !m_View.isOutdated(m_Settings.ChangeDeadline, steadyNow()))
+    asio::post(m_Loop, [this] { releaseUnconfirmed(); });
+}
+
+RefusalCause Gateway::planRefusal(RefusalCause Cause, TimePoint Now) const {
+  return m_View.isOutdated(m_Settings.ChangeDeadline, Now)
+             ? RefusalCause::Unconfirmed
+             : Cause;
+}
+
+void Gateway::refuseByPlan(http::CallerConnection &Connection,
+                           http::Request &&Message, TimePoint FirstByte,
+                           const RequestFacts &Facts, RefusalCause Cause) {
+  const auto Now = steadyNow();
+  const auto Stated = planRefusal(Cause, Now);
+  // While stopping, another daemon can decide at once.
+  if (Stated != RefusalCause::Unconfirmed || m_Stopping ||
+      m_Unconfirmed.isFull())
+    return refuseNew(Connection, Message.Head, Facts, Stated, Duration{0});
+  auto Hold = MaxConfirmationWait;
+  if (Facts.RemainingTime)
+    Hold =
+        std::min<Duration>(Hold, fromSeconds(MaxConfirmationShare *
+                                             toSeconds(*Facts.RemainingTime)));
+  m_Unconfirmed.push({&Connection, std::move(Message), FirstByte, Now + Hold});
+  hastenTick(Now);
+}
+
+void Gateway::releaseUnconfirmed() {
+  // Those that are held again are behind the others.
+  for (auto Count = m_Unconfirmed.size(); Count > 0; --Count)
+    if (auto Held = m_Unconfirmed.pop())
+      onRequest(*Held->Connection, std::move(Held->Message), Held->FirstByte);
+}
 
 void Gateway::onDirectoryOrigin(const ChangeOrigin &Origin) {
   m_View.setOrigin(Origin);
--- a/packages/gateway/src/gatewaywhere.cpp
+++ b/packages/gateway/src/gatewaywhere.cpp
@@ -76,14 +76,14 @@
   const auto *Matched =
       m_Plan->findRoute(Message.Head.Fields.get("Host"), Message.Head.Target);
   if (!Matched)
-    return Refuse(RefusalCause::NoRoute);
+    return Refuse(planRefusal(RefusalCause::NoRoute, Now));
   Report.Route = Matched->Name;
   Report.Shares = Matched->Shares;
   const PlannedCustomer *Customer = nullptr;
   if (!m_Plan->Customers.empty() && !Matched->OpenToAll) {
     Customer = m_Plan->findCustomerByKey(Facts.ApiKey);
     if (!Customer)
-      return Refuse(RefusalCause::UnknownKey);
+      return Refuse(planRefusal(RefusalCause::UnknownKey, Now));
     Report.Customer = Customer->Name.Text;
   }
   if (m_Stopping)
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -273,12 +273,16 @@
       });
   m_Observer.onOrigin({ChangeSource::Relay, Message.Vm, Message.Incarnation});
   if (Message.From > m_Revision || MissesValue) {
-    m_Log.write("relay_incomplete", {{"revision", m_Revision.Number},
-                                     {"from", Message.From.Number},
-                                     {"to", Message.To.Number},
-                                     {"value_omitted", MissesValue},
-                                     {"relay", Message.Vm},
-                                     {"store_reachable", m_StoreReachable}});
+    // The store usually gives an omitted value at once.
+    m_Log.write("relay_incomplete",
+                {{"revision", m_Revision.Number},
+                 {"from", Message.From.Number},
+                 {"to", Message.To.Number},
+                 {"value_omitted", MissesValue},
+                 {"relay", Message.Vm},
+                 {"store_reachable", m_StoreReachable}},
+                MissesValue && m_StoreReachable ? LogLevel::Ordinary
+                                                : LogLevel::Important);
     m_ToldConfirmedAt = TimePoint{};
     requireRevision(Message.To);
     return;
--- a/packages/gateway/src/refusal.cpp
+++ b/packages/gateway/src/refusal.cpp
@@ -40,6 +40,8 @@
   switch (Facts.Cause) {
   case RefusalCause::NoConfiguration:
     return {503, "no configuration yet", ConfigurationRetryAfter};
+  case RefusalCause::Unconfirmed:
+    return {503, "configuration not confirmed", ConfigurationRetryAfter};
   case RefusalCause::NoRoute:
     return {404, "no such route", std::nullopt};
   case RefusalCause::UnknownKey:
--- a/packages/gateway/test/directoryview_test.cpp
+++ b/packages/gateway/test/directoryview_test.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST(view_confirmedTwice_keepsLaterWithItsOrigin);
   CPPUNIT_TEST(view_confirmationOfBeforeSuspension_isIgnored);
   CPPUNIT_TEST(view_neverConfirmed_isNotFresh);
+  CPPUNIT_TEST(view_suspendedBeforeFirstConfirmation_isOutdated);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +43,16 @@
                          toString(DirectoryView().confirmedBy()));
   }
 
+  void view_suspendedBeforeFirstConfirmation_isOutdated() {
+    DirectoryView View;
+    CPPUNIT_ASSERT(!View.isOutdated(1s, Start));
+    View.invalidate(Start);
+    CPPUNIT_ASSERT(View.isOutdated(1s, Start));
+    View.confirm(Start + 1s);
+    CPPUNIT_ASSERT(!View.isOutdated(1s, Start + 2s));
+    CPPUNIT_ASSERT(View.isOutdated(1s, Start + 3s));
+  }
+
 private:
   const TimePoint Start{3600s};
 };
