--- a/packages/gateway/test/gatewaysupport.h
+++ b/packages/gateway/test/gatewaysupport.h
@@ -90,6 +90,9 @@
   Duration DripPause = 100ms;
   bool ResetAfterDrips = false; ///< Reset the connection after the last one.
   std::function<std::string(const std::string &Request)> Answer;
+  /// Gives the script for a request beyond the last one of Scripts, in place of
+  /// Answer.
+  std::function<Script(const std::string &Request)> ScriptFor;
   /// Time after which \p Answer is called.
   Duration AnswerDelay{0};
   std::vector<std::string> Requests;
@@ -133,9 +136,10 @@
     const auto Index = Requests.size();
     Requests.push_back(Client->Read);
     Client->Read.clear();
-    if (Index >= Scripts.size())
+    if (Index >= Scripts.size() && !ScriptFor)
       return answerLater(Client, Requests.back());
-    const auto &Next = Scripts[Index];
+    const auto Next =
+        Index < Scripts.size() ? Scripts[Index] : ScriptFor(Requests.back());
     std::error_code Ignored;
     asio::write(Client->Socket, asio::buffer(Next.Bytes), Ignored);
     if (Next.Reset)
--- a/testing/session/test/httpcall.cpp
+++ b/testing/session/test/httpcall.cpp
@@ -47,7 +47,9 @@
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &Reply.Headers);
   if (!Body.empty())
     curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Body.c_str());
-  Reply.IsWhole = curl_easy_perform(Handle) == CURLE_OK;
+  const auto Result = curl_easy_perform(Handle);
+  Reply.IsWhole = Result == CURLE_OK;
+  Reply.IsConnected = Result != CURLE_COULDNT_CONNECT;
   long Status = 0;
   curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
   Reply.Status = static_cast<int>(Status);
--- a/testing/session/test/httpcall.h
+++ b/testing/session/test/httpcall.h
@@ -13,6 +13,7 @@
 struct HttpReply {
   bool IsWhole = false; ///< The transfer ended as HTTP says it must.
   int Status = 0;       ///< 0 when there was no answer.
+  bool IsConnected = false;
   std::vector<Header> Headers;
   std::string Body;
 
--- a/testing/session/test/sessionfailure_test.cpp
+++ b/testing/session/test/sessionfailure_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(owner_killedWithTicketsWaiting_allAreServedOnce);
   CPPUNIT_TEST(owner_stoppedAndContinued_allAreServedOnce);
   CPPUNIT_TEST(daemon_sigtermWithFiftyStreams_cutsNone);
+  CPPUNIT_TEST(daemon_requestsUntilItsStopEnds_noneIsCut);
   CPPUNIT_TEST(daemon_killed_losesOnlyItsOwnRequests);
   CPPUNIT_TEST(poison_sentAgain_crashesAtMostTwoTargets);
   CPPUNIT_TEST(caller_hangsUpWhileWaiting_ticketIsWithdrawn);
@@ -141,6 +142,33 @@
     assertDispatchedOnce(Cluster, 2);
   }
 
+  // Requests that come late in a planned stop are served whole or refused.
+  void daemon_requestsUntilItsStopEnds_noneIsCut() {
+    Fleet Cluster({.Models = 2,
+                   .MaxSequences = 32,
+                   .TargetFlags = {"--token-delay", "30"}});
+    CPPUNIT_ASSERT(Cluster.waitUntilReady());
+    auto Replies = fill(Cluster, 0, 4, 100);
+    Cluster.daemon(0).send(SIGTERM);
+    for (int I = 0; I < 40; ++I) {
+      Replies.push_back(
+          Cluster.completeAsync(0, fmt::format("late {}", I), 10));
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    int Served = 0;
+    for (auto &Reply : Replies) {
+      const auto Got = Reply.get();
+      Served += isWholeStream(Got) ? 1 : 0;
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("status {}: {}", Got.Status, Got.Body),
+                             isWholeStream(Got) || !Got.IsConnected ||
+                                 (Got.IsWhole && Got.Status == 503 &&
+                                  Got.header("X-Mangodeck-Run") == "no"));
+    }
+    CPPUNIT_ASSERT(Served >= 4);
+    CPPUNIT_ASSERT_EQUAL(0, Cluster.daemon(0).wait());
+    assertDispatchedOnce(Cluster, 2);
+  }
+
   void daemon_killed_losesOnlyItsOwnRequests() {
     Fleet Cluster({.Daemons = 2,
                    .Models = 2,
