soak: changes of the configuration while the store does not serve some daemons

Cause: the soak had one link to the store for all daemons, so no daemon was without the store while others had it.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -43,5 +43,7 @@
 play_soak 1 --seed 3058
 # Regression: SIGHUP ended a daemon that was starting.
 play_soak 1 --seed 6101 --callers 48
+# Changes of the configuration while the store does not serve some daemons.
+play_soak 1 --seed 1 --changes --daemons 9
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -1,5 +1,6 @@
 // Randomized fault soak: real daemons as processes, stand-ins for the store,
 // targets and callers, faults from outside.
+#include "changeplay.h"
 #include "rolloutplay.h"
 #include "soakcaller.h"
 #include "soakfleet.h"
@@ -403,6 +404,10 @@
   bool PlaysRollouts = false;
   App.add_flag("--rollouts", PlaysRollouts,
                "Play orders for good and bad versions, with faults in between");
+  bool PlaysChanges = false;
+  App.add_flag("--changes", PlaysChanges,
+               "Play changes of the configuration in series, while the store "
+               "does not serve some daemons");
   App.add_flag("--impatient", Chosen.Impatient,
                "Callers return at once after a refusal");
   CLI11_PARSE(App, Argc, Argv);
@@ -410,10 +415,13 @@
   unsigned Failed = 0;
   for (unsigned I = 0; I < Chosen.Seeds; ++I) {
     const auto Seed = Chosen.Seed + I;
-    const auto Broken = PlaysRollouts
-                            ? playRollouts({Chosen.Front, Chosen.Folder, Seed,
-                                            Chosen.Daemons, Chosen.Subnet})
-                            : Soak(Chosen, Seed).run();
+    const auto Broken =
+        PlaysChanges
+            ? playChanges({Chosen.Front, Chosen.Folder, Seed, Chosen.Daemons,
+                           Chosen.Seconds, Chosen.Subnet})
+        : PlaysRollouts ? playRollouts({Chosen.Front, Chosen.Folder, Seed,
+                                        Chosen.Daemons, Chosen.Subnet})
+                        : Soak(Chosen, Seed).run();
     for (const auto &What : Broken)
       fmt::print("seed {}: broken: {}\n", Seed, What);
     Failed += Broken.empty() ? 0 : 1;
