--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -84,7 +84,7 @@
 ChangeFleet::~ChangeFleet() = default;
 
 void ChangeFleet::start() {
-  m_Store.write("servers/a", "1");
+  m_Store.write("target", "1");
   writeVersion();
   for (auto &Each : m_Daemons)
     m_Time.at(m_Time.now() + fromSeconds(0.3 * m_Random.uniform()),
