--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -100,6 +100,9 @@
   void onPage(Expected<KeyPage> Page);
   void finishListing();
   void watch();
+  /// Wait of the watch that starts now. The next confirmation comes at its end,
+  /// so it is shorter the older the knowledge is, as after a change that ended
+  /// the watch before late in its wait.
   Duration nextWait(TimePoint Now) const;
   /// \p Start, \p Wait: of the watch.
   void onChanges(Expected<KeyChanges> Answer, TimePoint Start, Duration Wait);
@@ -117,7 +120,7 @@
   /// Sends the changes since the last message to the other daemons if this
   /// daemon is the relay.
   void publish();
-  /// Changes were learned from another daemon.
+  /// Another daemon has told that all changes up to \p ConfirmedAt are known.
   void onTold(TimePoint ConfirmedAt);
   /// Waits until the next watch is due. While the relay is fresh none is.
   void awaitNextWatch();
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -16,10 +16,6 @@
 /// Rest of that time after the wait of a watch: for the time-out of its call
 /// and a new listing.
 constexpr Duration SilenceAllowance = 1300ms;
-/// Time for which a relayed message may be on its way; part of the age that it
-/// states. Otherwise two daemons that tell each other the same confirmation
-/// would make it younger each time.
-constexpr Duration RelayTransitTime = 50ms;
 /// Part of that time for which a watch waits at most, so that the daemon's
 /// knowledge does not reach the age at which it asks other daemons.
 constexpr double MaxWatchWaitShare = 0.6;
@@ -49,6 +45,10 @@
 /// Time after an outage within which processes write the keys again whose
 /// leases expired during the outage.
 constexpr Duration LeaseRecoveryTime = 2s;
+/// Time for which a relayed message may be on its way; part of the age that it
+/// states. Otherwise two daemons that tell each other the same confirmation
+/// would make it younger each time.
+constexpr Duration RelayTransitTime = 50ms;
 
 Duration share(Duration Whole, double Part) {
   return fromSeconds(toSeconds(Whole) * Part);
@@ -164,9 +164,6 @@
   awaitNextWatch();
 }
 
-// The next confirmation comes at the end of the wait. The wait is shorter the
-// older the knowledge already is, as after a change that ended the watch before
-// late in its wait.
 Duration KeyFollower::nextWait(TimePoint Now) const {
   const auto Age = Now - m_ConfirmedAt;
   const bool IsRelay = m_Relay.isRelaying();
@@ -245,7 +242,7 @@
 }
 
 Duration KeyFollower::relayTimeout() const {
-  return fromSeconds(RelayTimeoutShare * toSeconds(m_ChangeDeadline));
+  return share(m_ChangeDeadline, RelayTimeoutShare);
 }
 
 void KeyFollower::publish() {
--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -305,8 +305,10 @@
 }
 
 bool ChangeFleet::Daemon::onKeyUpdated(const KeyChange &Change) {
-  if (Change.Key != ConfigurationKey)
+  if (Change.Key != ConfigurationKey) {
+    Values[Change.Key] = Change.Value;
     return !Change.Value.starts_with("heartbeat");
+  }
   const int New = std::stoi(Change.Value);
   if (New < Version)
     m_Fleet.m_HasRegressed = true;
@@ -315,6 +317,10 @@
   return true;
 }
 
+void ChangeFleet::Daemon::onKeyRemoved(const KeyChange &Change, bool) {
+  Values[Change.Key] = "removed";
+}
+
 void ChangeFleet::Daemon::onConfirmed(TimePoint Time) {
   ConfirmedAt = std::max(ConfirmedAt, Time);
   const auto &WrittenAt = m_Fleet.m_WrittenAt;
--- a/packages/gateway/test/changefleet.h
+++ b/packages/gateway/test/changefleet.h
@@ -150,6 +150,8 @@
   const std::size_t Domain;
   int Version = 0;
   std::map<int, TimePoint> TakenAt; ///< First time with that version or later.
+  /// Last change of each other key; "removed": the key is gone.
+  std::map<std::string, std::string> Values;
   std::string Id;
   KeyFollower &follower() { return *m_Follower; }
 
@@ -171,7 +173,7 @@
              PeerChangeReader::Callback<RelayedChanges> Done) override;
   // KeyObserver.
   bool onKeyUpdated(const KeyChange &Change) override;
-  void onKeyRemoved(const KeyChange &, bool) override {}
+  void onKeyRemoved(const KeyChange &Change, bool AfterOutage) override;
   void onListed() override {}
   void onConfirmed(TimePoint Time) override;
   // ChangeRelay.
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(change_someMessagesLost_reachesAllInTime);
   CPPUNIT_TEST(change_storeConnectionsSilent_reachesAllInTime);
   CPPUNIT_TEST(change_historyDropped_reachesAllInTime);
+  CPPUNIT_TEST(targetLeaves_storeRejectsWholeDomain_isKnownInTime);
   CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
   CPPUNIT_TEST(storeDown_anySize_queriesAreBounded);
   CPPUNIT_TEST(budget_eachSingleFailure_sumsToDeadline);
@@ -99,6 +100,32 @@
     checkEach([](ChangeFleet &Fleet) { Fleet.store().dropHistory(); });
   }
 
+  // Marks of targets that leave, and removals, come by the same way as the
+  // configuration.
+  void targetLeaves_storeRejectsWholeDomain_isKnownInTime() {
+    for (const auto Deadline : Deadlines)
+      for (const auto Size : Sizes) {
+        ChangeFleetSettings Settings;
+        Settings.Daemons = Size;
+        Settings.Domains = std::min<std::size_t>(Size, 3);
+        Settings.ChangeDeadline = Deadline;
+        ChangeFleet Fleet(Settings);
+        Fleet.store().write("gone", "ready");
+        Fleet.start();
+        for (const auto Index : Fleet.membersOf(0))
+          Fleet[Index].Access = StoreAccess::Rejects;
+        Fleet.runFor(700ms);
+        Fleet.store().write("target", "draining");
+        Fleet.store().remove("gone");
+        Fleet.runFor(Deadline);
+        for (std::size_t I = 0; I < Size; ++I) {
+          CPPUNIT_ASSERT_EQUAL(std::string("draining"),
+                               Fleet[I].Values["target"]);
+          CPPUNIT_ASSERT_EQUAL(std::string("removed"), Fleet[I].Values["gone"]);
+        }
+      }
+  }
+
   /// Calls to the store a daemon, with a change every 5 s.
   void calm_anySize_asksNoPeersAndCallsDoNotGrow() {
     double Least = 1e9;
