--- a/packages/gateway/test/directoryview_test.cpp
+++ b/packages/gateway/test/directoryview_test.cpp
@@ -16,45 +16,45 @@
   void view_confirmedTwice_keepsLaterWithItsOrigin() {
     DirectoryView View;
     View.setOrigin({ChangeSource::Relay, "vm-2", 7});
-    View.confirm(Start + 2s);
+    View.confirm(m_Start + 2s);
     View.setOrigin({ChangeSource::Listing, {}});
-    View.confirm(Start + 1s);
-    CPPUNIT_ASSERT(View.confirmedAt() == Start + 2s);
+    View.confirm(m_Start + 1s);
+    CPPUNIT_ASSERT(View.confirmedAt() == m_Start + 2s);
     CPPUNIT_ASSERT_EQUAL(std::string("relay vm-2"),
                          toString(View.confirmedBy()));
-    CPPUNIT_ASSERT(View.isConfirmedWithin(1s, Start + 3s));
-    CPPUNIT_ASSERT(!View.isConfirmedWithin(1s, Start + 3001ms));
+    CPPUNIT_ASSERT(View.isConfirmedWithin(1s, m_Start + 3s));
+    CPPUNIT_ASSERT(!View.isConfirmedWithin(1s, m_Start + 3001ms));
   }
 
   void view_confirmationOfBeforeSuspension_isIgnored() {
     DirectoryView View;
     View.setOrigin({ChangeSource::Watch, {}});
-    View.confirm(Start + 1s);
-    View.invalidate(Start + 5s);
-    View.confirm(Start + 4s);
-    CPPUNIT_ASSERT(!View.isConfirmedWithin(10s, Start + 5s));
-    View.confirm(Start + 6s);
-    CPPUNIT_ASSERT(View.isConfirmedWithin(1s, Start + 6s));
+    View.confirm(m_Start + 1s);
+    View.invalidate(m_Start + 5s);
+    View.confirm(m_Start + 4s);
+    CPPUNIT_ASSERT(!View.isConfirmedWithin(10s, m_Start + 5s));
+    View.confirm(m_Start + 6s);
+    CPPUNIT_ASSERT(View.isConfirmedWithin(1s, m_Start + 6s));
   }
 
   void view_neverConfirmed_isNotFresh() {
-    CPPUNIT_ASSERT(!DirectoryView().isConfirmedWithin(3600s, Start));
+    CPPUNIT_ASSERT(!DirectoryView().isConfirmedWithin(3600s, m_Start));
     CPPUNIT_ASSERT_EQUAL(std::string("none"),
                          toString(DirectoryView().confirmedBy()));
   }
 
   void view_suspendedBeforeFirstConfirmation_isOutdated() {
     DirectoryView View;
-    CPPUNIT_ASSERT(!View.isOutdated(1s, Start));
-    View.invalidate(Start);
-    CPPUNIT_ASSERT(View.isOutdated(1s, Start));
-    View.confirm(Start + 1s);
-    CPPUNIT_ASSERT(!View.isOutdated(1s, Start + 2s));
-    CPPUNIT_ASSERT(View.isOutdated(1s, Start + 3s));
+    CPPUNIT_ASSERT(!View.isOutdated(1s, m_Start));
+    View.invalidate(m_Start);
+    CPPUNIT_ASSERT(View.isOutdated(1s, m_Start));
+    View.confirm(m_Start + 1s);
+    CPPUNIT_ASSERT(!View.isOutdated(1s, m_Start + 2s));
+    CPPUNIT_ASSERT(View.isOutdated(1s, m_Start + 3s));
   }
 
 private:
-  const TimePoint Start{3600s};
+  const TimePoint m_Start{3600s};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryViewTest);
