--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -146,6 +146,6 @@
                Answers, Ran.size(), Broken);
   Machine.kill();
   if (!Trouble && Ran.size() != Sent.size())
-    std::_Exit(2);
-  std::_Exit(Broken ? 1 : 0);
+    finish(Dir, 2);
+  finish(Dir, Broken ? 1 : 0);
 }
--- a/review/stand-2.hh
+++ b/review/stand-2.hh
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -24,6 +25,7 @@
 #include <set>
 #include <signal.h>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -694,6 +696,7 @@
     const std::string Path = Program ? Program : "target/bin/mangodeck-front";
     m_Pid = ::fork();
     if (m_Pid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // It must not outlive the case.
       const int Log =
           ::open(m_Log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
       ::dup2(Log, 1);
@@ -766,6 +769,13 @@
   return Made ? Made : "";
 }
 
+/// Ends the case. Its threads are still running.
+[[noreturn]] inline void finish(const std::string &Dir, int Code) {
+  std::error_code Ignored;
+  std::filesystem::remove_all(Dir, Ignored);
+  std::_Exit(Code);
+}
+
 inline bool trouble() {
   const char *Text = std::getenv("TROUBLE");
   return !Text || std::string(Text) != "0";
