http: one strict reading of the heads, chunks and trailers of requests

Cause: only heads were checked before http_parser, which Debian builds without its strict mode. In chunks it takes any byte after CR for LF, any two bytes for the CRLF behind the data, and skips an extension to the next CR; trailers take LF alone and blanks in names. Change: takeLine() reads a line strictly, FieldSection heads and trailers, BodyReader bodies; RequestParser uses them in place of http_parser. A length over the limit is rejected with its head. Requests with an Upgrade field, which a server may ignore, are read; transfer codings in HTTP/1.0, hosts with other characters, and targets with a fragment or in an unknown form are rejected.

--- a/packages/http/include/mangodeck/http/parser.h
+++ b/packages/http/include/mangodeck/http/parser.h
@@ -1,45 +1,23 @@
 #ifndef MANGODECK_HTTP_PARSER_H
 #define MANGODECK_HTTP_PARSER_H
 
+#include "mangodeck/http/bodyreader.h"
 #include "mangodeck/http/message.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <string>
 #include <string_view>
 
 namespace mangodeck::http {
 
-/// Why a message was rejected.
-enum class ParseFault : std::uint8_t {
-  None,
-  Malformed,    ///< Not valid HTTP/1.x, or the length is ambiguous.
-  HeadTooLarge, ///< The head exceeds the limit in bytes.
-  BodyTooLarge, ///< The body exceeds the limit in bytes.
-};
-
-/// Receives the parts of a message from a parser.
-class MessageSink {
-public:
-  virtual ~MessageSink() = default;
-  /// The head is complete; the parser's head() returns it.
-  virtual void onHead() = 0;
-  virtual void onBody(std::string_view Bytes) = 0;
-};
-
-/// Checks a request's head against RFC 9112 where http_parser is lenient: bare
-/// CR or LF, folded fields, whitespace before a colon, field names that are not
-/// tokens, several lengths. The next hop may split the bytes after such a head
-/// into different requests (request smuggling).
-bool isStrictHead(std::string_view Head);
-
-/// Parses HTTP/1.1 requests from a stream of bytes, one at a time.
+/// Parses HTTP/1.1 requests from a stream of bytes, one at a time. A message
+/// that another reader could take for a different one is rejected: the bytes
+/// behind it could be taken for another request (docs/HTTP.md).
 class RequestParser {
 public:
   RequestParser(MessageSink &Sink, std::size_t MaxHeadBytes,
                 std::size_t MaxBodyBytes);
-  ~RequestParser();
 
   /// Parses bytes up to the end of the current request. Returns how many were
   /// consumed; the rest belongs to the next request.
@@ -47,35 +25,30 @@
   /// Prepares the parser for the next request.
   void reset();
 
-  bool isComplete() const { return m_Complete; }
-  bool hasStarted() const { return m_Started; }
+  bool isComplete() const { return m_HasHead && m_Body.isComplete(); }
+  bool hasStarted() const { return m_Section.hasStarted(); }
   bool hasHead() const { return m_HasHead; }
   ParseFault fault() const { return m_Fault; }
   RequestHead &head() { return m_Head; }
   /// The bytes of the head received so far.
-  std::string_view headBytes() const { return m_HeadBytes; }
+  std::string_view headBytes() const { return m_Section.bytes(); }
   /// Memory that the head takes. The strings of a field take many times the
   /// bytes of a short one.
   std::size_t heldBytes() const {
-    return m_HeadBytes.capacity() + (m_HasHead ? m_HeadBytes.size() : 0) +
+    return m_Section.capacity() + (m_HasHead ? m_Section.bytes().size() : 0) +
            m_Head.Fields.fields().capacity() * sizeof(HeaderField);
   }
 
 private:
-  struct Impl;
-  std::size_t collectHead(std::string_view Bytes);
-  std::size_t execute(std::string_view Bytes);
+  void onSection();
 
   MessageSink &m_Sink;
   std::size_t m_MaxHeadBytes;
   std::size_t m_MaxBodyBytes;
-  std::unique_ptr<Impl> m_Impl;
-  std::string m_HeadBytes;
+  FieldSection m_Section{FieldSection::Kind::RequestHead};
   RequestHead m_Head;
-  std::size_t m_BodyBytes = 0;
-  bool m_Started = false;
+  BodyReader m_Body;
   bool m_HasHead = false;
-  bool m_Complete = false;
   ParseFault m_Fault = ParseFault::None;
 };
 
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -1,6 +1,8 @@
 #include "mangodeck/http/parser.h"
 
-#include <algorithm>
+#include "mangodeck/http/syntax.h"
+
+#include <charconv>
 #include <http_parser.h>
 
 namespace mangodeck::http {
@@ -10,50 +12,54 @@
 /// Largest size of the heads of an answer, the interim ones included.
 constexpr std::size_t MaxAnswerHeadBytes = 64 << 10;
 
-/// Memory for the next head that a parser keeps.
-constexpr std::size_t MaxKeptHeadBytes = 2 << 10;
-
-bool isTokenChar(unsigned char C) {
-  static constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
-  return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
-         (C >= 'A' && C <= 'Z') ||
-         Punctuation.find(char(C)) != Punctuation.npos;
-}
-
-bool isToken(std::string_view Text) {
-  return !Text.empty() && std::all_of(Text.begin(), Text.end(), [](char C) {
-    return isTokenChar(static_cast<unsigned char>(C));
-  });
-}
+/// What the head of a message states about its body.
+struct StatedFraming {
+  BodyFraming Body;
+  bool HasLength = false;
+};
 
-bool isStrictRequestLine(std::string_view Line) {
-  const auto FirstSpace = Line.find(' ');
-  const auto LastSpace = Line.rfind(' ');
-  if (FirstSpace == Line.npos || FirstSpace == LastSpace)
-    return false;
-  const auto Target = Line.substr(FirstSpace + 1, LastSpace - FirstSpace - 1);
-  return isToken(Line.substr(0, FirstSpace)) && !Target.empty() &&
-         std::all_of(Target.begin(), Target.end(),
-                     [](char C) { return C > 0x20 && C < 0x7f; }) &&
-         (Line.substr(LastSpace + 1) == "HTTP/1.1" ||
-          Line.substr(LastSpace + 1) == "HTTP/1.0");
+bool isHttp11(std::string_view StartLine, std::size_t VersionAt) {
+  return StartLine.substr(VersionAt, 8) == "HTTP/1.1";
 }
 
-bool isStrictField(std::string_view Line) {
-  const auto Colon = Line.find(':');
-  if (Colon == Line.npos || !isToken(Line.substr(0, Colon)))
+/// Reads the fields that delimit the body (RFC 9112, 6); false if readers could
+/// disagree on its end. Codings other than chunked are not supported.
+bool readFraming(const HeaderList &Fields, bool IsHttp11,
+                 StatedFraming &Result) {
+  const auto Lengths = Fields.count("content-length");
+  const auto Codings = Fields.count("transfer-encoding");
+  if (Lengths + Codings > 1)
     return false;
-  const auto Value = Line.substr(Colon + 1);
-  return std::all_of(Value.begin(), Value.end(), [](char C) {
-    const auto Byte = static_cast<unsigned char>(C);
-    return Byte == '\t' || (Byte >= 0x20 && Byte != 0x7f);
-  });
+  if (Codings > 0) {
+    // An HTTP/1.0 recipient on the way has not removed the chunks.
+    Result.Body.End = BodyEnd::Chunks;
+    return IsHttp11 &&
+           equalsIgnoreCase(Fields.get("transfer-encoding"), "chunked");
+  }
+  if (Lengths == 0)
+    return true;
+  const auto Text = Fields.get("content-length");
+  const auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(),
+                                      Result.Body.Length);
+  Result.Body.End = BodyEnd::Length;
+  Result.HasLength = true;
+  return isDigits(Text) && Parsed.ec == std::errc();
 }
 
-bool isDigits(std::string_view Text) {
-  return !Text.empty() && Text.size() < 18 &&
-         std::all_of(Text.begin(), Text.end(),
-                     [](char C) { return C >= '0' && C <= '9'; });
+/// Whether the connection stays open behind a message (RFC 9112, 9.3).
+bool staysOpen(const HeaderList &Fields, bool IsHttp11) {
+  bool KeepAlive = IsHttp11;
+  for (const auto &Field : Fields.fields()) {
+    if (!equalsIgnoreCase(Field.Name, "connection"))
+      continue;
+    for (std::string_view Rest = Field.Value; !Rest.empty();) {
+      const auto Option = takeListElement(Rest);
+      if (equalsIgnoreCase(Option, "close"))
+        return false;
+      KeepAlive |= equalsIgnoreCase(Option, "keep-alive");
+    }
+  }
+  return KeepAlive;
 }
 
 /// Assembles header fields from the pieces of names and values that
@@ -107,190 +113,61 @@
 
 } // namespace
 
-bool isStrictHead(std::string_view Head) {
-  bool IsRequestLine = true;
-  std::size_t LengthFields = 0;
-  std::size_t CodingFields = 0;
-  std::size_t HostFields = 0;
-  while (!Head.empty()) {
-    // Step 1. Take a line; it ends with CRLF and holds no other CR or LF.
-    const auto End = Head.find("\r\n");
-    if (End == Head.npos)
-      return false;
-    const auto Line = Head.substr(0, End);
-    Head.remove_prefix(End + 2);
-    if (Line.find_first_of("\r\n") != Line.npos)
-      return false;
-    if (Line.empty())
-      return Head.empty() && HostFields == 1 &&
-             LengthFields + CodingFields <= 1;
-
-    // Step 2. Check the syntax of the request line or field.
-    if (IsRequestLine ? !isStrictRequestLine(Line) : !isStrictField(Line))
-      return false;
-    if (IsRequestLine) {
-      IsRequestLine = false;
-      continue;
-    }
-
-    // Step 3. Check the fields that delimit the body, and count these and Host.
-    const auto Colon = Line.find(':');
-    const auto Name = Line.substr(0, Colon);
-    auto Value = Line.substr(Colon + 1);
-    while (!Value.empty() && (Value.front() == ' ' || Value.front() == '\t'))
-      Value.remove_prefix(1);
-    while (!Value.empty() && (Value.back() == ' ' || Value.back() == '\t'))
-      Value.remove_suffix(1);
-    if (equalsIgnoreCase(Name, "content-length")) {
-      ++LengthFields;
-      if (!isDigits(Value))
-        return false;
-    } else if (equalsIgnoreCase(Name, "transfer-encoding")) {
-      ++CodingFields;
-      if (!equalsIgnoreCase(Value, "chunked"))
-        return false;
-    } else if (equalsIgnoreCase(Name, "host")) {
-      ++HostFields;
-    }
-  }
-  return false;
-}
-
-struct RequestParser::Impl {
-  explicit Impl(RequestParser &Owner)
-      : Owner(Owner), Fields(Owner.m_Head.Fields) {
-    http_parser_settings_init(&Settings);
-    Settings.on_url = [](http_parser *P, const char *At, std::size_t Size) {
-      self(P).Owner.m_Head.Target.append(At, Size);
-      return 0;
-    };
-    collectFields<Impl>(Settings);
-    Settings.on_headers_complete = [](http_parser *P) {
-      auto &Self = self(P);
-      Self.Fields.flush();
-      auto &Head = Self.Owner.m_Head;
-      Head.Method = http_method_str(static_cast<http_method>(P->method));
-      Head.KeepAlive = http_should_keep_alive(P) != 0;
-      Head.ExpectsContinue =
-          equalsIgnoreCase(Head.Fields.get("expect"), "100-continue");
-      Self.Owner.m_HasHead = true;
-      Self.Owner.m_Sink.onHead();
-      return 0;
-    };
-    Settings.on_body = [](http_parser *P, const char *At, std::size_t Size) {
-      auto &Owner = self(P).Owner;
-      Owner.m_BodyBytes += Size;
-      if (Owner.m_BodyBytes > Owner.m_MaxBodyBytes) {
-        Owner.m_Fault = ParseFault::BodyTooLarge;
-        return 1;
-      }
-      Owner.m_Sink.onBody({At, Size});
-      return 0;
-    };
-    Settings.on_message_complete = [](http_parser *P) {
-      self(P).Owner.m_Complete = true;
-      http_parser_pause(P, 1);
-      return 0;
-    };
-  }
-
-  static Impl &self(http_parser *P) { return *static_cast<Impl *>(P->data); }
-  bool hasHead() const { return Owner.m_HasHead; }
-
-  RequestParser &Owner;
-  FieldCollector Fields;
-  http_parser Parser{};
-  http_parser_settings Settings{};
-};
-
 RequestParser::RequestParser(MessageSink &Sink, std::size_t MaxHeadBytes,
                              std::size_t MaxBodyBytes)
-    : m_Sink(Sink), m_MaxHeadBytes(MaxHeadBytes), m_MaxBodyBytes(MaxBodyBytes),
-      m_Impl(std::make_unique<Impl>(*this)) {
+    : m_Sink(Sink), m_MaxHeadBytes(MaxHeadBytes), m_MaxBodyBytes(MaxBodyBytes) {
   reset();
 }
 
-RequestParser::~RequestParser() = default;
-
 void RequestParser::reset() {
-  http_parser_init(&m_Impl->Parser, HTTP_REQUEST);
-  m_Impl->Parser.data = m_Impl.get();
-  m_HeadBytes.clear();
-  // An idle connection keeps no memory of a long head.
-  if (m_HeadBytes.capacity() > MaxKeptHeadBytes)
-    m_HeadBytes = std::string();
+  m_Section.reset(m_MaxHeadBytes);
   m_Head = RequestHead();
-  m_BodyBytes = 0;
-  m_Started = m_HasHead = m_Complete = false;
+  m_HasHead = false;
   m_Fault = ParseFault::None;
 }
 
 std::size_t RequestParser::feed(std::string_view Bytes) {
   std::size_t Used = 0;
-  if (!m_HasHead)
-    Used = collectHead(Bytes);
-  // http_parser treats empty input as the end of the connection.
-  if (m_HasHead && !m_Complete && m_Fault == ParseFault::None &&
-      Used < Bytes.size())
-    Used += execute(Bytes.substr(Used));
-  return Used;
-}
-
-std::size_t RequestParser::collectHead(std::string_view Bytes) {
-  std::size_t Skipped = 0;
-  // A server should ignore empty lines before the request line (RFC 9112, 2.2).
-  if (!m_Started)
-    while (Skipped + 1 < Bytes.size() && Bytes[Skipped] == '\r' &&
-           Bytes[Skipped + 1] == '\n')
-      Skipped += 2;
-  Bytes.remove_prefix(Skipped);
-  if (Bytes.empty())
-    return Skipped;
-  m_Started = true;
-  const auto PreviousSize = m_HeadBytes.size();
-  // Step 1. Take the bytes of the head, and one more than it may have.
-  const auto Last = PreviousSize == 0 ? Bytes.find("\r\n\r\n") : Bytes.npos;
-  m_HeadBytes.append(Bytes.substr(
-      0,
-      std::min(Last == Bytes.npos ? Bytes.size() : Last + 4,
-               m_MaxHeadBytes + 1 - std::min(PreviousSize, m_MaxHeadBytes))));
-  const auto End =
-      m_HeadBytes.find("\r\n\r\n", PreviousSize < 3 ? 0 : PreviousSize - 3);
-  const auto Size = End == m_HeadBytes.npos ? m_HeadBytes.size() : End + 4;
-
-  // Step 2. Wait for the rest, unless no rest can make the head valid.
-  if (Size > m_MaxHeadBytes) {
-    m_Fault = ParseFault::HeadTooLarge;
-    return Skipped + Bytes.size();
+  if (!m_HasHead && m_Fault == ParseFault::None) {
+    Used = m_Section.feed(Bytes);
+    m_Fault = m_Section.fault();
+    if (m_Section.isComplete())
+      onSection();
   }
-  if (End == m_HeadBytes.npos) {
-    // No further bytes can make a bare LF valid: reject it without waiting for
-    // the end of the head.
-    const auto LineFeed = m_HeadBytes.find('\n', PreviousSize);
-    if (LineFeed != m_HeadBytes.npos &&
-        (LineFeed == 0 || m_HeadBytes[LineFeed - 1] != '\r'))
-      m_Fault = ParseFault::Malformed;
-    return Skipped + Bytes.size();
+  if (m_HasHead && m_Fault == ParseFault::None) {
+    Used += m_Body.feed(Bytes.substr(Used), m_Sink);
+    m_Fault = m_Body.fault();
   }
-
-  // Step 3. Read the head.
-  m_HeadBytes.resize(Size);
-  if (!isStrictHead(m_HeadBytes))
-    m_Fault = ParseFault::Malformed;
-  else
-    execute(m_HeadBytes);
-  return Skipped + (Size - PreviousSize);
+  return Used;
 }
 
-std::size_t RequestParser::execute(std::string_view Bytes) {
-  const auto Used = http_parser_execute(&m_Impl->Parser, &m_Impl->Settings,
-                                        Bytes.data(), Bytes.size());
-  const auto Error = HTTP_PARSER_ERRNO(&m_Impl->Parser);
-  if (Error != HPE_OK && Error != HPE_PAUSED && m_Fault == ParseFault::None)
-    m_Fault = ParseFault::Malformed;
-  if (m_Impl->Parser.upgrade && m_Fault == ParseFault::None)
+void RequestParser::onSection() {
+  // Step 1. Take the request line and the fields.
+  const auto Line = m_Section.startLine();
+  const auto FirstSpace = Line.find(' ');
+  const auto LastSpace = Line.rfind(' ');
+  const bool IsHttp11 = isHttp11(Line, LastSpace + 1);
+  m_Head.Method = Line.substr(0, FirstSpace);
+  m_Head.Target = Line.substr(FirstSpace + 1, LastSpace - FirstSpace - 1);
+  m_Section.copyFields(m_Head.Fields);
+  const auto &Fields = m_Head.Fields;
+  m_Head.KeepAlive = staysOpen(Fields, IsHttp11);
+  m_Head.ExpectsContinue =
+      equalsIgnoreCase(Fields.get("expect"), "100-continue");
+
+  // Step 2. Check what tells the host and the body.
+  StatedFraming Framing;
+  if (Fields.count("host") != 1 || !isHost(Fields.get("host")) ||
+      !readFraming(Fields, IsHttp11, Framing)) {
     m_Fault = ParseFault::Malformed;
-  return Used;
+    return;
+  }
+  m_Body.reset(Framing.Body, m_MaxBodyBytes, m_MaxHeadBytes);
+  m_Fault = m_Body.fault();
+  if (m_Fault != ParseFault::None)
+    return;
+  m_HasHead = true;
+  m_Sink.onHead();
 }
 
 struct ResponseParser::Impl {
