http, gateway: answers are read as strictly as requests

What callers saw: an answer with the status 000, or with a blank or a control byte in the name of a field, was passed on, the line with it; "Content-Length : 4" cut an answer to half, framed as whole. Change: ResponseParser is built on FieldSection and BodyReader. A status is 100 to 599; 204 and interim answers that announce a body are rejected, and so is a change of protocol; a 304 ends with its head whatever length it states.

--- a/packages/common/include/mangodeck/common/error.h
+++ b/packages/common/include/mangodeck/common/error.h
@@ -21,6 +21,7 @@
   StaleStore,
   UnknownSchema,
   LeaseLost,
+  MalformedAnswer,
 };
 
 const std::error_category &mangodeckCategory();
--- a/packages/common/src/error.cpp
+++ b/packages/common/src/error.cpp
@@ -36,6 +36,8 @@
       return "unknown schema";
     case Errc::LeaseLost:
       return "lease lost";
+    case Errc::MalformedAnswer:
+      return "malformed answer";
     }
     return "unknown error";
   }
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -265,7 +265,11 @@
   const auto Now = std::chrono::steady_clock::now();
   recordTargetFailure(Now);
   const auto BrokenTarget = m_Target;
-  logEvent("send_failed", Failure.Error.message());
+  const auto Reason =
+      Failure.isMalformed()
+          ? fmt::format("{}: {}", Failure.Error.message(), Failure.Malformed)
+          : Failure.Error.message();
+  logEvent("send_failed", Reason);
   if (Failure.NothingSent) {
     --m_SendCount;
     --m_PossibleRuns;
@@ -274,9 +278,8 @@
                              "connection closed before the request");
   }
   releaseTarget(false);
-  const auto Reason = Failure.Error.message();
-  if (Failure.Malformed || !m_Context.Control.onIncompleteAnswer(
-                               shared_from_this(), BrokenTarget, Reason))
+  if (Failure.isMalformed() || !m_Context.Control.onIncompleteAnswer(
+                                   shared_from_this(), BrokenTarget, Reason))
     handleSendFailure(SendFailure::MayHaveRun, Reason);
 }
 
--- a/packages/http/include/mangodeck/http/parser.h
+++ b/packages/http/include/mangodeck/http/parser.h
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 #include <string_view>
 
 namespace mangodeck::http {
@@ -52,11 +51,11 @@
   ParseFault m_Fault = ParseFault::None;
 };
 
-/// Parses the answer to one request; interim answers (1xx) are skipped.
+/// Parses the answer to one request; interim answers (1xx) are skipped. It is
+/// as strict as RequestParser.
 class ResponseParser {
 public:
   explicit ResponseParser(MessageSink &Sink);
-  ~ResponseParser();
 
   /// Parses bytes up to the end of the answer; returns how many were consumed.
   std::size_t feed(std::string_view Bytes);
@@ -67,23 +66,28 @@
   /// a HEAD request and has no body.
   void reset(bool IsHeadRequest);
 
-  bool isComplete() const { return m_Complete; }
+  bool isComplete() const { return m_HasHead && m_Body.isComplete(); }
   bool hasStarted() const { return m_Started; }
   bool hasHead() const { return m_HasHead; }
   bool isMalformed() const { return m_Malformed; }
+  /// The rule that a malformed answer breaks, for a log.
+  std::string_view faultText() const { return m_FaultText; }
   ResponseHead &head() { return m_Head; }
 
 private:
-  struct Impl;
+  void onSection();
+  void fail(std::string_view Text);
+
   MessageSink &m_Sink;
-  std::unique_ptr<Impl> m_Impl;
+  FieldSection m_Section{FieldSection::Kind::AnswerHead};
   ResponseHead m_Head;
-  std::size_t m_HeadBytes = 0; ///< Received before the end of the head.
+  BodyReader m_Body;
+  std::size_t m_InterimBytes = 0; ///< Of the interim answers.
   bool m_IsHeadRequest = false;
   bool m_Started = false;
   bool m_HasHead = false;
-  bool m_Complete = false;
   bool m_Malformed = false;
+  std::string_view m_FaultText;
 };
 
 } // namespace mangodeck::http
--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -21,8 +21,10 @@
   /// No byte of the request was written to the socket, so the server cannot
   /// have received any of it.
   bool NothingSent = false;
-  /// The bytes received are not a valid HTTP answer.
-  bool Malformed = false;
+  /// The rule that the bytes received break, if they are no valid HTTP answer;
+  /// else empty.
+  std::string_view Malformed;
+  bool isMalformed() const { return !Malformed.empty(); }
 };
 
 /// Receives the answer to one request.
@@ -101,7 +103,7 @@
   /// The server has ended its side of the connection. That completes an answer
   /// without length, unless the request could not be written.
   void endStream();
-  void fail(std::error_code Error, bool Malformed);
+  void fail(std::error_code Error, std::string_view Malformed = {});
   void complete(bool HasSurplusBytes);
   void closeSocket();
   void setOptions();
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -3,7 +3,7 @@
 #include "mangodeck/http/syntax.h"
 
 #include <charconv>
-#include <http_parser.h>
+#include <limits>
 
 namespace mangodeck::http {
 
@@ -11,6 +11,10 @@
 
 /// Largest size of the heads of an answer, the interim ones included.
 constexpr std::size_t MaxAnswerHeadBytes = 64 << 10;
+constexpr std::size_t MaxAnswerTrailerBytes = 64 << 10;
+/// Readers with signed lengths take a longer body for another one.
+constexpr std::uint64_t MaxAnswerBodyBytes =
+    std::numeric_limits<std::int64_t>::max();
 
 /// What the head of a message states about its body.
 struct StatedFraming {
@@ -62,55 +66,6 @@
   return KeepAlive;
 }
 
-/// Assembles header fields from the pieces of names and values that
-/// http_parser passes.
-class FieldCollector {
-public:
-  explicit FieldCollector(HeaderList &Fields) : m_Fields(Fields) {}
-
-  void appendName(std::string_view Bytes) {
-    if (m_InValue)
-      flush();
-    m_Name.append(Bytes);
-  }
-  void appendValue(std::string_view Bytes) {
-    m_InValue = true;
-    m_Value.append(Bytes);
-  }
-  void flush() {
-    if (!m_Name.empty())
-      m_Fields.add(m_Name, m_Value);
-    m_Name.clear();
-    m_Value.clear();
-    m_InValue = false;
-  }
-
-private:
-  HeaderList &m_Fields;
-  std::string m_Name;
-  std::string m_Value;
-  bool m_InValue = false;
-};
-
-/// Sets the callbacks that collect the fields of a head; those of a trailer are
-/// dropped. \p Impl is the type of the object that http_parser::data points to.
-template <typename Impl> void collectFields(http_parser_settings &Settings) {
-  Settings.on_header_field = [](http_parser *P, const char *At,
-                                std::size_t Size) {
-    auto &Self = Impl::self(P);
-    if (!Self.hasHead())
-      Self.Fields.appendName({At, Size});
-    return 0;
-  };
-  Settings.on_header_value = [](http_parser *P, const char *At,
-                                std::size_t Size) {
-    auto &Self = Impl::self(P);
-    if (!Self.hasHead())
-      Self.Fields.appendValue({At, Size});
-    return 0;
-  };
-}
-
 } // namespace
 
 RequestParser::RequestParser(MessageSink &Sink, std::size_t MaxHeadBytes,
@@ -170,98 +125,86 @@
   m_Sink.onHead();
 }
 
-struct ResponseParser::Impl {
-  explicit Impl(ResponseParser &Owner)
-      : Owner(Owner), Fields(Owner.m_Head.Fields) {
-    http_parser_settings_init(&Settings);
-    Settings.on_status = [](http_parser *P, const char *At, std::size_t Size) {
-      self(P).Owner.m_Head.Reason.append(At, Size);
-      return 0;
-    };
-    collectFields<Impl>(Settings);
-    Settings.on_headers_complete = [](http_parser *P) {
-      auto &Self = self(P);
-      auto &Head = Self.Owner.m_Head;
-      Self.Fields.flush();
-      if (P->status_code / 100 == 1) {
-        Self.Interim = true;
-        return 1;
-      }
-      Head.Status = static_cast<int>(P->status_code);
-      const bool HasNoBody = Self.Owner.m_IsHeadRequest || Head.Status == 204 ||
-                             Head.Status == 304;
-      Head.IsCloseDelimited = !HasNoBody &&
-                              !Head.Fields.find("content-length") &&
-                              (P->flags & F_CHUNKED) == 0;
-      Head.KeepAlive = !Head.IsCloseDelimited && http_should_keep_alive(P) != 0;
-      Self.Owner.m_HasHead = true;
-      Self.Owner.m_Sink.onHead();
-      return Self.Owner.m_IsHeadRequest ? 1 : 0;
-    };
-    Settings.on_body = [](http_parser *P, const char *At, std::size_t Size) {
-      self(P).Owner.m_Sink.onBody({At, Size});
-      return 0;
-    };
-    Settings.on_message_complete = [](http_parser *P) {
-      auto &Self = self(P);
-      if (Self.Interim) {
-        Self.Interim = false;
-        Self.Owner.m_Head = ResponseHead();
-        return 0;
-      }
-      Self.Owner.m_Complete = true;
-      http_parser_pause(P, 1);
-      return 0;
-    };
-  }
-
-  static Impl &self(http_parser *P) { return *static_cast<Impl *>(P->data); }
-  bool hasHead() const { return Owner.m_HasHead; }
-
-  ResponseParser &Owner;
-  FieldCollector Fields;
-  bool Interim = false;
-  http_parser Parser{};
-  http_parser_settings Settings{};
-};
-
-ResponseParser::ResponseParser(MessageSink &Sink)
-    : m_Sink(Sink), m_Impl(std::make_unique<Impl>(*this)) {
+ResponseParser::ResponseParser(MessageSink &Sink) : m_Sink(Sink) {
   reset(false);
 }
 
-ResponseParser::~ResponseParser() = default;
-
 void ResponseParser::reset(bool IsHeadRequest) {
-  http_parser_init(&m_Impl->Parser, HTTP_RESPONSE);
-  m_Impl->Parser.data = m_Impl.get();
-  m_Impl->Interim = false;
+  m_Section.reset(MaxAnswerHeadBytes);
   m_Head = ResponseHead();
+  m_InterimBytes = 0;
   m_IsHeadRequest = IsHeadRequest;
-  m_HeadBytes = 0;
-  m_Started = m_HasHead = m_Complete = m_Malformed = false;
+  m_Started = m_HasHead = m_Malformed = false;
+  m_FaultText = {};
 }
 
 std::size_t ResponseParser::feed(std::string_view Bytes) {
-  if (m_Complete || m_Malformed || Bytes.empty())
-    return 0;
-  m_Started = true;
-  const auto Used = http_parser_execute(&m_Impl->Parser, &m_Impl->Settings,
-                                        Bytes.data(), Bytes.size());
-  const auto Error = HTTP_PARSER_ERRNO(&m_Impl->Parser);
-  if (Error != HPE_OK && Error != HPE_PAUSED)
-    m_Malformed = true;
-  if (m_Impl->Parser.upgrade && !m_Complete)
-    m_Malformed = true;
-  if (!m_HasHead && (m_HeadBytes += Used) > MaxAnswerHeadBytes)
-    m_Malformed = true;
+  std::size_t Used = 0;
+  m_Started |= !Bytes.empty();
+  while (!m_HasHead && !m_Malformed && Used < Bytes.size()) {
+    Used += m_Section.feed(Bytes.substr(Used));
+    if (m_Section.fault() != ParseFault::None)
+      fail(m_Section.faultText());
+    else if (m_Section.isComplete())
+      onSection();
+  }
+  if (m_HasHead && !m_Malformed) {
+    Used += m_Body.feed(Bytes.substr(Used), m_Sink);
+    if (m_Body.fault() != ParseFault::None)
+      fail(m_Body.faultText());
+  }
   return Used;
 }
 
+void ResponseParser::onSection() {
+  // Step 1. Take the status line and the fields.
+  const auto Line = m_Section.startLine();
+  const bool IsHttp11 = isHttp11(Line, 0);
+  std::from_chars(Line.data() + 9, Line.data() + 12, m_Head.Status);
+  m_Head.Reason = Line.substr(13);
+  m_Section.copyFields(m_Head.Fields);
+
+  // Step 2. Find the end of the body.
+  StatedFraming Framing;
+  if (!readFraming(m_Head.Fields, IsHttp11, Framing))
+    return fail("ambiguous length");
+  auto &Body = Framing.Body;
+  const bool IsInterim = m_Head.Status / 100 == 1;
+  const bool HasNoContent = IsInterim || m_Head.Status == 204;
+  if (HasNoContent && (Body.End == BodyEnd::Chunks || Body.Length > 0))
+    return fail("body announced by a status without content");
+  if (m_Head.Status == 101)
+    return fail("change of protocol that was not requested");
+  if (HasNoContent || m_Head.Status == 304 || m_IsHeadRequest)
+    Body.End = BodyEnd::None;
+  else if (Body.End == BodyEnd::None)
+    Body.End = BodyEnd::Connection;
+
+  // Step 3. Skip an interim answer.
+  if (IsInterim) {
+    m_InterimBytes += m_Section.bytes().size();
+    m_Head = ResponseHead();
+    return m_Section.reset(MaxAnswerHeadBytes - m_InterimBytes);
+  }
+  m_Head.IsCloseDelimited = Body.End == BodyEnd::Connection;
+  m_Head.KeepAlive =
+      !m_Head.IsCloseDelimited && staysOpen(m_Head.Fields, IsHttp11);
+  m_Body.reset(Body, MaxAnswerBodyBytes, MaxAnswerTrailerBytes);
+  if (m_Body.fault() != ParseFault::None)
+    return fail(m_Body.faultText());
+  m_Section.reset(MaxAnswerHeadBytes);
+  m_HasHead = true;
+  m_Sink.onHead();
+}
+
 void ResponseParser::finish() {
-  if (m_Complete || m_Malformed || !m_HasHead)
-    return;
-  http_parser_execute(&m_Impl->Parser, &m_Impl->Settings, nullptr, 0);
+  if (m_HasHead && !m_Malformed)
+    m_Body.finish();
+}
+
+void ResponseParser::fail(std::string_view Text) {
+  m_Malformed = true;
+  m_FaultText = Text;
 }
 
 } // namespace mangodeck::http
--- a/packages/http/src/targetconnection.cpp
+++ b/packages/http/src/targetconnection.cpp
@@ -146,8 +146,7 @@
   if (m_Parser.isComplete())
     complete(false);
   else
-    fail(m_WriteError ? m_WriteError : make_error_code(asio::error::eof),
-         false);
+    fail(m_WriteError ? m_WriteError : make_error_code(asio::error::eof));
 }
 
 void TargetConnection::read() {
@@ -190,7 +189,7 @@
   if (Error == asio::error::eof)
     endStream();
   else if (Error && Error != asio::error::would_block)
-    fail(Error, false);
+    fail(Error);
   else
     read();
 }
@@ -201,7 +200,7 @@
   if (!m_Handler || m_ExchangeNumber != ExchangeNumber)
     return false; // A callback ended this exchange.
   if (m_Parser.isMalformed()) {
-    fail(make_error_code(Errc::WrongAnswer), true);
+    fail(make_error_code(Errc::MalformedAnswer), m_Parser.faultText());
     return false;
   }
   if (m_Parser.isComplete()) {
@@ -240,7 +239,7 @@
   Handler->onAnswerEnd();
 }
 
-void TargetConnection::fail(std::error_code Error, bool Malformed) {
+void TargetConnection::fail(std::error_code Error, std::string_view Malformed) {
   auto *Handler = m_Handler;
   m_Handler = nullptr;
   ExchangeFailure Failure;
--- a/packages/http/test/messagesupport.h
+++ b/packages/http/test/messagesupport.h
@@ -27,7 +27,26 @@
   bool operator==(const Reading &) const = default;
 };
 
-/// Feeds \p Bytes in pieces of \p Size bytes.
+/// Feeds \p Bytes in pieces of \p Size bytes; with \p Ends the connection ends
+/// behind them.
+inline Reading readAnswer(std::string_view Bytes, std::size_t Size,
+                          bool Ends = false, bool IsHeadRequest = false) {
+  BodySink Sink;
+  ResponseParser Parser(Sink);
+  Parser.reset(IsHeadRequest);
+  std::size_t Used = 0;
+  while (Used < Bytes.size() && !Parser.isComplete() && !Parser.isMalformed())
+    Used += Parser.feed(Bytes.substr(Used, Size));
+  if (Ends)
+    Parser.finish();
+  Reading Result;
+  if (Parser.isMalformed())
+    Result.Result = Reading::End::Rejected;
+  else if (Parser.isComplete())
+    Result = {Reading::End::Complete, Parser.head().Status, Sink.Body, Used};
+  return Result;
+}
+
 inline Reading readRequest(std::string_view Bytes, std::size_t Size) {
   BodySink Sink;
   RequestParser Parser(Sink, 16384, 65536);
--- a/packages/http/test/strictreading_test.cpp
+++ b/packages/http/test/strictreading_test.cpp
@@ -14,8 +14,12 @@
 std::string requestWith(const std::string &Fields) {
   return "POST /a/b HTTP/1.1\r\nHost: x\r\n" + Fields + "\r\n";
 }
-std::string chunked(const std::string &Body) {
-  return requestWith("Transfer-Encoding: chunked\r\n") + Body;
+std::string answerWith(const std::string &Fields) {
+  return "HTTP/1.1 200 OK\r\n" + Fields + "\r\n";
+}
+std::string chunked(bool IsRequest, const std::string &Body) {
+  const std::string Field = "Transfer-Encoding: chunked\r\n";
+  return (IsRequest ? requestWith(Field) : answerWith(Field)) + Body;
 }
 
 /// Chunked bodies that two readers could take for different ones.
@@ -144,20 +148,30 @@
   CPPUNIT_TEST(request_invalidHost_isRejected);
   CPPUNIT_TEST(request_codingInOlderVersion_isRejected);
   CPPUNIT_TEST(request_valid_isRead);
+  CPPUNIT_TEST(answer_ambiguousChunks_isRejected);
+  CPPUNIT_TEST(answer_invalidFields_isRejected);
+  CPPUNIT_TEST(answer_invalidStatusLine_isRejected);
+  CPPUNIT_TEST(answer_codingInOlderVersion_isRejected);
+  CPPUNIT_TEST(answer_withoutContent_endsWithItsHead);
+  CPPUNIT_TEST(answer_lengthWhereNoneIsAllowed_isRejected);
+  CPPUNIT_TEST(answer_interim_isSkippedOrRejected);
+  CPPUNIT_TEST(answer_endsInHead_isNotComplete);
+  CPPUNIT_TEST(answer_endsInBody_isNotComplete);
+  CPPUNIT_TEST(answer_valid_isRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Regression: a request was read from the body of another one.
   void request_ambiguousChunks_isRejected() {
     for (const auto &Body : AmbiguousChunks)
-      checkRequest(chunked(Body), Reading::End::Rejected);
+      checkRequest(chunked(true, Body), Reading::End::Rejected);
   }
 
   void request_smuggledInChunks_isNotRead() {
     const auto Hidden = requestWith("Content-Length: 0\r\n");
-    checkRequest(chunked("4;x\nab\r\n\r\n60\r\n0\r\n\r\n" + Hidden),
+    checkRequest(chunked(true, "4;x\nab\r\n\r\n60\r\n0\r\n\r\n" + Hidden),
                  Reading::End::Rejected);
-    checkRequest(chunked("3\r\nabcXX0\r\n\r\n" + Hidden),
+    checkRequest(chunked(true, "3\r\nabcXX0\r\n\r\n" + Hidden),
                  Reading::End::Rejected);
   }
 
@@ -206,7 +220,7 @@
     for (const auto &Fields : ValidFields)
       checkRequest(requestWith(Fields), Reading::End::Complete);
     for (const auto &Body : ValidChunks)
-      checkRequest(chunked(Body), Reading::End::Complete, "abc");
+      checkRequest(chunked(true, Body), Reading::End::Complete, "abc");
     checkRequest("\r\n" + requestWith("Content-Length: 3\r\n") + "abc",
                  Reading::End::Complete, "abc");
     const Rows Lines = {"GET / HTTP/1.1", "GET /a?b=%20&c=[] HTTP/1.0",
@@ -219,6 +233,147 @@
                  Reading::End::Complete);
   }
 
+  void answer_ambiguousChunks_isRejected() {
+    for (const auto &Body : AmbiguousChunks)
+      checkAnswer(chunked(false, Body), Reading::End::Rejected);
+  }
+
+  // Regression: such a line was passed on, or the body was cut short.
+  void answer_invalidFields_isRejected() {
+    for (const auto &Fields : InvalidFields)
+      checkAnswer(answerWith(Fields) + "4444", Reading::End::Rejected, "",
+                  true);
+  }
+
+  // Regression: an answer with the status 000 was passed on.
+  void answer_invalidStatusLine_isRejected() {
+    const Rows Lines = {"HTTP/1.1 000 OK",
+                        "HTTP/1.1 099 OK",
+                        "HTTP/1.1 20 OK",
+                        "HTTP/1.1 2 OK",
+                        "HTTP/1.1 600 OK",
+                        "HTTP/1.1 999 OK",
+                        "HTTP/1.1 1000 OK",
+                        "HTTP/1.1 2000 OK",
+                        "HTTP/1.1 2x0 OK",
+                        "HTTP/1.1 -20 OK",
+                        "HTTP/1.1 200",
+                        "HTTP/1.1 200OK",
+                        "HTTP/1.1 200\tOK",
+                        "HTTP/1.1  200 OK",
+                        "HTTP/1.1\t200 OK",
+                        "HTTP/1.1200 OK",
+                        "HTTP/1.1 200 O" + Control + "K",
+                        "HTTP/1.1 200 O" + Nul + "K",
+                        "HTTP/1.1 200 O\rK",
+                        "HTTP/1.2 200 OK",
+                        "HTTP/2.0 200 OK",
+                        "HTTP/01.1 200 OK",
+                        "HTTP/1 200 OK",
+                        "http/1.1 200 OK",
+                        "HTTQ/1.1 200 OK",
+                        "ICY 200 OK",
+                        " HTTP/1.1 200 OK",
+                        "X: 1",
+                        "",
+                        "\r\nHTTP/1.1 200 OK"};
+    for (const auto &Line : Lines)
+      checkAnswer(Line + "\r\nContent-Length: 0\r\n\r\n",
+                  Reading::End::Rejected, "", true);
+    checkAnswer("HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n",
+                Reading::End::Rejected);
+    checkAnswer("HTTP/1.1 200 OK\rXContent-Length: 0\r\n\r\n",
+                Reading::End::Rejected);
+  }
+
+  void answer_codingInOlderVersion_isRejected() {
+    checkAnswer("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "0\r\n\r\n",
+                Reading::End::Rejected);
+  }
+
+  // Regression: an answer to a conditional request was waited for in vain, and
+  // a body behind one without content was taken for a part of it.
+  void answer_withoutContent_endsWithItsHead() {
+    const Rows Heads = {"HTTP/1.1 204 No Content\r\n\r\n",
+                        "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+                        "HTTP/1.1 304 Not Modified\r\n\r\n",
+                        "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n"
+                        "\r\n",
+                        "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: "
+                        "chunked\r\n\r\n"};
+    for (const auto &Head : Heads)
+      for (const auto Size : PieceSizes) {
+        const auto Got = readAnswer(Head + "4444", Size);
+        CPPUNIT_ASSERT_MESSAGE(Head, Got.Result == Reading::End::Complete);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Head, std::string(), Got.Body);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Head, Head.size(), Got.Used);
+      }
+    const auto ToHead = answerWith("Content-Length: 4\r\n");
+    for (const auto Size : PieceSizes)
+      CPPUNIT_ASSERT(readAnswer(ToHead, Size, false, true).Result ==
+                     Reading::End::Complete);
+  }
+
+  void answer_lengthWhereNoneIsAllowed_isRejected() {
+    const Rows Heads = {
+        "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    for (const auto &Head : Heads)
+      checkAnswer(Head, Reading::End::Rejected);
+  }
+
+  void answer_interim_isSkippedOrRejected() {
+    checkAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+                "Link: </a>\r\n\r\n" +
+                    answerWith("Content-Length: 2\r\n") + "ok",
+                Reading::End::Complete, "ok");
+    checkAnswer("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+                Reading::End::Rejected);
+  }
+
+  void answer_endsInHead_isNotComplete() {
+    const auto Head = answerWith("X-Stamp: s\r\nConnection: close\r\n");
+    for (std::size_t Size = 0; Size < Head.size(); ++Size)
+      for (const auto Piece : PieceSizes)
+        CPPUNIT_ASSERT_MESSAGE(
+            std::to_string(Size),
+            readAnswer(Head.substr(0, Size), Piece, true).Result ==
+                Reading::End::Incomplete);
+  }
+
+  void answer_endsInBody_isNotComplete() {
+    const Rows Answers = {answerWith("Content-Length: 3\r\n") + "ab",
+                          chunked(false, ""),
+                          chunked(false, "3\r\nab"),
+                          chunked(false, "3\r\nabc"),
+                          chunked(false, "3\r\nabc\r\n"),
+                          chunked(false, "3\r\nabc\r\n0"),
+                          chunked(false, "3\r\nabc\r\n0\r\n"),
+                          chunked(false, "3\r\nabc\r\n0\r\nT: u\r\n"),
+                          chunked(false, "3\r\nabc\r\n0\r\n\r")};
+    for (const auto &Bytes : Answers)
+      checkAnswer(Bytes, Reading::End::Incomplete, "", true);
+  }
+
+  void answer_valid_isRead() {
+    for (const auto &Fields : ValidFields)
+      checkAnswer(answerWith(Fields + "Content-Length: 2\r\n") + "ok",
+                  Reading::End::Complete, "ok");
+    for (const auto &Body : ValidChunks)
+      checkAnswer(chunked(false, Body), Reading::End::Complete, "abc");
+    checkAnswer(answerWith("") + "to the end", Reading::End::Complete,
+                "to the end", true);
+    checkAnswer(answerWith(""), Reading::End::Complete, "", true);
+    const Rows Lines = {"HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 599 \xe9",
+                        "HTTP/1.1 418 I'm a\tteapot"};
+    for (const auto &Line : Lines)
+      checkAnswer(Line + "\r\nContent-Length: 2\r\n\r\nok",
+                  Reading::End::Complete, "ok");
+  }
+
 private:
   void checkRequest(const std::string &Bytes, Reading::End Expected,
                     const std::string &Body = "") {
@@ -226,6 +381,12 @@
       check(Bytes, readRequest(Bytes, Size), Expected, Body);
   }
 
+  void checkAnswer(const std::string &Bytes, Reading::End Expected,
+                   const std::string &Body = "", bool Ends = false) {
+    for (const auto Size : PieceSizes)
+      check(Bytes, readAnswer(Bytes, Size, Ends), Expected, Body);
+  }
+
   static void check(const std::string &Bytes, const Reading &Got,
                     Reading::End Expected, const std::string &Body) {
     CPPUNIT_ASSERT_EQUAL_MESSAGE(Bytes, static_cast<int>(Expected),
