http: the end of a connection completes no answer before its request arrived

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the caller got the part as a complete answer. Cause: endStream() took the end of the write, which is the kernel's, for the server's receipt of the request. The rest of the request makes a server that has closed send a reset, which came after the end. Ruled out: a lost error of the socket; the reset had not arrived yet. Change: an answer without a length is complete only when the whole request is acknowledged and the socket has met no error. Until then it is looked at again after 1 to 50 ms, bounded by TCP_USER_TIMEOUT. No timer for other answers. Open: a reset that comes after the end, when all was acknowledged.

--- a/packages/http/include/mangodeck/http/targetconnection.h
+++ b/packages/http/include/mangodeck/http/targetconnection.h
@@ -101,8 +101,12 @@
   bool onRead(std::string_view Bytes);
   void onWritten(std::error_code Error, std::size_t Size);
   /// The server has ended its side of the connection. That completes an answer
-  /// without length, unless the request could not be written.
+  /// without length, unless the request did not reach the server.
   void endStream();
+  /// Calls endStream() again after a pause: the server has not acknowledged the
+  /// whole request. If it has closed the connection, the rest of the request
+  /// makes it send a reset.
+  void checkStreamEndLater();
   void fail(std::error_code Error, std::string_view Malformed = {});
   void complete(bool HasSurplusBytes);
   void closeSocket();
@@ -125,6 +129,7 @@
   bool m_ReadingPaused = false;
   std::error_code m_WriteError; ///< Of the last write.
   bool m_StreamEnded = false;   ///< By the server.
+  Duration m_StreamEndPause{0}; ///< See checkStreamEndLater().
   Duration m_ServerIdleTimeout{0};
   std::vector<std::uint64_t> m_Refused; ///< At most MaxRefusals; see there.
   TimePoint m_IdleSince{};
--- a/packages/http/src/targetconnection.cpp
+++ b/packages/http/src/targetconnection.cpp
@@ -9,8 +9,11 @@
 #include <asio/error.hpp>
 #include <asio/write.hpp>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace mangodeck::http {
 
@@ -36,6 +39,28 @@
 /// limit that the keep-alive probes set for an idle one.
 constexpr int UserTimeoutMs = 3000;
 
+/// Pauses between looks at whether a server that has ended its side has
+/// acknowledged the request. UserTimeoutMs bounds how long that takes.
+constexpr Duration MinStreamEndPause = 1ms;
+constexpr Duration MaxStreamEndPause = 50ms;
+
+/// The error that the socket has met and not reported yet.
+std::error_code takeSocketError(asio::ip::tcp::socket &Socket) {
+  int Error = 0;
+  socklen_t Size = sizeof(Error);
+  if (::getsockopt(Socket.native_handle(), SOL_SOCKET, SO_ERROR, &Error,
+                   &Size) != 0)
+    Error = errno;
+  return {Error, asio::error::get_system_category()};
+}
+
+/// Bytes that were written and that the other end has not acknowledged; 0 if
+/// the system does not tell.
+int unacknowledgedBytes(asio::ip::tcp::socket &Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket.native_handle(), SIOCOUTQ, &Bytes) == 0 ? Bytes : 0;
+}
+
 /// Returns the time-out in the value of a Keep-Alive field, such as "timeout=5,
 /// max=100"; 0 if it has none.
 Duration parseKeepAliveTimeout(std::string_view Value) {
@@ -102,6 +127,7 @@
   m_ReadingPaused = false;
   m_WriteError.clear();
   m_StreamEnded = false;
+  m_StreamEndPause = Duration{0};
   ++m_ExchangeNumber;
   const auto Write = [&](const auto &Buffers) {
     asio::async_write(m_Socket, Buffers,
@@ -138,15 +164,35 @@
   m_StreamEnded = true;
   if (m_WritePending)
     return; // Its result tells.
+  if (m_WriteError)
+    return fail(m_WriteError);
+  if (m_Parser.hasHead() && m_Parser.head().IsCloseDelimited) {
+    // A reset that came after the end shows here only.
+    if (const auto Error = takeSocketError(m_Socket))
+      return fail(Error);
+    if (unacknowledgedBytes(m_Socket) > 0)
+      return checkStreamEndLater();
+  }
   const auto ExchangeNumber = m_ExchangeNumber;
-  if (!m_WriteError)
-    m_Parser.finish();
+  m_Parser.finish();
   if (!m_Handler || m_ExchangeNumber != ExchangeNumber)
     return; // A callback ended this exchange.
   if (m_Parser.isComplete())
     complete(false);
   else
-    fail(m_WriteError ? m_WriteError : make_error_code(asio::error::eof));
+    fail(make_error_code(asio::error::eof));
+}
+
+void TargetConnection::checkStreamEndLater() {
+  m_StreamEndPause =
+      std::clamp(2 * m_StreamEndPause, MinStreamEndPause, MaxStreamEndPause);
+  m_Timer.expires_after(m_StreamEndPause);
+  m_Timer.async_wait([Self = shared_from_this(),
+                      ExchangeNumber =
+                          m_ExchangeNumber](std::error_code Error) {
+    if (!Error && Self->m_Handler && Self->m_ExchangeNumber == ExchangeNumber)
+      Self->endStream();
+  });
 }
 
 void TargetConnection::read() {
