connection: mangodeckd reads the requests of callers strictly

Cause: RESTinio is built on the same http_parser and adds no checks. Change: CallerSocket hands RESTinio only bytes that RequestCheck accepts, which uses the parser of the gateway. A malformed first request is answered with 400; behind another one the connection is closed, as for what RESTinio rejects.

--- a/packages/connection/src/callersocket.h
+++ b/packages/connection/src/callersocket.h
@@ -1,6 +1,8 @@
 #ifndef MANGODECK_CONNECTION_CALLERSOCKET_H
 #define MANGODECK_CONNECTION_CALLERSOCKET_H
 
+#include "requestcheck.h"
+
 #include "mangodeck/request/problem.h"
 
 #include <fmt/format.h>
@@ -9,6 +11,7 @@
 #include <array>
 #include <cerrno>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
@@ -43,7 +46,8 @@
 /// an answer when its first request is malformed, too large or late; this
 /// socket answers such a request before it is closed. It does so only while no
 /// request of the connection was handed over, since the answer could be taken
-/// for that request's.
+/// for that request's. A message that RESTinio's parser may read otherwise than
+/// the next reader ends the connection before RESTinio sees it.
 class CallerSocket : public asio::ip::tcp::socket {
   using Base = asio::ip::tcp::socket;
 
@@ -93,17 +97,30 @@
     const auto Executor = asio::get_associated_executor(Done);
     if (!m_Strand)
       m_Strand = Executor;
+    if (!m_Check) // RESTinio accepts the next connection with a moved socket.
+      m_Check = std::make_unique<RequestCheck>();
+    if (m_Check->hasFailed())
+      return asio::post(asio::bind_executor(
+          Executor, [this, Done = std::forward<Handler>(Done)]() mutable {
+            finishRead(Done, asio::error::invalid_argument, 0);
+          }));
+    const asio::mutable_buffer Room = *asio::buffer_sequence_begin(Target);
     Base::async_read_some(
-        Target, asio::bind_executor(Executor,
-                                    [this, Done = std::forward<Handler>(Done)](
-                                        const asio::error_code &Error,
-                                        std::size_t Count) mutable {
-                                      m_Received = m_Received || Count > 0;
-                                      m_Ended = m_Ended || Error;
-                                      context().Reading = this;
-                                      Done(Error, Count);
-                                      context().Reading = nullptr;
-                                    }));
+        Target,
+        asio::bind_executor(
+            Executor,
+            [this, Room, Done = std::forward<Handler>(Done)](
+                const asio::error_code &Error, std::size_t Count) mutable {
+              m_Received = m_Received || Count > 0;
+              m_Ended = m_Ended || Error;
+              const auto Accepted =
+                  m_Check->accept({static_cast<char *>(Room.data()), Count});
+              // Without bytes, RESTinio has nothing to wait for.
+              if (m_Check->hasFailed() && Accepted == 0)
+                finishRead(Done, asio::error::invalid_argument, 0);
+              else
+                finishRead(Done, Error, Accepted);
+            }));
   }
 
   void shutdown(Base::shutdown_type What, asio::error_code &Error) {
@@ -113,6 +130,14 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
+  template <typename Handler>
+  void finishRead(Handler &Done, const asio::error_code &Error,
+                  std::size_t Count) {
+    context().Reading = this;
+    Done(Error, Count);
+    context().Reading = nullptr;
+  }
+
   bool isClosedByCaller() {
     char Byte = 0;
     const auto Count =
@@ -154,9 +179,10 @@
   static constexpr int MaxDrainReads = 64;
 
   asio::any_io_executor m_Strand; ///< Of the connection; set by its reads.
-  bool m_Received = false;        ///< Bytes of a request have arrived.
-  bool m_Ended = false;           ///< The caller closed, or reading failed.
-  bool m_RequestSeen = false;     ///< A request was handed over.
+  std::unique_ptr<RequestCheck> m_Check; ///< Made by the first read.
+  bool m_Received = false;               ///< Bytes of a request have arrived.
+  bool m_Ended = false;       ///< The caller closed, or reading failed.
+  bool m_RequestSeen = false; ///< A request was handed over.
 };
 
 /// Keeps RESTinio's error texts for the socket; everything else is dropped.
