connection: mangodeckd reads the answers of targets strictly

What callers could see: an answer with the status 600 or an invalid field name was given on as whole. Cause: libcurl takes more for HTTP than other readers, and decodes chunks. Change: libcurl carries the bytes undecoded, ResponseParser reads them. An answer that is malformed or not whole ends the call with an error. A head that stops is given on neither before nor after (answer_headStops_isNeverGiven).

--- a/packages/connection/src/curlloop.cpp
+++ b/packages/connection/src/curlloop.cpp
@@ -1,11 +1,12 @@
 #include "curlloop.h"
 
+#include "mangodeck/http/parser.h"
+
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 
 #include <cassert>
 #include <cerrno>
-#include <charconv>
 #include <utility>
 
 namespace mangodeck {
@@ -14,32 +15,12 @@
 
 constexpr long KeepAliveIdleSeconds = 10;
 constexpr long KeepAliveIntervalSeconds = 5;
-/// Longest head of an answer, with the interim ones before it.
-constexpr std::size_t MaxHeadBytes = 64 << 10;
 
 long toMilliseconds(Duration Span) {
   return static_cast<long>(
       std::chrono::ceil<std::chrono::milliseconds>(Span).count());
 }
 
-std::string_view trim(std::string_view Text) {
-  const auto First = Text.find_first_not_of(" \t\r\n");
-  if (First == std::string_view::npos)
-    return {};
-  const auto Last = Text.find_last_not_of(" \t\r\n");
-  return Text.substr(First, Last - First + 1);
-}
-
-/// Reads the status of a line "HTTP/1.1 200 OK"; 0 if it is none.
-int parseStatusLine(std::string_view Line) {
-  const auto Space = Line.find(' ');
-  if (!Line.starts_with("HTTP/") || Space == std::string_view::npos)
-    return 0;
-  int Status = 0;
-  std::from_chars(Line.data() + Space + 1, Line.data() + Line.size(), Status);
-  return Status;
-}
-
 /// libcurl must be initialized once, before the first thread uses it.
 void initializeCurl() {
   static const CURLcode Result = curl_global_init(CURL_GLOBAL_ALL);
@@ -49,64 +30,64 @@
 
 } // namespace
 
-struct CurlLoop::Transfer {
+/// One call. libcurl carries the bytes of the answer, undecoded; ResponseParser
+/// reads them, since libcurl takes more for HTTP than other readers do.
+struct CurlLoop::Transfer : private http::MessageSink {
   CallId Id = 0;
   HttpCall Call;
   std::shared_ptr<HttpCallHandler> Handler; ///< Null once stopped.
   CURL *Easy = nullptr;
   curl_slist *HeaderList = nullptr;
-  int Status = 0;
-  bool HeadDone = false;
-  std::size_t HeadBytes = 0;
-  std::vector<Header> Headers;
+  http::ResponseParser Parser{*this};
 
-  ~Transfer() {
+  ~Transfer() override {
     curl_easy_cleanup(Easy);
     curl_slist_free_all(HeaderList);
   }
 
-  /// Collects the head line by line; the empty line ends it. Interim (1xx)
-  /// heads are dropped, trailers ignored.
   static std::size_t onHeaderLine(char *Data, std::size_t Size,
                                   std::size_t Count, void *Self) {
     auto &Entry = *static_cast<Transfer *>(Self);
-    const std::string_view Line(Data, Size * Count);
-    if (!Entry.Handler)
-      return 0;
-    if (Entry.HeadDone)
-      return Line.size();
-    // Interim heads count, too: any number of them may come.
-    if ((Entry.HeadBytes += Line.size()) > MaxHeadBytes)
-      return 0;
-    if (const int Status = parseStatusLine(Line)) {
-      Entry.Status = Status;
-      Entry.Headers.clear();
-    } else if (trim(Line).empty()) {
-      Entry.endHead();
-    } else if (const auto Colon = Line.find(':');
-               Colon != std::string_view::npos) {
-      Entry.Headers.push_back({std::string(trim(Line.substr(0, Colon))),
-                               std::string(trim(Line.substr(Colon + 1)))});
-    }
-    return Entry.Handler ? Line.size() : 0;
+    // The fields of a trailer are a part of the undecoded body.
+    if (Entry.Handler && Entry.Parser.hasHead())
+      return Size * Count;
+    return Entry.read({Data, Size * Count});
   }
 
-  void endHead() {
-    if (Status < 200)
-      return;
-    HeadDone = true;
+  static std::size_t onData(char *Data, std::size_t Size, std::size_t Count,
+                            void *Self) {
+    return static_cast<Transfer *>(Self)->read({Data, Size * Count});
+  }
+
+  /// Whether the answer ended as its framing says. \p Code is libcurl's view of
+  /// the end of the connection.
+  bool isWhole(CURLcode Code) {
+    if (Code == CURLE_OK)
+      Parser.finish();
+    return Parser.isComplete() && !Parser.isMalformed();
+  }
+
+private:
+  /// Returns the size of \p Bytes; 0, which ends the transfer, if the call has
+  /// been stopped or the answer is malformed. Bytes behind the answer belong to
+  /// no request.
+  std::size_t read(std::string_view Bytes) {
+    if (Handler)
+      Parser.feed(Bytes);
+    return Handler && !Parser.isMalformed() ? Bytes.size() : 0;
+  }
+
+  void onHead() override {
+    std::vector<Header> Headers;
+    for (const auto &Field : Parser.head().Fields.fields())
+      Headers.push_back({Field.Name, Field.Value});
     const auto Receiver = Handler;
-    Receiver->onHead(Status, std::move(Headers));
+    Receiver->onHead(Parser.head().Status, std::move(Headers));
   }
 
-  static std::size_t onData(char *Data, std::size_t Size, std::size_t Count,
-                            void *Self) {
-    auto &Entry = *static_cast<Transfer *>(Self);
-    if (!Entry.Handler)
-      return 0;
-    const auto Receiver = Entry.Handler;
-    Receiver->onBytes({Data, Size * Count});
-    return Entry.Handler ? Size * Count : 0;
+  void onBody(std::string_view Bytes) override {
+    if (const auto Receiver = Handler)
+      Receiver->onBytes(Bytes);
   }
 };
 
@@ -331,6 +312,8 @@
     End.Sent = SentBytes > 0;
     curl_multi_remove_handle(m_Multi, Easy);
     const auto Node = m_Transfers.extract(Entry->Id);
+    if (!Entry->isWhole(End.Code) && End.Code == CURLE_OK)
+      End.Code = CURLE_PARTIAL_FILE;
     if (const auto Receiver = Node.mapped()->Handler)
       Receiver->onDone(End);
   }
@@ -350,6 +333,7 @@
   curl_easy_setopt(Easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(Easy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(Easy, CURLOPT_HTTP09_ALLOWED, 0L);
+  curl_easy_setopt(Easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
@@ -359,6 +343,7 @@
   curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
                    toMilliseconds(Call.ConnectTimeout));
   curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, toMilliseconds(Call.TotalTimeout));
+  Entry.Parser.reset(Call.Method == "HEAD");
   if (Call.Method == "HEAD") {
     curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
   } else if (!Call.Body.empty() || Call.Method == "POST") {
--- a/packages/connection/test/curltargetclient_test.cpp
+++ b/packages/connection/test/curltargetclient_test.cpp
@@ -46,6 +46,10 @@
   CPPUNIT_TEST(answer_noHttpWithoutEnd_isGivenUp);
   CPPUNIT_TEST(stream_eventWithoutEnd_isGivenUp);
   CPPUNIT_TEST(stream_commentsWithoutEnd_isGivenUp);
+  CPPUNIT_TEST(answer_odd_isNeverGivenAsWhole);
+  CPPUNIT_TEST(stream_odd_isNeverGivenAsWhole);
+  CPPUNIT_TEST(answer_headStops_isNeverGiven);
+  CPPUNIT_TEST(answer_soundForms_areWhole);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -306,7 +310,85 @@
     checkEndless(true, streamHead(), ": " + std::string(1024, 'x') + "\n\n");
   }
 
+  // Regression: answers with the status 000 or an invalid field were given on.
+  void answer_odd_isNeverGivenAsWhole() {
+    const std::string Length = "Content-Length: 4\r\n";
+    const std::string Chunks = "Transfer-Encoding: chunked\r\n";
+    for (const auto &Bytes :
+         {plainAnswer("HTTP/1.1 000 OK", Length, "done"),
+          plainAnswer("HTTP/1.1 099 OK", Length, "done"),
+          plainAnswer("HTTP/1.1 20 OK", Length, "done"),
+          plainAnswer("HTTP/1.1 600 OK", Length, "done"),
+          plainAnswer("HTTP/1.1 200", Length, "done"),
+          plainAnswer("HTTP/1.1 200 OK", "X Y: 1\r\n" + Length, "done"),
+          plainAnswer("HTTP/1.1 200 OK", "X\x01: 1\r\n" + Length, "done"),
+          plainAnswer("HTTP/1.1 200 OK", "X: 1\r\n 2\r\n" + Length, "done"),
+          plainAnswer("HTTP/1.1 200 OK", "X: 1\n" + Length, "done"),
+          plainAnswer("HTTP/1.1 200 OK", "Content-Length : 4\r\n", "donedone"),
+          plainAnswer("HTTP/1.1 200 OK", Length + Length, "done"),
+          plainAnswer("HTTP/1.1 200 OK", Length + Chunks, "0\r\n\r\n"),
+          plainAnswer("HTTP/1.1 200 OK", Chunks, "4 \r\ndone\r\n0\r\n\r\n"),
+          plainAnswer("HTTP/1.1 200 OK", Chunks, "4\ndone\n0\n\n"),
+          plainAnswer("HTTP/1.1 200 OK", Chunks, "4;\rX\ndone\r\n0\r\n\r\n"),
+          plainAnswer("HTTP/1.1 200 OK", Chunks,
+                      "4\r\ndone\r\n0\r\nX Y: 1\r\n\r\n")})
+      checkNotWhole(false, Bytes);
+  }
+
+  void stream_odd_isNeverGivenAsWhole() {
+    const std::string Type = "Content-Type: text/event-stream\r\n";
+    const auto Stream = expectedStream();
+    checkNotWhole(true, plainAnswer("HTTP/1.1 000 OK", Type, Stream));
+    checkNotWhole(true,
+                  plainAnswer("HTTP/1.1 200 OK", Type + "X Y: 1\r\n", Stream));
+    checkNotWhole(true, plainAnswer("HTTP/1.1 200 OK",
+                                    Type + "Transfer-Encoding: chunked\r\n",
+                                    fmt::format("{:x} \r\n", Stream.size()) +
+                                        Stream + "\r\n0\r\n\r\n"));
+  }
+
+  void answer_headStops_isNeverGiven() {
+    for (const std::string Field :
+         {"", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      const auto Head = plainAnswer("HTTP/1.1 200 OK", Field, "");
+      for (std::size_t Size = 5; Size < Head.size(); Size += 4)
+        checkNotWhole(false, Head.substr(0, Size));
+      checkNotWhole(false, Head.substr(0, Head.size() - 1));
+      checkNotWhole(false, Head.substr(0, Head.size() - 2));
+    }
+  }
+
+  void answer_soundForms_areWhole() {
+    for (const auto &Bytes :
+         {plainAnswer("HTTP/1.1 200 OK", "Content-Length: 4\r\n", "done"),
+          plainAnswer("HTTP/1.1 200 ", "Transfer-Encoding: chunked\r\n",
+                      "1;a=b\r\nd\r\n3\r\none\r\n0\r\nT: u\r\n\r\n"),
+          "HTTP/1.1 100 Continue\r\n\r\n" + plainAnswer("HTTP/1.0 200 OK",
+                                                        "Content-Length: 4\r\n",
+                                                        "done")}) {
+      EndlessServer Server(Bytes, "");
+      m_Address = Server.address();
+      const auto Answer = dispatch(false);
+      CPPUNIT_ASSERT_MESSAGE(Bytes, Answer->awaitEnd() == TargetEnd::Completed);
+      CPPUNIT_ASSERT_EQUAL(std::string("done"), Answer->Body);
+    }
+  }
+
 private:
+  std::string plainAnswer(const std::string &StatusLine,
+                          const std::string &Fields,
+                          const std::string &Rest) const {
+    return fmt::format("{}\r\nX-Request-Id: {}\r\n{}\r\n{}", StatusLine,
+                       toString(Id), Fields, Rest);
+  }
+
+  void checkNotWhole(bool Streaming, const std::string &Bytes) {
+    EndlessServer Server(Bytes, "");
+    m_Address = Server.address();
+    const auto Answer = dispatch(Streaming);
+    CPPUNIT_ASSERT_MESSAGE(Bytes, Answer->awaitEnd() == TargetEnd::Broken);
+  }
+
   /// Says that it is full after each megabyte, then that it is empty again.
   class FullReceiver : public RecordingAnswer {
   public:
--- a/packages/connection/test/endlessserver.h
+++ b/packages/connection/test/endlessserver.h
@@ -15,7 +15,8 @@
 namespace mangodeck {
 
 /// A faulty server: it answers each connection with a start, and then with the
-/// same bytes again and again until the client closes the connection.
+/// same bytes again and again until the client closes the connection. Without
+/// such bytes it ends the connection in order.
 class EndlessServer {
 public:
   EndlessServer(std::string Start, std::string Endless)
@@ -65,11 +66,21 @@
         [this, Client, Kept, Sent](std::error_code Error, std::size_t Size) {
           const auto Total = Sent + Size;
           m_Longest = std::max(m_Longest.load(), Total);
+          if (!Error && m_Endless.empty())
+            return end(*Client);
           if (!Error && Total < MaxBytes)
             send(Client, m_Endless, Total);
         });
   }
 
+  /// Reads the request first: closing with unread bytes would be a reset.
+  static void end(asio::ip::tcp::socket &Client) {
+    std::error_code Ignored; // The client may have closed the connection.
+    std::array<char, 65536> Request;
+    Client.read_some(asio::buffer(Request), Ignored);
+    Client.close(Ignored);
+  }
+
   const std::string m_Start;
   const std::string m_Endless;
   asio::io_context m_Loop;
