gateway: tests of heads that stop, on new and kept connections and in streams

Report of other operators: a head that stops in the middle gave a 200 framed as whole. It does not happen here: each prefix of three heads (no length, a length, chunks), and an interim answer alone, then a close, gives 502, for plain answers on new and on kept connections and for streams; a resumed stream stays incomplete.

--- a/packages/gateway/test/oddanswer_test.cpp
+++ b/packages/gateway/test/oddanswer_test.cpp
@@ -66,6 +66,10 @@
   CPPUNIT_TEST(answer_oddToRepeatableRequest_secondTargetAnswers);
   CPPUNIT_TEST(stream_oddAnswer_callerGetsFailure);
   CPPUNIT_TEST(stream_oddAnswerOnResumption_isNotComplete);
+  CPPUNIT_TEST(answer_headStops_callerGetsFailure);
+  CPPUNIT_TEST(answer_headStopsOnKeptConnection_callerGetsFailure);
+  CPPUNIT_TEST(stream_headStops_callerGetsFailure);
+  CPPUNIT_TEST(stream_headStopsOnResumption_isNotComplete);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,6 +151,42 @@
     }
   }
 
+  // A head that stops at any byte, by whatever the body would have ended.
+  void answer_headStops_callerGetsFailure() {
+    for (const auto &Each : brokenHeads(""))
+      checkFailure(RouteKind::NonIdempotent, "", Each, "End of file");
+  }
+
+  void answer_headStopsOnKeptConnection_callerGetsFailure() {
+    for (const auto &Each : brokenHeads(""))
+      checkFailure(RouteKind::NonIdempotent, Sound, Each, "End of file");
+  }
+
+  void stream_headStops_callerGetsFailure() {
+    for (const auto &Each : brokenHeads("Content-Type: text/event-stream\r\n"))
+      checkFailure(RouteKind::Stream, "", Each, "End of file");
+  }
+
+  void stream_headStopsOnResumption_isNotComplete() {
+    const std::string Type = "Content-Type: text/event-stream\r\n";
+    const ScriptedTarget::Script First{
+        answer("HTTP/1.1 200 OK", Type + "Transfer-Encoding: chunked\r\n",
+               chunk(event(1))),
+        true};
+    for (const auto &Second : brokenHeads(Type)) {
+      restart(RouteKind::Stream, 2);
+      int Asked = 0;
+      for (auto &Target : m_Targets)
+        Target->ScriptFor = [&](const std::string &) {
+          return ++Asked == 1 ? First : Second;
+        };
+      const auto Got = ask();
+      CPPUNIT_ASSERT_EQUAL(2, Asked);
+      CPPUNIT_ASSERT_MESSAGE(Got, Got.find("piece-1") != Got.npos);
+      CPPUNIT_ASSERT_MESSAGE(Got, !Got.ends_with(http::LastChunk));
+    }
+  }
+
 private:
   static std::string event(int Id) {
     return fmt::format("id: {}\ndata: piece-{}\n\n", Id, Id);
@@ -157,6 +197,19 @@
     return Bytes;
   }
 
+  static std::vector<ScriptedTarget::Script>
+  brokenHeads(const std::string &Type) {
+    std::vector<ScriptedTarget::Script> Result;
+    for (const std::string Length :
+         {"", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      const auto Head = answer("HTTP/1.1 200 OK", Type + Length, "");
+      for (std::size_t Size = 1; Size < Head.size(); ++Size)
+        Result.push_back({Head.substr(0, Size), true});
+    }
+    Result.push_back({"HTTP/1.1 100 Continue\r\n\r\n", true});
+    return Result;
+  }
+
   /// The caller of a request that is not repeated is told that it may have run,
   /// and why, and gets nothing of the answer. With \p Before, that answer keeps
   /// the connection.
