http: the head of a broken-off copy is not joined with the next answer

Cause: a copy of an answer that came late and was broken off within a line, and the answer behind it, made one head: the status of the one with the id and the body of the other. Ruled out: the attempt id (the joined head has the right one); a look for bytes before the request is sent (they come later). Change: on a connection that has carried an answer, a head within which a status line begins is rejected. A new connection has no copies, and a value that quotes a status line is passed on there.

--- a/packages/gateway/test/oddanswer_test.cpp
+++ b/packages/gateway/test/oddanswer_test.cpp
@@ -66,6 +66,9 @@
   CPPUNIT_TEST(answer_oddToRepeatableRequest_secondTargetAnswers);
   CPPUNIT_TEST(stream_oddAnswer_callerGetsFailure);
   CPPUNIT_TEST(stream_oddAnswerOnResumption_isNotComplete);
+  CPPUNIT_TEST(answer_behindBrokenOffCopy_callerGetsFailure);
+  CPPUNIT_TEST(answer_behindBrokenOffRefusal_isNotSentAgain);
+  CPPUNIT_TEST(answer_namesStatusLineOnNewConnection_isPassedOn);
   CPPUNIT_TEST(answer_headStops_callerGetsFailure);
   CPPUNIT_TEST(answer_headStopsOnKeptConnection_callerGetsFailure);
   CPPUNIT_TEST(stream_headStops_callerGetsFailure);
@@ -151,6 +154,46 @@
     }
   }
 
+  // Regression: the status of a late copy that was broken off was passed on
+  // with the fields and the body of the next answer.
+  void answer_behindBrokenOffCopy_callerGetsFailure() {
+    const auto Failed =
+        answer("HTTP/1.1 500 Failed", "Content-Length: 4\r\n", "paid");
+    for (const auto &[Copy, Next] :
+         {std::pair(Failed, Sound), std::pair(Sound, Failed)})
+      for (std::size_t Size = 1; Size < Copy.find("paid"); ++Size)
+        checkFailure(RouteKind::NonIdempotent, Sound,
+                     {Copy.substr(0, Size) + Next}, "malformed answer");
+  }
+
+  void answer_behindBrokenOffRefusal_isNotSentAgain() {
+    const std::string Refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+    for (const std::size_t Size : {Refusal.size() - 2, Refusal.size() - 3}) {
+      restart(RouteKind::NonIdempotent, 2);
+      int Asked = 0;
+      for (auto &Target : m_Targets)
+        Target->ScriptFor = [&](const std::string &) {
+          return ScriptedTarget::Script{
+              ++Asked > 2 ? Refusal.substr(0, Size) + Sound : Sound};
+        };
+      // The targets take turns, so that both connections are kept.
+      CPPUNIT_ASSERT(ask().starts_with("HTTP/1.1 200"));
+      CPPUNIT_ASSERT(ask().starts_with("HTTP/1.1 200"));
+      const auto Got = ask();
+      CPPUNIT_ASSERT_MESSAGE(Got, Got.starts_with("HTTP/1.1 502"));
+      CPPUNIT_ASSERT_EQUAL(3, Asked);
+    }
+  }
+
+  void answer_namesStatusLineOnNewConnection_isPassedOn() {
+    restart(RouteKind::NonIdempotent, 1);
+    m_Targets[0]->Scripts.push_back({answer(
+        "HTTP/1.1 200 OK",
+        "X-Upstream: HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", "paid")});
+    CPPUNIT_ASSERT(ask().starts_with("HTTP/1.1 200"));
+  }
+
   // A head that stops at any byte, by whatever the body would have ended.
   void answer_headStops_callerGetsFailure() {
     for (const auto &Each : brokenHeads(""))
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -126,14 +126,15 @@
 }
 
 ResponseParser::ResponseParser(MessageSink &Sink) : m_Sink(Sink) {
-  reset(false);
+  reset(false, false);
 }
 
-void ResponseParser::reset(bool IsHeadRequest) {
+void ResponseParser::reset(bool IsHeadRequest, bool IsReused) {
   m_Section.reset(MaxAnswerHeadBytes);
   m_Head = ResponseHead();
   m_InterimBytes = 0;
   m_IsHeadRequest = IsHeadRequest;
+  m_IsReused = IsReused;
   m_Started = m_HasHead = m_Malformed = false;
   m_FaultText = {};
 }
@@ -164,6 +165,9 @@
   m_Head.Reason = Line.substr(13);
   m_Section.copyFields(m_Head.Fields);
 
+  if (m_IsReused && containsStatusLine(m_Section.bytes().substr(1)))
+    return fail("second status line in a head");
+
   // Step 2. Find the end of the body.
   StatedFraming Framing;
   if (!readFraming(m_Head.Fields, IsHttp11, Framing))
