http: the bytes to send and the limits of a caller's connection in own files

SendQueue holds what a connection has to write; callerlimits.cpp has what memory a connection holds and when it is closed or gives something up.

--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/common/units.h"
 #include "mangodeck/http/parser.h"
+#include "mangodeck/http/sendqueue.h"
 
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -11,7 +12,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace mangodeck::http {
 
@@ -106,7 +106,7 @@
 
   bool isAnswering() const { return m_Phase == Phase::Answering; }
   /// Bytes of answers that have not been written to the socket.
-  std::size_t pendingBytes() const { return m_PendingBytes; }
+  std::size_t pendingBytes() const { return m_Answers.size(); }
 
   /// What giveUp() of \p Use would free.
   HeldMemory heldMemory(MemoryUse Use) const;
@@ -133,14 +133,6 @@
     Closed
   };
 
-  /// Bytes to be written, and a body behind them.
-  struct Outgoing {
-    std::string Bytes;
-    Body Large;
-    std::size_t size() const { return Bytes.size() + Large.size(); }
-    std::size_t heldBytes() const { return Bytes.size() + Large.capacity(); }
-  };
-
   void onHead() override;
   void onBody(std::string_view Bytes) override;
   /// Reserves memory, so that \p Total bytes are held for \p Use; false if the
@@ -180,7 +172,8 @@
   void writeBody(std::string_view Head, Body &&Content);
   /// Serializes the head of a whole answer.
   std::string answerHead(int Status, HeaderList Fields, std::size_t BodyBytes);
-  void countPending(std::size_t Bytes, std::size_t Held);
+  /// Counts the memory of what was appended to m_Answers.
+  void countPending(bool WasEmpty, std::size_t HeldBytes);
   void flush();
   void onWritten(std::error_code Error);
   void finishAnswer();
@@ -209,19 +202,16 @@
   bool m_WritePending = false;
   bool m_PeerClosed = false;
   std::string m_Unparsed;
-  Outgoing m_Writing;             ///< Passed to the current async_write().
-  std::vector<Outgoing> m_Queued; ///< To be written after m_Writing.
-  std::string m_SpareBytes;       ///< Memory for the next Outgoing.
-  std::size_t m_PendingBytes = 0; ///< Of m_Writing and m_Queued.
+  SendQueue m_Answers;
   TimePoint m_FirstByteTime{};
   TimePoint m_LastActivity{};
-  /// Bytes of the body at m_BodyProgressAt, and of m_Writing that were written
-  /// at m_AnswerProgressAt. A few bytes are no progress.
+  /// Bytes of the body at m_BodyProgressAt, and of the current item that were
+  /// written at m_AnswerProgressAt. A few bytes are no progress.
   std::size_t m_BodyProgress = 0;
   std::size_t m_AnswerProgress = 0;
   TimePoint m_BodyProgressAt{};
   TimePoint m_AnswerProgressAt{};
-  std::size_t m_WrittenBytes = 0; ///< Of m_Writing.
+  std::size_t m_WrittenBytes = 0; ///< Of the current item of m_Answers.
   TimePoint m_LingerSince{};
   TimePoint m_LingerProgressAt{};
   std::size_t m_LingerUnsent = 0; ///< At the last check.
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -6,9 +6,6 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
-#include <functional>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <utility>
 
 namespace mangodeck::http {
@@ -18,14 +15,6 @@
 /// While one request is being answered, reading pauses when this many bytes of
 /// following requests are buffered.
 constexpr std::size_t MaxReadAheadBytes = 64 << 10;
-/// How long incoming bytes are read and discarded after the caller has taken
-/// the last byte of the last answer. Closing a socket with unread bytes resets
-/// the connection, and the caller may then lose the answer.
-constexpr Duration LingerTime = 1s;
-/// A connection is closed if its caller takes nothing of the last answer for
-/// this long, or has not taken all of it after MaxLingerTime.
-constexpr Duration StallTimeout = 2s;
-constexpr Duration MaxLingerTime = 30s;
 
 /// Bytes of an answer that are passed to the socket at a time.
 constexpr std::size_t MaxWriteBytes = 64 << 10;
@@ -34,11 +23,8 @@
 constexpr std::size_t ProgressBytes = 4 << 10;
 /// Bodies up to this length have no owner().
 constexpr std::size_t MaxOwnerlessBytes = 64 << 10;
-/// Memory of a connection that is kept for the next request or answer.
-constexpr std::size_t MaxKeptCapacity = 16 << 10;
-/// A connection is closed as idle only after this time, several round trips to
-/// a caller.
-constexpr Duration MinIdleBeforeClose = 100ms;
+/// Bodies up to this length are copied behind the head of their answer.
+constexpr std::size_t MaxCopiedBytes = 16 << 10;
 
 TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
@@ -78,28 +64,6 @@
   read();
 }
 
-bool CallerConnection::hold(MemoryUse Use, std::size_t Total) {
-  auto &Held = m_Held[static_cast<std::size_t>(Use)];
-  if (Total <= Held)
-    return true;
-  if (!m_Handler.reserveMemory(*this, Use, Total - Held, Total))
-    return false;
-  Held = Total;
-  return true;
-}
-
-void CallerConnection::holdInAnyCase(MemoryUse Use, std::size_t Bytes) {
-  m_Held[static_cast<std::size_t>(Use)] += Bytes;
-  m_Handler.overdrawMemory(Use, Bytes);
-}
-
-void CallerConnection::drop(MemoryUse Use, std::size_t Bytes) {
-  if (Bytes == 0)
-    return;
-  m_Held[static_cast<std::size_t>(Use)] -= Bytes;
-  m_Handler.releaseMemory(Use, Bytes);
-}
-
 void CallerConnection::read() {
   if (m_ReadPending || m_Phase == Phase::Closed || m_PeerClosed)
     return;
@@ -295,64 +259,6 @@
   sendAnswer(Status, m_Handler.rejectionFields(Status), reasonPhraseOf(Status));
 }
 
-HeldMemory CallerConnection::heldMemory(MemoryUse Use) const {
-  switch (Use) {
-  case MemoryUse::Head:
-  case MemoryUse::ReadAhead:
-    // The head of a request that is being answered is needed.
-    if (m_Phase == Phase::Reading && m_Parser.hasStarted())
-      return {held(MemoryUse::Head),
-              m_Parser.hasHead() ? m_BodyProgressAt : m_FirstByteTime};
-    break;
-  case MemoryUse::Body:
-    if (m_Phase == Phase::Reading)
-      return {held(MemoryUse::Body), m_BodyProgressAt};
-    break;
-  case MemoryUse::Answer:
-    return {held(MemoryUse::Answer), m_AnswerProgressAt};
-  case MemoryUse::Unread:
-    break;
-  }
-  return {};
-}
-
-void CallerConnection::giveUp(MemoryUse Use) {
-  if (heldMemory(Use).Bytes == 0)
-    return;
-  if (Use != MemoryUse::Answer)
-    return reject(408);
-  if (m_Phase == Phase::Answering)
-    m_Handler.onCallerLeft(*this);
-  abort();
-}
-
-std::optional<TimePoint> CallerConnection::unusedSince() const {
-  if (m_Phase == Phase::Lingering)
-    return m_LingerSince;
-  if (m_Phase != Phase::Reading || m_Parser.hasHead() || m_WritePending)
-    return std::nullopt;
-  return m_Parser.hasStarted() ? m_FirstByteTime : m_LastActivity;
-}
-
-void CallerConnection::closeUnused() {
-  if (!unusedSince())
-    return;
-  if (m_Phase == Phase::Reading && m_Parser.hasStarted())
-    reject(408);
-  if (m_Phase == Phase::Lingering)
-    return close();
-  closeIfIdle();
-}
-
-std::uint64_t CallerConnection::findOwner() {
-  const auto Key = m_Parser.head().Fields.get("authorization");
-  if (!Key.empty())
-    return std::hash<std::string_view>()(Key);
-  std::error_code Error;
-  const auto Remote = m_Socket.remote_endpoint(Error);
-  return Error ? 0 : std::hash<std::string>()(Remote.address().to_string());
-}
-
 void CallerConnection::addConnectionField(HeaderList &Fields) {
   if (m_Handler.isLeaving())
     m_CloseAfterAnswer = true;
@@ -384,7 +290,7 @@
 
 void CallerConnection::sendAnswer(int Status, HeaderList Fields,
                                   Body &&Content) {
-  if (Content.size() <= MaxKeptCapacity || m_IsHeadRequest)
+  if (Content.size() <= MaxCopiedBytes || m_IsHeadRequest)
     return sendAnswer(Status, std::move(Fields), Content.view());
   if (m_Phase != Phase::Answering)
     return;
@@ -459,39 +365,34 @@
 void CallerConnection::write(std::string_view Bytes) {
   if (m_Phase == Phase::Closed)
     return;
-  if (m_Queued.empty() || m_Queued.back().Large.size() > 0 ||
-      m_Queued.back().Bytes.size() >= MaxWriteBytes)
-    m_Queued.emplace_back().Bytes.swap(m_SpareBytes);
-  m_Queued.back().Bytes.append(Bytes);
-  countPending(Bytes.size(), Bytes.size());
+  const bool WasEmpty = m_Answers.size() == 0;
+  m_Answers.append(Bytes);
+  countPending(WasEmpty, Bytes.size());
   flush();
 }
 
 void CallerConnection::writeBody(std::string_view Head, Body &&Content) {
   if (m_Phase == Phase::Closed)
     return;
-  auto &Item = m_Queued.emplace_back();
-  Item.Bytes = Head;
-  Item.Large = std::move(Content);
-  countPending(Item.size(), Item.heldBytes());
+  const bool WasEmpty = m_Answers.size() == 0;
+  const auto HeldBytes = Head.size() + Content.capacity();
+  m_Answers.append(Head, std::move(Content));
+  countPending(WasEmpty, HeldBytes);
   flush();
 }
 
-void CallerConnection::countPending(std::size_t Bytes, std::size_t Held) {
-  if (m_PendingBytes == 0) {
+void CallerConnection::countPending(bool WasEmpty, std::size_t HeldBytes) {
+  if (WasEmpty) {
     m_AnswerProgress = 0;
     m_AnswerProgressAt = steadyNow();
   }
-  m_PendingBytes += Bytes;
-  holdInAnyCase(MemoryUse::Answer, Held);
+  holdInAnyCase(MemoryUse::Answer, HeldBytes);
 }
 
 void CallerConnection::flush() {
-  if (m_WritePending || m_Queued.empty() || m_Phase == Phase::Closed)
+  if (m_WritePending || m_Phase == Phase::Closed || !m_Answers.startNext())
     return;
   m_WritePending = true;
-  m_Writing = std::move(m_Queued.front());
-  m_Queued.erase(m_Queued.begin());
   m_WrittenBytes = m_AnswerProgress = 0;
   const auto Continue = [Self = shared_from_this()](std::error_code Error,
                                                     std::size_t Written) {
@@ -509,26 +410,17 @@
           Self->onWritten(Error);
         });
   };
-  const auto Large = m_Writing.Large.view();
-  if (Large.empty())
-    Write(asio::buffer(m_Writing.Bytes));
-  else
-    Write(std::array<asio::const_buffer, 2>{
-        asio::buffer(m_Writing.Bytes),
-        asio::buffer(Large.data(), Large.size())});
+  const auto Large = m_Answers.current().Large.view();
+  Write(std::array<asio::const_buffer, 2>{
+      asio::buffer(m_Answers.current().Bytes),
+      asio::buffer(Large.data(), Large.size())});
 }
 
 void CallerConnection::onWritten(std::error_code Error) {
   m_WritePending = false;
-  m_PendingBytes -= m_Writing.size();
   if (m_Phase != Phase::Closed)
-    drop(MemoryUse::Answer, m_Writing.heldBytes());
-  m_Writing.Large.clear();
-  if (m_Writing.Bytes.capacity() <= MaxKeptCapacity) {
-    m_Writing.Bytes.clear();
-    m_SpareBytes.swap(m_Writing.Bytes);
-  }
-  m_Writing.Bytes = std::string();
+    drop(MemoryUse::Answer, m_Answers.current().heldBytes());
+  m_Answers.finishCurrent();
   m_WrittenBytes = 0;
   if (m_Phase == Phase::Closed)
     return;
@@ -538,7 +430,7 @@
     close();
     return;
   }
-  if (!m_Queued.empty())
+  if (m_Answers.size() > 0)
     flush();
   else if (m_Phase == Phase::Lingering)
     shutdownSend();
@@ -557,57 +449,6 @@
   close();
 }
 
-void CallerConnection::closeIfIdle() {
-  if (m_Phase != Phase::Reading || m_Parser.hasStarted() ||
-      !m_Unparsed.empty() || m_WritePending)
-    return;
-  // A request that has arrived and is not read yet is answered, and so is one
-  // that the caller sends right after connecting.
-  std::error_code Error;
-  if (m_Socket.available(Error) > 0 ||
-      steadyNow() - m_LastActivity < MinIdleBeforeClose)
-    return;
-  // The connection is closed without another read: a request that is in transit
-  // is then never executed, and its caller can safely send it again.
-  close();
-}
-
-void CallerConnection::checkTimeouts(TimePoint Now) {
-  if (m_Phase == Phase::Lingering) {
-    checkLinger(Now);
-  } else if (m_Phase == Phase::Reading) {
-    if (m_Parser.hasStarted()) {
-      const bool IsHeadLate =
-          !m_Parser.hasHead() && Now - m_FirstByteTime > m_Bounds.HeadTimeout;
-      const bool IsBodyLate =
-          m_Parser.hasHead() && Now - m_LastActivity > m_Bounds.BodyTimeout;
-      if (IsHeadLate || IsBodyLate)
-        reject(408);
-    } else if (Now - m_LastActivity > m_Bounds.IdleTimeout) {
-      closeIfIdle();
-    }
-  }
-}
-
-std::size_t CallerConnection::unsentBytes() {
-  // A system that does not tell counts as having sent all.
-  int InKernel = 0;
-  if (::ioctl(m_Socket.native_handle(), SIOCOUTQ, &InKernel) != 0)
-    InKernel = 0;
-  return pendingBytes() - m_WrittenBytes +
-         static_cast<std::size_t>(std::max(InKernel, 0));
-}
-
-void CallerConnection::checkLinger(TimePoint Now) {
-  const auto Unsent = unsentBytes();
-  if (Unsent < m_LingerUnsent)
-    m_LingerProgressAt = Now;
-  m_LingerUnsent = Unsent;
-  const auto Timeout = Unsent > 0 ? StallTimeout : LingerTime;
-  if (Now - m_LingerProgressAt > Timeout || Now - m_LingerSince > MaxLingerTime)
-    close();
-}
-
 void CallerConnection::close() {
   if (m_Phase == Phase::Closed)
     return;
