http: nothing follows the head of an answer without content

What callers saw: after a 204 or 304 to which the target had added a body, that body on the kept connection, where the next answer begins. Change: no body, chunks or length where none is allowed. Evidence: caller_answerWithoutContent_nextAnswerIsItsOwn failed before.

--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -170,6 +170,9 @@
   void reject(int Status);
   void write(std::string_view Bytes);
   void writeBody(std::string_view Head, Body &&Content);
+  /// Whether the answer to the current request may have a body. The caller
+  /// would take the bytes of another one for the next answer (RFC 9112, 6.3).
+  bool mayHaveContent(int Status) const;
   /// Serializes the head of a whole answer.
   std::string answerHead(int Status, HeaderList Fields, std::size_t BodyBytes);
   /// Counts the memory of what was appended to m_Answers.
@@ -198,6 +201,7 @@
   bool m_DiscardsRest = false;
   bool m_CloseAfterAnswer = false;
   bool m_IsHeadRequest = false;
+  bool m_StreamHasContent = false; ///< See mayHaveContent().
   bool m_ReadPending = false;
   bool m_WritePending = false;
   bool m_PeerClosed = false;
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -266,10 +266,14 @@
     Fields.set("Connection", "close");
 }
 
+bool CallerConnection::mayHaveContent(int Status) const {
+  return !m_IsHeadRequest && Status != 204 && Status != 304;
+}
+
 std::string CallerConnection::answerHead(int Status, HeaderList Fields,
                                          std::size_t BodyBytes) {
   addConnectionField(Fields);
-  if (Status != 204 && Status != 304)
+  if (mayHaveContent(Status))
     Fields.set("Content-Length", std::to_string(BodyBytes));
   ResponseHead Head;
   Head.Status = Status;
@@ -282,7 +286,7 @@
   if (m_Phase != Phase::Answering)
     return;
   auto Bytes = answerHead(Status, std::move(Fields), Content.size());
-  if (!m_IsHeadRequest)
+  if (mayHaveContent(Status))
     Bytes.append(Content);
   write(Bytes);
   finishAnswer();
@@ -290,7 +294,7 @@
 
 void CallerConnection::sendAnswer(int Status, HeaderList Fields,
                                   Body &&Content) {
-  if (Content.size() <= MaxCopiedBytes || m_IsHeadRequest)
+  if (Content.size() <= MaxCopiedBytes || !mayHaveContent(Status))
     return sendAnswer(Status, std::move(Fields), Content.view());
   if (m_Phase != Phase::Answering)
     return;
@@ -304,7 +308,9 @@
   if (m_Phase != Phase::Answering)
     return;
   addConnectionField(Fields);
-  Fields.set("Transfer-Encoding", "chunked");
+  m_StreamHasContent = mayHaveContent(Status);
+  if (m_StreamHasContent)
+    Fields.set("Transfer-Encoding", "chunked");
   ResponseHead Head;
   Head.Status = Status;
   Head.Reason = Reason;
@@ -313,7 +319,7 @@
 }
 
 void CallerConnection::sendChunk(std::string_view Data) {
-  if (m_Phase != Phase::Answering || m_IsHeadRequest)
+  if (m_Phase != Phase::Answering || !m_StreamHasContent)
     return;
   std::string Bytes;
   Bytes.reserve(Data.size() + 16);
@@ -324,7 +330,7 @@
 void CallerConnection::endStream() {
   if (m_Phase != Phase::Answering)
     return;
-  if (!m_IsHeadRequest)
+  if (m_StreamHasContent)
     write(LastChunk);
   finishAnswer();
 }
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(caller_headRefusedForMemory_gets503);
   CPPUNIT_TEST(caller_longAnswer_isCountedUntilItIsTaken);
   CPPUNIT_TEST(caller_halfAHead_canBeClosedForOthers);
+  CPPUNIT_TEST(caller_answerWithoutContent_nextAnswerIsItsOwn);
   CPPUNIT_TEST(caller_closesWhileWaiting_handlerIsNotified);
   CPPUNIT_TEST(caller_streamAborted_doesNotLookComplete);
   CPPUNIT_TEST(caller_closedWhileIdle_laterRequestIsNotRead);
@@ -224,6 +225,31 @@
     assertNothingHeld();
   }
 
+  // Regression: the body that was passed with a 204 or 304 was sent behind it.
+  void caller_answerWithoutContent_nextAnswerIsItsOwn() {
+    m_Handler.Answers = false;
+    const auto Ask = [&](const std::string &Method) {
+      send(Method + " / HTTP/1.1\r\nHost: x\r\n\r\n");
+      runUntilIdle();
+    };
+    for (const int Status : {204, 304}) {
+      Ask("GET");
+      m_Server->sendAnswer(Status, HeaderList(), "body");
+      Ask("GET");
+      m_Server->startStream(Status, "", HeaderList());
+      m_Server->sendChunk("body");
+      m_Server->endStream();
+    }
+    Ask("HEAD");
+    m_Server->sendAnswer(200, HeaderList(), "body");
+    Ask("GET");
+    m_Server->sendAnswer(200, HeaderList(), "last");
+    const auto Answers = receiveUntil("last");
+    CPPUNIT_ASSERT_MESSAGE(Answers, Answers.find("body") == Answers.npos);
+    CPPUNIT_ASSERT_MESSAGE(Answers, Answers.find("chunked") == Answers.npos);
+    CPPUNIT_ASSERT_MESSAGE(Answers, Answers.find("0\r\n\r\n") == Answers.npos);
+  }
+
   void caller_closesWhileWaiting_handlerIsNotified() {
     m_Handler.Answers = false;
     send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\n");
