http: a leaving daemon answers the requests that it has read

Cause: isLeaving() made each answer the last one of its connection, and finishAnswer() dropped what was read behind it. Change: an answer announces the end only if no byte has arrived behind its request. Evidence: two cases of CallerConnectionTest failed before.

--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -60,8 +60,9 @@
   virtual void onRejected(int Status, std::string_view HeadBytes) = 0;
   /// The connection is closed; the handler must not use it any longer.
   virtual void onClosed(CallerConnection &Connection) = 0;
-  /// Whether the daemon is shutting down. Answers then carry "Connection:
-  /// close", and the connection is closed after them.
+  /// Whether the daemon is shutting down. The answer to the last request that
+  /// has arrived then carries "Connection: close", and the connection is closed
+  /// after it.
   virtual bool isLeaving() const = 0;
   /// Reserves \p Bytes more of memory, before it is used. \p Total is what the
   /// connection then holds for this use. If false, the memory must not be used.
@@ -188,6 +189,8 @@
   void checkLinger(TimePoint Now);
   void close();
   void addConnectionField(HeaderList &Fields);
+  /// Whether bytes have arrived behind the request that is being answered.
+  bool hasFollowingBytes();
 
   asio::ip::tcp::socket m_Socket;
   CallerConnectionHandler &m_Handler;
@@ -206,6 +209,9 @@
   bool m_WritePending = false;
   bool m_PeerClosed = false;
   std::string m_Unparsed;
+  /// Bytes behind the request that is passed to the handler, besides
+  /// m_Unparsed.
+  bool m_HasBytesBehind = false;
   SendQueue m_Answers;
   TimePoint m_FirstByteTime{};
   TimePoint m_LastActivity{};
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -208,7 +208,9 @@
     auto Message = std::move(m_Request);
     m_Request = Request();
     m_Parser.reset();
+    m_HasBytesBehind = Used < Bytes.size();
     m_Handler.onRequest(*this, std::move(Message), m_FirstByteTime);
+    m_HasBytesBehind = false;
   }
   return Used;
 }
@@ -259,8 +261,16 @@
   sendAnswer(Status, m_Handler.rejectionFields(Status), reasonPhraseOf(Status));
 }
 
+bool CallerConnection::hasFollowingBytes() {
+  std::error_code Ignored; // The next read meets the error, too.
+  return m_HasBytesBehind || !m_Unparsed.empty() ||
+         m_Socket.available(Ignored) > 0;
+}
+
 void CallerConnection::addConnectionField(HeaderList &Fields) {
-  if (m_Handler.isLeaving())
+  // A request that has arrived behind this one is answered before the
+  // connection is closed.
+  if (m_Handler.isLeaving() && !hasFollowingBytes())
     m_CloseAfterAnswer = true;
   if (m_CloseAfterAnswer)
     Fields.set("Connection", "close");
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -80,6 +80,8 @@
   CPPUNIT_TEST(caller_justConnected_isNotClosedAsIdle);
   CPPUNIT_TEST(caller_requestNotReadYet_isNotClosedAsIdle);
   CPPUNIT_TEST(caller_daemonLeaving_answerHasConnectionClose);
+  CPPUNIT_TEST(caller_requestsBehindAnotherWhileDaemonLeaves_areAnswered);
+  CPPUNIT_TEST(caller_requestsAnsweredAtOnceWhileDaemonLeaves_areAnswered);
   CPPUNIT_TEST(caller_readsSlowlyWhileDaemonLeaves_getsWholeAnswer);
   CPPUNIT_TEST(caller_readsNothingWhileDaemonLeaves_isClosed);
   CPPUNIT_TEST_SUITE_END();
@@ -310,6 +312,30 @@
     CPPUNIT_ASSERT(Answer.find("Connection: close") != Answer.npos);
   }
 
+  // Regression: requests that were read behind another one were dropped when
+  // the daemon was leaving.
+  void caller_requestsBehindAnotherWhileDaemonLeaves_areAnswered() {
+    m_Handler.Answers = false;
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\nGET /2/ HTTP/1.1\r\nHost: x\r\n"
+         "\r\n");
+    runUntilIdle();
+    m_Handler.Leaving = true;
+    send("GET /3/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    for (std::size_t Count = 1; Count <= 3; ++Count) {
+      runUntilIdle();
+      CPPUNIT_ASSERT_EQUAL(Count, m_Handler.Paths.size());
+      m_Server->sendAnswer(200, HeaderList(), m_Handler.Paths.back());
+    }
+    assertLastOfThreeCloses();
+  }
+
+  void caller_requestsAnsweredAtOnceWhileDaemonLeaves_areAnswered() {
+    m_Handler.Leaving = true;
+    send("GET /1/ HTTP/1.1\r\nHost: x\r\n\r\nGET /2/ HTTP/1.1\r\nHost: x\r\n"
+         "\r\nGET /3/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    assertLastOfThreeCloses();
+  }
+
   // Regression: the connection was closed one second after the answer had been
   // queued, whatever was still to be sent.
   void caller_readsSlowlyWhileDaemonLeaves_getsWholeAnswer() {
@@ -352,6 +378,18 @@
     return Received;
   }
 
+  /// The answers to /1/, /2/ and /3/ arrive, and the last one alone announces
+  /// the end of the connection.
+  void assertLastOfThreeCloses() {
+    const auto Answers = receiveUntil("");
+    CPPUNIT_ASSERT(m_ReadError == asio::error::eof);
+    CPPUNIT_ASSERT(Answers.find("/1/") != Answers.npos);
+    const auto Second = Answers.find("/2/");
+    CPPUNIT_ASSERT(Second != Answers.npos);
+    CPPUNIT_ASSERT(Answers.find("Connection: close") > Second);
+    CPPUNIT_ASSERT(Answers.ends_with("/3/"));
+  }
+
   void assertNothingHeld() {
     for (const auto &[Use, Bytes] : m_Handler.Held)
       CPPUNIT_ASSERT_EQUAL(std::size_t(0), Bytes);
