http: a caller's next request waits while its answers pile up

Cause: CallerConnection read on whatever waited to be written, and answers that the daemon makes itself, such as 401, wait for nothing else. Change: between two requests reading pauses while more than 64 KB of answers wait. A caller that takes nothing for the idle time-out is closed.

--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -160,6 +160,14 @@
   /// Pauses reading until the answer is complete. Without memory for what the
   /// system keeps meanwhile, calls discardRest() and returns false.
   bool pauseReading();
+  /// Reserves memory for what the system keeps while reading pauses.
+  bool holdUnread();
+  /// Whether the next request is not read before more of the answers to the
+  /// earlier ones has been written.
+  bool mustAwaitWrites() const;
+  /// Pauses reading until mustAwaitWrites() ends. Without memory for what the
+  /// system keeps meanwhile, the connection is closed behind its answers.
+  void awaitWrites();
   /// Keeps bytes behind a request that is being answered.
   void keepUnparsed(std::string_view Bytes);
   /// From now on what follows the request that is being answered is discarded,
@@ -168,6 +176,8 @@
   /// Reads requests from \p Bytes; returns how many bytes were used.
   std::size_t parse(std::string_view Bytes);
   void parseBuffered();
+  /// Calls parseBuffered() and read() from the event loop.
+  void parseLater();
   void reject(int Status);
   void write(std::string_view Bytes);
   void writeBody(std::string_view Head, Body &&Content);
@@ -207,6 +217,7 @@
   bool m_StreamHasContent = false; ///< See mayHaveContent().
   bool m_ReadPending = false;
   bool m_WritePending = false;
+  bool m_AwaitsWrites = false; ///< See awaitWrites().
   bool m_PeerClosed = false;
   std::string m_Unparsed;
   /// Bytes behind the request that is passed to the handler, besides
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -16,6 +16,10 @@
 /// following requests are buffered.
 constexpr std::size_t MaxReadAheadBytes = 64 << 10;
 
+/// Bytes of answers that wait to be written at which the next request is not
+/// read: a caller that sends requests faster than it takes their answers would
+/// fill the memory.
+constexpr std::size_t MaxWaitingAnswerBytes = 64 << 10;
 /// Bytes of an answer that are passed to the socket at a time.
 constexpr std::size_t MaxWriteBytes = 64 << 10;
 /// Bytes that a caller has to send or take to count as making progress: one
@@ -69,6 +73,8 @@
     return;
   if (m_Phase == Phase::Answering && isReadAheadFull() && pauseReading())
     return;
+  if (mustAwaitWrites())
+    return awaitWrites();
   m_ReadPending = true;
   m_Socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [Self = shared_from_this()](std::error_code Error) {
@@ -96,7 +102,7 @@
     onBytes({Buffer.data(), Size});
     if (m_Phase == Phase::Closed)
       return;
-    if (Size < Room)
+    if (Size < Room || mustAwaitWrites())
       break;
   }
   if (Error && Error != asio::error::would_block)
@@ -130,15 +136,34 @@
 }
 
 bool CallerConnection::pauseReading() {
+  if (holdUnread())
+    return true;
+  discardRest();
+  return false;
+}
+
+bool CallerConnection::holdUnread() {
   // The system keeps what the receive buffer takes, about half of its size.
   asio::socket_base::receive_buffer_size Size;
   std::error_code Error;
   m_Socket.get_option(Size, Error);
-  if (!Error &&
-      hold(MemoryUse::Unread, static_cast<std::size_t>(Size.value()) / 2))
-    return true;
-  discardRest();
-  return false;
+  return !Error &&
+         hold(MemoryUse::Unread, static_cast<std::size_t>(Size.value()) / 2);
+}
+
+bool CallerConnection::mustAwaitWrites() const {
+  return m_Phase == Phase::Reading && !m_Parser.hasStarted() &&
+         m_Answers.size() > MaxWaitingAnswerBytes;
+}
+
+void CallerConnection::awaitWrites() {
+  m_AwaitsWrites = true;
+  if (holdUnread())
+    return;
+  // Without memory for what the system keeps, nothing more is read.
+  m_CloseAfterAnswer = true;
+  m_Phase = Phase::Answering;
+  finishAnswer();
 }
 
 void CallerConnection::discardRest() {
@@ -181,7 +206,8 @@
 
 std::size_t CallerConnection::parse(std::string_view Bytes) {
   std::size_t Used = 0;
-  while (m_Phase == Phase::Reading && Used < Bytes.size()) {
+  while (m_Phase == Phase::Reading && Used < Bytes.size() &&
+         !mustAwaitWrites()) {
     if (!m_Parser.hasStarted())
       m_FirstByteTime = steadyNow();
     const auto Count = m_Parser.feed(Bytes.substr(Used));
@@ -364,10 +390,13 @@
     return;
   }
   m_Phase = Phase::Reading;
-  if (m_Unparsed.empty()) {
+  if (m_Unparsed.empty())
     read();
-    return;
-  }
+  else
+    parseLater();
+}
+
+void CallerConnection::parseLater() {
   // Posted, not called: parsing may call the handler with the next request, and
   // the handler may still be inside its call that finished this answer.
   asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
@@ -446,6 +475,11 @@
     close();
     return;
   }
+  if (m_AwaitsWrites && !mustAwaitWrites()) {
+    m_AwaitsWrites = false;
+    dropAll(MemoryUse::Unread);
+    parseLater();
+  }
   if (m_Answers.size() > 0)
     flush();
   else if (m_Phase == Phase::Lingering)
--- a/packages/http/src/callerlimits.cpp
+++ b/packages/http/src/callerlimits.cpp
@@ -133,6 +133,9 @@
           m_Parser.hasHead() && Now - m_LastActivity > m_Bounds.BodyTimeout;
       if (IsHeadLate || IsBodyLate)
         reject(408);
+    } else if (m_AwaitsWrites) {
+      if (Now - m_AnswerProgressAt > m_Bounds.IdleTimeout)
+        abort(); // The caller takes no answers.
     } else if (Now - m_LastActivity > m_Bounds.IdleTimeout) {
       closeIfIdle();
     }
--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -69,6 +69,8 @@
   CPPUNIT_TEST(caller_chunkRefusedForMemory_requestIsNotRead);
   CPPUNIT_TEST(caller_bodyStopsAndIsGivenUp_gets408AndMemoryIsReleased);
   CPPUNIT_TEST(caller_doesNotReadAndIsGivenUp_memoryIsReleased);
+  CPPUNIT_TEST(caller_readsSlowerThanItSends_answersDoNotPileUp);
+  CPPUNIT_TEST(caller_readsNoAnswers_isClosed);
   CPPUNIT_TEST(caller_bytesBehindRequestWithoutMemory_areDiscarded);
   CPPUNIT_TEST(caller_headRefusedForMemory_gets503);
   CPPUNIT_TEST(caller_longAnswer_isCountedUntilItIsTaken);
@@ -90,6 +92,7 @@
   void setUp() override {
     m_Loop.emplace();
     m_Handler = EchoHandler();
+    m_Requests.clear();
     asio::ip::tcp::acceptor Acceptor(*m_Loop,
                                      {asio::ip::make_address("127.0.0.1"), 0});
     m_Client.emplace(*m_Loop);
@@ -181,6 +184,25 @@
 
   // Guards against a request that is lost, or one behind it that is run half,
   // when there is no memory for what a caller sends ahead.
+  // Regression: answers piled up for a caller that sent requests faster than it
+  // read, until the process was over its memory.
+  void caller_readsSlowerThanItSends_answersDoNotPileUp() {
+    sendWithoutReading(ManyRequests);
+    const auto Held = m_Handler.Held[MemoryUse::Answer];
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Held), Held < 256 << 10);
+    CPPUNIT_ASSERT_EQUAL(ManyRequests, countAnswers(ManyRequests));
+    assertNothingHeld();
+  }
+
+  void caller_readsNoAnswers_isClosed() {
+    sendWithoutReading(ManyRequests);
+    m_Server->checkTimeouts(std::chrono::steady_clock::now() + 10s);
+    CPPUNIT_ASSERT_EQUAL(0, m_Handler.ConnectionsClosed);
+    m_Server->checkTimeouts(std::chrono::steady_clock::now() + 20s);
+    CPPUNIT_ASSERT_EQUAL(1, m_Handler.ConnectionsClosed);
+    assertNothingHeld();
+  }
+
   void caller_bytesBehindRequestWithoutMemory_areDiscarded() {
     m_Handler.Answers = false;
     m_Handler.Refused = {MemoryUse::ReadAhead, MemoryUse::Unread};
@@ -378,6 +400,34 @@
     return Received;
   }
 
+  /// Sends requests, as far as the connection takes them, and reads nothing.
+  void sendWithoutReading(std::size_t Count) {
+    m_Client->set_option(asio::socket_base::receive_buffer_size(64 << 10));
+    for (std::size_t I = 0; I < Count; ++I)
+      m_Requests += "GET /@ HTTP/1.1\r\nHost: x\r\n\r\n";
+    asio::async_write(*m_Client, asio::buffer(m_Requests),
+                      [](std::error_code, std::size_t) {});
+    runUntilIdle();
+  }
+
+  /// Reads until \p Count answers have come; returns how many came.
+  std::size_t countAnswers(std::size_t Count) {
+    std::size_t Found = 0;
+    std::string Buffer(1 << 20, ' ');
+    m_Client->non_blocking(true);
+    for (int Idle = 0; Idle < 100 && Found < Count;) {
+      std::error_code Error;
+      const auto Size = m_Client->read_some(asio::buffer(Buffer), Error);
+      Idle = Size == 0 ? Idle + 1 : 0;
+      Found += static_cast<std::size_t>(
+          std::count(Buffer.begin(),
+                     Buffer.begin() + static_cast<std::ptrdiff_t>(Size), '@'));
+      m_Loop->restart();
+      m_Loop->run_for(std::chrono::milliseconds(2));
+    }
+    return Found;
+  }
+
   /// The answers to /1/, /2/ and /3/ arrive, and the last one alone announces
   /// the end of the connection.
   void assertLastOfThreeCloses() {
@@ -425,8 +475,12 @@
     return Bytes;
   }
 
+  /// Their answers exceed what the kernel's buffers hold.
+  static constexpr std::size_t ManyRequests = 200000;
+
   std::optional<asio::io_context> m_Loop;
   std::optional<asio::ip::tcp::socket> m_Client;
+  std::string m_Requests; ///< Being sent by sendWithoutReading().
   EchoHandler m_Handler;
   std::shared_ptr<CallerConnection> m_Server;
   std::error_code m_ReadError;
