--- a/packages/http/test/client_test.cpp
+++ b/packages/http/test/client_test.cpp
@@ -14,6 +14,7 @@
 class ClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(call_openConnectionsSilent_nextCallUsesNewConnection);
+  CPPUNIT_TEST(call_oddAnswer_failsAndConnectionIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,6 +53,26 @@
     CPPUNIT_ASSERT_EQUAL(3, Answered);
   }
 
+  // Regression: the caller of the store got answers with the status 000.
+  void call_oddAnswer_failsAndConnectionIsClosed() {
+    int Calls = 0;
+    for (const std::string Odd :
+         {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}XX"}) {
+      m_Answer = Odd;
+      std::optional<Expected<CallAnswer>> Got;
+      m_Client->call("GET", "/1", "", 1s,
+                     [&](Expected<CallAnswer> Answer) { Got = Answer; });
+      runUntil([&] { return Got.has_value(); });
+      CPPUNIT_ASSERT_MESSAGE(Odd, Got && !*Got);
+      CPPUNIT_ASSERT_EQUAL(make_error_code(Errc::MalformedAnswer),
+                           Got->error());
+      CPPUNIT_ASSERT_EQUAL(++Calls, m_Accepted);
+    }
+  }
+
 private:
   struct Session {
     asio::ip::tcp::socket Socket;
@@ -78,10 +99,7 @@
             return;
           std::error_code Ignored; // The client has closed the connection.
           if (Client->Number > m_SilentUpTo)
-            asio::write(Client->Socket,
-                        asio::buffer(std::string(
-                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")),
-                        Ignored);
+            asio::write(Client->Socket, asio::buffer(m_Answer), Ignored);
           serve(Client);
         });
   }
@@ -97,6 +115,7 @@
   std::optional<asio::io_context> m_Loop;
   std::optional<asio::ip::tcp::acceptor> m_Acceptor;
   std::optional<Client> m_Client;
+  std::string m_Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
   int m_SilentUpTo = 0; ///< Connections up to this one get no answer.
   int m_Accepted = 0;
 };
