--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -43,6 +43,8 @@
 play_soak 1 --seed 3058
 # Regression: SIGHUP ended a daemon that was starting.
 play_soak 1 --seed 6101 --callers 48
+# Answers that break a rule of HTTP, and late copies that are broken off.
+play_soak 1 --seed 2 --odd-answers 5
 # Changes of the configuration while the store does not serve some daemons.
 play_soak 1 --seed 1 --changes --daemons 9
 echo "$passed passed, $failed failed"
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -29,7 +29,8 @@
   bool KeepIds = false; ///< Of targets that change their version.
   bool ClockSteps = false;
   bool Impatient = false;
-  unsigned Subnet = 1; ///< Daemons listen at 127.0.SUBNET.1 and on.
+  unsigned OddPercent = 0; ///< Of the answers; see OddAnswers.
+  unsigned Subnet = 1;     ///< Daemons listen at 127.0.SUBNET.1 and on.
 };
 
 /// Time without a fault after which promises hold without excuse.
@@ -57,6 +58,7 @@
       m_Targets.push_back(std::make_unique<SoakTarget>(
           fmt::format("t-{}", I), I % 2 ? "a" : "b", m_Ledger, m_Store, m_Calm,
           m_Random(), Chosen.KeepIds));
+      m_Targets.back()->setOdd(Chosen.OddPercent);
       m_Targets.back()->announce(false);
     }
     for (unsigned I = 0; I < DeskTargets; ++I) {
@@ -360,6 +362,7 @@
     for (auto &Each : m_Targets) {
       Each->setLinkFault(LinkFault::None);
       Each->setSpoiled(0);
+      Each->setOdd(0);
       Each->announce(false);
     }
   }
@@ -410,6 +413,9 @@
                "does not serve some daemons");
   App.add_flag("--impatient", Chosen.Impatient,
                "Callers return at once after a refusal");
+  App.add_option("--odd-answers", Chosen.OddPercent,
+                 "Answers that break a rule of HTTP, in percent")
+      ->check(CLI::Range(0, 100));
   CLI11_PARSE(App, Argc, Argv);
   std::signal(SIGPIPE, SIG_IGN);
   unsigned Failed = 0;
--- a/testing/soak/soaktarget.cpp
+++ b/testing/soak/soaktarget.cpp
@@ -61,12 +61,16 @@
   std::string m_Id;
 };
 
-std::string headOf(const std::string &Id, const std::string &State) {
-  return fmt::format("HTTP/1.1 200 OK\r\nX-Mangodeck-Attempt-Id: {}\r\n"
+std::string fieldsOf(const std::string &Id, const std::string &State) {
+  return fmt::format("X-Mangodeck-Attempt-Id: {}\r\n"
                      "X-Mangodeck-Response-Stamp: {}\r\n{}",
                      Id, Id, State);
 }
 
+std::string headOf(const std::string &Id, const std::string &State) {
+  return "HTTP/1.1 200 OK\r\n" + fieldsOf(Id, State);
+}
+
 /// An error that the target's own state does not show in.
 std::string errorOf(const std::string &Id) {
   return fmt::format("HTTP/1.1 500 E\r\nX-Mangodeck-Attempt-Id: {}\r\n"
@@ -97,7 +101,7 @@
     : m_Id(std::move(Id)), m_KeepsId(KeepsId), m_Domain(std::move(Domain)),
       m_Service(std::move(Service)), m_Ledger(Ledger), m_Store(Store),
       m_Calm(Calm), m_Random(Seed),
-      m_Version(fmt::format("v{}", 1 + draw(VersionCount))),
+      m_Version(fmt::format("v{}", 1 + draw(VersionCount))), m_Odd(Seed),
       m_ErrorPercent(draw(OddTargets) == 0 ? draw(MaxErrorPercent) : 0),
       m_HeadDelay(draw(OddTargets) == 0 ? LateHeadDelay : milliseconds{0}),
       m_Server("127.0.0.1", [this](Socket &Caller) { serve(Caller); }),
@@ -288,14 +292,15 @@
   RequestReader Reader(Caller);
   http::Request Asked;
   const auto Start = m_Start.load();
-  while (Reader.next(Asked)) {
+  for (bool IsKept = false; Reader.next(Asked); IsKept = true) {
     // A process ends with its connections.
-    if (m_Start != Start || !answer(Caller, Asked))
+    if (m_Start != Start || !answer(Caller, Asked, IsKept))
       return;
   }
 }
 
-bool SoakTarget::answer(Socket &Caller, const http::Request &Asked) {
+bool SoakTarget::answer(Socket &Caller, const http::Request &Asked,
+                        bool IsKept) {
   const auto &Fields = Asked.Head.Fields;
   const std::string Id(Fields.get("X-Mangodeck-Attempt-Id"));
   const bool IsSlow = Asked.Head.Target.starts_with("/slow/");
@@ -334,6 +339,13 @@
     return writeAll(Caller, errorOf(Id));
   if (IsStream)
     std::this_thread::sleep_for(m_HeadDelay);
+  // What a daemon is told by an answer that it rejects cannot be demanded.
+  if (!IsStream && !m_LeavingByAnswers && !isLimited())
+    if (const auto Odd = m_Odd.draw(fieldsOf(Id, ""), bodyOf(Id), IsKept)) {
+      std::this_thread::sleep_for(PlainWork);
+      writeAll(Caller, *Odd);
+      return false;
+    }
   const auto Head = headOf(Id, stateFields(Id));
   if (IsStream) {
     const auto Last = Fields.get("Last-Event-Id");
--- a/testing/soak/soaktarget.h
+++ b/testing/soak/soaktarget.h
@@ -2,6 +2,7 @@
 #define MANGODECK_SOAK_SOAKTARGET_H
 
 #include "faultproxy.h"
+#include "oddanswers.h"
 #include "soakledger.h"
 #include "soakstore.h"
 
@@ -25,6 +26,8 @@
   void setLinkFault(LinkFault Fault);
   /// Share of the answers that are spoiled, in percent.
   void setSpoiled(unsigned Percent) { m_Spoiled = Percent; }
+  /// Share of the answers that break a rule of HTTP, in percent.
+  void setOdd(unsigned Percent) { m_Odd.setShare(Percent); }
   /// Registers as ready or draining. Ready after a time of leaving is a new
   /// start of the target.
   void announce(bool Draining);
@@ -66,7 +69,9 @@
   /// Rejects the request if the target rejects all; false if it does not.
   bool reject(Socket &Caller, const std::string &Id);
   void serve(Socket &Caller);
-  bool answer(Socket &Caller, const http::Request &Asked);
+  /// Answers a request; with \p IsKept not the first one of its connection.
+  /// False if the connection is to be closed.
+  bool answer(Socket &Caller, const http::Request &Asked, bool IsKept);
   /// Ends the target, with all that it runs, if the request has the crashing
   /// part in its prompt; it starts again after a moment.
   bool crashOver(const http::Request &Asked, const std::string &Id);
@@ -92,6 +97,7 @@
   std::mt19937_64 m_Random;
   std::string m_Version; ///< Of the software of the current start.
   std::atomic<unsigned> m_Spoiled{0};
+  OddAnswers m_Odd;
   std::atomic<Clock::rep> m_DrainingSince{0};
   std::atomic<Clock::rep> m_RejectUntil{0};
   std::atomic<bool> m_LeavingByAnswers{false};
