http, gateway: the log names the rule that a rejected request broke

Cause: with stricter reading more requests may get 400, and caller_rejected said only the first line, of which nothing was kept when the line itself was invalid. Change: caller_rejected has a reason; the bytes of a line up to the invalid one are kept.

--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -184,7 +184,8 @@
   void onRequest(http::CallerConnection &Connection, http::Request &&Message,
                  TimePoint FirstByte) override;
   void onCallerLeft(http::CallerConnection &Connection) override;
-  void onRejected(int Status, std::string_view Start) override;
+  void onRejected(int Status, std::string_view Reason,
+                  std::string_view Start) override;
   void onClosed(http::CallerConnection &Connection) override;
   bool isLeaving() const override { return m_Stopping; }
   bool reserveMemory(const http::CallerConnection &Connection,
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -232,10 +232,12 @@
   Cancelled->cancel();
 }
 
-void Gateway::onRejected(int Status, std::string_view Start) {
+void Gateway::onRejected(int Status, std::string_view Reason,
+                         std::string_view Start) {
   m_Log.write(
       "caller_rejected",
       {{"status", Status},
+       {"reason", Reason},
        {"line", std::string(Start.substr(
                     0, std::min(Start.find('\r'), MaxLoggedLineBytes)))}});
   m_Metrics.countRequest("none", std::to_string(Status));
--- a/packages/http/include/mangodeck/http/callerconnection.h
+++ b/packages/http/include/mangodeck/http/callerconnection.h
@@ -56,8 +56,10 @@
   /// complete.
   virtual void onCallerLeft(CallerConnection &Connection) = 0;
   /// The connection itself answers a request with an error, e.g. 400 for a
-  /// malformed one. \p HeadBytes is as much of its head as was received.
-  virtual void onRejected(int Status, std::string_view HeadBytes) = 0;
+  /// malformed one. \p Reason is for a log; \p HeadBytes is as much of its head
+  /// as was received.
+  virtual void onRejected(int Status, std::string_view Reason,
+                          std::string_view HeadBytes) = 0;
   /// The connection is closed; the handler must not use it any longer.
   virtual void onClosed(CallerConnection &Connection) = 0;
   /// Whether the daemon is shutting down. The answer to the last request that
@@ -178,7 +180,7 @@
   void parseBuffered();
   /// Calls parseBuffered() and read() from the event loop.
   void parseLater();
-  void reject(int Status);
+  void reject(int Status, std::string_view Reason);
   void write(std::string_view Bytes);
   void writeBody(std::string_view Head, Body &&Content);
   /// Whether the answer to the current request may have a body. The caller
--- a/packages/http/include/mangodeck/http/parser.h
+++ b/packages/http/include/mangodeck/http/parser.h
@@ -28,6 +28,8 @@
   bool hasStarted() const { return m_Section.hasStarted(); }
   bool hasHead() const { return m_HasHead; }
   ParseFault fault() const { return m_Fault; }
+  /// The rule that the request breaks, for a log.
+  std::string_view faultText() const { return m_FaultText; }
   RequestHead &head() { return m_Head; }
   /// The bytes of the head received so far.
   std::string_view headBytes() const { return m_Section.bytes(); }
@@ -40,6 +42,7 @@
 
 private:
   void onSection();
+  void setFault(ParseFault Fault, std::string_view Text);
 
   MessageSink &m_Sink;
   std::size_t m_MaxHeadBytes;
@@ -49,6 +52,7 @@
   BodyReader m_Body;
   bool m_HasHead = false;
   ParseFault m_Fault = ParseFault::None;
+  std::string_view m_FaultText;
 };
 
 /// Parses the answer to one request; interim answers (1xx) are skipped. It is
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -180,7 +180,7 @@
   else if (m_Phase == Phase::Answering)
     discardRest();
   else
-    reject(503);
+    reject(503, "no memory for bytes behind a request");
 }
 
 void CallerConnection::onBytes(std::string_view Bytes) {
@@ -213,13 +213,13 @@
     const auto Count = m_Parser.feed(Bytes.substr(Used));
     Used += Count;
     if (m_Parser.fault() != ParseFault::None && !m_IsRefused) {
-      reject(statusOf(m_Parser.fault()));
+      reject(statusOf(m_Parser.fault()), m_Parser.faultText());
       break;
     }
     if (!m_Parser.hasHead())
       m_IsRefused |= !hold(MemoryUse::Head, m_Parser.heldBytes());
     if (m_IsRefused) {
-      reject(503);
+      reject(503, "no memory for the request");
       break;
     }
     if (!m_Parser.isComplete()) {
@@ -278,8 +278,8 @@
   }
 }
 
-void CallerConnection::reject(int Status) {
-  m_Handler.onRejected(Status, m_Parser.headBytes());
+void CallerConnection::reject(int Status, std::string_view Reason) {
+  m_Handler.onRejected(Status, Reason, m_Parser.headBytes());
   m_Request = Request();
   m_Parser.reset();
   m_Phase = Phase::Answering;
--- a/packages/http/src/callerlimits.cpp
+++ b/packages/http/src/callerlimits.cpp
@@ -74,7 +74,7 @@
   if (heldMemory(Use).Bytes == 0)
     return;
   if (Use != MemoryUse::Answer)
-    return reject(408);
+    return reject(408, "memory needed for others");
   if (m_Phase == Phase::Answering)
     m_Handler.onCallerLeft(*this);
   abort();
@@ -92,7 +92,7 @@
   if (!unusedSince())
     return;
   if (m_Phase == Phase::Reading && m_Parser.hasStarted())
-    reject(408);
+    reject(408, "connection needed for others");
   if (m_Phase == Phase::Lingering)
     return close();
   closeIfIdle();
@@ -132,7 +132,7 @@
       const bool IsBodyLate =
           m_Parser.hasHead() && Now - m_LastActivity > m_Bounds.BodyTimeout;
       if (IsHeadLate || IsBodyLate)
-        reject(408);
+        reject(408, IsHeadLate ? "head too late" : "body too late");
     } else if (m_AwaitsWrites) {
       if (Now - m_AnswerProgressAt > m_Bounds.IdleTimeout)
         abort(); // The caller takes no answers.
--- a/packages/http/src/fieldsection.cpp
+++ b/packages/http/src/fieldsection.cpp
@@ -19,17 +19,21 @@
   const bool HasEnd = LineFeed != Bytes.npos;
   const auto Piece = Bytes.substr(0, HasEnd ? LineFeed + 1 : LineFeed);
   bool FollowsReturn = Text.size() > Begin && Text.back() == '\r';
+  std::size_t ValidBytes = 0;
   for (const char C : Piece) {
     const bool IsReturn = C == '\r';
     const bool IsValid =
         FollowsReturn ? C == '\n'
                       : IsReturn || isTextByte(static_cast<unsigned char>(C));
     if (!IsValid)
-      return LineState::Malformed;
+      break;
     FollowsReturn = IsReturn;
+    ++ValidBytes;
   }
-  Text.append(Piece);
-  Bytes.remove_prefix(Piece.size());
+  Text.append(Piece.substr(0, ValidBytes));
+  Bytes.remove_prefix(ValidBytes);
+  if (ValidBytes < Piece.size())
+    return LineState::Malformed;
   return HasEnd ? LineState::Whole : LineState::Partial;
 }
 
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -16,11 +16,9 @@
 constexpr std::uint64_t MaxAnswerBodyBytes =
     std::numeric_limits<std::int64_t>::max();
 
-/// What the head of a message states about its body.
-struct StatedFraming {
-  BodyFraming Body;
-  bool HasLength = false;
-};
+/// Positions in a status line, whose form has been checked.
+constexpr std::size_t StatusAt = 9;
+constexpr std::size_t ReasonAt = 13;
 
 bool isHttp11(std::string_view StartLine, std::size_t VersionAt) {
   return StartLine.substr(VersionAt, 8) == "HTTP/1.1";
@@ -28,25 +26,23 @@
 
 /// Reads the fields that delimit the body (RFC 9112, 6); false if readers could
 /// disagree on its end. Codings other than chunked are not supported.
-bool readFraming(const HeaderList &Fields, bool IsHttp11,
-                 StatedFraming &Result) {
+bool readFraming(const HeaderList &Fields, bool IsHttp11, BodyFraming &Result) {
   const auto Lengths = Fields.count("content-length");
   const auto Codings = Fields.count("transfer-encoding");
   if (Lengths + Codings > 1)
     return false;
   if (Codings > 0) {
     // An HTTP/1.0 recipient on the way has not removed the chunks.
-    Result.Body.End = BodyEnd::Chunks;
+    Result.End = BodyEnd::Chunks;
     return IsHttp11 &&
            equalsIgnoreCase(Fields.get("transfer-encoding"), "chunked");
   }
   if (Lengths == 0)
     return true;
   const auto Text = Fields.get("content-length");
-  const auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(),
-                                      Result.Body.Length);
-  Result.Body.End = BodyEnd::Length;
-  Result.HasLength = true;
+  const auto Parsed =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Result.Length);
+  Result.End = BodyEnd::Length;
   return isDigits(Text) && Parsed.ec == std::errc();
 }
 
@@ -78,24 +74,29 @@
   m_Section.reset(m_MaxHeadBytes);
   m_Head = RequestHead();
   m_HasHead = false;
-  m_Fault = ParseFault::None;
+  setFault(ParseFault::None, {});
 }
 
 std::size_t RequestParser::feed(std::string_view Bytes) {
   std::size_t Used = 0;
   if (!m_HasHead && m_Fault == ParseFault::None) {
     Used = m_Section.feed(Bytes);
-    m_Fault = m_Section.fault();
+    setFault(m_Section.fault(), m_Section.faultText());
     if (m_Section.isComplete())
       onSection();
   }
   if (m_HasHead && m_Fault == ParseFault::None) {
     Used += m_Body.feed(Bytes.substr(Used), m_Sink);
-    m_Fault = m_Body.fault();
+    setFault(m_Body.fault(), m_Body.faultText());
   }
   return Used;
 }
 
+void RequestParser::setFault(ParseFault Fault, std::string_view Text) {
+  m_Fault = Fault;
+  m_FaultText = Text;
+}
+
 void RequestParser::onSection() {
   // Step 1. Take the request line and the fields.
   const auto Line = m_Section.startLine();
@@ -111,16 +112,15 @@
       equalsIgnoreCase(Fields.get("expect"), "100-continue");
 
   // Step 2. Check what tells the host and the body.
-  StatedFraming Framing;
-  if (Fields.count("host") != 1 || !isHost(Fields.get("host")) ||
-      !readFraming(Fields, IsHttp11, Framing)) {
-    m_Fault = ParseFault::Malformed;
-    return;
-  }
-  m_Body.reset(Framing.Body, m_MaxBodyBytes, m_MaxHeadBytes);
-  m_Fault = m_Body.fault();
-  if (m_Fault != ParseFault::None)
-    return;
+  if (Fields.count("host") != 1 || !isHost(Fields.get("host")))
+    return setFault(ParseFault::Malformed,
+                    "no Host, several, or an invalid one");
+  BodyFraming Framing;
+  if (!readFraming(Fields, IsHttp11, Framing))
+    return setFault(ParseFault::Malformed, "ambiguous length");
+  m_Body.reset(Framing, m_MaxBodyBytes, m_MaxHeadBytes);
+  if (m_Body.fault() != ParseFault::None)
+    return setFault(m_Body.fault(), m_Body.faultText());
   m_HasHead = true;
   m_Sink.onHead();
 }
@@ -161,18 +161,18 @@
   // Step 1. Take the status line and the fields.
   const auto Line = m_Section.startLine();
   const bool IsHttp11 = isHttp11(Line, 0);
-  std::from_chars(Line.data() + 9, Line.data() + 12, m_Head.Status);
-  m_Head.Reason = Line.substr(13);
+  std::from_chars(Line.data() + StatusAt, Line.data() + ReasonAt - 1,
+                  m_Head.Status);
+  m_Head.Reason = Line.substr(ReasonAt);
   m_Section.copyFields(m_Head.Fields);
 
   if (m_IsReused && containsStatusLine(m_Section.bytes().substr(1)))
     return fail("second status line in a head");
 
   // Step 2. Find the end of the body.
-  StatedFraming Framing;
-  if (!readFraming(m_Head.Fields, IsHttp11, Framing))
+  BodyFraming Body;
+  if (!readFraming(m_Head.Fields, IsHttp11, Body))
     return fail("ambiguous length");
-  auto &Body = Framing.Body;
   const bool IsInterim = m_Head.Status / 100 == 1;
   const bool HasNoContent = IsInterim || m_Head.Status == 204;
   if (HasNoContent && (Body.End == BodyEnd::Chunks || Body.Length > 0))
