--- a/packages/http/test/callerconnection_test.cpp
+++ b/packages/http/test/callerconnection_test.cpp
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(caller_twoRequestsInOneWrite_areAnsweredInOrder);
   CPPUNIT_TEST(caller_malformedHead_gets400AndClose);
   CPPUNIT_TEST(caller_headInPieces_isRead);
+  CPPUNIT_TEST(caller_expectsContinue_isToldUnlessBodyIsTooLong);
   CPPUNIT_TEST(caller_chunkRefusedForMemory_requestIsNotRead);
   CPPUNIT_TEST(caller_bodyStopsAndIsGivenUp_gets408AndMemoryIsReleased);
   CPPUNIT_TEST(caller_doesNotReadAndIsGivenUp_memoryIsReleased);
@@ -141,6 +142,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), m_Handler.Bodies.at(0));
   }
 
+  // Regression: a body over the limit was asked for before it was rejected.
+  void caller_expectsContinue_isToldUnlessBodyIsTooLong() {
+    const std::string Head =
+        "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+        "Content-Length: ";
+    send(Head + "2\r\n\r\n");
+    const auto Interim = receiveUntil("\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 100 Continue\r\n\r\n"), Interim);
+    send("ok");
+    CPPUNIT_ASSERT(receiveUntil("/").starts_with("HTTP/1.1 200"));
+    runUntilIdle();
+    receiveUntil("/");
+    send(Head + "999999999\r\n\r\n");
+    const auto Answer = receiveUntil("");
+    CPPUNIT_ASSERT_MESSAGE(Answer, Answer.starts_with("HTTP/1.1 413"));
+  }
+
   // Regression: the refusal of a chunk was forgotten with the next one, and the
   // request went on without the refused bytes.
   void caller_chunkRefusedForMemory_requestIsNotRead() {
--- a/packages/http/test/strictreading_test.cpp
+++ b/packages/http/test/strictreading_test.cpp
@@ -158,6 +158,7 @@
   CPPUNIT_TEST(answer_endsInHead_isNotComplete);
   CPPUNIT_TEST(answer_endsInBody_isNotComplete);
   CPPUNIT_TEST(answer_valid_isRead);
+  CPPUNIT_TEST(message_connectionOptions_decidePersistence);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -374,6 +375,32 @@
                   Reading::End::Complete, "ok");
   }
 
+  void message_connectionOptions_decidePersistence() {
+    struct Row {
+      std::string Version;
+      std::string Fields;
+      bool KeepAlive;
+    };
+    for (const auto &[Version, Fields, KeepAlive] :
+         {Row{"HTTP/1.1", "", true},
+          {"HTTP/1.1", "Connection: close\r\n", false},
+          {"HTTP/1.1", "Connection: x , CLOSE\r\n", false},
+          {"HTTP/1.1", "Connection: x\r\nConnection: close\r\n", false},
+          {"HTTP/1.1", "Connection: closed\r\n", true},
+          {"HTTP/1.0", "", false},
+          {"HTTP/1.0", "Connection: Keep-Alive\r\n", true},
+          {"HTTP/1.0", "Connection: keep-alive, close\r\n", false}}) {
+      BodySink Sink;
+      RequestParser Request(Sink, 1000, 1000);
+      Request.feed("GET / " + Version + "\r\nHost: x\r\n" + Fields + "\r\n");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Fields, KeepAlive, Request.head().KeepAlive);
+      ResponseParser Answer(Sink);
+      Answer.feed(Version + " 200 OK\r\nContent-Length: 0\r\n" + Fields +
+                  "\r\n");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Fields, KeepAlive, Answer.head().KeepAlive);
+    }
+  }
+
 private:
   void checkRequest(const std::string &Bytes, Reading::End Expected,
                     const std::string &Body = "") {
