http: joined heads are rejected on new connections; paused reading resumes

Causes: the check of joined heads looked at kept connections only, and the runner of the case also sends the beginning of another connection's answer on a new one (shown by a trial that marks these). Reading noted that it pauses only if it was not waiting for bytes already, so the end of the writes resumed nothing. Change: a status line within a head rejects the answer on every connection; read() and onReadable() note the pause first.

--- a/packages/http/include/mangodeck/http/parser.h
+++ b/packages/http/include/mangodeck/http/parser.h
@@ -68,11 +68,7 @@
   void finish();
   /// Prepares the parser for the next answer. With \p IsHeadRequest it answers
   /// a HEAD request and has no body.
-  void reset(bool IsHeadRequest) { reset(IsHeadRequest, false); }
-  /// The same. With \p IsReused an earlier answer came on the connection: bytes
-  /// of a late copy of it may precede this one, up to any byte of its head. The
-  /// head that they form together with the next status line is rejected.
-  void reset(bool IsHeadRequest, bool IsReused);
+  void reset(bool IsHeadRequest);
 
   bool isComplete() const { return m_HasHead && m_Body.isComplete(); }
   bool hasStarted() const { return m_Started; }
@@ -92,7 +88,6 @@
   BodyReader m_Body;
   std::size_t m_InterimBytes = 0; ///< Of the interim answers.
   bool m_IsHeadRequest = false;
-  bool m_IsReused = false; ///< See reset().
   bool m_Started = false;
   bool m_HasHead = false;
   bool m_Malformed = false;
--- a/packages/http/src/callerconnection.cpp
+++ b/packages/http/src/callerconnection.cpp
@@ -69,12 +69,14 @@
 }
 
 void CallerConnection::read() {
-  if (m_ReadPending || m_Phase == Phase::Closed || m_PeerClosed)
-    return;
-  if (m_Phase == Phase::Answering && isReadAheadFull() && pauseReading())
+  if (m_Phase == Phase::Closed || m_PeerClosed)
     return;
   if (mustAwaitWrites())
     return awaitWrites();
+  if (m_ReadPending)
+    return;
+  if (m_Phase == Phase::Answering && isReadAheadFull() && pauseReading())
+    return;
   m_ReadPending = true;
   m_Socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [Self = shared_from_this()](std::error_code Error) {
@@ -86,6 +88,8 @@
   m_ReadPending = false;
   if (m_Phase == Phase::Closed)
     return;
+  if (mustAwaitWrites())
+    return awaitWrites();
   const auto Buffer = readBuffer();
   for (int Count = 0; Count < MaxReadsAtOnce && !Error; ++Count) {
     auto Room = Buffer.size();
--- a/packages/http/src/parser.cpp
+++ b/packages/http/src/parser.cpp
@@ -126,15 +126,14 @@
 }
 
 ResponseParser::ResponseParser(MessageSink &Sink) : m_Sink(Sink) {
-  reset(false, false);
+  reset(false);
 }
 
-void ResponseParser::reset(bool IsHeadRequest, bool IsReused) {
+void ResponseParser::reset(bool IsHeadRequest) {
   m_Section.reset(MaxAnswerHeadBytes);
   m_Head = ResponseHead();
   m_InterimBytes = 0;
   m_IsHeadRequest = IsHeadRequest;
-  m_IsReused = IsReused;
   m_Started = m_HasHead = m_Malformed = false;
   m_FaultText = {};
 }
@@ -166,7 +165,8 @@
   m_Head.Reason = Line.substr(ReasonAt);
   m_Section.copyFields(m_Head.Fields);
 
-  if (m_IsReused && containsStatusLine(m_Section.bytes().substr(1)))
+  // A part of another answer precedes this one: the status is not its own.
+  if (containsStatusLine(m_Section.bytes().substr(1)))
     return fail("second status line in a head");
 
   // Step 2. Find the end of the body.
--- a/packages/http/src/targetconnection.cpp
+++ b/packages/http/src/targetconnection.cpp
@@ -119,7 +119,7 @@
                                 std::shared_ptr<const void> Owner,
                                 bool IsHeadRequest, AnswerHandler &Handler) {
   m_Handler = &Handler;
-  m_Parser.reset(IsHeadRequest, m_ExchangeNumber > 0);
+  m_Parser.reset(IsHeadRequest);
   m_RequestHead = std::move(Head);
   m_RequestBytes = m_RequestHead.size() + Content.size();
   m_WrittenBytes = 0;
