gateway, http: calls to the store and to other daemons are logged and measured

Cause: the logs told neither how long a call took, nor whether it had a connection, nor how many bytes came, so that the hypotheses of the incident could not be told apart. No functional change.

--- a/packages/gateway/include/mangodeck/gateway/directoryview.h
+++ b/packages/gateway/include/mangodeck/gateway/directoryview.h
@@ -4,6 +4,8 @@
 #include "mangodeck/common/units.h"
 #include "mangodeck/gateway/changeorigin.h"
 
+#include <optional>
+
 namespace mangodeck {
 
 /// How current a daemon's knowledge of the store is: up to when all changes are
@@ -17,6 +19,10 @@
   /// precedes the last suspension of the process, whose steady clock may not
   /// have counted it.
   void confirm(TimePoint Time);
+  /// The same; returns for how long the knowledge had been older than
+  /// \p MaxAge until \p Now, if it had and is no longer.
+  std::optional<Duration> confirm(TimePoint Time, Duration MaxAge,
+                                  TimePoint Now);
   /// The process was suspended until \p Now. Nothing is confirmed any longer.
   void invalidate(TimePoint Now);
 
--- a/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
+++ b/packages/gateway/include/mangodeck/gateway/gatewaymetrics.h
@@ -32,12 +32,12 @@
   void observeSlotWait(std::string_view Route, Duration Wait);
   /// A request was sent to a target of \p Service.
   void countSend(std::string_view Service, std::string_view Reason);
-  /// A call to the store ended.
   /// Counts a request sent to a target whose rate limit is in force.
   void countLimitedSend(std::string_view Service);
   /// Counts a request sent to another failure domain. \p Rule tells whether
   /// that domain states offers.
   void countDomainExit(std::string_view Service, std::string_view Rule);
+  /// A call to the store ended.
   void countStoreCall(std::string_view Call, std::string_view Outcome);
   /// A datagram to or from another daemon; \p Direction is sent or received.
   void countPeerMessage(std::string_view Direction, std::size_t Bytes);
@@ -53,6 +53,13 @@
   /// and holders that were given up (\p Event) under pressure.
   void countMemory(std::string_view Pool, std::string_view Event,
                    std::size_t Count);
+  /// A call of the control plane to the store or to another daemon (\p Kind)
+  /// ended. \p Bytes: of the answer's body, also of an incomplete one.
+  void observeCall(std::string_view Kind, std::string_view Outcome,
+                   Duration Elapsed, std::size_t Bytes);
+  /// This daemon's knowledge of the store was older than the time within which
+  /// changes must take effect, for \p Span.
+  void observeOutdated(Duration Span);
   void setGauge(std::string_view Name, double Value);
   /// All metrics in the text format.
   std::string serialize() const;
@@ -76,6 +83,9 @@
   prometheus::Family<prometheus::Histogram> &m_FirstEventLatency;
   prometheus::Family<prometheus::Histogram> &m_RequestLatency;
   prometheus::Family<prometheus::Histogram> &m_SlotWait;
+  prometheus::Family<prometheus::Histogram> &m_CallLatency;
+  prometheus::Family<prometheus::Counter> &m_CallBytes;
+  prometheus::Family<prometheus::Histogram> &m_Outdated;
   prometheus::Family<prometheus::Gauge> &m_Gauges;
 };
 
--- a/packages/gateway/include/mangodeck/gateway/peerchanges.h
+++ b/packages/gateway/include/mangodeck/gateway/peerchanges.h
@@ -49,7 +49,7 @@
 
   PeerChangeClient(asio::any_io_executor Executor, FailureDomain OwnDomain,
                    Endpoints Peers, GatewayMetrics &Metrics,
-                   RandomSource &Random);
+                   http::CallObserver &Calls, RandomSource &Random);
 
   void query(StoreRevision After, Duration Timeout,
              Callback<RelayedChanges> Done) override;
@@ -62,6 +62,7 @@
   FailureDomain m_OwnDomain;
   Endpoints m_Peers;
   GatewayMetrics &m_Metrics;
+  http::CallObserver &m_CallObserver;
   RandomSource &m_Random;
   std::vector<PeerEndpoint> m_OwnOrder;
   std::vector<PeerEndpoint> m_RemoteOrder;
--- a/packages/gateway/src/directoryview.cpp
+++ b/packages/gateway/src/directoryview.cpp
@@ -28,6 +28,17 @@
   m_ConfirmedBy = m_Origin;
 }
 
+std::optional<Duration> DirectoryView::confirm(TimePoint Time, Duration MaxAge,
+                                               TimePoint Now) {
+  const bool WasOutdated = isOutdated(MaxAge, Now);
+  const auto Since =
+      m_ConfirmedAt == TimePoint{} ? m_ResumedAt : m_ConfirmedAt + MaxAge;
+  confirm(Time);
+  if (!WasOutdated || isOutdated(MaxAge, Now))
+    return std::nullopt;
+  return Now - Since;
+}
+
 void DirectoryView::invalidate(TimePoint Now) {
   m_ResumedAt = Now;
   m_HasHistory = true;
--- a/packages/gateway/src/gatewaydirectory.cpp
+++ b/packages/gateway/src/gatewaydirectory.cpp
@@ -137,7 +137,13 @@
 }
 
 void Gateway::onDirectoryConfirmed(TimePoint Time) {
-  m_View.confirm(Time);
+  if (const auto Outdated =
+          m_View.confirm(Time, m_Settings.ChangeDeadline, steadyNow())) {
+    m_Metrics.observeOutdated(*Outdated);
+    m_Log.write("directory_current",
+                {{"outdated_ms", toMs(*Outdated)},
+                 {"told_by", toString(m_View.confirmedBy())}});
+  }
   if (m_Unconfirmed.size() > 0 &&
       !m_View.isOutdated(m_Settings.ChangeDeadline, steadyNow()))
     asio::post(m_Loop, [this] { releaseUnconfirmed(); });
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -65,6 +65,17 @@
                              "From the first byte of a request to its end.")),
       m_SlotWait(registerHistograms(*m_Registry, "mangodeck_wait_seconds",
                                     "Time that a request waited for a slot.")),
+      m_CallLatency(registerHistograms(
+          *m_Registry, "mangodeck_call_seconds",
+          "Calls to the store and to other daemons, with the wait of "
+          "watches.")),
+      m_CallBytes(
+          registerCounters(*m_Registry, "mangodeck_call_bytes_total",
+                           "Bytes of the answers, also of incomplete ones.")),
+      m_Outdated(registerHistograms(
+          *m_Registry, "mangodeck_directory_outdated_seconds",
+          "Spans in which the knowledge of the store was older than changes "
+          "may take.")),
       m_Gauges(prometheus::BuildGauge()
                    .Name("mangodeck_state")
                    .Help("State of the daemon, by name.")
@@ -145,6 +156,19 @@
       .Increment(static_cast<double>(Count));
 }
 
+void GatewayMetrics::observeCall(std::string_view Kind,
+                                 std::string_view Outcome, Duration Elapsed,
+                                 std::size_t Bytes) {
+  const prometheus::Labels Labels = {{"to", std::string(Kind)},
+                                     {"outcome", std::string(Outcome)}};
+  m_CallLatency.Add(Labels, LatencyBucketsSeconds).Observe(toSeconds(Elapsed));
+  m_CallBytes.Add(Labels).Increment(static_cast<double>(Bytes));
+}
+
+void GatewayMetrics::observeOutdated(Duration Span) {
+  m_Outdated.Add({}, LatencyBucketsSeconds).Observe(toSeconds(Span));
+}
+
 void GatewayMetrics::setGauge(std::string_view Name, double Value) {
   m_Gauges.Add({{"name", std::string(Name)}}).Set(Value);
 }
--- a/packages/gateway/src/peerchanges.cpp
+++ b/packages/gateway/src/peerchanges.cpp
@@ -68,9 +68,11 @@
 PeerChangeClient::PeerChangeClient(asio::any_io_executor Executor,
                                    FailureDomain OwnDomain, Endpoints Peers,
                                    GatewayMetrics &Metrics,
+                                   http::CallObserver &Calls,
                                    RandomSource &Random)
     : m_Executor(std::move(Executor)), m_OwnDomain(std::move(OwnDomain)),
-      m_Peers(std::move(Peers)), m_Metrics(Metrics), m_Random(Random) {}
+      m_Peers(std::move(Peers)), m_Metrics(Metrics), m_CallObserver(Calls),
+      m_Random(Random) {}
 
 std::optional<PeerEndpoint> PeerChangeClient::next(bool IsOwnDomain) {
   auto &Order = IsOwnDomain ? m_OwnOrder : m_RemoteOrder;
@@ -105,7 +107,8 @@
     });
   const auto Number = ++m_NextCall;
   auto &Client = m_Calls[Number] = std::make_unique<http::Client>(
-      m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port));
+      m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port),
+      &m_CallObserver);
   Client->call("GET",
                fmt::format("{}?{}{}&{}{}", PeerChangesPath, EraParameter,
                            After.Era, RevisionParameter, After.Number),
--- a/packages/gateway/test/directoryview_test.cpp
+++ b/packages/gateway/test/directoryview_test.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(view_confirmationOfBeforeSuspension_isIgnored);
   CPPUNIT_TEST(view_neverConfirmed_isNotFresh);
   CPPUNIT_TEST(view_suspendedBeforeFirstConfirmation_isOutdated);
+  CPPUNIT_TEST(view_confirmedAfterOutdated_tellsSpan);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +54,17 @@
     CPPUNIT_ASSERT(View.isOutdated(1s, m_Start + 3s));
   }
 
+  void view_confirmedAfterOutdated_tellsSpan() {
+    DirectoryView View;
+    const TimePoint Start{100s};
+    CPPUNIT_ASSERT(!View.confirm(Start, 3s, Start + 1s));
+    CPPUNIT_ASSERT(!View.confirm(Start + 1s, 3s, Start + 3s));
+    // Still too old, then current again.
+    CPPUNIT_ASSERT(!View.confirm(Start + 2s, 3s, Start + 9s));
+    CPPUNIT_ASSERT(View.confirm(Start + 9s, 3s, Start + 10s) ==
+                   std::optional<Duration>(5s));
+  }
+
 private:
   const TimePoint m_Start{3600s};
 };
--- a/packages/gateway/test/peerchanges_test.cpp
+++ b/packages/gateway/test/peerchanges_test.cpp
@@ -1,3 +1,4 @@
+#include "mangodeck/gateway/calllog.h"
 #include "mangodeck/gateway/loopexecutor.h"
 #include "mangodeck/gateway/peerchanges.h"
 
@@ -66,7 +67,7 @@
     m_Peers = {{"127.0.0.1", Port, FailureDomain("b")}};
     m_Client.emplace(
         m_Loop.get_executor(), FailureDomain("a"), [this] { return m_Peers; },
-        m_Metrics, m_Random);
+        m_Metrics, m_Calls, m_Random);
   }
   void tearDown() override {
     m_Client.reset();
@@ -154,6 +155,7 @@
   NoRelay m_Relay;
   EventLog m_Log{-1, "vm", "1", 1000};
   GatewayMetrics m_Metrics;
+  CallLog m_Calls{m_Log, m_Metrics, "peer"};
   SeededRandom m_Random{1};
   std::vector<PeerEndpoint> m_Peers;
   std::optional<KeyFollower> m_Follower;
--- a/packages/http/include/mangodeck/http/client.h
+++ b/packages/http/include/mangodeck/http/client.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,13 +20,35 @@
   std::string Body;
 };
 
+/// How a call of Client went.
+struct CallRecord {
+  std::string_view Target; ///< Path and query.
+  /// Time until its new connection was open; std::nullopt if it used an open
+  /// one, or if none was opened.
+  std::optional<Duration> ConnectTime;
+  Duration Elapsed{0};
+  /// Bytes of the answer's body, also of an answer that is incomplete.
+  std::size_t ReceivedBytes = 0;
+  bool HadConnection = false;
+  std::error_code Error;
+};
+
+/// Is told of each call that ends.
+class CallObserver {
+public:
+  virtual ~CallObserver() = default;
+  virtual void onCallEnded(const CallRecord &Record) = 0;
+};
+
 /// Sends small requests to one server and reuses its connections. A call is
 /// sent once and never retried.
 class Client {
 public:
   using Done = std::function<void(Expected<CallAnswer>)>;
 
-  Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote);
+  /// \p Observer may be null.
+  Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote,
+         CallObserver *Observer = nullptr);
   ~Client();
   Client(const Client &) = delete;
   Client &operator=(const Client &) = delete;
@@ -42,11 +65,13 @@
   struct Call;
   void closeIdle();
   void start(std::shared_ptr<Call> Pending);
+  void report(const Call &Ended, std::error_code Error);
   void finish(const std::shared_ptr<Call> &Pending,
               Expected<CallAnswer> Result);
 
   asio::any_io_executor m_Executor;
   asio::ip::tcp::endpoint m_Remote;
+  CallObserver *m_Observer;
   std::vector<std::shared_ptr<TargetConnection>> m_IdleConnections;
   std::vector<std::shared_ptr<Call>> m_PendingCalls;
   /// False after the destructor; checked by callbacks that may run later.
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -29,6 +29,7 @@
   }
   void onAnswerBody(std::string_view Bytes) override {
     Answer.Body.append(Bytes);
+    ReceivedBytes += Bytes.size();
   }
   void onAnswerEnd() override { Owner.finish(Self.lock(), std::move(Answer)); }
   void onExchangeFailed(const ExchangeFailure &Failure) override {
@@ -39,13 +40,19 @@
   std::weak_ptr<Call> Self;
   asio::steady_timer Timer;
   std::shared_ptr<TargetConnection> Connection;
+  std::string Target;
   std::string Bytes;
+  std::chrono::steady_clock::time_point StartedAt;
+  std::optional<Duration> ConnectTime;
+  std::size_t ReceivedBytes = 0; ///< Of the answer's body.
   CallAnswer Answer;
   Done Callback;
 };
 
-Client::Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote)
-    : m_Executor(std::move(Executor)), m_Remote(std::move(Remote)) {}
+Client::Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote,
+               CallObserver *Observer)
+    : m_Executor(std::move(Executor)), m_Remote(std::move(Remote)),
+      m_Observer(Observer) {}
 
 Client::~Client() {
   *m_Alive = false;
@@ -61,6 +68,8 @@
   auto Pending = std::make_shared<Call>(*this, m_Executor);
   Pending->Self = Pending;
   Pending->Callback = std::move(Callback);
+  Pending->Target = Target;
+  Pending->StartedAt = std::chrono::steady_clock::now();
   RequestHead Head;
   Head.Method = Method;
   Head.Target = Target;
@@ -103,6 +112,8 @@
           return; // The client was destroyed, or the call has timed out.
         if (Error)
           return finish(Pending, unexpected(Error));
+        Pending->ConnectTime =
+            std::chrono::steady_clock::now() - Pending->StartedAt;
         Pending->Connection->exchange(std::move(Pending->Bytes), false,
                                       *Pending);
       });
@@ -113,6 +124,7 @@
   if (!Pending || !Pending->Callback)
     return;
   Pending->Timer.cancel();
+  report(*Pending, Result ? std::error_code() : Result.error());
   // The connections of before may have gone silent as well.
   if (!Result && Result.error() == make_error_code(Errc::Timeout))
     closeIdle();
@@ -130,6 +142,19 @@
   Callback(std::move(Result));
 }
 
+void Client::report(const Call &Ended, std::error_code Error) {
+  if (!m_Observer)
+    return;
+  CallRecord Record;
+  Record.Target = Ended.Target;
+  Record.ConnectTime = Ended.ConnectTime;
+  Record.Elapsed = std::chrono::steady_clock::now() - Ended.StartedAt;
+  Record.ReceivedBytes = Ended.ReceivedBytes;
+  Record.HadConnection = Ended.Connection && Ended.Connection->isOpen();
+  Record.Error = Error;
+  m_Observer->onCallEnded(Record);
+}
+
 void Client::closeIdle() {
   for (auto &Connection : m_IdleConnections)
     Connection->close();
--- a/packages/http/test/client_test.cpp
+++ b/packages/http/test/client_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(call_openConnectionsSilent_nextCallUsesNewConnection);
   CPPUNIT_TEST(call_oddAnswer_failsAndConnectionIsClosed);
+  CPPUNIT_TEST(call_ended_observerIsTold);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +74,32 @@
     }
   }
 
+  void call_ended_observerIsTold() {
+    struct Recorder : CallObserver {
+      void onCallEnded(const CallRecord &Record) override {
+        Records.push_back(Record);
+        Records.back().Target = {}; // Valid during the call only.
+      }
+      std::vector<CallRecord> Records;
+    } Recorder;
+    m_Client.emplace(m_Loop->get_executor(), m_Acceptor->local_endpoint(),
+                     &Recorder);
+    const auto Ignore = [](Expected<CallAnswer>) {};
+    m_Client->call("GET", "/1", "", 1s, Ignore);
+    runUntil([&] { return Recorder.Records.size() == 1; });
+    m_Client->call("GET", "/2", "", 1s, Ignore);
+    runUntil([&] { return Recorder.Records.size() == 2; });
+    m_SilentUpTo = 1;
+    m_Client->call("GET", "/3", "", 100ms, Ignore);
+    runUntil([&] { return Recorder.Records.size() == 3; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Recorder.Records.size());
+    const auto &Calls = Recorder.Records;
+    CPPUNIT_ASSERT(Calls[0].ConnectTime && !Calls[1].ConnectTime);
+    CPPUNIT_ASSERT(!Calls[0].Error && Calls[0].ReceivedBytes > 0);
+    CPPUNIT_ASSERT(Calls[2].Error && Calls[2].HadConnection);
+    CPPUNIT_ASSERT(Calls[2].Elapsed >= 100ms);
+  }
+
 private:
   struct Session {
     asio::ip::tcp::socket Socket;
