gateway: the fleet model has links; three failing tests of full links

Cause: ChangeFleetTest had neither links nor round trips nor queues, so that calls and messages never waited for each other. Change: each simulated daemon has a link with a queue in each direction.

--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -10,9 +10,29 @@
 constexpr Duration StoreLatency = 4ms;
 /// Time-out of a call to the store, in addition to the wait of a watch.
 constexpr Duration CallTimeout = 900ms;
+/// Of a connection to the store.
+constexpr Duration ConnectTimeout = 800ms;
 constexpr Duration MinPeerLatency = std::chrono::microseconds(200);
 constexpr Duration MaxPeerLatency = 10ms;
 constexpr const char *ConfigurationKey = "config";
+/// Sizes on the wire: packets that open a connection, heads of calls, the
+/// fields of an item beside its value.
+constexpr std::size_t HandshakeBytes = 60;
+constexpr std::size_t CallBytes = 300;
+constexpr std::size_t ItemBytes = 100;
+/// Datagrams that would wait longer in a link are dropped.
+constexpr Duration MaxDatagramWait = 1s;
+/// Callers give up a request that has not been read after this time.
+constexpr Duration MaxRequestWait = 1s;
+constexpr std::size_t RequestBytes = 12000;
+
+/// Values are sent as base64.
+std::size_t sizeOf(const std::vector<KeyChange> &Items) {
+  std::size_t Bytes = CallBytes;
+  for (const auto &Each : Items)
+    Bytes += ItemBytes + Each.Value.size() * 4 / 3;
+  return Bytes;
+}
 
 } // namespace
 
@@ -21,6 +41,7 @@
   TimePoint EndsAt;
   std::function<void(Expected<KeyChanges>)> Done;
   bool IsSilent = false;
+  bool IsAnswered = false; ///< The answer may be on its way.
 };
 
 void SimulatedTime::at(TimePoint When, std::function<void()> Work) {
@@ -131,6 +152,47 @@
   return Longest;
 }
 
+Duration ChangeFleet::slowestUnimpaired() const {
+  Duration Longest{0};
+  for (std::size_t Version = 2; Version < m_WrittenAt.size(); ++Version)
+    for (const auto &Each : m_Daemons) {
+      const auto Taken = Each->TakenAt.lower_bound(static_cast<int>(Version));
+      const auto Time =
+          Taken == Each->TakenAt.end() ? m_Time.now() : Taken->second;
+      Longest = std::max<Duration>(
+          Longest, Time - Each->obligedFrom(m_WrittenAt[Version]));
+    }
+  return Longest;
+}
+
+void ChangeFleet::narrowLinks(std::size_t Index, double Mbps, Duration Span,
+                              double RequestMbps) {
+  auto &Each = *m_Daemons[Index];
+  const auto Now = m_Time.now();
+  Each.m_Uplink.setRate(Mbps);
+  Each.m_Downlink.setRate(Mbps);
+  Each.m_Impairments.emplace_back(Now, Now + Span);
+  m_Time.at(Now + Span, [&Each] {
+    Each.m_Uplink.setRate(SimulatedLink::WideMbps);
+    Each.m_Downlink.setRate(SimulatedLink::WideMbps);
+  });
+  if (RequestMbps > 0)
+    sendRequests(Each, RequestMbps, Now + Span);
+}
+
+void ChangeFleet::sendRequests(Daemon &To, double Mbps, TimePoint Until) {
+  const auto Now = m_Time.now();
+  if (Now >= Until)
+    return;
+  if (To.m_Downlink.queueDelay(Now) < MaxRequestWait)
+    To.receive(RequestBytes, [&To] {
+      if (To.m_Uplink.queueDelay(To.m_Fleet.m_Time.now()) < MaxRequestWait)
+        To.send(RequestBytes, Duration{0}, [] {});
+    });
+  m_Time.at(Now + fromSeconds(RequestBytes * 8 / (Mbps * 1e6)),
+            [this, &To, Mbps, Until] { sendRequests(To, Mbps, Until); });
+}
+
 void ChangeFleet::sendWithinDomain(Daemon &From, std::string Bytes) {
   const auto Shared = std::make_shared<const std::string>(std::move(Bytes));
   for (auto &Each : m_Daemons) {
@@ -141,9 +203,15 @@
     const auto Delay = MinPeerLatency + fromSeconds(toSeconds(MaxPeerLatency) *
                                                     m_Random.uniform());
     auto &Receiver = *Each;
-    Receiver.runAt(m_Time.now() + Delay, [&Receiver, Shared] {
-      if (const auto Message = decodeRelayedChanges(*Shared))
-        Receiver.follower().onRelayedChanges(*Message);
+    if (From.m_Uplink.queueDelay(m_Time.now()) > MaxDatagramWait)
+      continue;
+    From.send(Shared->size(), Delay, [this, &Receiver, Shared] {
+      if (Receiver.m_Downlink.queueDelay(m_Time.now()) > MaxDatagramWait)
+        return;
+      Receiver.receive(Shared->size(), [&Receiver, Shared] {
+        if (const auto Message = decodeRelayedChanges(*Shared))
+          Receiver.follower().onRelayedChanges(*Message);
+      });
     });
   }
 }
@@ -194,78 +262,120 @@
   runAt(m_FrozenUntil, [] {});
 }
 
+TimePoint ChangeFleet::Daemon::obligedFrom(TimePoint Written) const {
+  auto From = Written;
+  for (const auto &[Begin, End] : m_Impairments)
+    if (Begin < From + m_Fleet.m_Settings.ChangeDeadline && End > From)
+      From = End;
+  return From;
+}
+
 void ChangeFleet::Daemon::silenceConnections() {
-  m_ConnectionsFrom = m_Calls + 1;
+  m_HasStoreConnection = false;
   for (const auto &Each : m_Watches)
     Each->IsSilent = true;
 }
 
-template <typename T>
-void ChangeFleet::Daemon::answer(Duration Timeout,
-                                 std::function<void(Expected<T>)> Done,
-                                 std::function<Expected<T>()> Read) {
+void ChangeFleet::Daemon::send(std::size_t Bytes, Duration Latency,
+                               std::function<void()> Work) {
+  const auto Left = m_Uplink.send(Bytes, m_Fleet.m_Time.now());
+  m_Fleet.m_Time.at(Left + Latency, std::move(Work));
+}
+
+void ChangeFleet::Daemon::receive(std::size_t Bytes,
+                                  std::function<void()> Work) {
+  runAt(m_Downlink.send(Bytes, m_Fleet.m_Time.now()), std::move(Work));
+}
+
+void ChangeFleet::Daemon::callStore(std::function<void()> AtStore) {
   ++m_Fleet.m_StoreCalls;
-  ++m_Calls;
-  const auto Now = m_Fleet.m_Time.now();
-  if (Access == StoreAccess::Rejects)
-    return runAt(Now + StoreLatency, [Done] {
-      Done(unexpected(make_error_code(Errc::Unavailable)));
+  const auto Request = [this, AtStore = std::move(AtStore)] {
+    send(CallBytes, StoreLatency / 2, AtStore);
+  };
+  if (m_HasStoreConnection)
+    return Request();
+  const auto Deadline = m_Fleet.m_Time.now() + ConnectTimeout;
+  send(HandshakeBytes, StoreLatency / 2, [this, Request, Deadline] {
+    receive(HandshakeBytes, [this, Request, Deadline] {
+      if (m_Fleet.m_Time.now() <= Deadline)
+        Request();
     });
-  if (Access == StoreAccess::IsSilent)
-    return runAt(Now + Timeout,
-                 [Done] { Done(unexpected(make_error_code(Errc::Timeout))); });
-  m_Fleet.m_Time.at(Now + StoreLatency / 2, [this, Done, Read] {
-    runAt(m_Fleet.m_Time.now() + StoreLatency / 2,
-          [Done, Result = Read()] { Done(Result); });
   });
 }
 
 void ChangeFleet::Daemon::list(std::string_view,
                                KeyValueStore::Callback<KeyPage> Done) {
-  answer<KeyPage>(CallTimeout, std::move(Done), [this]() -> Expected<KeyPage> {
-    return m_Fleet.m_Store.list();
+  const auto Pending = std::make_shared<decltype(Done)>(std::move(Done));
+  const auto Finish = [this, Pending](Expected<KeyPage> Answer) {
+    if (const auto Callback = std::exchange(*Pending, nullptr)) {
+      m_HasStoreConnection = Answer.has_value();
+      Callback(std::move(Answer));
+    }
+  };
+  runAt(m_Fleet.m_Time.now() + CallTimeout,
+        [Finish] { Finish(unexpected(make_error_code(Errc::Timeout))); });
+  callStore([this, Finish] {
+    if (Access == StoreAccess::IsSilent)
+      return;
+    if (Access == StoreAccess::Rejects)
+      return receive(CallBytes, [Finish] {
+        Finish(unexpected(make_error_code(Errc::Unavailable)));
+      });
+    auto Page = m_Fleet.m_Store.list();
+    receive(sizeOf(Page.Items) + m_Fleet.m_Settings.OtherKeysBytes,
+            [Finish, Page = std::move(Page)] { Finish(Page); });
   });
 }
 
 void ChangeFleet::Daemon::watch(StoreRevision After, Duration Wait,
                                 KeyValueStore::Callback<KeyChanges> Done) {
-  if (Access != StoreAccess::Answers)
-    return answer<KeyChanges>(Wait + CallTimeout, std::move(Done), {});
-  ++m_Fleet.m_StoreCalls;
-  ++m_Calls;
-  const auto Now = m_Fleet.m_Time.now();
   auto Watch = std::make_shared<PendingWatch>();
   Watch->After = After;
-  Watch->EndsAt = Now + StoreLatency / 2 + Wait;
   Watch->Done = std::move(Done);
-  m_Fleet.m_Time.at(Now + StoreLatency / 2,
-                    [this, Watch] { tryAnswerWatch(Watch); });
-  m_Fleet.m_Time.at(Watch->EndsAt, [this, Watch] {
-    std::erase(m_Watches, Watch);
-    tryAnswerWatch(Watch);
-  });
-  runAt(Now + Wait + CallTimeout, [Watch] {
-    if (const auto Callback = std::exchange(Watch->Done, nullptr))
+  runAt(m_Fleet.m_Time.now() + Wait + CallTimeout, [this, Watch] {
+    if (const auto Callback = std::exchange(Watch->Done, nullptr)) {
+      m_HasStoreConnection = false;
       Callback(unexpected(make_error_code(Errc::Timeout)));
+    }
+  });
+  callStore([this, Watch, Wait] {
+    if (Access == StoreAccess::IsSilent)
+      return;
+    Watch->EndsAt = m_Fleet.m_Time.now() + Wait;
+    tryAnswerWatch(Watch);
+    m_Fleet.m_Time.at(Watch->EndsAt, [this, Watch] {
+      std::erase(m_Watches, Watch);
+      tryAnswerWatch(Watch);
+    });
   });
 }
 
 void ChangeFleet::Daemon::tryAnswerWatch(std::shared_ptr<PendingWatch> Watch) {
-  if (!Watch->Done || Watch->IsSilent)
+  if (!Watch->Done || Watch->IsSilent || Watch->IsAnswered)
     return;
   const auto Now = m_Fleet.m_Time.now();
   const auto &Store = m_Fleet.m_Store;
   Expected<KeyChanges> Result = Store.changesAfter(Watch->After);
-  if (Access != StoreAccess::Answers)
+  if (Access == StoreAccess::IsSilent)
     return; // The watch was cut without a word.
-  if (!Store.hasHistory(Watch->After))
+  if (Access == StoreAccess::Rejects)
+    Result = unexpected(make_error_code(Errc::Unavailable));
+  else if (!Store.hasHistory(Watch->After))
     Result = unexpected(make_error_code(Errc::StaleStore));
   else if (Result->Changes.empty() && Now < Watch->EndsAt) {
     m_Watches.push_back(Watch);
     return;
   }
-  const auto Done = std::exchange(Watch->Done, nullptr);
-  runAt(Now + StoreLatency / 2, [Done, Result] { Done(Result); });
+  Watch->IsAnswered = true;
+  m_Fleet.m_Time.at(Now + StoreLatency / 2, [this, Watch, Result] {
+    receive(Result ? sizeOf(Result->Changes) : CallBytes,
+            [this, Watch, Result] {
+              if (const auto Done = std::exchange(Watch->Done, nullptr)) {
+                m_HasStoreConnection = Result.has_value();
+                Done(Result);
+              }
+            });
+  });
 }
 
 void ChangeFleet::Daemon::query(
@@ -293,14 +403,28 @@
   // A connection takes a round trip, the call another one.
   const auto Latency =
       fromSeconds(toSeconds(MaxPeerLatency) * (1 + m_Fleet.m_Random.uniform()));
-  Peer.runAt(Now + 3 * Latency, [this, &Peer, After, Finish, Latency] {
-    const auto Answer = Peer.follower().changesAfter(After);
-    if (Answer)
-      runAt(m_Fleet.m_Time.now() + Latency, [Finish, Answer] {
-        // As it is sent.
-        if (auto Decoded = decodeRelayedChanges(encodeRelayedChanges(*Answer)))
+  const auto Answer = [this, &Peer, After, Finish, Latency] {
+    const auto Known = Peer.follower().changesAfter(After);
+    if (!Known)
+      return;
+    const auto Bytes = encodeRelayedChanges(*Known); // As it is sent.
+    m_Fleet.m_PeerAnswerBytes += Bytes.size();
+    Peer.send(Bytes.size() + CallBytes, Latency, [this, Finish, Bytes] {
+      receive(Bytes.size() + CallBytes, [Finish, Bytes] {
+        if (auto Decoded = decodeRelayedChanges(Bytes))
           Finish(std::move(*Decoded));
       });
+    });
+  };
+  const auto Request = [this, &Peer, Latency, Answer] {
+    send(CallBytes, Latency,
+         [&Peer, Answer] { Peer.receive(CallBytes, Answer); });
+  };
+  send(HandshakeBytes, Latency, [this, &Peer, Latency, Request] {
+    Peer.receive(HandshakeBytes, [this, &Peer, Latency, Request] {
+      Peer.send(HandshakeBytes, Latency,
+                [this, Request] { receive(HandshakeBytes, Request); });
+    });
   });
 }
 
--- a/packages/gateway/test/changefleet.h
+++ b/packages/gateway/test/changefleet.h
@@ -5,6 +5,7 @@
 #include "mangodeck/common/executor.h"
 #include "mangodeck/common/random.h"
 #include "mangodeck/gateway/keyfollower.h"
+#include "simulatedlink.h"
 
 #include <functional>
 #include <map>
@@ -69,12 +70,15 @@
   std::size_t Domains = 3;
   Duration ChangeDeadline = 3s;
   std::size_t ValueBytes = 12000; ///< Of the configuration.
+  /// Of the other keys, as a listing has them.
+  std::size_t OtherKeysBytes = 30000;
   std::uint64_t Seed = 1;
 };
 
 /// Daemons that follow the store, with the real KeyFollower, over a simulated
-/// network. The daemons of a domain have the first one that runs as their
-/// relay, as Gateway does.
+/// network. Each has a link of its own, which its calls, queries, relayed
+/// messages and requests share. The daemons of a domain have the first one that
+/// runs as their relay, as Gateway does.
 class ChangeFleet {
 public:
   class Daemon;
@@ -94,6 +98,13 @@
   /// Longest time from the write of a version to the daemon that knew it last,
   /// of the daemons for which \p Counts holds.
   Duration slowest(const std::function<bool(const Daemon &)> &Counts) const;
+  /// The same from the write or, if the daemon's links were impaired meanwhile
+  /// or within the deadline after it, from the end of the impairment.
+  Duration slowestUnimpaired() const;
+  /// Narrows the links of a daemon for \p Span. Callers send it requests of
+  /// \p RequestMbps meanwhile, of which it sends the bytes on.
+  void narrowLinks(std::size_t Index, double Mbps, Duration Span,
+                   double RequestMbps);
   /// Whether a daemon has reported a lower version after a higher one.
   bool hasRegressed() const { return m_HasRegressed; }
   /// Whether a daemon has taken its knowledge for current as of a time before
@@ -103,6 +114,8 @@
   std::size_t storeCalls() const { return m_StoreCalls; }
   /// Queries of all daemons to each other.
   std::size_t peerQueries() const { return m_PeerQueries; }
+  /// Bytes of the answers to them, as sent.
+  std::size_t peerAnswerBytes() const { return m_PeerAnswerBytes; }
   std::size_t relayOf(std::size_t Domain) const;
   RandomSource &random() { return m_Random; }
 
@@ -114,6 +127,7 @@
 private:
   friend class Daemon;
   void sendWithinDomain(Daemon &From, std::string Bytes);
+  void sendRequests(Daemon &To, double Mbps, TimePoint Until);
 
   ChangeFleetSettings m_Settings;
   SimulatedTime m_Time;
@@ -126,6 +140,7 @@
   bool m_HasFalseConfirmation = false;
   std::size_t m_StoreCalls = 0;
   std::size_t m_PeerQueries = 0;
+  std::size_t m_PeerAnswerBytes = 0;
 };
 
 /// One daemon with its follower.
@@ -141,6 +156,8 @@
   /// Stops running for \p Span, then handles what has arrived meanwhile.
   void freeze(Duration Span);
   void kill() { IsRunning = false; }
+  /// Start of the span in which a version written at \p Written may be unknown.
+  TimePoint obligedFrom(TimePoint Written) const;
   /// Existing connections to the store go silent; new ones work.
   void silenceConnections();
 
@@ -186,17 +203,23 @@
   friend class ChangeFleet;
   /// Runs \p Work on this daemon at \p When, or when it runs again.
   void runAt(TimePoint When, std::function<void()> Work);
-  /// Answers a call to the store, by the access of this daemon.
-  template <typename T>
-  void answer(Duration Timeout, std::function<void(Expected<T>)> Done,
-              std::function<Expected<T>()> Read);
+  /// Sends bytes over the own link; \p Work runs when they arrive.
+  void send(std::size_t Bytes, Duration Latency, std::function<void()> Work);
+  /// Bytes have arrived at the own link; \p Work runs once they have crossed
+  /// it.
+  void receive(std::size_t Bytes, std::function<void()> Work);
+  /// Sends a request to the store, on a new connection if the last call failed.
+  void callStore(std::function<void()> AtStore);
   void tryAnswerWatch(std::shared_ptr<struct PendingWatch> Watch);
 
   ChangeFleet &m_Fleet;
   TimePoint m_FrozenUntil{};
   bool m_IsSuspended = false;
-  std::uint64_t m_ConnectionsFrom = 0; ///< Calls before this one are silent.
-  std::uint64_t m_Calls = 0;
+  SimulatedLink m_Uplink;
+  SimulatedLink m_Downlink;
+  /// Spans in which the links were narrow.
+  std::vector<std::pair<TimePoint, TimePoint>> m_Impairments;
+  bool m_HasStoreConnection = false;
   std::size_t m_Queries = 0;
   std::vector<std::shared_ptr<PendingWatch>> m_Watches;
   std::unique_ptr<KeyFollower> m_Follower;
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -32,6 +32,9 @@
   CPPUNIT_TEST(change_someMessagesLost_reachesAllInTime);
   CPPUNIT_TEST(change_storeConnectionsSilent_reachesAllInTime);
   CPPUNIT_TEST(change_historyDropped_reachesAllInTime);
+  CPPUNIT_TEST(change_linksNarrowedRepeatedly_isInForceSoonAfterwards);
+  CPPUNIT_TEST(change_linksOfRelayNarrowed_reachesOthersInTime);
+  CPPUNIT_TEST(relayedMessage_waitedInLinks_confirmsNothingLater);
   CPPUNIT_TEST(targetLeaves_storeRejectsWholeDomain_isKnownInTime);
   CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
   CPPUNIT_TEST(storeDown_anySize_queriesAreBounded);
@@ -100,6 +103,32 @@
     checkEach([](ChangeFleet &Fleet) { Fleet.store().dropHistory(); });
   }
 
+  // Regression: daemons asked for what they lacked until the answers filled
+  // their links, and were behind long after the links were wide.
+  void change_linksNarrowedRepeatedly_isInForceSoonAfterwards() {
+    for (const double RequestMbps : {0.0, 1.0})
+      narrowRepeatedly(RequestMbps, thirdOf, checkDeadline);
+  }
+
+  void change_linksOfRelayNarrowed_reachesOthersInTime() {
+    narrowRepeatedly(
+        1.0,
+        [](ChangeFleet &Fleet) {
+          return std::vector<std::size_t>{Fleet.relayOf(0)};
+        },
+        checkDeadline);
+  }
+
+  // Regression: a relayed message stated 50 ms for its transit, however long it
+  // had waited in links.
+  void relayedMessage_waitedInLinks_confirmsNothingLater() {
+    narrowRepeatedly(1.0, thirdOf,
+                     [](ChangeFleet &Fleet, Duration, const std::string &Case) {
+                       CPPUNIT_ASSERT_MESSAGE(Case,
+                                              !Fleet.hasFalseConfirmation());
+                     });
+  }
+
   // Marks of targets that leave, and removals, come by the same way as the
   // configuration.
   void targetLeaves_storeRejectsWholeDomain_isKnownInTime() {
@@ -196,6 +225,55 @@
   }
 
 private:
+  using Selection = std::function<std::vector<std::size_t>(ChangeFleet &)>;
+
+  static std::vector<std::size_t> thirdOf(ChangeFleet &Fleet) {
+    std::vector<std::size_t> Selected;
+    for (std::size_t I = 0; I < Fleet.size(); I += 3)
+      Selected.push_back((I + Fleet.size() / 2) % Fleet.size());
+    return Selected;
+  }
+
+  /// Narrows links three times for 6 s, with two changes in each, at all sizes
+  /// and deadlines. \p Check gets the fleet and what it is.
+  static void
+  narrowRepeatedly(double RequestMbps, const Selection &Select,
+                   const std::function<void(ChangeFleet &, Duration Deadline,
+                                            const std::string &)> &Check) {
+    for (const auto Deadline : Deadlines)
+      for (const auto Size : Sizes) {
+        ChangeFleetSettings Settings;
+        Settings.Daemons = Size;
+        Settings.Domains = Size > 100 ? 5 : std::min<std::size_t>(Size, 3);
+        Settings.ChangeDeadline = Deadline;
+        ChangeFleet Fleet(Settings);
+        Fleet.start();
+        for (int Time = 0; Time < 3; ++Time) {
+          for (const auto Index : Select(Fleet))
+            Fleet.narrowLinks(Index, 0.3, 6s, RequestMbps);
+          Fleet.runFor(1s);
+          Fleet.writeVersion();
+          Fleet.runFor(2s);
+          Fleet.writeVersion();
+          Fleet.runFor(5s + Deadline);
+        }
+        CPPUNIT_ASSERT(!Fleet.hasRegressed());
+        Check(Fleet, Deadline,
+              fmt::format("{} daemons, deadline {} s, requests {} Mbit/s", Size,
+                          toSeconds(Deadline), RequestMbps));
+      }
+  }
+
+  /// The deadline counts from the change or, where it is later, from the end of
+  /// the impairment of the daemon's own links.
+  static void checkDeadline(ChangeFleet &Fleet, Duration Deadline,
+                            const std::string &Case) {
+    const auto Slowest = Fleet.slowestUnimpaired();
+    CPPUNIT_ASSERT_MESSAGE(
+        fmt::format("{}: {:.2f} s", Case, toSeconds(Slowest)),
+        Slowest <= Deadline);
+  }
+
   /// The store stops answering a share of the daemons, among them the relay of
   /// the first domain.
   static void setAccess(ChangeFleet &Fleet, double Share, StoreAccess Access) {
