gateway: queries between daemons stay open while later rounds follow

Every answer still crossed the link: 13 kB each, two every 0.24 s, three times what a link of 0.3 Mbit/s carries. So the queue grew with each question and outlasted the narrow time. Change: a query stays open for the deadline and its answer counts whenever it comes; at most six are open. A sign that something is missing restarts the rounds. The limit for opening a connection is a parameter of http::Client.

--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -40,7 +40,7 @@
 /// daemons, if changes must take effect within \p ChangeDeadline. Above the age
 /// that is reached while its own calls, or the relay, succeed.
 Duration peerQueryAge(Duration ChangeDeadline);
-/// Time between two rounds of queries, and time-out of a query.
+/// Time between the first rounds of queries.
 Duration peerQueryPeriod(Duration ChangeDeadline);
 
 /// Decides when a daemon asks others for the changes of the store's keys: when
@@ -50,6 +50,10 @@
 /// ChangeDeadline if one of the daemons that it asks has. Costs no message
 /// while the store, or the relay, answers. While no daemon knows more, the
 /// rounds become less frequent.
+///
+/// A query stays open for as long as a change may take, however many rounds
+/// follow: on a path whose queue delays answers, giving it up would repeat the
+/// same bytes on the same path and never get an answer.
 class PeerCatchUp {
 public:
   PeerCatchUp(const Clock &Time, Executor &Loop, PeerChangeReader &Peers,
@@ -80,12 +84,14 @@
   Duration m_QueryAge;
   Duration m_ShortestPeriod;
   Duration m_LongestPeriod;
+  Duration m_QueryTimeout;
   Duration m_Period;
   unsigned m_Rounds = 0; ///< Since the knowledge was current.
   TimePoint m_ConfirmedAt{};
   bool m_IsIncomplete = false;
   TimePoint m_NextCheckAt = TimePoint::max();
   std::uint64_t m_ScheduledCheck = 0;
+  int m_OpenQueries = 0;
   TimePoint m_LastRoundAt{};
 };
 
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -9,7 +9,7 @@
 
 /// Shares of the time within which changes must take effect. Own calls and the
 /// relay confirm the daemon's knowledge before QueryAgeShare; after it, three
-/// rounds with their time-outs fit into the rest.
+/// rounds fit into the rest.
 constexpr double QueryAgeShare = 0.75;
 constexpr double QueryPeriodShare = 0.08;
 constexpr double LongestPeriodShare = 0.5;
@@ -18,6 +18,9 @@
 /// Daemons that are asked in a round, in different failure domains if there are
 /// several.
 constexpr int QueriesPerRound = 2;
+/// Queries without an answer so far, of all rounds. Bounds what the answers can
+/// fill a slow link with, and the answers that arrive once it is fast again.
+constexpr int MaxOpenQueries = 6;
 
 Duration share(Duration Whole, double Part) {
   return fromSeconds(toSeconds(Whole) * Part);
@@ -40,7 +43,7 @@
       m_QueryAge(peerQueryAge(ChangeDeadline)),
       m_ShortestPeriod(peerQueryPeriod(ChangeDeadline)),
       m_LongestPeriod(share(ChangeDeadline, LongestPeriodShare)),
-      m_Period(m_ShortestPeriod) {}
+      m_QueryTimeout(ChangeDeadline), m_Period(m_ShortestPeriod) {}
 
 void PeerCatchUp::onConfirmed(TimePoint Time) {
   if (Time <= m_ConfirmedAt)
@@ -56,8 +59,8 @@
 
 void PeerCatchUp::requireWithin(Duration Delay) {
   const auto Now = m_Time.now();
-  if (!std::exchange(m_IsIncomplete, true))
-    restartRounds();
+  m_IsIncomplete = true;
+  restartRounds();
   schedule(std::max(Now + Delay, m_LastRoundAt + m_ShortestPeriod));
 }
 
@@ -101,7 +104,7 @@
 
 void PeerCatchUp::queryRound(TimePoint Now) {
   m_LastRoundAt = Now;
-  for (int I = 0; I < QueriesPerRound; ++I)
+  for (int I = 0; I < QueriesPerRound && m_OpenQueries < MaxOpenQueries; ++I)
     sendQuery();
 }
 
@@ -109,8 +112,10 @@
   const auto Known = m_Observer.knownRevision();
   if (!Known)
     return;
-  m_Peers.query(*Known, m_ShortestPeriod,
+  ++m_OpenQueries;
+  m_Peers.query(*Known, m_QueryTimeout,
                 [this, SentAt = m_Time.now()](Expected<RelayedChanges> Answer) {
+                  --m_OpenQueries;
                   if (Answer)
                     m_Observer.onPeerChanges(*Answer, SentAt);
                 });
--- a/packages/gateway/src/peerchanges.cpp
+++ b/packages/gateway/src/peerchanges.cpp
@@ -13,7 +13,7 @@
 
 /// Answers that are under way at the same time; each may hold all keys of the
 /// store.
-constexpr std::size_t MaxConnections = 8;
+constexpr std::size_t MaxConnections = 16;
 constexpr Duration ServerTimeout = 2s;
 constexpr std::string_view EraParameter = "era=";
 constexpr std::string_view RevisionParameter = "after=";
@@ -107,8 +107,8 @@
     });
   const auto Number = ++m_NextCall;
   auto &Client = m_Calls[Number] = std::make_unique<http::Client>(
-      m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port),
-      &m_CallObserver);
+      m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port), &m_CallObserver,
+      http::ClientLimits{Timeout});
   Client->call("GET",
                fmt::format("{}?{}{}&{}{}", PeerChangesPath, EraParameter,
                            After.Era, RevisionParameter, After.Number),
--- a/packages/http/include/mangodeck/http/client.h
+++ b/packages/http/include/mangodeck/http/client.h
@@ -40,6 +40,12 @@
   virtual void onCallEnded(const CallRecord &Record) = 0;
 };
 
+/// Time-outs of a Client's calls beside those of the calls.
+struct ClientLimits {
+  /// For opening a connection; allows for several round trips within a region.
+  Duration Connect = 800ms;
+};
+
 /// Sends small requests to one server and reuses its connections. A call is
 /// sent once and never retried.
 class Client {
@@ -48,7 +54,7 @@
 
   /// \p Observer may be null.
   Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote,
-         CallObserver *Observer = nullptr);
+         CallObserver *Observer = nullptr, ClientLimits Limits = {});
   ~Client();
   Client(const Client &) = delete;
   Client &operator=(const Client &) = delete;
@@ -72,6 +78,7 @@
   asio::any_io_executor m_Executor;
   asio::ip::tcp::endpoint m_Remote;
   CallObserver *m_Observer;
+  ClientLimits m_Limits;
   std::vector<std::shared_ptr<TargetConnection>> m_IdleConnections;
   std::vector<std::shared_ptr<Call>> m_PendingCalls;
   /// False after the destructor; checked by callbacks that may run later.
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -10,8 +10,6 @@
 
 /// One for a long-polling watch and one for other calls.
 constexpr std::size_t MaxIdleConnections = 2;
-/// Allows for several round trips within a region.
-constexpr Duration ConnectTimeout = 800ms;
 /// A connection that was idle for longer is closed and not reused: a device on
 /// the network path may have dropped its state, and the next call would then
 /// wait for its whole time-out.
@@ -50,9 +48,9 @@
 };
 
 Client::Client(asio::any_io_executor Executor, asio::ip::tcp::endpoint Remote,
-               CallObserver *Observer)
+               CallObserver *Observer, ClientLimits Limits)
     : m_Executor(std::move(Executor)), m_Remote(std::move(Remote)),
-      m_Observer(Observer) {}
+      m_Observer(Observer), m_Limits(Limits) {}
 
 Client::~Client() {
   *m_Alive = false;
@@ -106,7 +104,7 @@
   }
   Pending->Connection = std::make_shared<TargetConnection>(m_Executor);
   Pending->Connection->connect(
-      m_Remote, ConnectTimeout,
+      m_Remote, m_Limits.Connect,
       [this, Alive = m_Alive, Pending](std::error_code Error) {
         if (!*Alive || !Pending->Callback)
           return; // The client was destroyed, or the call has timed out.
