gateway: large values travel as their difference from the value before

Cause: a value over 2,048 bytes was announced only, and each daemon fetched all of it: 13 kB from another daemon, 17 to 35 kB from the store, which is 0.35 to 1 s of a link of 0.3 Mbit/s, for a change of one route. Change: ValueDelta, DEFLATE with the former value as the preset dictionary and a hash of the result. The relay sends it in its message; answers to queries use it for daemons that accept it. One whose base differs is asked for whole. In a fleet of two versions the older processes take such a value for omitted, and get whole values in answers.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/gateway/incarnationtracker.h"
 #include "mangodeck/gateway/keyvaluestore.h"
+#include "mangodeck/gateway/valuedelta.h"
 
 #include <optional>
 #include <string>
@@ -15,10 +16,13 @@
 /// A change of a key that one daemon passes on to others.
 struct RelayedChange {
   KeyChange Change;
-  /// The value is too large to be relayed; it must be read from the store.
+  /// The value is too large to be sent; it follows from Delta, or must be read
+  /// elsewhere.
   bool ValueOmitted = false;
   /// See KeyObserver::onKeyRemoved().
   bool AfterOutage = false;
+  /// The value as the difference from an earlier one, if it is omitted.
+  std::optional<ValueDelta> Delta = std::nullopt;
 };
 
 /// All changes of the store after From and up to To that make a difference to a
@@ -36,7 +40,11 @@
   IncarnationId Incarnation = UnknownIncarnation;
 };
 
-/// Encodes the changes as a MessagePack array.
+/// Values above this size are sent as their difference from the value before.
+inline constexpr std::size_t MaxRelayedValueBytes = 2048;
+
+/// Encodes the changes as a MessagePack array. Processes that know nothing of
+/// differences take such a value for omitted.
 std::string encodeRelayedChanges(const RelayedChanges &Message);
 /// std::nullopt if \p Bytes is not an encoded message of this kind.
 std::optional<RelayedChanges> decodeRelayedChanges(std::string_view Bytes);
@@ -66,8 +74,10 @@
   void restart(StoreRevision Known);
   /// Records a change that makes a difference. If it removes a key, the last
   /// heartbeat of that key is recorded before it, so that receivers know the
-  /// last registration of a target that has left.
-  void record(const KeyChange &Change, bool AfterOutage);
+  /// last registration of a target that has left. \p Delta is sent in place of
+  /// a large value.
+  void record(const KeyChange &Change, bool AfterOutage,
+              std::optional<ValueDelta> Delta = std::nullopt);
   /// Records an update that makes no difference.
   void recordHeartbeat(const KeyChange &Change);
   /// The message on the changes since the last one; the store has confirmed
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -81,11 +81,11 @@
   void refresh();
 
   /// Applies what the relay of the failure domain has sent.
-  void onRelayedChanges(const RelayedChanges &Message);
-  /// The changes after \p After, for another daemon that asks for them;
-  /// std::nullopt before the first complete listing. From of the answer is
-  /// later than \p After if removals in between are no longer known.
-  std::optional<RelayedChanges> changesAfter(StoreRevision After) const;
+  void onRelayedChanges(RelayedChanges Message);
+  /// The changes that another daemon asks for; std::nullopt before the first
+  /// complete listing. From of the answer is later than asked for if removals
+  /// in between are no longer known.
+  std::optional<RelayedChanges> answer(const ChangeQuery &Query) const;
 
   /// Lists all keys again, since the revisions reported so far are void. Keys
   /// that the copy lacks are reported as removed after an outage: the processes
@@ -106,8 +106,10 @@
   Duration nextWait(TimePoint Now) const;
   /// \p Start, \p Wait: of the watch.
   void onChanges(Expected<KeyChanges> Answer, TimePoint Start, Duration Wait);
-  std::optional<StoreRevision> knownRevision() const override;
-  void onPeerChanges(const RelayedChanges &Message, TimePoint SentAt) override;
+  std::optional<ChangeQuery> nextQuery() const override;
+  void onPeerChanges(RelayedChanges Message, TimePoint SentAt) override;
+  /// Whether a newer change in the message came without its value.
+  bool missesValue(const RelayedChanges &Message) const;
   /// Applies the changes of a message that are newer than what is known.
   void applyAll(const RelayedChanges &Message);
   /// All changes up to \p Time have been reported.
@@ -175,6 +177,8 @@
   /// The process was suspended and nothing has been confirmed since: messages
   /// that arrived meanwhile may be of any age.
   bool m_IsResuming = false;
+  /// A difference did not fit to what is known: whole values are asked for.
+  bool m_NeedsWholeValues = false;
   /// A listing has been completed, and none is in progress.
   bool m_IsListed = false;
   /// A listing has been completed since the start, or since the store was
--- a/packages/gateway/include/mangodeck/gateway/keyreplica.h
+++ b/packages/gateway/include/mangodeck/gateway/keyreplica.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/gateway/changerelay.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -14,7 +15,8 @@
 
 /// The store's keys with their values as a daemon knows them, and the last
 /// removals: what it needs to tell another daemon all changes after a revision.
-/// Takes the memory of the store's keys and of MaxRemovals removed ones.
+/// Takes the memory of the store's keys, of MaxRemovals removed ones, and of
+/// MaxFormerValues former ones of each large value.
 class KeyReplica {
 public:
   /// Whether \p Change is newer than what is known of its key. A removed key is
@@ -32,8 +34,18 @@
   findUnlisted(const std::unordered_set<std::string> &Listed,
                StoreRevision AsOf) const;
   /// The last change of each key after \p After, in the order of revisions. The
-  /// last heartbeat of a removed key precedes its removal.
-  std::vector<RelayedChange> changesAfter(StoreRevision After) const;
+  /// last heartbeat of a removed key precedes its removal. \p UseDeltas: a
+  /// large value is replaced by its difference from the value as of \p After,
+  /// if that one is kept and the difference is smaller.
+  std::vector<RelayedChange> changesAfter(StoreRevision After,
+                                          bool UseDeltas) const;
+  /// The difference of a newer value from the one that is known; std::nullopt
+  /// if the newer one is small or none is known.
+  std::optional<ValueDelta> deltaTo(const KeyChange &Newer) const;
+  /// Restores the omitted values of \p Changes, which are in the order of
+  /// revisions, from their differences. Those whose base is not known, or is
+  /// another one, stay omitted.
+  void resolveDeltas(std::vector<RelayedChange> &Changes) const;
   /// changesAfter() lacks removals if it is asked for those before this
   /// revision.
   StoreRevision completeFrom() const { return m_CompleteFrom; }
@@ -45,12 +57,17 @@
     KeyChange Last;
     /// Of the last change that was no heartbeat.
     StoreRevision SignificantRevision;
+    /// Large values before the last one, the latest first.
+    std::deque<KeyChange> Former;
   };
   struct Removal {
     KeyChange LastValue;
     RelayedChange Change;
   };
 
+  RelayedChange changeOf(const Item &Known, StoreRevision After,
+                         bool UseDeltas) const;
+
   std::unordered_map<std::string, Item> m_Items;
   std::unordered_map<std::string, Removal> m_Removals;
   std::map<StoreRevision, std::string> m_RemovalOrder;
--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -11,16 +11,23 @@
 
 namespace mangodeck {
 
+/// What a daemon asks another one.
+struct ChangeQuery {
+  StoreRevision After; ///< Changes after this revision.
+  /// Large values may be sent as their difference from the value as of After.
+  bool AcceptsDeltas = true;
+};
+
 /// Asks other daemons for changes of the store's keys.
 class PeerChangeReader {
 public:
   template <typename T> using Callback = std::function<void(Expected<T>)>;
   virtual ~PeerChangeReader() = default;
-  /// Asks one other daemon for the changes after \p After. Successive calls ask
-  /// different daemons and failure domains. \p Done runs once, on the caller's
+  /// Asks one other daemon. Successive calls ask different daemons and failure
+  /// domains. \p Done runs once, on the caller's
   /// event loop; with an error if there is no other daemon, or no answer within
   /// \p Timeout.
-  virtual void query(StoreRevision After, Duration Timeout,
+  virtual void query(const ChangeQuery &Query, Duration Timeout,
                      Callback<RelayedChanges> Done) = 0;
 };
 
@@ -28,12 +35,11 @@
 class PeerChangeObserver {
 public:
   virtual ~PeerChangeObserver() = default;
-  /// The revision up to which all changes are known; std::nullopt if that is
-  /// none, so that changes after it would mean nothing.
-  virtual std::optional<StoreRevision> knownRevision() const = 0;
+  /// What to ask: the changes after the revision up to which all are known;
+  /// std::nullopt if that is none, so that changes after it would mean nothing.
+  virtual std::optional<ChangeQuery> nextQuery() const = 0;
   /// \p Message answers a query that was sent at \p SentAt.
-  virtual void onPeerChanges(const RelayedChanges &Message,
-                             TimePoint SentAt) = 0;
+  virtual void onPeerChanges(RelayedChanges Message, TimePoint SentAt) = 0;
 };
 
 /// Age of a daemon's knowledge of the store from which on it asks other
--- a/packages/gateway/include/mangodeck/gateway/peerchanges.h
+++ b/packages/gateway/include/mangodeck/gateway/peerchanges.h
@@ -51,7 +51,7 @@
                    Endpoints Peers, GatewayMetrics &Metrics,
                    http::CallObserver &Calls, RandomSource &Random);
 
-  void query(StoreRevision After, Duration Timeout,
+  void query(const ChangeQuery &Query, Duration Timeout,
              Callback<RelayedChanges> Done) override;
 
 private:
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -19,8 +19,6 @@
 /// Elements of a message, and of one that does not state its sender.
 constexpr std::size_t RelayFields = 8;
 constexpr std::size_t AnonymousRelayFields = 6;
-/// Values above this size are left out of messages.
-constexpr std::size_t MaxRelayedValueBytes = 2048;
 /// Size of the keys and values in a message; a datagram of this size and the
 /// other fields stays below the receivers' buffers.
 constexpr std::size_t MaxMessageBytes = 8192;
@@ -30,17 +28,38 @@
 std::size_t sizeOf(const RelayedChange &Relayed) {
   constexpr std::size_t OtherFieldsBytes = 32;
   return OtherFieldsBytes + Relayed.Change.Key.size() +
-         Relayed.Change.Value.size();
+         Relayed.Change.Value.size() +
+         (Relayed.Delta ? Relayed.Delta->Bytes.size() : 0);
+}
+
+Json encodeDelta(const ValueDelta &Delta) {
+  return Json::array({Delta.BaseRevision, Delta.ValueHash, Delta.PrefixBytes,
+                      Delta.ValueBytes, Delta.Bytes});
+}
+
+ValueDelta decodeDelta(const Json &Fields) {
+  ValueDelta Delta;
+  Delta.BaseRevision = Fields.at(0).get<std::int64_t>();
+  Delta.ValueHash = Fields.at(1).get<std::uint64_t>();
+  Delta.PrefixBytes = Fields.at(2).get<std::uint32_t>();
+  Delta.ValueBytes = Fields.at(3).get<std::uint32_t>();
+  Delta.Bytes = Fields.at(4).get<std::string>();
+  return Delta;
 }
 
 } // namespace
 
 std::string encodeRelayedChanges(const RelayedChanges &Message) {
   Json Changes = Json::array();
-  for (const auto &[Change, ValueOmitted, AfterOutage] : Message.Changes)
-    Changes.push_back(
+  for (const auto &[Change, ValueOmitted, AfterOutage, Delta] :
+       Message.Changes) {
+    auto Item =
         Json::array({Change.Key, Change.Revision.Number, Change.Removed,
-                     AfterOutage, ValueOmitted ? Json() : Json(Change.Value)}));
+                     AfterOutage, ValueOmitted ? Json() : Json(Change.Value)});
+    if (ValueOmitted && Delta)
+      Item.push_back(encodeDelta(*Delta));
+    Changes.push_back(std::move(Item));
+  }
   const auto Age = std::chrono::duration_cast<std::chrono::microseconds>(
       std::min<Duration>(Message.Age, MaxStatedAge));
   const Json Fields = Json::array(
@@ -77,6 +96,8 @@
       Relayed.ValueOmitted = Item.at(4).is_null();
       if (!Relayed.ValueOmitted)
         Relayed.Change.Value = Item.at(4).get<std::string>();
+      else if (Item.size() > 5)
+        Relayed.Delta = decodeDelta(Item[5]);
       Message.Changes.push_back(std::move(Relayed));
     }
     if (Fields.size() == RelayFields) {
@@ -102,7 +123,8 @@
     m_Changes.push_back(std::move(Relayed));
 }
 
-void RelayWindow::record(const KeyChange &Change, bool AfterOutage) {
+void RelayWindow::record(const KeyChange &Change, bool AfterOutage,
+                         std::optional<ValueDelta> Delta) {
   const auto Heartbeat = m_LastHeartbeats.find(Change.Key);
   if (Heartbeat != m_LastHeartbeats.end()) {
     if (Change.Removed)
@@ -111,8 +133,11 @@
   }
   RelayedChange Relayed{Change, Change.Value.size() > MaxRelayedValueBytes,
                         AfterOutage};
-  if (Relayed.ValueOmitted)
+  if (Relayed.ValueOmitted) {
     Relayed.Change.Value.clear();
+    if (Delta && Delta->Bytes.size() <= MaxRelayedValueBytes)
+      Relayed.Delta = std::move(Delta);
+  }
   append(std::move(Relayed));
 }
 
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -254,7 +254,15 @@
   m_Relay.sendToDomain(encodeRelayedChanges(Message));
 }
 
-void KeyFollower::onRelayedChanges(const RelayedChanges &Message) {
+bool KeyFollower::missesValue(const RelayedChanges &Message) const {
+  return std::any_of(
+      Message.Changes.begin(), Message.Changes.end(), [&](const auto &Relayed) {
+        return Relayed.ValueOmitted && Relayed.Change.Revision > m_Revision &&
+               m_Replica.isNewer(Relayed.Change);
+      });
+}
+
+void KeyFollower::onRelayedChanges(RelayedChanges Message) {
   const auto Now = m_Time.now();
   // Step 1. Ignore the message if it is of an earlier era, or if this daemon
   // relays itself or has nothing that changes could be added to.
@@ -263,11 +271,8 @@
 
   // Step 2. After a gap, or if a value was left out, read the changes from the
   // store. A later era is noticed by that call, too.
-  const bool MissesValue = std::any_of(
-      Message.Changes.begin(), Message.Changes.end(), [&](const auto &Relayed) {
-        return Relayed.ValueOmitted && Relayed.Change.Revision > m_Revision &&
-               m_Replica.isNewer(Relayed.Change);
-      });
+  m_Replica.resolveDeltas(Message.Changes);
+  const bool MissesValue = missesValue(Message);
   m_Observer.onOrigin({ChangeSource::Relay, Message.Vm, Message.Incarnation});
   if (Message.From > m_Revision || MissesValue) {
     // The store usually gives an omitted value at once.
@@ -292,9 +297,10 @@
 }
 
 std::optional<RelayedChanges>
-KeyFollower::changesAfter(StoreRevision After) const {
+KeyFollower::answer(const ChangeQuery &Query) const {
   if (!m_HasListing || m_ConfirmedAt == TimePoint{})
     return std::nullopt;
+  const auto After = Query.After;
   RelayedChanges Message;
   Message.From = std::max(After, m_Replica.completeFrom());
   // Revisions of an earlier era tell nothing of this one.
@@ -302,25 +308,28 @@
     Message.From = m_Revision;
   Message.To = m_Revision;
   Message.Age = m_Time.now() - m_ConfirmedAt;
-  Message.Changes = m_Replica.changesAfter(After);
+  Message.Changes = m_Replica.changesAfter(After, Query.AcceptsDeltas);
   m_Relay.stamp(Message);
   return Message;
 }
 
-std::optional<StoreRevision> KeyFollower::knownRevision() const {
-  return m_HasListing ? std::optional(m_Revision) : std::nullopt;
+std::optional<ChangeQuery> KeyFollower::nextQuery() const {
+  if (!m_HasListing)
+    return std::nullopt;
+  return ChangeQuery{m_Revision, !m_NeedsWholeValues};
 }
 
-void KeyFollower::onPeerChanges(const RelayedChanges &Message,
-                                TimePoint SentAt) {
+void KeyFollower::onPeerChanges(RelayedChanges Message, TimePoint SentAt) {
   if (!m_HasListing || Message.To < m_Revision)
     return;
   m_Observer.onOrigin({ChangeSource::Peer, Message.Vm, Message.Incarnation});
+  m_Replica.resolveDeltas(Message.Changes);
+  m_NeedsWholeValues = missesValue(Message);
   // After a gap, the changes of each key are right, but those of others may be
   // missing.
-  if (Message.From > m_Revision) {
+  if (Message.From > m_Revision || m_NeedsWholeValues) {
     for (const auto &Relayed : Message.Changes)
-      if (!Relayed.Change.Removed)
+      if (!Relayed.Change.Removed && !Relayed.ValueOmitted)
         apply(Relayed.Change, Relayed.AfterOutage);
     return;
   }
@@ -374,11 +383,14 @@
     return;
   if (!Change.Removed) {
     const bool IsHeartbeat = !m_Observer.onKeyUpdated(Change);
+    auto Delta = m_Relay.isRelaying() && !IsHeartbeat
+                     ? m_Replica.deltaTo(Change)
+                     : std::nullopt;
     m_Replica.update(Change, IsHeartbeat);
     if (IsHeartbeat)
       m_Window.recordHeartbeat(Change);
     else
-      m_Window.record(Change, AfterOutage);
+      m_Window.record(Change, AfterOutage, std::move(Delta));
   } else if (m_Replica.contains(Change.Key)) {
     m_Replica.remove(Change, AfterOutage);
     m_Observer.onKeyRemoved(Change, AfterOutage);
--- a/packages/gateway/src/keyreplica.cpp
+++ b/packages/gateway/src/keyreplica.cpp
@@ -11,6 +11,9 @@
 /// large deployment that leave within the longest time for which a daemon asks
 /// others.
 constexpr std::size_t MaxRemovals = 1024;
+/// Former values that are kept of a large value, and their size.
+constexpr std::size_t MaxFormerValues = 4;
+constexpr std::size_t MaxFormerValueBytes = 64 << 10;
 
 } // namespace
 
@@ -29,6 +32,12 @@
     m_Removals.erase(Removed);
   }
   auto &Known = m_Items[Change.Key];
+  if (Known.Last.Value.size() > MaxRelayedValueBytes &&
+      Known.Last.Value.size() <= MaxFormerValueBytes) {
+    Known.Former.push_front(std::move(Known.Last));
+    if (Known.Former.size() > MaxFormerValues)
+      Known.Former.pop_back();
+  }
   Known.Last = Change;
   if (!IsHeartbeat)
     Known.SignificantRevision = Change.Revision;
@@ -63,11 +72,62 @@
   return Missing;
 }
 
-std::vector<RelayedChange> KeyReplica::changesAfter(StoreRevision After) const {
+std::optional<ValueDelta> KeyReplica::deltaTo(const KeyChange &Newer) const {
+  const auto Known = m_Items.find(Newer.Key);
+  if (Newer.Value.size() <= MaxRelayedValueBytes || Known == m_Items.end() ||
+      Known->second.Last.Revision.Era != Newer.Revision.Era)
+    return std::nullopt;
+  const auto &Base = Known->second.Last;
+  return encodeValueDelta(Base.Value, Base.Revision.Number, Newer.Value);
+}
+
+void KeyReplica::resolveDeltas(std::vector<RelayedChange> &Changes) const {
+  // A later change of the same key refers to an earlier one of the message.
+  std::unordered_map<std::string, const KeyChange *> Resolved;
+  for (auto &[Change, ValueOmitted, AfterOutage, Delta] : Changes) {
+    if (ValueOmitted && Delta) {
+      const auto Earlier = Resolved.find(Change.Key);
+      const auto Known = m_Items.find(Change.Key);
+      const KeyChange *Base = Earlier != Resolved.end() ? Earlier->second
+                              : Known != m_Items.end()  ? &Known->second.Last
+                                                        : nullptr;
+      if (Base && Base->Revision ==
+                      StoreRevision{Change.Revision.Era, Delta->BaseRevision})
+        if (auto Value = decodeValueDelta(Base->Value, *Delta)) {
+          Change.Value = std::move(*Value);
+          ValueOmitted = false;
+        }
+    }
+    if (!ValueOmitted)
+      Resolved[Change.Key] = &Change;
+  }
+}
+
+RelayedChange KeyReplica::changeOf(const Item &Known, StoreRevision After,
+                                   bool UseDeltas) const {
+  RelayedChange Relayed{Known.Last, false, false};
+  const auto Base = std::find_if(
+      Known.Former.begin(), Known.Former.end(), [&](const KeyChange &Each) {
+        return Each.Revision <= After && Each.Revision.Era == After.Era;
+      });
+  if (!UseDeltas || Base == Known.Former.end())
+    return Relayed;
+  auto Delta =
+      encodeValueDelta(Base->Value, Base->Revision.Number, Known.Last.Value);
+  if (Delta.Bytes.size() < Known.Last.Value.size()) {
+    Relayed.Change.Value.clear();
+    Relayed.ValueOmitted = true;
+    Relayed.Delta = std::move(Delta);
+  }
+  return Relayed;
+}
+
+std::vector<RelayedChange> KeyReplica::changesAfter(StoreRevision After,
+                                                    bool UseDeltas) const {
   std::vector<RelayedChange> Changes;
   for (const auto &[Key, Known] : m_Items)
     if (Known.SignificantRevision > After)
-      Changes.push_back({Known.Last, false, false});
+      Changes.push_back(changeOf(Known, After, UseDeltas));
   for (const auto &[Key, Removed] : m_Removals) {
     if (Removed.Change.Change.Revision <= After)
       continue;
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -109,15 +109,15 @@
 }
 
 void PeerCatchUp::sendQuery() {
-  const auto Known = m_Observer.knownRevision();
-  if (!Known)
+  const auto Query = m_Observer.nextQuery();
+  if (!Query)
     return;
   ++m_OpenQueries;
-  m_Peers.query(*Known, m_QueryTimeout,
+  m_Peers.query(*Query, m_QueryTimeout,
                 [this, SentAt = m_Time.now()](Expected<RelayedChanges> Answer) {
                   --m_OpenQueries;
                   if (Answer)
-                    m_Observer.onPeerChanges(*Answer, SentAt);
+                    m_Observer.onPeerChanges(std::move(*Answer), SentAt);
                 });
 }
 
--- a/packages/gateway/src/peerchanges.cpp
+++ b/packages/gateway/src/peerchanges.cpp
@@ -17,6 +17,8 @@
 constexpr Duration ServerTimeout = 2s;
 constexpr std::string_view EraParameter = "era=";
 constexpr std::string_view RevisionParameter = "after=";
+/// "1" from daemons that accept differences from an earlier value.
+constexpr std::string_view DeltasParameter = "deltas=";
 
 /// The number behind \p Name in a query.
 template <typename Number>
@@ -59,7 +61,8 @@
     return {404, {}};
   if (!Era || !After)
     return {400, {}};
-  const auto Changes = m_Follower.changesAfter({*Era, *After});
+  const auto Changes = m_Follower.answer(
+      {{*Era, *After}, parameterOf<int>(Target, DeltasParameter) == 1});
   m_Metrics.countPeerQuery(Changes ? "served" : "unknown");
   return Changes ? http::CallReply{200, encodeRelayedChanges(*Changes)}
                  : http::CallReply{503, {}};
@@ -92,7 +95,7 @@
   return Peer;
 }
 
-void PeerChangeClient::query(StoreRevision After, Duration Timeout,
+void PeerChangeClient::query(const ChangeQuery &Query, Duration Timeout,
                              Callback<RelayedChanges> Done) {
   m_AskedOwnDomain = !m_AskedOwnDomain;
   auto Peer = next(m_AskedOwnDomain);
@@ -110,8 +113,10 @@
       m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port), &m_CallObserver,
       http::ClientLimits{Timeout});
   Client->call("GET",
-               fmt::format("{}?{}{}&{}{}", PeerChangesPath, EraParameter,
-                           After.Era, RevisionParameter, After.Number),
+               fmt::format("{}?{}{}&{}{}&{}{}", PeerChangesPath, EraParameter,
+                           Query.After.Era, RevisionParameter,
+                           Query.After.Number, DeltasParameter,
+                           Query.AcceptsDeltas ? 1 : 0),
                "", Timeout,
                [this, Alive = m_Alive, Number,
                 Done = std::move(Done)](Expected<http::CallAnswer> Answer) {
--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -379,7 +379,7 @@
 }
 
 void ChangeFleet::Daemon::query(
-    StoreRevision After, Duration Timeout,
+    const ChangeQuery &Query, Duration Timeout,
     PeerChangeReader::Callback<RelayedChanges> Done) {
   ++m_Fleet.m_PeerQueries;
   // By turns one of the own failure domain and one of another.
@@ -403,8 +403,8 @@
   // A connection takes a round trip, the call another one.
   const auto Latency =
       fromSeconds(toSeconds(MaxPeerLatency) * (1 + m_Fleet.m_Random.uniform()));
-  const auto Answer = [this, &Peer, After, Finish, Latency] {
-    const auto Known = Peer.follower().changesAfter(After);
+  const auto Answer = [this, &Peer, Query, Finish, Latency] {
+    const auto Known = Peer.follower().answer(Query);
     if (!Known)
       return;
     const auto Bytes = encodeRelayedChanges(*Known); // As it is sent.
--- a/packages/gateway/test/changefleet.h
+++ b/packages/gateway/test/changefleet.h
@@ -186,7 +186,7 @@
            KeyValueStore::Callback<bool>) override {}
   void reconnect() override {}
   // PeerChangeReader.
-  void query(StoreRevision After, Duration Timeout,
+  void query(const ChangeQuery &Query, Duration Timeout,
              PeerChangeReader::Callback<RelayedChanges> Done) override;
   // KeyObserver.
   bool onKeyUpdated(const KeyChange &Change) override;
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -55,12 +55,14 @@
 
 /// Other daemons whose answers the test supplies.
 struct ScriptedPeers : PeerChangeReader {
-  void query(StoreRevision After, Duration,
+  void query(const ChangeQuery &Query, Duration,
              Callback<RelayedChanges> Done) override {
-    Queries.push_back(After);
+    Queries.push_back(Query.After);
+    LastAcceptsDeltas = Query.AcceptsDeltas;
     LastDone = std::move(Done);
   }
   std::vector<StoreRevision> Queries;
+  bool LastAcceptsDeltas = false;
   Callback<RelayedChanges> LastDone;
 };
 
@@ -115,6 +117,8 @@
   CPPUNIT_TEST(relay_gap_isFilledFromStore);
   CPPUNIT_TEST(relay_valueOmitted_isReadFromStore);
   CPPUNIT_TEST(relay_valueOmittedDuringWatch_isReadFromStore);
+  CPPUNIT_TEST(relay_largeValueAsDelta_isAppliedWithoutCall);
+  CPPUNIT_TEST(peer_deltaOfUnknownBase_asksForWholeValue);
   CPPUNIT_TEST(relay_repeatedOrEarlierEra_isIgnored);
   CPPUNIT_TEST(relay_removal_isReportedWithItsOutage);
   CPPUNIT_TEST(relaying_changes_areSentWithoutHeartbeats);
@@ -378,6 +382,40 @@
     CPPUNIT_ASSERT_EQUAL(Watches + 1, m_Store.Watches.size());
   }
 
+  // Regression: a changed large value was only announced, so that each daemon
+  // fetched all of it over a link that may be full.
+  void relay_largeValueAsDelta_isAppliedWithoutCall() {
+    followRelay();
+    const std::string Before(5000, 'x');
+    const auto After = Before + "y";
+    m_Follower->onRelayedChanges(
+        {{0, 10}, {0, 20}, 0ms, {change("a", Before.c_str(), 20)}});
+    const auto Calls = m_Store.Watches.size() + m_Store.Lists.size();
+    RelayedChange Relayed{{"a", "", {0, 21}, false}, true, false};
+    Relayed.Delta = encodeValueDelta(Before, 20, After);
+    const auto Sent = decodeRelayedChanges(
+        encodeRelayedChanges({{0, 20}, {0, 21}, 0ms, {Relayed}}));
+    m_Follower->onRelayedChanges(*Sent);
+    CPPUNIT_ASSERT(m_Observer.Values["a"] == After);
+    CPPUNIT_ASSERT_EQUAL(Calls, m_Store.Watches.size() + m_Store.Lists.size());
+  }
+
+  void peer_deltaOfUnknownBase_asksForWholeValue() {
+    followRelay();
+    RelayedChange Relayed{{"a", "", {0, 21}, false}, true, false};
+    Relayed.Delta = encodeValueDelta("base", 17, "value");
+    m_Follower->onRelayedChanges({{0, 10}, {0, 21}, 0ms, {Relayed}});
+    runTimers();
+    CPPUNIT_ASSERT(!m_Peers.Queries.empty() && m_Peers.LastAcceptsDeltas);
+    m_Peers.LastDone(RelayedChanges{{0, 10}, {0, 21}, 0ms, {Relayed}});
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), m_Observer.Values["a"]);
+    runTimers();
+    CPPUNIT_ASSERT(!m_Peers.LastAcceptsDeltas);
+    m_Peers.LastDone(
+        RelayedChanges{{0, 10}, {0, 21}, 0ms, {change("a", "value", 21)}});
+    CPPUNIT_ASSERT_EQUAL(std::string("value"), m_Observer.Values["a"]);
+  }
+
   void relay_repeatedOrEarlierEra_isIgnored() {
     m_Store.answerList(KeyPage{{{"a", "1", {2, 5}, false}}, false, {2, 10}});
     m_Follower->onRelayedChanges(
@@ -575,13 +613,13 @@
   }
 
   void peers_ownChanges_areTold() {
-    CPPUNIT_ASSERT(!m_Follower->changesAfter({0, 0}));
+    CPPUNIT_ASSERT(!m_Follower->answer({0, 0}));
     answerFirstList();
     m_Store.answerWatch(KeyChanges{{{"a", "heartbeat", {0, 11}, false},
                                     {"b", "new", {0, 12}, false},
                                     {"a", "", {0, 13}, true}},
                                    {0, 14}});
-    const auto Told = m_Follower->changesAfter({0, 10});
+    const auto Told = m_Follower->answer({0, 10});
     CPPUNIT_ASSERT(Told.has_value());
     CPPUNIT_ASSERT(Told->From == (StoreRevision{0, 10}));
     CPPUNIT_ASSERT(Told->To == (StoreRevision{0, 14}));
@@ -590,8 +628,7 @@
                          Told->Changes[0].Change.Value);
     CPPUNIT_ASSERT(Told->Changes[2].Change.Removed);
     // What was removed before the first listing is not known.
-    CPPUNIT_ASSERT(m_Follower->changesAfter({0, 4})->From ==
-                   (StoreRevision{0, 10}));
+    CPPUNIT_ASSERT(m_Follower->answer({0, 4})->From == (StoreRevision{0, 10}));
   }
 
   void relayMessage_encodedAndDecoded_isUnchanged() {
--- a/packages/gateway/test/peerchanges_test.cpp
+++ b/packages/gateway/test/peerchanges_test.cpp
@@ -29,7 +29,8 @@
 };
 
 struct NoPeers : PeerChangeReader {
-  void query(StoreRevision, Duration, Callback<RelayedChanges>) override {}
+  void query(const ChangeQuery &, Duration, Callback<RelayedChanges>) override {
+  }
 };
 
 struct IgnoringObserver : KeyObserver {
@@ -132,7 +133,7 @@
 private:
   Expected<RelayedChanges> query(StoreRevision After) {
     std::optional<Expected<RelayedChanges>> Result;
-    m_Client->query(After, 250ms, [&](Expected<RelayedChanges> Answer) {
+    m_Client->query({After}, 250ms, [&](Expected<RelayedChanges> Answer) {
       Result = std::move(Answer);
     });
     for (int I = 0; I < 100 && !Result; ++I)
