gateway: the age of a relayed message includes the time that it waited on its way

A follower took late news for current, and neither watched the store nor asked other daemons. Change: the relay states its steady clock and the number of its suspensions. The receiver adds the delay above the least one of that sender (TransitDelay). Processes of the version before reject the longer message and watch the store.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -38,6 +38,10 @@
   /// does not state them.
   std::string Vm = {};
   IncarnationId Incarnation = UnknownIncarnation;
+  /// Time of the sender's steady clock; 0 if it is not stated.
+  Duration SentAt{0};
+  /// Number of the sender's suspensions, which its steady clock did not count.
+  std::uint32_t Suspensions = 0;
 };
 
 /// Values above this size are sent as their difference from the value before.
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -10,9 +10,12 @@
 #include "mangodeck/gateway/keyvaluestore.h"
 #include "mangodeck/gateway/peercatchup.h"
 #include "mangodeck/gateway/storeera.h"
+#include "mangodeck/gateway/transitdelay.h"
 
+#include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_set>
 
 namespace mangodeck {
@@ -110,6 +113,8 @@
   void onPeerChanges(RelayedChanges Message, TimePoint SentAt) override;
   /// Whether a newer change in the message came without its value.
   bool missesValue(const RelayedChanges &Message) const;
+  /// Time for which a message of the relay waited on its way.
+  Duration transitOf(const RelayedChanges &Message, TimePoint Now);
   /// Applies the changes of a message that are newer than what is known.
   void applyAll(const RelayedChanges &Message);
   /// All changes up to \p Time have been reported.
@@ -154,6 +159,10 @@
   std::uint64_t m_DelayedStep = 0;
   PeerCatchUp m_CatchUp;
   RelayWindow m_Window;
+  /// By VM, process, and number of its suspensions.
+  std::map<std::tuple<std::string, IncarnationId, std::uint32_t>, TransitDelay>
+      m_TransitDelays;
+  std::uint32_t m_Suspensions = 0;
   KeyReplica m_Replica; ///< As last reported to the observer.
   /// Keys on the pages of the current listing.
   std::unordered_set<std::string> m_Listed;
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -16,7 +16,9 @@
 constexpr int RelayTag = 4;
 /// First byte of a MessagePack array of up to 15 elements, plus their number.
 constexpr unsigned char ArrayMarker = 0x90;
-/// Elements of a message, and of one that does not state its sender.
+/// Elements of a message, of one that does not state when it was sent, and of
+/// one that does not state its sender.
+constexpr std::size_t TimedRelayFields = 10;
 constexpr std::size_t RelayFields = 8;
 constexpr std::size_t AnonymousRelayFields = 6;
 /// Size of the keys and values in a message; a datagram of this size and the
@@ -62,9 +64,15 @@
   }
   const auto Age = std::chrono::duration_cast<std::chrono::microseconds>(
       std::min<Duration>(Message.Age, MaxStatedAge));
-  const Json Fields = Json::array(
-      {RelayTag, Message.To.Era, Message.From.Number, Message.To.Number,
-       Age.count(), std::move(Changes), Message.Vm, Message.Incarnation});
+  Json Fields = Json::array({RelayTag, Message.To.Era, Message.From.Number,
+                             Message.To.Number, Age.count(), std::move(Changes),
+                             Message.Vm, Message.Incarnation});
+  if (Message.SentAt != Duration{0}) {
+    Fields.push_back(
+        std::chrono::duration_cast<std::chrono::microseconds>(Message.SentAt)
+            .count());
+    Fields.push_back(Message.Suspensions);
+  }
   std::string Bytes;
   Json::to_msgpack(Fields, Bytes);
   return Bytes;
@@ -74,7 +82,8 @@
   if (Bytes.size() < 2 || Bytes[1] != RelayTag)
     return std::nullopt;
   const auto Marker = static_cast<unsigned char>(Bytes[0]);
-  if (Marker != ArrayMarker + RelayFields &&
+  if (Marker != ArrayMarker + TimedRelayFields &&
+      Marker != ArrayMarker + RelayFields &&
       Marker != ArrayMarker + AnonymousRelayFields)
     return std::nullopt;
   const auto Fields = parseBoundedMessagePack(Bytes);
@@ -100,10 +109,14 @@
         Relayed.Delta = decodeDelta(Item[5]);
       Message.Changes.push_back(std::move(Relayed));
     }
-    if (Fields.size() == RelayFields) {
+    if (Fields.size() >= RelayFields) {
       Message.Vm = Fields[6].get<std::string>();
       Message.Incarnation = Fields[7].get<IncarnationId>();
     }
+    if (Fields.size() >= TimedRelayFields) {
+      Message.SentAt = std::chrono::microseconds(Fields[8].get<std::int64_t>());
+      Message.Suspensions = Fields[9].get<std::uint32_t>();
+    }
     return Message;
   } catch (const Json::exception &) {
     return std::nullopt;
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -49,6 +49,8 @@
 /// states. Otherwise two daemons that tell each other the same confirmation
 /// would make it younger each time.
 constexpr Duration RelayTransitTime = 50ms;
+/// Senders whose least transit time is kept; relays change seldom.
+constexpr std::size_t MaxRelaysMeasured = 16;
 
 Duration share(Duration Whole, double Part) {
   return fromSeconds(toSeconds(Whole) * Part);
@@ -86,6 +88,8 @@
 
 void KeyFollower::refresh() {
   ++m_Generation;
+  ++m_Suspensions;
+  m_TransitDelays.clear();
   m_Store.reconnect();
   m_ConsecutiveFailures = 0;
   m_ConfirmedAt = m_ToldConfirmedAt = TimePoint{};
@@ -250,6 +254,8 @@
     return m_Window.restart(m_Revision);
   auto Message = m_Window.takeMessage(m_Revision);
   Message.Age = m_Time.now() - m_ConfirmedAt + RelayTransitTime;
+  Message.SentAt = m_Time.now().time_since_epoch();
+  Message.Suspensions = m_Suspensions;
   m_Relay.stamp(Message);
   m_Relay.sendToDomain(encodeRelayedChanges(Message));
 }
@@ -262,8 +268,18 @@
       });
 }
 
+Duration KeyFollower::transitOf(const RelayedChanges &Message, TimePoint Now) {
+  if (Message.SentAt == Duration{0})
+    return Duration{0};
+  if (m_TransitDelays.size() >= MaxRelaysMeasured)
+    m_TransitDelays.clear();
+  return m_TransitDelays[{Message.Vm, Message.Incarnation, Message.Suspensions}]
+      .record(Message.SentAt, Now);
+}
+
 void KeyFollower::onRelayedChanges(RelayedChanges Message) {
   const auto Now = m_Time.now();
+  Message.Age += transitOf(Message, Now);
   // Step 1. Ignore the message if it is of an earlier era, or if this daemon
   // relays itself or has nothing that changes could be added to.
   if (!m_HasListing || m_Relay.isRelaying() || Message.To.Era < m_Revision.Era)
