gateway: a relay repeats its changes, and accepts those of others

Cause: datagrams get lost in a full link. A daemon behind a full link hears no reports, takes itself for the delegate, and ignored what the real relay told it.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -5,6 +5,7 @@
 #include "mangodeck/gateway/keyvaluestore.h"
 #include "mangodeck/gateway/valuedelta.h"
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -65,11 +66,14 @@
   virtual void sendToDomain(std::string_view Bytes) = 0;
 };
 
-/// The changes since the last message of a relay. A receiver that has lost a
-/// message notices by From of the next one. If there are more changes than fit
-/// into a datagram, as when all targets register, they are left out, and the
-/// receivers read them from the store: relayed to each, they would take more of
-/// the relay's link than it has.
+/// The changes since the last RepeatedMessages messages of a relay. Each change
+/// is sent that often, so that a receiver that has lost messages needs no call,
+/// which takes two round trips of a link that is full. One that has lost more
+/// notices by From of the next one. If there are more changes than fit into a
+/// datagram, as when all targets register, the older ones are not repeated; if
+/// the new ones do not fit, they are left out, and the receivers read them from
+/// the store: relayed to each, they would take more of the relay's link than it
+/// has.
 ///
 /// Heartbeats, which make no difference to the daemons, are left out, too.
 class RelayWindow {
@@ -84,14 +88,22 @@
               std::optional<ValueDelta> Delta = std::nullopt);
   /// Records an update that makes no difference.
   void recordHeartbeat(const KeyChange &Change);
-  /// The message on the changes since the last one; the store has confirmed
-  /// that there is no other up to \p Known.
+  /// The next message; the store has confirmed that there is no other change up
+  /// to \p Known.
   RelayedChanges takeMessage(StoreRevision Known);
 
 private:
+  /// The changes of one message that were new in it.
+  struct Batch {
+    StoreRevision From;
+    std::vector<RelayedChange> Changes;
+    std::size_t Bytes = 0;
+  };
+
   void append(RelayedChange Relayed);
 
-  StoreRevision m_From; ///< The next message starts here.
+  std::deque<Batch> m_Sent; ///< To be repeated, the latest last.
+  StoreRevision m_From;     ///< The changes of m_Changes follow it.
   std::vector<RelayedChange> m_Changes;
   std::size_t m_Bytes = 0; ///< Of m_Changes, and of those left out.
   std::unordered_map<std::string, KeyChange> m_LastHeartbeats; ///< By key.
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -24,6 +24,10 @@
 /// Size of the keys and values in a message; a datagram of this size and the
 /// other fields stays below the receivers' buffers.
 constexpr std::size_t MaxMessageBytes = 8192;
+/// Messages that repeat a change after the first one with it.
+constexpr std::size_t RepeatedMessages = 4;
+/// Size up to which changes are repeated: a few changes of the configuration.
+constexpr std::size_t MaxRepeatedBytes = 4096;
 /// Fits into the 32 bits of the field.
 constexpr Duration MaxStatedAge = 3600s;
 
@@ -124,6 +128,7 @@
 }
 
 void RelayWindow::restart(StoreRevision Known) {
+  m_Sent.clear();
   m_From = Known;
   m_Changes.clear();
   m_Bytes = 0;
@@ -161,15 +166,26 @@
 
 RelayedChanges RelayWindow::takeMessage(StoreRevision Known) {
   RelayedChanges Message;
-  Message.From = m_From;
   Message.To = Known;
-  Message.Changes = std::exchange(m_Changes, {});
-  if (m_Bytes > MaxMessageBytes) {
+  Batch New{m_From, std::exchange(m_Changes, {}), std::exchange(m_Bytes, 0)};
+  m_From = Known;
+  if (New.Bytes > MaxMessageBytes) {
+    m_Sent.clear();
     Message.From = Known; // Receivers notice a gap.
-    Message.Changes.clear();
+    return Message;
   }
-  m_From = Known;
-  m_Bytes = 0;
+  if (m_Sent.size() > RepeatedMessages)
+    m_Sent.pop_front();
+  m_Sent.push_back(std::move(New));
+  std::size_t Bytes = 0;
+  for (const auto &Each : m_Sent)
+    Bytes += Each.Bytes;
+  for (; m_Sent.size() > 1 && Bytes > MaxRepeatedBytes; m_Sent.pop_front())
+    Bytes -= m_Sent.front().Bytes;
+  Message.From = m_Sent.front().From;
+  for (const auto &Each : m_Sent)
+    Message.Changes.insert(Message.Changes.end(), Each.Changes.begin(),
+                           Each.Changes.end());
   return Message;
 }
 
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -281,8 +281,8 @@
   const auto Now = m_Time.now();
   Message.Age += transitOf(Message, Now);
   // Step 1. Ignore the message if it is of an earlier era, or if this daemon
-  // relays itself or has nothing that changes could be added to.
-  if (!m_HasListing || m_Relay.isRelaying() || Message.To.Era < m_Revision.Era)
+  // has nothing that changes could be added to.
+  if (!m_HasListing || Message.To.Era < m_Revision.Era)
     return;
 
   // Step 2. After a gap, or if a value was left out, read the changes from the
