gateway: a relay that takes over tells the changes from before

Cause: only the relay kept its last changes. Change: every daemon keeps the changes of the last five messages. Measured: relaying_takesOver_tellsChangesOfBefore failed before; ChangeFleetTest and KeyFollowerTest passed.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -88,8 +88,8 @@
               std::optional<ValueDelta> Delta = std::nullopt);
   /// Records an update that makes no difference.
   void recordHeartbeat(const KeyChange &Change);
-  /// The next message; the store has confirmed that there is no other change up
-  /// to \p Known.
+  /// The next message, also of a daemon that does not send it; the store has
+  /// confirmed that there is no other change up to \p Known.
   RelayedChanges takeMessage(StoreRevision Known);
 
 private:
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -124,8 +124,8 @@
   void requireRevision(StoreRevision Revision);
   /// Reports the change if it is newer than what was reported of its key.
   void apply(const KeyChange &Change, bool AfterOutage);
-  /// Sends the changes since the last message to the other daemons if this
-  /// daemon is the relay.
+  /// Sends the last changes to the other daemons if this daemon is the relay.
+  /// Otherwise keeps them, so that it can send them if it takes over.
   void publish();
   /// Another daemon has told that all changes up to \p ConfirmedAt are known.
   void onTold(TimePoint ConfirmedAt);
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -250,9 +250,9 @@
 }
 
 void KeyFollower::publish() {
-  if (!m_Relay.isRelaying())
-    return m_Window.restart(m_Revision);
   auto Message = m_Window.takeMessage(m_Revision);
+  if (!m_Relay.isRelaying())
+    return;
   Message.Age = m_Time.now() - m_ConfirmedAt + RelayTransitTime;
   Message.SentAt = m_Time.now().time_since_epoch();
   Message.Suspensions = m_Suspensions;
@@ -360,7 +360,7 @@
       apply(Relayed.Change, Relayed.AfterOutage);
   m_Revision = std::max(m_Revision, Message.To);
   if (!m_Relay.isRelaying())
-    m_Window.restart(m_Revision);
+    m_Window.takeMessage(m_Revision);
 }
 
 void KeyFollower::onTold(TimePoint ConfirmedAt) {
@@ -399,9 +399,7 @@
     return;
   if (!Change.Removed) {
     const bool IsHeartbeat = !m_Observer.onKeyUpdated(Change);
-    auto Delta = m_Relay.isRelaying() && !IsHeartbeat
-                     ? m_Replica.deltaTo(Change)
-                     : std::nullopt;
+    auto Delta = IsHeartbeat ? std::nullopt : m_Replica.deltaTo(Change);
     m_Replica.update(Change, IsHeartbeat);
     if (IsHeartbeat)
       m_Window.recordHeartbeat(Change);
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(change_linksOfRelayNarrowed_reachesOthersInTime);
   CPPUNIT_TEST(relayedMessage_waitedInLinks_confirmsNothingLater);
   CPPUNIT_TEST(targetLeaves_storeRejectsWholeDomain_isKnownInTime);
+  CPPUNIT_TEST(targetLeaves_linksNarrowed_isKnownSoonAfterwards);
   CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
   CPPUNIT_TEST(storeDown_anySize_queriesAreBounded);
   CPPUNIT_TEST(budget_eachSingleFailure_sumsToDeadline);
@@ -155,6 +156,31 @@
       }
   }
 
+  // Registrations, keys and orders of roll-outs come by the same way, too.
+  void targetLeaves_linksNarrowed_isKnownSoonAfterwards() {
+    for (const auto Deadline : Deadlines)
+      for (const auto Size : Sizes) {
+        ChangeFleetSettings Settings;
+        Settings.Daemons = Size;
+        Settings.Domains = std::min<std::size_t>(Size, 3);
+        Settings.ChangeDeadline = Deadline;
+        ChangeFleet Fleet(Settings);
+        Fleet.store().write("gone", "ready");
+        Fleet.start();
+        for (const auto Index : thirdOf(Fleet))
+          Fleet.narrowLinks(Index, 0.3, 6s, 1.0);
+        Fleet.runFor(1s);
+        Fleet.store().write("target", "draining");
+        Fleet.store().remove("gone");
+        Fleet.runFor(5s + Deadline);
+        for (std::size_t I = 0; I < Size; ++I) {
+          CPPUNIT_ASSERT_EQUAL(std::string("draining"),
+                               Fleet[I].Values["target"]);
+          CPPUNIT_ASSERT_EQUAL(std::string("removed"), Fleet[I].Values["gone"]);
+        }
+      }
+  }
+
   /// Calls to the store a daemon, with a change every 5 s.
   void calm_anySize_asksNoPeersAndCallsDoNotGrow() {
     double Least = 1e9;
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -126,6 +126,7 @@
   CPPUNIT_TEST(relaying_manyChanges_leaveGap);
   CPPUNIT_TEST(relaying_changes_areRepeatedInNextFourMessagesOnly);
   CPPUNIT_TEST(relaying_messageOfOtherRelay_isApplied);
+  CPPUNIT_TEST(relaying_takesOver_tellsChangesOfBefore);
   CPPUNIT_TEST(relaying_noChanges_confirmsPeriodically);
   CPPUNIT_TEST(relaying_delayedAnswer_statesAgeOfItsCall);
   CPPUNIT_TEST(relaying_secondListing_tellsChangesOfMeanwhile);
@@ -500,6 +501,22 @@
 
   // Regression: a daemon behind a full link that takes itself for the relay
   // ignored what the others told it.
+  // Regression: the message of a relay that took over began at what it knew, so
+  // that daemons that had missed a change before could not use it.
+  void relaying_takesOver_tellsChangesOfBefore() {
+    followRelay();
+    m_Follower->onRelayedChanges(
+        {{0, 12}, {0, 20}, 0ms, {change("a", "v", 20)}});
+    m_Relay.Relaying = true;
+    for (int I = 0; I < 3; ++I)
+      runTimers(); // Until what the relay told is too old.
+    m_Store.answerWatch(KeyChanges{{}, {0, 21}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Relay.Sent.size());
+    CPPUNIT_ASSERT(m_Relay.Sent[0].From <= (StoreRevision{0, 12}));
+    CPPUNIT_ASSERT_EQUAL(std::string("v"),
+                         m_Relay.Sent[0].Changes.back().Change.Value);
+  }
+
   void relaying_messageOfOtherRelay_isApplied() {
     m_Relay.Relaying = true;
     answerFirstList();
