gateway: answers of other daemons from before a suspension confirm nothing

Cause: a query stays open for the deadline. Its answer may wait in the socket while the process is suspended, and the steady clock does not count that time, so the answer seemed as young as if nothing had happened. Open queries from before also took the places of new ones. Change: PeerCatchUp ignores answers of before an invalidation. Values over 64 KiB are not compared any more: DEFLATE refers to the last 32 KiB only. Measured: peer_answerFromBeforeSuspension_confirmsNothing failed without the change of PeerCatchUp; ChangeFleetTest and KeyFollowerTest passed.

--- a/packages/gateway/include/mangodeck/gateway/keyreplica.h
+++ b/packages/gateway/include/mangodeck/gateway/keyreplica.h
@@ -40,7 +40,7 @@
   std::vector<RelayedChange> changesAfter(StoreRevision After,
                                           bool UseDeltas) const;
   /// The difference of a newer value from the one that is known; std::nullopt
-  /// if the newer one is small or none is known.
+  /// if the newer one is small or very large, or none is known.
   std::optional<ValueDelta> deltaTo(const KeyChange &Newer) const;
   /// Restores the omitted values of \p Changes, which are in the order of
   /// revisions, from their differences. Those whose base is not known, or is
--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -72,7 +72,8 @@
   void requireWithin(Duration Delay);
   /// The daemon no longer lacks a change that it knows of.
   void complete() { m_IsIncomplete = false; }
-  /// Nothing is confirmed any longer: the process was suspended.
+  /// Nothing is confirmed any longer, nor by answers that are under way: the
+  /// process was suspended.
   void invalidate();
 
 private:
@@ -97,7 +98,8 @@
   bool m_IsIncomplete = false;
   TimePoint m_NextCheckAt = TimePoint::max();
   std::uint64_t m_ScheduledCheck = 0;
-  int m_OpenQueries = 0;
+  int m_OpenQueries = 0;          ///< Of this generation.
+  std::uint64_t m_Generation = 0; ///< Number of invalidations.
   TimePoint m_LastRoundAt{};
 };
 
--- a/packages/gateway/src/keyreplica.cpp
+++ b/packages/gateway/src/keyreplica.cpp
@@ -11,7 +11,8 @@
 /// large deployment that leave within the longest time for which a daemon asks
 /// others.
 constexpr std::size_t MaxRemovals = 1024;
-/// Former values that are kept of a large value, and their size.
+/// Former values that are kept of a large value, and the size above which
+/// values travel whole: DEFLATE refers to the last 32 KiB only.
 constexpr std::size_t MaxFormerValues = 4;
 constexpr std::size_t MaxFormerValueBytes = 64 << 10;
 
@@ -74,7 +75,8 @@
 
 std::optional<ValueDelta> KeyReplica::deltaTo(const KeyChange &Newer) const {
   const auto Known = m_Items.find(Newer.Key);
-  if (Newer.Value.size() <= MaxRelayedValueBytes || Known == m_Items.end() ||
+  if (Newer.Value.size() <= MaxRelayedValueBytes ||
+      Newer.Value.size() > MaxFormerValueBytes || Known == m_Items.end() ||
       Known->second.Last.Revision.Era != Newer.Revision.Era)
     return std::nullopt;
   const auto &Base = Known->second.Last;
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -65,6 +65,8 @@
 }
 
 void PeerCatchUp::invalidate() {
+  ++m_Generation;
+  m_OpenQueries = 0;
   m_ConfirmedAt = TimePoint{};
   restartRounds();
   schedule(m_Time.now());
@@ -114,7 +116,11 @@
     return;
   ++m_OpenQueries;
   m_Peers.query(*Query, m_QueryTimeout,
-                [this, SentAt = m_Time.now()](Expected<RelayedChanges> Answer) {
+                [this, SentAt = m_Time.now(),
+                 Generation = m_Generation](Expected<RelayedChanges> Answer) {
+                  // The clock did not count a suspension in between.
+                  if (Generation != m_Generation)
+                    return;
                   --m_OpenQueries;
                   if (Answer)
                     m_Observer.onPeerChanges(std::move(*Answer), SentAt);
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -119,6 +119,7 @@
   CPPUNIT_TEST(relay_valueOmittedDuringWatch_isReadFromStore);
   CPPUNIT_TEST(relay_largeValueAsDelta_isAppliedWithoutCall);
   CPPUNIT_TEST(peer_deltaOfUnknownBase_asksForWholeValue);
+  CPPUNIT_TEST(peer_answerFromBeforeSuspension_confirmsNothing);
   CPPUNIT_TEST(relay_repeatedOrEarlierEra_isIgnored);
   CPPUNIT_TEST(relay_removal_isReportedWithItsOutage);
   CPPUNIT_TEST(relaying_changes_areSentWithoutHeartbeats);
@@ -402,6 +403,18 @@
     CPPUNIT_ASSERT_EQUAL(Calls, m_Store.Watches.size() + m_Store.Lists.size());
   }
 
+  void peer_answerFromBeforeSuspension_confirmsNothing() {
+    followRelay();
+    m_Follower->onRelayedChanges({{0, 21}, {0, 21}, 0ms, {}});
+    runTimers();
+    CPPUNIT_ASSERT(!m_Peers.Queries.empty());
+    const auto Earlier = m_Peers.LastDone;
+    const auto ConfirmedAt = m_Observer.ConfirmedAt;
+    m_Follower->refresh();
+    Earlier(RelayedChanges{{0, 10}, {0, 21}, 0ms, {}});
+    CPPUNIT_ASSERT(m_Observer.ConfirmedAt == ConfirmedAt);
+  }
+
   void peer_deltaOfUnknownBase_asksForWholeValue() {
     followRelay();
     RelayedChange Relayed{{"a", "", {0, 21}, false}, true, false};
