--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -322,8 +322,8 @@
         Finish(unexpected(make_error_code(Errc::Unavailable)));
       });
     auto Page = m_Fleet.m_Store.list();
-    receive(sizeOf(Page.Items) + m_Fleet.m_Settings.OtherKeysBytes,
-            [Finish, Page = std::move(Page)] { Finish(Page); });
+    const auto Bytes = sizeOf(Page.Items) + m_Fleet.m_Settings.OtherKeysBytes;
+    receive(Bytes, [Finish, Page = std::move(Page)] { Finish(Page); });
   });
 }
 
