--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -66,14 +66,13 @@
   virtual void sendToDomain(std::string_view Bytes) = 0;
 };
 
-/// The changes since the last RepeatedMessages messages of a relay. Each change
-/// is sent that often, so that a receiver that has lost messages needs no call,
-/// which takes two round trips of a link that is full. One that has lost more
-/// notices by From of the next one. If there are more changes than fit into a
-/// datagram, as when all targets register, the older ones are not repeated; if
-/// the new ones do not fit, they are left out, and the receivers read them from
-/// the store: relayed to each, they would take more of the relay's link than it
-/// has.
+/// The latest changes, as a relay tells them. Each change is in several
+/// messages in a row, so that a receiver that has lost one needs no call, which
+/// takes two round trips on a link that may be full. A receiver that has lost
+/// more notices by From of the next message. Many changes, as when all targets
+/// register, are not repeated. New ones that do not fit into a datagram are
+/// left out, and the receivers read them from the store: relayed to each, they
+/// would take more of the relay's link than it has.
 ///
 /// Heartbeats, which make no difference to the daemons, are left out, too.
 class RelayWindow {
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -63,8 +63,8 @@
 /// In a large failure domain one daemon watches and relays the changes to the
 /// others, since with a watch of each daemon the calls to the store would grow
 /// with daemons times changes. The relay only saves calls: a daemon that has
-/// missed a message, or gets none for some time, watches by itself from the
-/// revision that it has.
+/// missed several messages, or gets none for some time, watches by itself from
+/// the revision that it has.
 ///
 /// What a daemon learns of another one has an age: the time since the call to
 /// the store from which it stems. A daemon whose knowledge becomes too old, or
--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -24,9 +24,8 @@
   template <typename T> using Callback = std::function<void(Expected<T>)>;
   virtual ~PeerChangeReader() = default;
   /// Asks one other daemon. Successive calls ask different daemons and failure
-  /// domains. \p Done runs once, on the caller's
-  /// event loop; with an error if there is no other daemon, or no answer within
-  /// \p Timeout.
+  /// domains. \p Done runs once, on the caller's event loop; with an error if
+  /// there is no other daemon, or no answer within \p Timeout.
   virtual void query(const ChangeQuery &Query, Duration Timeout,
                      Callback<RelayedChanges> Done) = 0;
 };
