--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -17,8 +17,8 @@
 /// A change of a key that one daemon passes on to others.
 struct RelayedChange {
   KeyChange Change;
-  /// The value is too large to be sent; it follows from Delta, or must be read
-  /// elsewhere.
+  /// The value is too large to be sent; it follows from Delta, or must be
+  /// fetched by a call.
   bool ValueOmitted = false;
   /// See KeyObserver::onKeyRemoved().
   bool AfterOutage = false;
