gateway: a daemon logs what became of its queries once it has caught up

Change: PeerCatchUp counts them since its first round; caught_up states the counts. A query without another daemon to ask ends with NotFound, so that it differs from an answer without a listing. Measured: no functional change.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -111,6 +111,7 @@
   void onChanges(Expected<KeyChanges> Answer, TimePoint Start, Duration Wait);
   std::optional<ChangeQuery> nextQuery() const override;
   void onPeerChanges(RelayedChanges Message, TimePoint SentAt) override;
+  void onCaughtUp(TimePoint Since, const PeerQueryCounts &Counts) override;
   /// Whether a newer change in the message came without its value.
   bool missesValue(const RelayedChanges &Message) const;
   /// Time for which a message of the relay waited on its way.
--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -24,12 +24,25 @@
   template <typename T> using Callback = std::function<void(Expected<T>)>;
   virtual ~PeerChangeReader() = default;
   /// Asks one other daemon. Successive calls ask different daemons and failure
-  /// domains. \p Done runs once, on the caller's event loop; with an error if
-  /// there is no other daemon, or no answer within \p Timeout.
+  /// domains. \p Done runs once, on the caller's event loop; with
+  /// Errc::NotFound if there is no other daemon, Errc::Unavailable if it has no
+  /// listing, Errc::Timeout if there is no answer within \p Timeout, or the
+  /// error of the connection.
   virtual void query(const ChangeQuery &Query, Duration Timeout,
                      Callback<RelayedChanges> Done) = 0;
 };
 
+/// What became of a daemon's queries while its knowledge was too old.
+struct PeerQueryCounts {
+  unsigned Sent = 0;
+  unsigned Newer = 0;      ///< The answer had later changes.
+  unsigned NotNewer = 0;   ///< The other daemon knew of none.
+  unsigned Unknown = 0;    ///< The other daemon had no listing.
+  unsigned Failed = 0;     ///< No answer in time, or no connection.
+  unsigned NoDaemon = 0;   ///< There was no other daemon to ask.
+  unsigned Suppressed = 0; ///< Not sent: too many were open.
+};
+
 /// Uses what another daemon has told.
 class PeerChangeObserver {
 public:
@@ -39,6 +52,8 @@
   virtual std::optional<ChangeQuery> nextQuery() const = 0;
   /// \p Message answers a query that was sent at \p SentAt.
   virtual void onPeerChanges(RelayedChanges Message, TimePoint SentAt) = 0;
+  /// The knowledge is current after it was too old since \p Since.
+  virtual void onCaughtUp(TimePoint Since, const PeerQueryCounts &Counts) {}
 };
 
 /// Age of a daemon's knowledge of the store from which on it asks other
@@ -82,6 +97,7 @@
   void check();
   void queryRound(TimePoint Now);
   void sendQuery();
+  void count(const ChangeQuery &Query, const Expected<RelayedChanges> &Answer);
 
   const Clock &m_Time;
   Executor &m_Loop;
@@ -100,6 +116,8 @@
   int m_OpenQueries = 0;          ///< Of this generation.
   std::uint64_t m_Generation = 0; ///< Number of invalidations.
   TimePoint m_LastRoundAt{};
+  TimePoint m_FirstRoundAt{}; ///< Since the knowledge was current.
+  PeerQueryCounts m_Counts;   ///< Since then.
 };
 
 } // namespace mangodeck
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -354,6 +354,20 @@
   publish();
 }
 
+void KeyFollower::onCaughtUp(TimePoint Since, const PeerQueryCounts &Counts) {
+  m_Log.write("caught_up", {{"after_ms", ageMs(Since, m_Time.now())},
+                            {"revision", m_Revision.Number},
+                            {"store_reachable", m_StoreReachable},
+                            {"relaying", m_Relay.isRelaying()},
+                            {"asked", Counts.Sent},
+                            {"newer", Counts.Newer},
+                            {"not_newer", Counts.NotNewer},
+                            {"without_listing", Counts.Unknown},
+                            {"failed", Counts.Failed},
+                            {"no_daemon", Counts.NoDaemon},
+                            {"suppressed", Counts.Suppressed}});
+}
+
 void KeyFollower::applyAll(const RelayedChanges &Message) {
   for (const auto &Relayed : Message.Changes)
     if (Relayed.Change.Revision > m_Revision && !Relayed.ValueOmitted)
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -50,9 +50,12 @@
     return;
   m_ConfirmedAt = Time;
   // While a round is due, its time is set already.
-  if (!isDue(m_Time.now()))
+  if (!isDue(m_Time.now())) {
+    if (m_FirstRoundAt != TimePoint{})
+      m_Observer.onCaughtUp(std::exchange(m_FirstRoundAt, TimePoint{}),
+                            std::exchange(m_Counts, {}));
     restartRounds();
-  else if (m_NextCheckAt != TimePoint::max())
+  } else if (m_NextCheckAt != TimePoint::max())
     return;
   schedule(m_ConfirmedAt + m_QueryAge);
 }
@@ -106,8 +109,25 @@
 
 void PeerCatchUp::queryRound(TimePoint Now) {
   m_LastRoundAt = Now;
-  for (int I = 0; I < QueriesPerRound && m_OpenQueries < MaxOpenQueries; ++I)
-    sendQuery();
+  if (m_FirstRoundAt == TimePoint{})
+    m_FirstRoundAt = Now;
+  for (int I = 0; I < QueriesPerRound; ++I)
+    if (m_OpenQueries < MaxOpenQueries)
+      sendQuery();
+    else
+      ++m_Counts.Suppressed;
+}
+
+void PeerCatchUp::count(const ChangeQuery &Query,
+                        const Expected<RelayedChanges> &Answer) {
+  if (Answer)
+    ++(Answer->To > Query.After ? m_Counts.Newer : m_Counts.NotNewer);
+  else if (Answer.error() == make_error_code(Errc::NotFound))
+    ++m_Counts.NoDaemon;
+  else if (Answer.error() == make_error_code(Errc::Unavailable))
+    ++m_Counts.Unknown;
+  else
+    ++m_Counts.Failed;
 }
 
 void PeerCatchUp::sendQuery() {
@@ -115,13 +135,15 @@
   if (!Query)
     return;
   ++m_OpenQueries;
+  ++m_Counts.Sent;
   m_Peers.query(*Query, m_QueryTimeout,
-                [this, SentAt = m_Time.now(),
+                [this, Query = *Query, SentAt = m_Time.now(),
                  Generation = m_Generation](Expected<RelayedChanges> Answer) {
                   // The clock did not count a suspension in between.
                   if (Generation != m_Generation)
                     return;
                   --m_OpenQueries;
+                  count(Query, Answer);
                   if (Answer)
                     m_Observer.onPeerChanges(std::move(*Answer), SentAt);
                 });
--- a/packages/gateway/src/peerchanges.cpp
+++ b/packages/gateway/src/peerchanges.cpp
@@ -101,7 +101,7 @@
   auto Peer = next(m_AskedOwnDomain);
   if (!Peer)
     Peer = next(!m_AskedOwnDomain);
-  std::error_code Error = make_error_code(Errc::Unavailable);
+  std::error_code Error = make_error_code(Errc::NotFound);
   const auto Address =
       Peer ? asio::ip::make_address(Peer->Ip, Error) : asio::ip::address();
   if (Error)
