gateway: daemons send what they learn to those that have asked them

What callers saw: requests handled by a configuration that had been replaced longer ago than the deadline, while the store served few daemons. Cause: a change spread by queries alone. A daemon that the store does not serve asks two others, drawn at random, every half of the deadline, and tells nobody what it learns unless it relays. With one daemon in 295 served, hardly any query finds one that knows. Change: a query subscribes for three deadlines (ChangeSubscribers). A daemon passes each change on once, at once, to its subscribers, and confirmations when they advance by a tenth of the deadline. While the store does not answer it, a daemon goes on asking, two others every half of the deadline, so that it has about a dozen subscriptions. A message states its time by the subscriber's clock, derived from the query. In calm no daemon asks.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -3,6 +3,7 @@
 
 #include "mangodeck/gateway/incarnationtracker.h"
 #include "mangodeck/gateway/keyvaluestore.h"
+#include "mangodeck/gateway/peerregistry.h"
 #include "mangodeck/gateway/valuedelta.h"
 
 #include <deque>
@@ -26,6 +27,17 @@
   std::optional<ValueDelta> Delta = std::nullopt;
 };
 
+/// A daemon that has asked another one for changes, as it states itself in the
+/// query.
+struct ChangeSubscriber {
+  /// Where it receives messages; its failure domain is not stated.
+  PeerEndpoint Address;
+  IncarnationId Incarnation = UnknownIncarnation;
+  /// Number of suspensions of the process, which its clock did not count.
+  std::uint32_t Suspensions = 0;
+  Duration SentAt{0}; ///< Of the query, by its steady clock.
+};
+
 /// All changes of the store after From and up to To that make a difference to a
 /// daemon. A receiver that knows the store at From or later knows it at To
 /// after it has applied them.
@@ -43,6 +55,10 @@
   Duration SentAt{0};
   /// Number of the sender's suspensions, which its steady clock did not count.
   std::uint32_t Suspensions = 0;
+  /// The subscriber that the message is for: SentAt is then a time of that
+  /// process's clock, at or before the message was sent, and Suspensions are
+  /// its own. Unknown if the message is for a whole failure domain.
+  IncarnationId Receiver = UnknownIncarnation;
 };
 
 /// Values above this size are sent as their difference from the value before.
@@ -64,6 +80,9 @@
   virtual void stamp(RelayedChanges &Message) const {}
   /// Sends \p Bytes to each of the others; may lose it.
   virtual void sendToDomain(std::string_view Bytes) = 0;
+  /// Sends \p Bytes to one daemon; may lose it.
+  virtual void sendChanges(const PeerEndpoint &Receiver,
+                           std::string_view Bytes) = 0;
 };
 
 /// The latest changes, as a relay tells them. Each change is in several
--- a/packages/gateway/include/mangodeck/gateway/gateway.h
+++ b/packages/gateway/include/mangodeck/gateway/gateway.h
@@ -133,6 +133,8 @@
   bool isRelaying() const override;
   void stamp(RelayedChanges &Message) const override;
   void sendToDomain(std::string_view Bytes) override;
+  void sendChanges(const PeerEndpoint &Receiver,
+                   std::string_view Bytes) override;
 
   bool isReady() const;
   /// The other daemons whose addresses are known.
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -5,6 +5,7 @@
 #include "mangodeck/common/executor.h"
 #include "mangodeck/gateway/changeorigin.h"
 #include "mangodeck/gateway/changerelay.h"
+#include "mangodeck/gateway/changesubscribers.h"
 #include "mangodeck/gateway/eventlog.h"
 #include "mangodeck/gateway/keyreplica.h"
 #include "mangodeck/gateway/keyvaluestore.h"
@@ -69,7 +70,8 @@
 /// What a daemon learns of another one has an age: the time since the call to
 /// the store from which it stems. A daemon whose knowledge becomes too old, or
 /// that the store does not give a change that it knows to be missing, asks
-/// other daemons (PeerCatchUp), which answer from their KeyReplica.
+/// other daemons (PeerCatchUp), which answer from their KeyReplica and send it
+/// what they learn later (ChangeSubscribers).
 class KeyFollower : public StoreEraObserver, private PeerChangeObserver {
 public:
   /// \p ChangeDeadline: time after a write within which the daemons must act on
@@ -88,7 +90,8 @@
   /// The changes that another daemon asks for; std::nullopt before the first
   /// complete listing. From of the answer is later than asked for if removals
   /// in between are no longer known.
-  std::optional<RelayedChanges> answer(const ChangeQuery &Query) const;
+  /// The daemon that asks is sent later changes, too.
+  std::optional<RelayedChanges> answer(const ChangeQuery &Query);
 
   /// Lists all keys again, since the revisions reported so far are void. Keys
   /// that the copy lacks are reported as removed after an outage: the processes
@@ -118,6 +121,7 @@
   Duration transitOf(const RelayedChanges &Message, TimePoint Now);
   /// Applies the changes of a message that are newer than what is known.
   void applyAll(const RelayedChanges &Message);
+  IncarnationId ownIncarnation() const;
   /// All changes up to \p Time have been reported.
   void confirm(TimePoint Time);
   /// A change up to \p Revision is known to be missing. The call in progress,
@@ -125,9 +129,13 @@
   void requireRevision(StoreRevision Revision);
   /// Reports the change if it is newer than what was reported of its key.
   void apply(const KeyChange &Change, bool AfterOutage);
-  /// Sends the last changes to the other daemons if this daemon is the relay.
-  /// Otherwise keeps them, so that it can send them if it takes over.
+  /// Sends the last changes to the subscribers and, if this daemon is the
+  /// relay, to its failure domain. Keeps them, so that it can send them again,
+  /// or if it becomes the relay.
   void publish();
+  /// The same if what another daemon has sent was new enough to be passed on.
+  /// Each daemon does so once for each change, so messages do not circulate.
+  void publishIfNewer();
   /// Another daemon has told that all changes up to \p ConfirmedAt are known.
   void onTold(TimePoint ConfirmedAt);
   /// Waits until the next watch is due. While the relay is fresh none is.
@@ -160,6 +168,10 @@
   std::uint64_t m_DelayedStep = 0;
   PeerCatchUp m_CatchUp;
   RelayWindow m_Window;
+  ChangeSubscribers m_Subscribers;
+  /// Of the last message.
+  StoreRevision m_PublishedRevision;
+  TimePoint m_PublishedConfirmedAt{};
   /// By VM, process, and number of its suspensions.
   std::map<std::tuple<std::string, IncarnationId, std::uint32_t>, TransitDelay>
       m_TransitDelays;
--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -16,6 +16,9 @@
   StoreRevision After; ///< Changes after this revision.
   /// Large values may be sent as their difference from the value as of After.
   bool AcceptsDeltas = true;
+  /// The daemon that asks, without its address; std::nullopt if it is not to be
+  /// sent later changes.
+  std::optional<ChangeSubscriber> Subscriber = std::nullopt;
 };
 
 /// Asks other daemons for changes of the store's keys.
@@ -86,6 +89,10 @@
   void requireWithin(Duration Delay);
   /// The daemon no longer lacks a change that it knows of.
   void complete() { m_IsIncomplete = false; }
+  /// Whether this daemon depends on others, since the store does not answer it.
+  /// It then asks them also while its knowledge is current, so that they send
+  /// it what they learn, see ChangeSubscribers.
+  void setDependent(bool IsDependent);
   /// Nothing is confirmed any longer, nor by answers that are under way: the
   /// process was suspended.
   void invalidate();
@@ -93,6 +100,8 @@
 private:
   void restartRounds();
   bool isDue(TimePoint Now) const;
+  /// When the next round is due while the knowledge is current.
+  TimePoint nextCheck() const;
   void schedule(TimePoint When);
   void check();
   void queryRound(TimePoint Now);
@@ -111,6 +120,7 @@
   unsigned m_Rounds = 0; ///< Since the knowledge was current.
   TimePoint m_ConfirmedAt{};
   bool m_IsIncomplete = false;
+  bool m_IsDependent = false;
   TimePoint m_NextCheckAt = TimePoint::max();
   std::uint64_t m_ScheduledCheck = 0;
   int m_OpenQueries = 0;          ///< Of this generation.
--- a/packages/gateway/include/mangodeck/gateway/peerchanges.h
+++ b/packages/gateway/include/mangodeck/gateway/peerchanges.h
@@ -28,14 +28,14 @@
 /// connections.
 class PeerChangeServer {
 public:
-  PeerChangeServer(asio::any_io_executor Executor, const KeyFollower &Follower,
+  PeerChangeServer(asio::any_io_executor Executor, KeyFollower &Follower,
                    GatewayMetrics &Metrics);
   std::error_code listen(const std::string &Ip, std::uint16_t Port);
 
 private:
   http::CallReply answer(const http::RequestHead &Call);
 
-  const KeyFollower &m_Follower;
+  KeyFollower &m_Follower;
   GatewayMetrics &m_Metrics;
   http::CallServer m_Server;
 };
@@ -47,7 +47,8 @@
   /// Returns the endpoints of the other daemons.
   using Endpoints = std::function<std::vector<PeerEndpoint>()>;
 
-  PeerChangeClient(asio::any_io_executor Executor, FailureDomain OwnDomain,
+  /// \p Own: where this daemon receives relayed messages.
+  PeerChangeClient(asio::any_io_executor Executor, PeerEndpoint Own,
                    Endpoints Peers, GatewayMetrics &Metrics,
                    http::CallObserver &Calls, RandomSource &Random);
 
@@ -59,7 +60,7 @@
   std::optional<PeerEndpoint> next(bool IsOwnDomain);
 
   asio::any_io_executor m_Executor;
-  FailureDomain m_OwnDomain;
+  PeerEndpoint m_Own;
   Endpoints m_Peers;
   GatewayMetrics &m_Metrics;
   http::CallObserver &m_CallObserver;
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -16,8 +16,9 @@
 constexpr int RelayTag = 4;
 /// First byte of a MessagePack array of up to 15 elements, plus their number.
 constexpr unsigned char ArrayMarker = 0x90;
-/// Elements of a message, of one that does not state when it was sent, and of
-/// one that does not state its sender.
+/// Elements of a message to a subscriber, to a failure domain, of one that does
+/// not state when it was sent, and of one that does not state its sender.
+constexpr std::size_t SubscriberFields = 11;
 constexpr std::size_t TimedRelayFields = 10;
 constexpr std::size_t RelayFields = 8;
 constexpr std::size_t AnonymousRelayFields = 6;
@@ -76,6 +77,8 @@
         std::chrono::duration_cast<std::chrono::microseconds>(Message.SentAt)
             .count());
     Fields.push_back(Message.Suspensions);
+    if (Message.Receiver != UnknownIncarnation)
+      Fields.push_back(Message.Receiver);
   }
   std::string Bytes;
   Json::to_msgpack(Fields, Bytes);
@@ -86,7 +89,8 @@
   if (Bytes.size() < 2 || Bytes[1] != RelayTag)
     return std::nullopt;
   const auto Marker = static_cast<unsigned char>(Bytes[0]);
-  if (Marker != ArrayMarker + TimedRelayFields &&
+  if (Marker != ArrayMarker + SubscriberFields &&
+      Marker != ArrayMarker + TimedRelayFields &&
       Marker != ArrayMarker + RelayFields &&
       Marker != ArrayMarker + AnonymousRelayFields)
     return std::nullopt;
@@ -121,6 +125,8 @@
       Message.SentAt = std::chrono::microseconds(Fields[8].get<std::int64_t>());
       Message.Suspensions = Fields[9].get<std::uint32_t>();
     }
+    if (Fields.size() >= SubscriberFields)
+      Message.Receiver = Fields[10].get<IncarnationId>();
     return Message;
   } catch (const Json::exception &) {
     return std::nullopt;
--- a/packages/gateway/src/gatewayreports.cpp
+++ b/packages/gateway/src/gatewayreports.cpp
@@ -197,6 +197,11 @@
   sendTo(m_Peers.ownDomainEndpoints(), Bytes);
 }
 
+void Gateway::sendChanges(const PeerEndpoint &Receiver,
+                          std::string_view Bytes) {
+  sendTo(std::span(&Receiver, 1), Bytes);
+}
+
 void Gateway::sendTo(std::span<const PeerEndpoint> Peers,
                      std::string_view Bytes) {
   for (const auto &Peer : Peers) {
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -51,6 +51,11 @@
 constexpr Duration RelayTransitTime = 50ms;
 /// Senders whose least transit time is kept; relays change seldom.
 constexpr std::size_t MaxRelaysMeasured = 16;
+/// Delay of a message that states a time of another clock: it confirms nothing.
+constexpr Duration UnknownDelay = 3600s;
+/// Least time, as a share of that time, by which a confirmation of another
+/// daemon must advance the own knowledge to be passed on without a change.
+constexpr double ForwardedAdvanceShare = 0.1;
 
 Duration share(Duration Whole, double Part) {
   return fromSeconds(toSeconds(Whole) * Part);
@@ -82,7 +87,8 @@
                          EventLog &Log, Duration ChangeDeadline)
     : m_Time(Time), m_Loop(Loop), m_Store(Store), m_Observer(Observer),
       m_Relay(Relay), m_Log(Log), m_ChangeDeadline(ChangeDeadline),
-      m_CatchUp(Time, Loop, Peers, *this, ChangeDeadline) {}
+      m_CatchUp(Time, Loop, Peers, *this, ChangeDeadline),
+      m_Subscribers(ChangeDeadline) {}
 
 void KeyFollower::start() { list(); }
 
@@ -162,8 +168,7 @@
   m_Observer.onListed();
   // The answer may have been delayed, but is not older than the call.
   confirm(m_ListingStart);
-  if (!IsFirst)
-    publish();
+  publish();
   m_WatchStart = TimePoint{}; // The first watch need not wait for its turn.
   awaitNextWatch();
 }
@@ -250,14 +255,39 @@
 }
 
 void KeyFollower::publish() {
+  const auto Now = m_Time.now();
   auto Message = m_Window.takeMessage(m_Revision);
-  if (!m_Relay.isRelaying())
+  m_PublishedRevision = m_Revision;
+  m_PublishedConfirmedAt = m_ConfirmedAt;
+  const auto Subscribers = m_Subscribers.current(Now);
+  const bool IsRelaying = m_Relay.isRelaying();
+  if (!IsRelaying && Subscribers.empty())
     return;
-  Message.Age = m_Time.now() - m_ConfirmedAt + RelayTransitTime;
-  Message.SentAt = m_Time.now().time_since_epoch();
+  Message.Age = Now - m_ConfirmedAt + RelayTransitTime;
+  Message.SentAt = Now.time_since_epoch();
   Message.Suspensions = m_Suspensions;
   m_Relay.stamp(Message);
-  m_Relay.sendToDomain(encodeRelayedChanges(Message));
+  if (IsRelaying)
+    m_Relay.sendToDomain(encodeRelayedChanges(Message));
+  for (const auto &Each : Subscribers) {
+    Message.Receiver = Each.Incarnation;
+    Message.Suspensions = Each.Suspensions;
+    Message.SentAt = Each.SentAt;
+    m_Relay.sendChanges(Each.Address, encodeRelayedChanges(Message));
+  }
+}
+
+IncarnationId KeyFollower::ownIncarnation() const {
+  RelayedChanges Own;
+  m_Relay.stamp(Own);
+  return Own.Incarnation;
+}
+
+void KeyFollower::publishIfNewer() {
+  if (m_Revision > m_PublishedRevision ||
+      m_ConfirmedAt - m_PublishedConfirmedAt >=
+          share(m_ChangeDeadline, ForwardedAdvanceShare))
+    publish();
 }
 
 bool KeyFollower::missesValue(const RelayedChanges &Message) const {
@@ -271,6 +301,11 @@
 Duration KeyFollower::transitOf(const RelayedChanges &Message, TimePoint Now) {
   if (Message.SentAt == Duration{0})
     return Duration{0};
+  if (Message.Receiver != UnknownIncarnation)
+    return Message.Receiver == ownIncarnation() &&
+                   Message.Suspensions == m_Suspensions
+               ? Now.time_since_epoch() - Message.SentAt
+               : UnknownDelay;
   if (m_TransitDelays.size() >= MaxRelaysMeasured)
     m_TransitDelays.clear();
   return m_TransitDelays[{Message.Vm, Message.Incarnation, Message.Suspensions}]
@@ -310,10 +345,12 @@
   applyAll(Message);
   if (Message.To == m_Revision && !m_IsResuming)
     onTold(Now - Message.Age);
+  publishIfNewer();
 }
 
-std::optional<RelayedChanges>
-KeyFollower::answer(const ChangeQuery &Query) const {
+std::optional<RelayedChanges> KeyFollower::answer(const ChangeQuery &Query) {
+  if (Query.Subscriber)
+    m_Subscribers.renew(*Query.Subscriber, m_Time.now());
   if (!m_HasListing || m_ConfirmedAt == TimePoint{})
     return std::nullopt;
   const auto After = Query.After;
@@ -332,7 +369,11 @@
 std::optional<ChangeQuery> KeyFollower::nextQuery() const {
   if (!m_HasListing)
     return std::nullopt;
-  return ChangeQuery{m_Revision, !m_NeedsWholeValues};
+  ChangeSubscriber Own;
+  Own.Incarnation = ownIncarnation();
+  Own.Suspensions = m_Suspensions;
+  Own.SentAt = m_Time.now().time_since_epoch();
+  return ChangeQuery{m_Revision, !m_NeedsWholeValues, std::move(Own)};
 }
 
 void KeyFollower::onPeerChanges(RelayedChanges Message, TimePoint SentAt) {
@@ -373,8 +414,6 @@
     if (Relayed.Change.Revision > m_Revision && !Relayed.ValueOmitted)
       apply(Relayed.Change, Relayed.AfterOutage);
   m_Revision = std::max(m_Revision, Message.To);
-  if (!m_Relay.isRelaying())
-    m_Window.takeMessage(m_Revision);
 }
 
 void KeyFollower::onTold(TimePoint ConfirmedAt) {
@@ -457,6 +496,7 @@
   if (m_StoreReachable)
     return;
   m_StoreReachable = true;
+  m_CatchUp.setDependent(false);
   if (m_WasEverReachable)
     m_OutageEnd = m_LastAnswerTime;
   m_WasEverReachable = true;
@@ -466,6 +506,7 @@
 
 void KeyFollower::recordFailure(std::error_code Error) {
   ++m_ConsecutiveFailures;
+  m_CatchUp.setDependent(true);
   if (!m_StoreReachable && m_ConsecutiveFailures > 1)
     return;
   if (m_StoreReachable || m_ConsecutiveFailures == 1)
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -57,7 +57,19 @@
     restartRounds();
   } else if (m_NextCheckAt != TimePoint::max())
     return;
-  schedule(m_ConfirmedAt + m_QueryAge);
+  schedule(nextCheck());
+}
+
+void PeerCatchUp::setDependent(bool IsDependent) {
+  if (std::exchange(m_IsDependent, IsDependent) != IsDependent && IsDependent)
+    schedule(nextCheck());
+}
+
+TimePoint PeerCatchUp::nextCheck() const {
+  const TimePoint Outdated = m_ConfirmedAt + m_QueryAge;
+  return m_IsDependent
+             ? std::min<TimePoint>(Outdated, m_LastRoundAt + m_LongestPeriod)
+             : Outdated;
 }
 
 void PeerCatchUp::requireWithin(Duration Delay) {
@@ -99,8 +111,11 @@
 void PeerCatchUp::check() {
   const auto Now = m_Time.now();
   m_NextCheckAt = TimePoint::max();
-  if (!isDue(Now))
-    return schedule(m_ConfirmedAt + m_QueryAge);
+  if (!isDue(Now)) {
+    if (m_IsDependent && Now >= m_LastRoundAt + m_LongestPeriod)
+      queryRound(Now);
+    return schedule(nextCheck());
+  }
   queryRound(Now);
   schedule(Now + m_Period);
   if (++m_Rounds >= RoundsAtFullRate)
--- a/packages/gateway/src/peerchanges.cpp
+++ b/packages/gateway/src/peerchanges.cpp
@@ -19,6 +19,12 @@
 constexpr std::string_view RevisionParameter = "after=";
 /// "1" from daemons that accept differences from an earlier value.
 constexpr std::string_view DeltasParameter = "deltas=";
+/// The daemon that asks, see ChangeSubscriber.
+constexpr std::string_view IpParameter = "ip=";
+constexpr std::string_view PortParameter = "port=";
+constexpr std::string_view IncarnationParameter = "inc=";
+constexpr std::string_view SuspensionsParameter = "suspensions=";
+constexpr std::string_view SentAtParameter = "sent_us=";
 
 /// The number behind \p Name in a query.
 template <typename Number>
@@ -35,10 +41,50 @@
   return Error == std::errc() && IsWhole ? std::optional(Value) : std::nullopt;
 }
 
+/// Daemons of former versions do not state themselves.
+std::optional<ChangeSubscriber> subscriberOf(std::string_view Target) {
+  const auto Port = parameterOf<std::uint16_t>(Target, PortParameter);
+  const auto Incarnation =
+      parameterOf<IncarnationId>(Target, IncarnationParameter);
+  const auto Suspensions =
+      parameterOf<std::uint32_t>(Target, SuspensionsParameter);
+  const auto SentAt = parameterOf<std::int64_t>(Target, SentAtParameter);
+  const auto Begin = Target.find(IpParameter);
+  if (!Port || !Incarnation || !Suspensions || !SentAt ||
+      Begin == std::string_view::npos)
+    return std::nullopt;
+  const auto Text = Target.substr(Begin + IpParameter.size());
+  std::error_code Error;
+  std::string Ip(Text.substr(0, Text.find('&')));
+  asio::ip::make_address(Ip, Error);
+  if (Error)
+    return std::nullopt;
+  return ChangeSubscriber{{std::move(Ip), *Port, {}},
+                          *Incarnation,
+                          *Suspensions,
+                          std::chrono::microseconds(*SentAt)};
+}
+
+std::string callOf(const ChangeQuery &Query, const PeerEndpoint &Own) {
+  auto Call =
+      fmt::format("{}?{}{}&{}{}&{}{}", PeerChangesPath, EraParameter,
+                  Query.After.Era, RevisionParameter, Query.After.Number,
+                  DeltasParameter, Query.AcceptsDeltas ? 1 : 0);
+  if (Query.Subscriber)
+    Call += fmt::format("&{}{}&{}{}&{}{}&{}{}&{}{}", IpParameter, Own.Ip,
+                        PortParameter, Own.Port, IncarnationParameter,
+                        Query.Subscriber->Incarnation, SuspensionsParameter,
+                        Query.Subscriber->Suspensions, SentAtParameter,
+                        std::chrono::duration_cast<std::chrono::microseconds>(
+                            Query.Subscriber->SentAt)
+                            .count());
+  return Call;
+}
+
 } // namespace
 
 PeerChangeServer::PeerChangeServer(asio::any_io_executor Executor,
-                                   const KeyFollower &Follower,
+                                   KeyFollower &Follower,
                                    GatewayMetrics &Metrics)
     : m_Follower(Follower), m_Metrics(Metrics),
       m_Server(
@@ -61,19 +107,21 @@
     return {404, {}};
   if (!Era || !After)
     return {400, {}};
-  const auto Changes = m_Follower.answer(
-      {{*Era, *After}, parameterOf<int>(Target, DeltasParameter) == 1});
+  const auto Changes =
+      m_Follower.answer({{*Era, *After},
+                         parameterOf<int>(Target, DeltasParameter) == 1,
+                         subscriberOf(Target)});
   m_Metrics.countPeerQuery(Changes ? "served" : "unknown");
   return Changes ? http::CallReply{200, encodeRelayedChanges(*Changes)}
                  : http::CallReply{503, {}};
 }
 
 PeerChangeClient::PeerChangeClient(asio::any_io_executor Executor,
-                                   FailureDomain OwnDomain, Endpoints Peers,
+                                   PeerEndpoint Own, Endpoints Peers,
                                    GatewayMetrics &Metrics,
                                    http::CallObserver &Calls,
                                    RandomSource &Random)
-    : m_Executor(std::move(Executor)), m_OwnDomain(std::move(OwnDomain)),
+    : m_Executor(std::move(Executor)), m_Own(std::move(Own)),
       m_Peers(std::move(Peers)), m_Metrics(Metrics), m_CallObserver(Calls),
       m_Random(Random) {}
 
@@ -81,7 +129,7 @@
   auto &Order = IsOwnDomain ? m_OwnOrder : m_RemoteOrder;
   if (Order.empty()) {
     for (auto &Each : m_Peers())
-      if ((Each.Domain == m_OwnDomain) == IsOwnDomain)
+      if ((Each.Domain == m_Own.Domain) == IsOwnDomain)
         Order.push_back(std::move(Each));
     for (auto I = Order.size(); I > 1; --I)
       std::swap(Order[I - 1],
@@ -112,12 +160,7 @@
   auto &Client = m_Calls[Number] = std::make_unique<http::Client>(
       m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port), &m_CallObserver,
       http::ClientLimits{Timeout});
-  Client->call("GET",
-               fmt::format("{}?{}{}&{}{}&{}{}", PeerChangesPath, EraParameter,
-                           Query.After.Era, RevisionParameter,
-                           Query.After.Number, DeltasParameter,
-                           Query.AcceptsDeltas ? 1 : 0),
-               "", Timeout,
+  Client->call("GET", callOf(Query, m_Own), "", Timeout,
                [this, Alive = m_Alive, Number,
                 Done = std::move(Done)](Expected<http::CallAnswer> Answer) {
                  // The client must outlive this call of its callback.
--- a/packages/gateway/test/changefleetdaemon.cpp
+++ b/packages/gateway/test/changefleetdaemon.cpp
@@ -283,8 +283,10 @@
 }
 
 void ChangeFleet::Daemon::query(
-    const ChangeQuery &Query, Duration Timeout,
+    const ChangeQuery &Asked, Duration Timeout,
     PeerChangeReader::Callback<RelayedChanges> Done) {
+  auto Query = Asked;
+  Query.Subscriber->Address = {Id, static_cast<std::uint16_t>(Index), {}};
   ++m_Fleet.m_PeerQueries;
   const auto Now = m_Fleet.m_Time.now();
   const auto Pending = std::make_shared<decltype(Done)>(std::move(Done));
@@ -406,4 +408,10 @@
     m_Fleet.sendMessage(*this, *m_Fleet.m_Daemons[Each.Port], Shared);
 }
 
+void ChangeFleet::Daemon::sendChanges(const PeerEndpoint &Receiver,
+                                      std::string_view Bytes) {
+  m_Fleet.sendMessage(*this, *m_Fleet.m_Daemons[Receiver.Port],
+                      std::make_shared<const std::string>(Bytes));
+}
+
 } // namespace mangodeck
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -91,8 +91,14 @@
     if (auto Message = decodeRelayedChanges(Bytes))
       Sent.push_back(std::move(*Message));
   }
+  void sendChanges(const PeerEndpoint &Receiver,
+                   std::string_view Bytes) override {
+    if (auto Message = decodeRelayedChanges(Bytes))
+      SentTo[Receiver.Ip].push_back(std::move(*Message));
+  }
   bool Relaying = false;
   std::vector<RelayedChanges> Sent;
+  std::map<std::string, std::vector<RelayedChanges>> SentTo; ///< By address.
 };
 
 } // namespace
--- a/packages/gateway/test/peerchanges_test.cpp
+++ b/packages/gateway/test/peerchanges_test.cpp
@@ -44,6 +44,7 @@
   bool isRelaying() const override { return false; }
   void stamp(RelayedChanges &Message) const override { Message.Vm = "vm-9"; }
   void sendToDomain(std::string_view) override {}
+  void sendChanges(const PeerEndpoint &, std::string_view) override {}
 };
 
 } // namespace
@@ -67,8 +68,9 @@
     CPPUNIT_ASSERT(!m_Server->listen("127.0.0.1", Port));
     m_Peers = {{"127.0.0.1", Port, FailureDomain("b")}};
     m_Client.emplace(
-        m_Loop.get_executor(), FailureDomain("a"), [this] { return m_Peers; },
-        m_Metrics, m_Calls, m_Random);
+        m_Loop.get_executor(),
+        PeerEndpoint{"127.0.0.1", Port + 2, FailureDomain("a")},
+        [this] { return m_Peers; }, m_Metrics, m_Calls, m_Random);
   }
   void tearDown() override {
     m_Client.reset();
