gateway: a relayed message confirms nothing until its way has been measured

What callers saw: a daemon took its view for current although a change was missing, and sent 404 and 401 by it; it also looked for the change too late. Cause: the delay of relayed messages was that above the least one so far, so if all messages of a relay waited in a full link, the first ones counted as prompt. The confirmation was then passed on. Change: TransitDelay bounds the difference of both clocks by an answer of the sender, which was sent after the query; a relay's followers ask it once, and again if a delay is implausible. A daemon that learns of a missing change by a message asks the sender of the message. In calm no query is sent once each daemon has measured its relay.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -59,6 +59,8 @@
   /// process's clock, at or before the message was sent, and Suspensions are
   /// its own. Unknown if the message is for a whole failure domain.
   IncarnationId Receiver = UnknownIncarnation;
+  /// Where the receiver can ask the sender; not part of the encoded message.
+  std::optional<PeerEndpoint> Sender = std::nullopt;
 };
 
 /// Values above this size are sent as their difference from the value before.
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -71,7 +71,8 @@
 /// the store from which it stems. A daemon whose knowledge becomes too old, or
 /// that the store does not give a change that it knows to be missing, asks
 /// other daemons (PeerCatchUp), which answer from their KeyReplica and send it
-/// what they learn later (ChangeSubscribers).
+/// what they learn later (ChangeSubscribers). One that starts while the store
+/// does not answer it takes all keys from another daemon.
 class KeyFollower : public StoreEraObserver, private PeerChangeObserver {
 public:
   /// \p ChangeDeadline: time after a write within which the daemons must act on
@@ -117,8 +118,20 @@
   void onCaughtUp(TimePoint Since, const PeerQueryCounts &Counts) override;
   /// Whether a newer change in the message came without its value.
   bool missesValue(const RelayedChanges &Message) const;
-  /// Time for which a message of the relay waited on its way.
+  /// Another process whose messages arrive.
+  struct Sender {
+    TransitDelay Delay;
+    TimePoint AskedAt{};
+  };
+  Sender &senderOf(const RelayedChanges &Message);
+  /// Time for which a message can have waited on its way. Asks its sender,
+  /// whose answer bounds it, if it is not known or implausible.
   Duration transitOf(const RelayedChanges &Message, TimePoint Now);
+  /// Asks the sender of a message, at most once in \p Interval.
+  void askSender(const RelayedChanges &Message, TimePoint Now,
+                 Duration Interval);
+  /// All keys are known up to m_Revision.
+  void finishFirstListing();
   /// Applies the changes of a message that are newer than what is known.
   void applyAll(const RelayedChanges &Message);
   IncarnationId ownIncarnation() const;
@@ -173,8 +186,8 @@
   StoreRevision m_PublishedRevision;
   TimePoint m_PublishedConfirmedAt{};
   /// By VM, process, and number of its suspensions.
-  std::map<std::tuple<std::string, IncarnationId, std::uint32_t>, TransitDelay>
-      m_TransitDelays;
+  std::map<std::tuple<std::string, IncarnationId, std::uint32_t>, Sender>
+      m_Senders;
   std::uint32_t m_Suspensions = 0;
   KeyReplica m_Replica; ///< As last reported to the observer.
   /// Keys on the pages of the current listing.
--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -13,12 +13,15 @@
 
 /// What a daemon asks another one.
 struct ChangeQuery {
-  StoreRevision After; ///< Changes after this revision.
+  /// Changes after this revision; of number 0 for all keys.
+  StoreRevision After;
   /// Large values may be sent as their difference from the value as of After.
   bool AcceptsDeltas = true;
   /// The daemon that asks, without its address; std::nullopt if it is not to be
   /// sent later changes.
   std::optional<ChangeSubscriber> Subscriber = std::nullopt;
+  /// The daemon to ask; any if there is none.
+  std::optional<PeerEndpoint> Receiver = std::nullopt;
 };
 
 /// Asks other daemons for changes of the store's keys.
@@ -87,6 +90,8 @@
   /// Queries within \p Delay unless complete() is called before: the daemon
   /// knows that it lacks a change.
   void requireWithin(Duration Delay);
+  /// Asks one daemon now, unless too many queries are open.
+  void ask(const PeerEndpoint &Receiver);
   /// The daemon no longer lacks a change that it knows of.
   void complete() { m_IsIncomplete = false; }
   /// Whether this daemon depends on others, since the store does not answer it.
@@ -105,7 +110,7 @@
   void schedule(TimePoint When);
   void check();
   void queryRound(TimePoint Now);
-  void sendQuery();
+  void sendQuery(std::optional<PeerEndpoint> Receiver = std::nullopt);
   void count(const ChangeQuery &Query, const Expected<RelayedChanges> &Answer);
 
   const Clock &m_Time;
--- a/packages/gateway/include/mangodeck/gateway/transitdelay.h
+++ b/packages/gateway/include/mangodeck/gateway/transitdelay.h
@@ -3,21 +3,30 @@
 
 #include "mangodeck/common/units.h"
 
+#include <optional>
+
 namespace mangodeck {
 
-/// How long datagrams of one sender waited on their way, in links and in the
-/// receiver's socket. The steady clocks of two VMs share no origin, so only the
-/// delay above the least one so far is known.
+/// How long datagrams of one sender can have waited on their way, in links and
+/// in the receiver's socket. The steady clocks of two VMs share no origin. An
+/// answer of the sender bounds their difference: it was sent after the query.
+/// Datagrams alone would not do, since all that arrive may have waited as long.
 class TransitDelay {
 public:
-  /// A datagram that states \p SentAt of the sender's clock is read at \p Now.
-  /// Returns its delay above the least so far; 0 for the first one.
-  Duration record(Duration SentAt, TimePoint Now);
+  /// The sender stated \p SentAt, by its clock, in the answer to a query that
+  /// was sent to it at \p RequestedAt.
+  void recordRoundTrip(Duration SentAt, TimePoint RequestedAt);
+  /// Upper bound of the delay of a datagram that states \p SentAt and is read
+  /// at \p Now; it exceeds the delay by at most that of the query. std::nullopt
+  /// before the first answer.
+  std::optional<Duration> longest(Duration SentAt, TimePoint Now) const;
 
 private:
-  /// Least difference of the clocks at a receipt, and when it was updated.
+  /// Lower bound of the difference of the clocks as of m_MeasuredAt.
+  Duration leastOffset(TimePoint Now) const;
+
   Duration m_LeastOffset{0};
-  TimePoint m_UpdatedAt{};
+  TimePoint m_MeasuredAt{};
 };
 
 } // namespace mangodeck
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -50,7 +50,7 @@
   Delta.ValueHash = Fields.at(1).get<std::uint64_t>();
   Delta.PrefixBytes = Fields.at(2).get<std::uint32_t>();
   Delta.ValueBytes = Fields.at(3).get<std::uint32_t>();
-  Delta.Bytes = Fields.at(4).get<std::string>();
+  Delta.Bytes = Fields.at(4).get_ref<const std::string &>();
   return Delta;
 }
 
@@ -106,13 +106,13 @@
     Message.Age = std::chrono::microseconds(Fields[4].get<std::uint32_t>());
     for (const auto &Item : Fields[5]) {
       RelayedChange Relayed;
-      Relayed.Change.Key = Item.at(0).get<std::string>();
+      Relayed.Change.Key = Item.at(0).get_ref<const std::string &>();
       Relayed.Change.Revision = {Era, Item.at(1).get<std::int64_t>()};
       Relayed.Change.Removed = Item.at(2).get<bool>();
       Relayed.AfterOutage = Item.at(3).get<bool>();
       Relayed.ValueOmitted = Item.at(4).is_null();
       if (!Relayed.ValueOmitted)
-        Relayed.Change.Value = Item.at(4).get<std::string>();
+        Relayed.Change.Value = Item.at(4).get_ref<const std::string &>();
       else if (Item.size() > 5)
         Relayed.Delta = decodeDelta(Item[5]);
       Message.Changes.push_back(std::move(Relayed));
--- a/packages/gateway/src/changesubscribers.cpp
+++ b/packages/gateway/src/changesubscribers.cpp
@@ -5,9 +5,9 @@
 namespace {
 
 /// Time for which a query subscribes, in deadlines. A daemon that depends on
-/// others asks two of them every half of the deadline, so it has about a dozen
+/// others asks two of them every half of the deadline, so it has about eight
 /// subscriptions at a time.
-constexpr int LifetimeDeadlines = 3;
+constexpr int LifetimeDeadlines = 2;
 /// Bounds the messages that one change causes.
 constexpr std::size_t MaxSubscriptions = 64;
 
--- a/packages/gateway/src/gatewayreports.cpp
+++ b/packages/gateway/src/gatewayreports.cpp
@@ -81,7 +81,9 @@
         checkSuspension(Now);
         const std::string_view Bytes(m_PeerBuffer.data(), Error ? 0 : Size);
         m_Metrics.countPeerMessage("received", Bytes.size());
-        if (const auto Changes = decodeRelayedChanges(Bytes)) {
+        if (auto Changes = decodeRelayedChanges(Bytes)) {
+          Changes->Sender = PeerEndpoint{
+              m_PeerSender.address().to_string(), m_PeerSender.port(), {}};
           const bool IsFormer = !Changes->Vm.empty() &&
                                 observePeer(Changes->Vm, Changes->Incarnation,
                                             Now) == IncarnationStanding::Former;
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -49,8 +49,14 @@
 /// states. Otherwise two daemons that tell each other the same confirmation
 /// would make it younger each time.
 constexpr Duration RelayTransitTime = 50ms;
-/// Senders whose least transit time is kept; relays change seldom.
-constexpr std::size_t MaxRelaysMeasured = 16;
+/// Processes whose clocks are compared with the own one.
+constexpr std::size_t MaxSenders = 512;
+/// Delay of a message, as a share of that time, above which the comparison of
+/// the clocks is repeated: the query that gave it may have been delayed.
+constexpr double PlausibleDelayShare = 0.1;
+/// Time between two queries to a daemon that has told of a missing change, as a
+/// share of that time.
+constexpr double RepeatedQueryShare = 0.25;
 /// Delay of a message that states a time of another clock: it confirms nothing.
 constexpr Duration UnknownDelay = 3600s;
 /// Least time, as a share of that time, by which a confirmation of another
@@ -95,7 +101,7 @@
 void KeyFollower::refresh() {
   ++m_Generation;
   ++m_Suspensions;
-  m_TransitDelays.clear();
+  m_Senders.clear();
   m_Store.reconnect();
   m_ConsecutiveFailures = 0;
   m_ConfirmedAt = m_ToldConfirmedAt = TimePoint{};
@@ -161,10 +167,8 @@
   m_Revision = std::max(m_Revision, *m_ListingRevision);
   m_IsListed = true;
   const bool IsFirst = !std::exchange(m_HasListing, true);
-  if (IsFirst) {
-    m_Replica.restart(m_Revision);
-    m_Window.restart(m_Revision);
-  }
+  if (IsFirst)
+    finishFirstListing();
   m_Observer.onListed();
   // The answer may have been delayed, but is not older than the call.
   confirm(m_ListingStart);
@@ -173,6 +177,11 @@
   awaitNextWatch();
 }
 
+void KeyFollower::finishFirstListing() {
+  m_Replica.restart(m_Revision);
+  m_Window.restart(m_Revision);
+}
+
 Duration KeyFollower::nextWait(TimePoint Now) const {
   const auto Age = Now - m_ConfirmedAt;
   const bool IsRelay = m_Relay.isRelaying();
@@ -306,10 +315,26 @@
                    Message.Suspensions == m_Suspensions
                ? Now.time_since_epoch() - Message.SentAt
                : UnknownDelay;
-  if (m_TransitDelays.size() >= MaxRelaysMeasured)
-    m_TransitDelays.clear();
-  return m_TransitDelays[{Message.Vm, Message.Incarnation, Message.Suspensions}]
-      .record(Message.SentAt, Now);
+  const auto Delay = senderOf(Message).Delay.longest(Message.SentAt, Now);
+  if (!Delay || *Delay > share(m_ChangeDeadline, PlausibleDelayShare))
+    askSender(Message, Now, m_ChangeDeadline);
+  return Delay.value_or(UnknownDelay);
+}
+
+KeyFollower::Sender &KeyFollower::senderOf(const RelayedChanges &Message) {
+  if (m_Senders.size() >= MaxSenders)
+    m_Senders.clear();
+  return m_Senders[{Message.Vm, Message.Incarnation, Message.Suspensions}];
+}
+
+void KeyFollower::askSender(const RelayedChanges &Message, TimePoint Now,
+                            Duration Interval) {
+  auto &Known = senderOf(Message);
+  if (!Message.Sender ||
+      (Known.AskedAt != TimePoint{} && Now - Known.AskedAt < Interval))
+    return;
+  Known.AskedAt = Now;
+  m_CatchUp.ask(*Message.Sender);
 }
 
 void KeyFollower::onRelayedChanges(RelayedChanges Message) {
@@ -338,6 +363,8 @@
                                                 : LogLevel::Important);
     m_ToldConfirmedAt = TimePoint{};
     requireRevision(Message.To);
+    if (!m_StoreReachable)
+      askSender(Message, Now, share(m_ChangeDeadline, RepeatedQueryShare));
     return;
   }
 
@@ -356,28 +383,35 @@
   const auto After = Query.After;
   RelayedChanges Message;
   Message.From = std::max(After, m_Replica.completeFrom());
+  if (After.Number == 0) // All keys.
+    Message.From = {m_Revision.Era, 0};
   // Revisions of an earlier era tell nothing of this one.
-  if (After.Era != m_Revision.Era)
+  else if (After.Era != m_Revision.Era)
     Message.From = m_Revision;
   Message.To = m_Revision;
   Message.Age = m_Time.now() - m_ConfirmedAt;
+  Message.SentAt = m_Time.now().time_since_epoch();
+  Message.Suspensions = m_Suspensions;
   Message.Changes = m_Replica.changesAfter(After, Query.AcceptsDeltas);
   m_Relay.stamp(Message);
   return Message;
 }
 
 std::optional<ChangeQuery> KeyFollower::nextQuery() const {
-  if (!m_HasListing)
-    return std::nullopt;
   ChangeSubscriber Own;
   Own.Incarnation = ownIncarnation();
   Own.Suspensions = m_Suspensions;
   Own.SentAt = m_Time.now().time_since_epoch();
+  if (!m_HasListing)
+    return std::nullopt;
   return ChangeQuery{m_Revision, !m_NeedsWholeValues, std::move(Own)};
 }
 
 void KeyFollower::onPeerChanges(RelayedChanges Message, TimePoint SentAt) {
-  if (!m_HasListing || Message.To < m_Revision)
+  if (Message.SentAt != Duration{0})
+    senderOf(Message).Delay.recordRoundTrip(Message.SentAt, SentAt);
+  const bool IsFirst = !m_HasListing;
+  if (IsFirst || Message.To < m_Revision)
     return;
   m_Observer.onOrigin({ChangeSource::Peer, Message.Vm, Message.Incarnation});
   m_Replica.resolveDeltas(Message.Changes);
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -145,10 +145,16 @@
     ++m_Counts.Failed;
 }
 
-void PeerCatchUp::sendQuery() {
-  const auto Query = m_Observer.nextQuery();
+void PeerCatchUp::ask(const PeerEndpoint &Receiver) {
+  if (m_OpenQueries < MaxOpenQueries)
+    sendQuery(Receiver);
+}
+
+void PeerCatchUp::sendQuery(std::optional<PeerEndpoint> Receiver) {
+  auto Query = m_Observer.nextQuery();
   if (!Query)
     return;
+  Query->Receiver = std::move(Receiver);
   ++m_OpenQueries;
   ++m_Counts.Sent;
   m_Peers.query(*Query, m_QueryTimeout,
--- a/packages/gateway/src/peerchanges.cpp
+++ b/packages/gateway/src/peerchanges.cpp
@@ -145,10 +145,13 @@
 
 void PeerChangeClient::query(const ChangeQuery &Query, Duration Timeout,
                              Callback<RelayedChanges> Done) {
-  m_AskedOwnDomain = !m_AskedOwnDomain;
-  auto Peer = next(m_AskedOwnDomain);
-  if (!Peer)
-    Peer = next(!m_AskedOwnDomain);
+  auto Peer = Query.Receiver;
+  if (!Peer) {
+    m_AskedOwnDomain = !m_AskedOwnDomain;
+    Peer = next(m_AskedOwnDomain);
+    if (!Peer)
+      Peer = next(!m_AskedOwnDomain);
+  }
   std::error_code Error = make_error_code(Errc::NotFound);
   const auto Address =
       Peer ? asio::ip::make_address(Peer->Ip, Error) : asio::ip::address();
--- a/packages/gateway/src/transitdelay.cpp
+++ b/packages/gateway/src/transitdelay.cpp
@@ -11,14 +11,25 @@
 
 } // namespace
 
-Duration TransitDelay::record(Duration SentAt, TimePoint Now) {
-  const Duration Offset = Now.time_since_epoch() - SentAt;
-  if (m_UpdatedAt == TimePoint{})
-    m_LeastOffset = Offset;
-  const auto Drift = fromSeconds(toSeconds(Now - m_UpdatedAt) * MaxClockDrift);
-  m_LeastOffset = std::min<Duration>(Offset, m_LeastOffset + Drift);
-  m_UpdatedAt = Now;
-  return Offset - m_LeastOffset;
+Duration TransitDelay::leastOffset(TimePoint Now) const {
+  return m_LeastOffset -
+         fromSeconds(toSeconds(Now - m_MeasuredAt) * MaxClockDrift);
+}
+
+void TransitDelay::recordRoundTrip(Duration SentAt, TimePoint RequestedAt) {
+  Duration Offset = RequestedAt.time_since_epoch() - SentAt;
+  if (m_MeasuredAt != TimePoint{})
+    Offset = std::max<Duration>(Offset, leastOffset(RequestedAt));
+  m_LeastOffset = Offset;
+  m_MeasuredAt = RequestedAt;
+}
+
+std::optional<Duration> TransitDelay::longest(Duration SentAt,
+                                              TimePoint Now) const {
+  if (m_MeasuredAt == TimePoint{})
+    return std::nullopt;
+  return std::max<Duration>(Now.time_since_epoch() - SentAt - leastOffset(Now),
+                            Duration{0});
 }
 
 } // namespace mangodeck
