gateway: a daemon that starts without the store takes all keys from another one

What callers saw: 503 from a daemon that had started while the store did not serve it, for as long as that lasted. It also had nothing to answer other daemons with, so each restart left fewer that can be asked. Cause: only a listing of the store could give a daemon its first view, and a new process knows no address of another daemon. Change: a process without a listing asks the sender of a relayed message for all keys; an answer from revision 0 on counts as a listing.

--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -342,7 +342,12 @@
   Message.Age += transitOf(Message, Now);
   // Step 1. Ignore the message if it is of an earlier era, or if this daemon
   // has nothing that changes could be added to.
-  if (!m_HasListing || Message.To.Era < m_Revision.Era)
+  if (!m_HasListing) {
+    if (m_ConsecutiveFailures > 0)
+      askSender(Message, Now, share(m_ChangeDeadline, RepeatedQueryShare));
+    return;
+  }
+  if (Message.To.Era < m_Revision.Era)
     return;
 
   // Step 2. After a gap, or if a value was left out, read the changes from the
@@ -403,7 +408,7 @@
   Own.Suspensions = m_Suspensions;
   Own.SentAt = m_Time.now().time_since_epoch();
   if (!m_HasListing)
-    return std::nullopt;
+    return ChangeQuery{StoreRevision{}, false, std::move(Own)};
   return ChangeQuery{m_Revision, !m_NeedsWholeValues, std::move(Own)};
 }
 
@@ -411,20 +416,25 @@
   if (Message.SentAt != Duration{0})
     senderOf(Message).Delay.recordRoundTrip(Message.SentAt, SentAt);
   const bool IsFirst = !m_HasListing;
-  if (IsFirst || Message.To < m_Revision)
+  if (IsFirst ? Message.From.Number != 0 : Message.To < m_Revision)
     return;
   m_Observer.onOrigin({ChangeSource::Peer, Message.Vm, Message.Incarnation});
   m_Replica.resolveDeltas(Message.Changes);
   m_NeedsWholeValues = missesValue(Message);
   // After a gap, the changes of each key are right, but those of others may be
   // missing.
-  if (Message.From > m_Revision || m_NeedsWholeValues) {
+  if ((!IsFirst && Message.From > m_Revision) || m_NeedsWholeValues) {
     for (const auto &Relayed : Message.Changes)
       if (!Relayed.Change.Removed && !Relayed.ValueOmitted)
         apply(Relayed.Change, Relayed.AfterOutage);
     return;
   }
   applyAll(Message);
+  if (IsFirst) {
+    m_HasListing = m_IsListed = true;
+    finishFirstListing();
+    m_Observer.onListed();
+  }
   onTold(SentAt - Message.Age);
   publish();
 }
@@ -503,7 +513,7 @@
   // Until the call is repeated, the relay's messages are applied to what the
   // last complete listing and the changes since have shown.
   m_IsListed = m_HasListing;
-  if (m_Revision < m_RequiredRevision)
+  if (!m_HasListing || m_Revision < m_RequiredRevision)
     m_CatchUp.requireWithin(Duration{0});
   runAfter(retryDelay(), &KeyFollower::recover);
 }
