gateway: a change known before those that precede it stays in the relay's messages

Cause: RelayWindow put each change into the next message, also one with a later revision than the message states, as from a listing in progress or an answer with a gap. The messages that covered its revision lacked it once the earlier one was no longer repeated, so a receiver took itself for current without it. Change: a change is kept until all before it are known. Measured: relayWindow_changeKnownBeforeEarlierOnes_isNotLost fails on the code before by its reading (it was not built on it).

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -121,11 +121,15 @@
   };
 
   void append(RelayedChange Relayed);
+  /// Takes the changes up to \p Known out of m_Changes.
+  Batch takeBatch(StoreRevision Known);
 
   std::deque<Batch> m_Sent; ///< To be repeated, the latest last.
   StoreRevision m_From;     ///< The changes of m_Changes follow it.
   std::vector<RelayedChange> m_Changes;
   std::size_t m_Bytes = 0; ///< Of m_Changes, and of those left out.
+  /// The latest of those left out.
+  StoreRevision m_LatestOmitted;
   std::unordered_map<std::string, KeyChange> m_LastHeartbeats; ///< By key.
 };
 
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -3,6 +3,7 @@
 #include "mangodeck/common/boundedjson.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -138,6 +139,7 @@
   m_From = Known;
   m_Changes.clear();
   m_Bytes = 0;
+  m_LatestOmitted = {};
   m_LastHeartbeats.clear();
 }
 
@@ -145,6 +147,32 @@
   m_Bytes += sizeOf(Relayed);
   if (m_Bytes <= MaxMessageBytes)
     m_Changes.push_back(std::move(Relayed));
+  else
+    m_LatestOmitted = std::max(m_LatestOmitted, Relayed.Change.Revision);
+}
+
+RelayWindow::Batch RelayWindow::takeBatch(StoreRevision Known) {
+  Batch Taken{std::exchange(m_From, Known), {}, 0};
+  if (m_Bytes > MaxMessageBytes) {
+    Taken.Bytes = m_Bytes;
+    if (m_LatestOmitted <= Known) {
+      m_Changes.clear();
+      m_Bytes = 0;
+    }
+    return Taken;
+  }
+  // A change can be known before all that precede it are, as from a listing in
+  // progress.
+  const auto Later = std::stable_partition(
+      m_Changes.begin(), m_Changes.end(),
+      [&](const RelayedChange &Each) { return Each.Change.Revision <= Known; });
+  Taken.Changes.assign(std::make_move_iterator(m_Changes.begin()),
+                       std::make_move_iterator(Later));
+  m_Changes.erase(m_Changes.begin(), Later);
+  for (const auto &Each : Taken.Changes)
+    Taken.Bytes += sizeOf(Each);
+  m_Bytes -= Taken.Bytes;
+  return Taken;
 }
 
 void RelayWindow::record(const KeyChange &Change, bool AfterOutage,
@@ -173,8 +201,7 @@
 RelayedChanges RelayWindow::takeMessage(StoreRevision Known) {
   RelayedChanges Message;
   Message.To = Known;
-  Batch New{m_From, std::exchange(m_Changes, {}), std::exchange(m_Bytes, 0)};
-  m_From = Known;
+  auto New = takeBatch(Known);
   if (New.Bytes > MaxMessageBytes) {
     m_Sent.clear();
     Message.From = Known; // Receivers notice a gap.
--- a/packages/gateway/test/changesubscribers_test.cpp
+++ b/packages/gateway/test/changesubscribers_test.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(subscriber_asksAgain_isListedOnce);
   CPPUNIT_TEST(subscriberClock_queryWasDelayed_isNeverAhead);
   CPPUNIT_TEST(subscribers_many_areBounded);
+  CPPUNIT_TEST(relayWindow_changeKnownBeforeEarlierOnes_isNotLost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -47,6 +48,20 @@
                          m_Subscribers.current(Start + 7s).size());
   }
 
+  // Regression: a change that was known before those that precede it was told
+  // in a message up to an earlier revision, and not in those that covered it.
+  void relayWindow_changeKnownBeforeEarlierOnes_isNotLost() {
+    RelayWindow Window;
+    Window.restart({0, 10});
+    Window.record({"a", "v", {0, 15}, false}, false);
+    for (int I = 0; I < 6; ++I)
+      CPPUNIT_ASSERT(Window.takeMessage({0, 10}).Changes.empty());
+    const auto Message = Window.takeMessage({0, 16});
+    CPPUNIT_ASSERT(Message.From == (StoreRevision{0, 10}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Message.Changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Message.Changes[0].Change.Key);
+  }
+
 private:
   static constexpr TimePoint Start{1000s};
 
