gateway: after a gap that only a full answer closes, a daemon asks for all keys

What callers saw: the configuration in time by chance only, and removed targets and keys not at all, when the one daemon that the store serves had just started. Cause: a process knows no removals from before its listing, so its answers and messages begin there. To a daemon with an earlier revision that is a gap: values are taken, but nothing is confirmed or passed on, and each later message of that process is a gap again. Change: while the store does not answer, an answer with a gap is followed by a query for all keys to the same daemon; keys that the answer lacks are removed as after an outage. A peer's answer is passed on only if it has news.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -132,6 +132,8 @@
                  Duration Interval);
   /// All keys are known up to m_Revision.
   void finishFirstListing();
+  /// Removes the keys that another daemon, which has told all keys, lacks.
+  void removeUnlisted(const RelayedChanges &AllKeys);
   /// Applies the changes of a message that are newer than what is known.
   void applyAll(const RelayedChanges &Message);
   IncarnationId ownIncarnation() const;
--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -92,6 +92,9 @@
   void requireWithin(Duration Delay);
   /// Asks one daemon now, unless too many queries are open.
   void ask(const PeerEndpoint &Receiver);
+  /// The same for all keys: it has started after the last change that is known
+  /// here, so it cannot tell the removals since.
+  void askForAllKeys(const PeerEndpoint &Receiver);
   /// The daemon no longer lacks a change that it knows of.
   void complete() { m_IsIncomplete = false; }
   /// Whether this daemon depends on others, since the store does not answer it.
@@ -110,7 +113,8 @@
   void schedule(TimePoint When);
   void check();
   void queryRound(TimePoint Now);
-  void sendQuery(std::optional<PeerEndpoint> Receiver = std::nullopt);
+  void sendQuery();
+  void sendQuery(ChangeQuery Query);
   void count(const ChangeQuery &Query, const Expected<RelayedChanges> &Answer);
 
   const Clock &m_Time;
@@ -131,6 +135,7 @@
   int m_OpenQueries = 0;          ///< Of this generation.
   std::uint64_t m_Generation = 0; ///< Number of invalidations.
   TimePoint m_LastRoundAt{};
+  TimePoint m_AskedForAllKeysAt{};
   TimePoint m_FirstRoundAt{}; ///< Since the knowledge was current.
   PeerQueryCounts m_Counts;   ///< Since then.
 };
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -172,7 +172,8 @@
   m_Observer.onListed();
   // The answer may have been delayed, but is not older than the call.
   confirm(m_ListingStart);
-  publish();
+  if (!IsFirst || !m_Subscribers.current(m_Time.now()).empty())
+    publish();
   m_WatchStart = TimePoint{}; // The first watch need not wait for its turn.
   awaitNextWatch();
 }
@@ -427,8 +428,12 @@
     for (const auto &Relayed : Message.Changes)
       if (!Relayed.Change.Removed && !Relayed.ValueOmitted)
         apply(Relayed.Change, Relayed.AfterOutage);
+    if (Message.From > m_Revision && !m_StoreReachable && Message.Sender)
+      m_CatchUp.askForAllKeys(*Message.Sender);
     return;
   }
+  if (Message.From.Number == 0 && !IsFirst)
+    removeUnlisted(Message);
   applyAll(Message);
   if (IsFirst) {
     m_HasListing = m_IsListed = true;
@@ -436,7 +441,7 @@
     m_Observer.onListed();
   }
   onTold(SentAt - Message.Age);
-  publish();
+  publishIfNewer();
 }
 
 void KeyFollower::onCaughtUp(TimePoint Since, const PeerQueryCounts &Counts) {
@@ -453,6 +458,15 @@
                             {"suppressed", Counts.Suppressed}});
 }
 
+void KeyFollower::removeUnlisted(const RelayedChanges &AllKeys) {
+  std::unordered_set<std::string> Listed;
+  for (const auto &Relayed : AllKeys.Changes)
+    if (!Relayed.Change.Removed)
+      Listed.insert(Relayed.Change.Key);
+  for (const auto &Change : m_Replica.findUnlisted(Listed, AllKeys.To))
+    apply(Change, isAfterOutage(m_Time.now()));
+}
+
 void KeyFollower::applyAll(const RelayedChanges &Message) {
   for (const auto &Relayed : Message.Changes)
     if (Relayed.Change.Revision > m_Revision && !Relayed.ValueOmitted)
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -146,19 +146,36 @@
 }
 
 void PeerCatchUp::ask(const PeerEndpoint &Receiver) {
-  if (m_OpenQueries < MaxOpenQueries)
-    sendQuery(Receiver);
+  auto Query = m_Observer.nextQuery();
+  if (!Query || m_OpenQueries >= MaxOpenQueries)
+    return;
+  Query->Receiver = Receiver;
+  sendQuery(std::move(*Query));
 }
 
-void PeerCatchUp::sendQuery(std::optional<PeerEndpoint> Receiver) {
+void PeerCatchUp::askForAllKeys(const PeerEndpoint &Receiver) {
+  const auto Now = m_Time.now();
   auto Query = m_Observer.nextQuery();
-  if (!Query)
+  if (!Query || m_OpenQueries >= MaxOpenQueries ||
+      Now - m_AskedForAllKeysAt < m_ShortestPeriod)
     return;
-  Query->Receiver = std::move(Receiver);
+  m_AskedForAllKeysAt = Now;
+  Query->Receiver = Receiver;
+  Query->After = StoreRevision{};
+  Query->AcceptsDeltas = false;
+  sendQuery(std::move(*Query));
+}
+
+void PeerCatchUp::sendQuery() {
+  if (auto Query = m_Observer.nextQuery())
+    sendQuery(std::move(*Query));
+}
+
+void PeerCatchUp::sendQuery(ChangeQuery Query) {
   ++m_OpenQueries;
   ++m_Counts.Sent;
-  m_Peers.query(*Query, m_QueryTimeout,
-                [this, Query = *Query, SentAt = m_Time.now(),
+  m_Peers.query(Query, m_QueryTimeout,
+                [this, Query, SentAt = m_Time.now(),
                  Generation = m_Generation](Expected<RelayedChanges> Answer) {
                   // The clock did not count a suspension in between.
                   if (Generation != m_Generation)
--- a/packages/gateway/src/peerchanges.cpp
+++ b/packages/gateway/src/peerchanges.cpp
@@ -164,7 +164,7 @@
       m_Executor, asio::ip::tcp::endpoint(Address, Peer->Port), &m_CallObserver,
       http::ClientLimits{Timeout});
   Client->call("GET", callOf(Query, m_Own), "", Timeout,
-               [this, Alive = m_Alive, Number,
+               [this, Alive = m_Alive, Number, Asked = *Peer,
                 Done = std::move(Done)](Expected<http::CallAnswer> Answer) {
                  // The client must outlive this call of its callback.
                  asio::post(m_Executor, [this, Alive, Number] {
@@ -174,6 +174,8 @@
                  std::optional<RelayedChanges> Changes;
                  if (Answer && Answer->Status == 200)
                    Changes = decodeRelayedChanges(Answer->Body);
+                 if (Changes)
+                   Changes->Sender = Asked;
                  m_Metrics.countPeerQuery(Changes ? "answered" : "failed");
                  if (Changes)
                    Done(std::move(*Changes));
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(change_oneDaemonServedAndDomainCutOff_reachesOthersInTime);
   CPPUNIT_TEST(start_storeRejects_viewIsTakenFromOthers);
   CPPUNIT_TEST(change_drawnMixOfImpairments_isInForceInTime);
+  CPPUNIT_TEST(change_eachPairOfImpairments_isInForceInTime);
   CPPUNIT_TEST(targetLeaves_storeRejectsWholeDomain_isKnownInTime);
   CPPUNIT_TEST(targetLeaves_linksNarrowed_isKnownSoonAfterwards);
   CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
@@ -200,7 +201,7 @@
         ChangeFleet Fleet(settingsOf(Size, Deadline, Seed));
         Fleet.start();
         Fleet.startChecks();
-        drawMix(Fleet);
+        drawMix(Fleet, AllKinds, 30s, true);
         const auto Oldest = Fleet.oldestView();
         if (Oldest > Deadline || Fleet.hasRegressed() ||
             Fleet.hasFalseConfirmation())
@@ -213,6 +214,31 @@
     CPPUNIT_ASSERT_MESSAGE(Faults, Faults.empty());
   }
 
+  // Each pair of impairments, while the store serves all or few daemons.
+  void change_eachPairOfImpairments_isInForceInTime() {
+    std::string Faults;
+    for (const auto First : AllKinds)
+      for (const auto Second : AllKinds)
+        for (const bool FewServed : {false, true}) {
+          if (Second < First)
+            continue;
+          const auto Seed = static_cast<std::uint64_t>(First) * 100 +
+                            static_cast<std::uint64_t>(Second);
+          ChangeFleet Fleet(settingsOf(48, 3s, Seed));
+          Fleet.start();
+          Fleet.startChecks();
+          drawMix(Fleet, {First, Second}, 16s, FewServed);
+          if (Fleet.oldestView() > 3s || Fleet.hasRegressed() ||
+              Fleet.hasFalseConfirmation())
+            Faults += fmt::format(
+                "pair {} and {}, {} served: view of {:.2f} s{}\n",
+                static_cast<int>(First), static_cast<int>(Second),
+                FewServed ? "few" : "all", toSeconds(Fleet.oldestView()),
+                Fleet.hasFalseConfirmation() ? ", false confirmation" : "");
+        }
+    CPPUNIT_ASSERT_MESSAGE(Faults, Faults.empty());
+  }
+
   // Marks of targets that leave, and removals, come by the same way as the
   // configuration.
   void targetLeaves_storeRejectsWholeDomain_isKnownInTime() {
@@ -389,10 +415,30 @@
         }
   }
 
-  /// Thirty seconds in which one or two daemons, drawn anew now and then, are
-  /// served by the store, and others are restarted, killed, frozen, cut off or
-  /// have narrow links, in series that overlap.
-  static void drawMix(ChangeFleet &Fleet) {
+  enum class Kind {
+    Restart,
+    Freeze,
+    CutOff,
+    NarrowLinks,
+    SilentConnections,
+    CutDomain,
+    Loss,
+    DroppedHistory
+  };
+  static const inline std::vector<Kind> AllKinds{Kind::Restart,
+                                                 Kind::Freeze,
+                                                 Kind::CutOff,
+                                                 Kind::NarrowLinks,
+                                                 Kind::SilentConnections,
+                                                 Kind::CutDomain,
+                                                 Kind::Loss,
+                                                 Kind::DroppedHistory};
+
+  /// Changes for \p Span, while impairments of \p Kinds come in series that
+  /// overlap. \p FewServed: one or two daemons, drawn anew now and then, are
+  /// served by the store, instead of all.
+  static void drawMix(ChangeFleet &Fleet, const std::vector<Kind> &Kinds,
+                      Duration Span, bool FewServed) {
     auto &Random = Fleet.random();
     const auto Draw = [&](std::size_t Count) {
       return static_cast<std::size_t>(Random.uniform() *
@@ -401,12 +447,12 @@
     const auto DrawSpan = [&](double Least, double Most) {
       return fromSeconds(Least + (Most - Least) * Random.uniform());
     };
-    const auto End = Fleet.time().now() + 30s;
+    const auto End = Fleet.time().now() + Span;
     auto NextServed = Fleet.time().now();
     auto NextVersion = NextServed;
     while (Fleet.time().now() < End) {
       const auto Now = Fleet.time().now();
-      if (Now >= NextServed) {
+      if (FewServed && Now >= NextServed) {
         std::vector<std::size_t> Served{Draw(Fleet.size())};
         if (Random.uniform() < 0.5)
           Served.push_back(Draw(Fleet.size()));
@@ -421,26 +467,26 @@
       }
       const auto Affected =
           1 + Draw(std::max<std::size_t>(1, Fleet.size() / 6));
-      const auto Kind = Draw(8);
+      const auto Drawn = Kinds[Draw(Kinds.size())];
       for (std::size_t I = 0; I < Affected; ++I) {
         auto &Each = Fleet[Draw(Fleet.size())];
-        if (Kind == 0)
+        if (Drawn == Kind::Restart)
           Each.restart(DrawSpan(0.1, 2));
-        else if (Kind == 1)
+        else if (Drawn == Kind::Freeze)
           Each.freeze(DrawSpan(0.5, 5));
-        else if (Kind == 2)
+        else if (Drawn == Kind::CutOff)
           Each.cutOff(DrawSpan(1, 5));
-        else if (Kind == 3)
+        else if (Drawn == Kind::NarrowLinks)
           Fleet.narrowLinks(Each.Index, 0.3 + Random.uniform(), DrawSpan(2, 6),
                             Draw(2));
-        else if (Kind == 4)
+        else if (Drawn == Kind::SilentConnections)
           Each.silenceConnections();
       }
-      if (Kind == 5)
+      if (Drawn == Kind::CutDomain)
         Fleet.cutDomain(Draw(3), DrawSpan(1, 6));
-      else if (Kind == 6)
+      else if (Drawn == Kind::Loss)
         Fleet.LossShare = Random.uniform() < 0.5 ? 0 : 0.25;
-      else if (Kind == 7)
+      else if (Drawn == Kind::DroppedHistory)
         Fleet.store().dropHistory();
       Fleet.runFor(DrawSpan(0.1, 1.5));
     }
--- a/packages/gateway/test/changefleetdaemon.cpp
+++ b/packages/gateway/test/changefleetdaemon.cpp
@@ -283,9 +283,9 @@
 }
 
 void ChangeFleet::Daemon::query(
-    const ChangeQuery &Asked, Duration Timeout,
+    const ChangeQuery &Original, Duration Timeout,
     PeerChangeReader::Callback<RelayedChanges> Done) {
-  auto Query = Asked;
+  auto Query = Original;
   Query.Subscriber->Address = {Id, static_cast<std::uint16_t>(Index), {}};
   ++m_Fleet.m_PeerQueries;
   const auto Now = m_Fleet.m_Time.now();
@@ -318,10 +318,15 @@
       });
     const auto Bytes = encodeRelayedChanges(*Known); // As it is sent.
     m_Fleet.m_PeerAnswerBytes += Bytes.size();
-    Peer.send(Bytes.size() + CallBytes, Latency, [this, Finish, Bytes] {
-      receive(Bytes.size() + CallBytes, [Finish, Bytes] {
-        if (auto Decoded = decodeRelayedChanges(Bytes))
-          Finish(std::move(*Decoded));
+    const PeerEndpoint Asked{
+        Peer.Id, static_cast<std::uint16_t>(Peer.Index), {}};
+    Peer.send(Bytes.size() + CallBytes, Latency, [this, Finish, Bytes, Asked] {
+      receive(Bytes.size() + CallBytes, [Finish, Bytes, Asked] {
+        auto Decoded = decodeRelayedChanges(Bytes);
+        if (!Decoded)
+          return;
+        Decoded->Sender = Asked;
+        Finish(std::move(*Decoded));
       });
     });
   };
