--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -47,5 +47,6 @@
 play_soak 1 --seed 2 --odd-answers 5
 # Changes of the configuration while the store does not serve some daemons.
 play_soak 1 --seed 1 --changes --daemons 9
+play_soak 1 --seed 1 --changes --few-served --daemons 12 --subnet 2
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/testing/soak/changeplay.cpp
+++ b/testing/soak/changeplay.cpp
@@ -5,6 +5,7 @@
 #include "soakfleet.h"
 #include "soakstore.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <csignal>
 #include <filesystem>
@@ -29,6 +30,8 @@
 constexpr milliseconds AnswerTimeout{3000};
 /// Daemons that the store does not serve at the same time, at most.
 constexpr double MaxCutShare = 0.34;
+/// Daemons that it serves at the least with ChangePlay::FewServed.
+constexpr std::size_t LeastServed = 2;
 constexpr unsigned Domains = 3;
 /// What is noted of a run; one fault shows in many probes.
 constexpr std::size_t MaxNotes = 20;
@@ -241,14 +244,18 @@
 
   /// Cuts a share of the daemons off from the store, whichever they are.
   void cutLinks() {
-    const auto Limit = static_cast<std::size_t>(
-        MaxCutShare * static_cast<double>(m_Links.size()));
+    const auto Limit =
+        m_Played.FewServed
+            ? m_Links.size() - LeastServed
+            : static_cast<std::size_t>(MaxCutShare *
+                                       static_cast<double>(m_Links.size()));
     std::size_t Cut = 0;
     for (const auto &Until : m_CutUntil)
       Cut += Until == Clock::time_point{} ? 0 : 1;
     const auto First = m_Random() % m_Links.size();
     const bool IsSilent = m_Random() % 2 == 0;
-    const auto Span = milliseconds(2000 + m_Random() % 6000);
+    const auto Span =
+        milliseconds(2000 + m_Random() % 6000) * (m_Played.FewServed ? 3 : 1);
     for (std::size_t I = 0; I < m_Links.size() && Cut < Limit; ++I) {
       const auto Index = (First + I) % m_Links.size();
       if (m_CutUntil[Index] != Clock::time_point{})
@@ -264,8 +271,18 @@
     }
   }
 
+  /// Whether the store serves only the least number of daemons, and this one.
+  bool isNeeded(std::size_t Index) const {
+    return m_Played.FewServed && m_CutUntil[Index] == Clock::time_point{} &&
+           std::count(m_CutUntil.begin(), m_CutUntil.end(),
+                      Clock::time_point{}) <=
+               static_cast<std::ptrdiff_t>(LeastServed);
+  }
+
   void disturb() {
     const auto Index = m_Random() % m_Daemons.size();
+    if (isNeeded(Index))
+      return m_Store.dropHistory();
     auto &Daemon = *m_Daemons[Index];
     switch (m_Random() % 7) {
     case 0:
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -411,6 +411,9 @@
   App.add_flag("--changes", PlaysChanges,
                "Play changes of the configuration in series, while the store "
                "does not serve some daemons");
+  bool FewServed = false;
+  App.add_flag("--few-served", FewServed,
+               "With --changes, the store serves two daemons only at times");
   App.add_flag("--impatient", Chosen.Impatient,
                "Callers return at once after a refusal");
   App.add_option("--odd-answers", Chosen.OddPercent,
@@ -424,7 +427,7 @@
     const auto Broken =
         PlaysChanges
             ? playChanges({Chosen.Front, Chosen.Folder, Seed, Chosen.Daemons,
-                           Chosen.Seconds, Chosen.Subnet})
+                           Chosen.Seconds, Chosen.Subnet, FewServed})
         : PlaysRollouts ? playRollouts({Chosen.Front, Chosen.Folder, Seed,
                                         Chosen.Daemons, Chosen.Subnet})
                         : Soak(Chosen, Seed).run();
