gateway: daemons that others depend on watch the store, and all return to it

Cause: what a served daemon was told by those that depend on it counted as told by its relay, so it did not watch the store until its own knowledge had come back old. And a daemon that was kept informed by others did not call the store again after an outage, and went on asking. Change: a daemon with subscribers watches by itself; one that the store did not answer tries again once a deadline (followsRelayUntil). The drawn mixes of the fleet model have a file of their own.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -156,6 +156,11 @@
   /// Waits until the next watch is due. While the relay is fresh none is.
   void awaitNextWatch();
   bool isRelayFresh(TimePoint Now) const;
+  /// Until when the relay's messages replace own calls; at most \p Now if they
+  /// do not. They do not for a daemon that others depend on: what it is told
+  /// may stem from itself. One that the store does not answer tries again now
+  /// and then.
+  TimePoint followsRelayUntil(TimePoint Now);
   /// A daemon watches the store by itself if what the relay has told it is
   /// older than this.
   Duration relayTimeout() const;
@@ -207,6 +212,7 @@
   unsigned m_ConsecutiveFailures = 0;
   TimePoint m_ListingStart{}; ///< Of the call for the first page.
   TimePoint m_WatchStart{};
+  TimePoint m_LastCallAt{}; ///< To the store.
   /// All changes up to this time are known.
   TimePoint m_ConfirmedAt{};
   /// The latest revision that is known to exist.
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -128,6 +128,7 @@
 
 void KeyFollower::listFrom(std::string After) {
   ++m_DelayedStep; // A step that was due is replaced by this call.
+  m_LastCallAt = m_Time.now();
   m_Store.list(After,
                [this, Generation = m_Generation](Expected<KeyPage> Page) {
                  if (Generation == m_Generation)
@@ -199,7 +200,7 @@
   m_FollowsRelay = false;
   const auto Now = m_Time.now();
   const auto Wait = nextWait(Now);
-  m_WatchStart = Now;
+  m_WatchStart = m_LastCallAt = Now;
   m_Store.watch(m_Revision, Wait,
                 [this, Generation = m_Generation, Start = Now,
                  Wait](Expected<KeyChanges> Answer) {
@@ -240,15 +241,15 @@
 void KeyFollower::awaitNextWatch() {
   const auto Now = m_Time.now();
   const bool IsRelay = m_Relay.isRelaying();
-  m_FollowsRelay = !IsRelay && isRelayFresh(Now);
+  const auto FollowsUntil = followsRelayUntil(Now);
+  m_FollowsRelay = FollowsUntil > Now;
   if (std::exchange(m_FollowedRelay, m_FollowsRelay) != m_FollowsRelay)
     m_Log.write(m_FollowsRelay ? "relay_followed" : "relay_lost",
                 {{"revision", m_Revision.Number},
                  {"relaying", IsRelay},
                  {"confirmed_ms", ageMs(m_ToldConfirmedAt, Now)}});
   if (m_FollowsRelay)
-    return runAfter(m_ToldConfirmedAt + relayTimeout() - Now,
-                    &KeyFollower::awaitNextWatch);
+    return runAfter(FollowsUntil - Now, &KeyFollower::awaitNextWatch);
   const auto Elapsed = Now - m_WatchStart;
   const auto Interval = m_ChangeDeadline / WatchIntervalDivisor;
   if (Elapsed >= Interval)
@@ -256,6 +257,15 @@
   runAfter(Interval - Elapsed, &KeyFollower::awaitNextWatch);
 }
 
+TimePoint KeyFollower::followsRelayUntil(TimePoint Now) {
+  if (m_Relay.isRelaying() || !isRelayFresh(Now))
+    return Now;
+  const TimePoint FreshUntil = m_ToldConfirmedAt + relayTimeout();
+  if (!m_StoreReachable)
+    return std::min<TimePoint>(FreshUntil, m_LastCallAt + m_ChangeDeadline);
+  return m_Subscribers.current(Now).empty() ? FreshUntil : Now;
+}
+
 bool KeyFollower::isRelayFresh(TimePoint Now) const {
   return Now - m_ToldConfirmedAt < relayTimeout();
 }
@@ -384,6 +394,8 @@
 std::optional<RelayedChanges> KeyFollower::answer(const ChangeQuery &Query) {
   if (Query.Subscriber)
     m_Subscribers.renew(*Query.Subscriber, m_Time.now());
+  if (Query.Subscriber && m_FollowsRelay && m_StoreReachable)
+    awaitNextWatch();
   if (!m_HasListing || m_ConfirmedAt == TimePoint{})
     return std::nullopt;
   const auto After = Query.After;
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -1,4 +1,4 @@
-#include "changefleet.h"
+#include "changefleetmix.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdlib>
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(targetLeaves_storeRejectsWholeDomain_isKnownInTime);
   CPPUNIT_TEST(targetLeaves_linksNarrowed_isKnownSoonAfterwards);
   CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
+  CPPUNIT_TEST(storeRestored_daemonsDependedOnEachOther_nobodyIsAsked);
   CPPUNIT_TEST(storeDown_anySize_queriesAreBounded);
   CPPUNIT_TEST(budget_eachSingleFailure_sumsToDeadline);
   CPPUNIT_TEST_SUITE_END();
@@ -201,7 +202,7 @@
         ChangeFleet Fleet(settingsOf(Size, Deadline, Seed));
         Fleet.start();
         Fleet.startChecks();
-        drawMix(Fleet, AllKinds, 30s, true);
+        playMix(Fleet, AllImpairments, 30s, true);
         const auto Oldest = Fleet.oldestView();
         if (Oldest > Deadline || Fleet.hasRegressed() ||
             Fleet.hasFalseConfirmation())
@@ -217,8 +218,8 @@
   // Each pair of impairments, while the store serves all or few daemons.
   void change_eachPairOfImpairments_isInForceInTime() {
     std::string Faults;
-    for (const auto First : AllKinds)
-      for (const auto Second : AllKinds)
+    for (const auto First : AllImpairments)
+      for (const auto Second : AllImpairments)
         for (const bool FewServed : {false, true}) {
           if (Second < First)
             continue;
@@ -227,7 +228,7 @@
           ChangeFleet Fleet(settingsOf(48, 3s, Seed));
           Fleet.start();
           Fleet.startChecks();
-          drawMix(Fleet, {First, Second}, 16s, FewServed);
+          playMix(Fleet, {First, Second}, 16s, FewServed);
           if (Fleet.oldestView() > 3s || Fleet.hasRegressed() ||
               Fleet.hasFalseConfirmation())
             Faults += fmt::format(
@@ -314,6 +315,23 @@
     }
   }
 
+  // Regression: daemons that others kept informed did not call the store again,
+  // and went on asking each other after it was back.
+  void storeRestored_daemonsDependedOnEachOther_nobodyIsAsked() {
+    for (const auto Size : Sizes) {
+      ChangeFleet Fleet(settingsOf(Size, 3s, 1));
+      Fleet.start();
+      serveOnly(Fleet, {Size / 2}, StoreAccess::Rejects);
+      writeVersions(Fleet, 4, 2s);
+      for (std::size_t I = 0; I < Size; ++I)
+        Fleet[I].Access = StoreAccess::Answers;
+      Fleet.runFor(12s);
+      const auto Queries = Fleet.peerQueries();
+      writeVersions(Fleet, 4, 2s);
+      CPPUNIT_ASSERT_EQUAL(Queries, Fleet.peerQueries());
+    }
+  }
+
   /// No daemon knows more than the others, so asking is of no use.
   void storeDown_anySize_queriesAreBounded() {
     for (const auto Size : Sizes) {
@@ -372,15 +390,6 @@
     return Settings;
   }
 
-  static void serveOnly(ChangeFleet &Fleet,
-                        const std::vector<std::size_t> &Served,
-                        StoreAccess Others) {
-    for (std::size_t I = 0; I < Fleet.size(); ++I)
-      Fleet[I].Access = Others;
-    for (const auto Index : Served)
-      Fleet[Index].Access = StoreAccess::Answers;
-  }
-
   static void writeVersions(ChangeFleet &Fleet, int Count, Duration Interval) {
     for (int I = 0; I < Count; ++I) {
       Fleet.writeVersion();
@@ -415,84 +424,6 @@
         }
   }
 
-  enum class Kind {
-    Restart,
-    Freeze,
-    CutOff,
-    NarrowLinks,
-    SilentConnections,
-    CutDomain,
-    Loss,
-    DroppedHistory
-  };
-  static const inline std::vector<Kind> AllKinds{Kind::Restart,
-                                                 Kind::Freeze,
-                                                 Kind::CutOff,
-                                                 Kind::NarrowLinks,
-                                                 Kind::SilentConnections,
-                                                 Kind::CutDomain,
-                                                 Kind::Loss,
-                                                 Kind::DroppedHistory};
-
-  /// Changes for \p Span, while impairments of \p Kinds come in series that
-  /// overlap. \p FewServed: one or two daemons, drawn anew now and then, are
-  /// served by the store, instead of all.
-  static void drawMix(ChangeFleet &Fleet, const std::vector<Kind> &Kinds,
-                      Duration Span, bool FewServed) {
-    auto &Random = Fleet.random();
-    const auto Draw = [&](std::size_t Count) {
-      return static_cast<std::size_t>(Random.uniform() *
-                                      static_cast<double>(Count));
-    };
-    const auto DrawSpan = [&](double Least, double Most) {
-      return fromSeconds(Least + (Most - Least) * Random.uniform());
-    };
-    const auto End = Fleet.time().now() + Span;
-    auto NextServed = Fleet.time().now();
-    auto NextVersion = NextServed;
-    while (Fleet.time().now() < End) {
-      const auto Now = Fleet.time().now();
-      if (FewServed && Now >= NextServed) {
-        std::vector<std::size_t> Served{Draw(Fleet.size())};
-        if (Random.uniform() < 0.5)
-          Served.push_back(Draw(Fleet.size()));
-        serveOnly(Fleet, Served,
-                  Random.uniform() < 0.5 ? StoreAccess::Rejects
-                                         : StoreAccess::IsSilent);
-        NextServed = Now + DrawSpan(6, 16);
-      }
-      if (Now >= NextVersion) {
-        Fleet.writeVersion();
-        NextVersion = Now + DrawSpan(0.2, 3);
-      }
-      const auto Affected =
-          1 + Draw(std::max<std::size_t>(1, Fleet.size() / 6));
-      const auto Drawn = Kinds[Draw(Kinds.size())];
-      for (std::size_t I = 0; I < Affected; ++I) {
-        auto &Each = Fleet[Draw(Fleet.size())];
-        if (Drawn == Kind::Restart)
-          Each.restart(DrawSpan(0.1, 2));
-        else if (Drawn == Kind::Freeze)
-          Each.freeze(DrawSpan(0.5, 5));
-        else if (Drawn == Kind::CutOff)
-          Each.cutOff(DrawSpan(1, 5));
-        else if (Drawn == Kind::NarrowLinks)
-          Fleet.narrowLinks(Each.Index, 0.3 + Random.uniform(), DrawSpan(2, 6),
-                            Draw(2));
-        else if (Drawn == Kind::SilentConnections)
-          Each.silenceConnections();
-      }
-      if (Drawn == Kind::CutDomain)
-        Fleet.cutDomain(Draw(3), DrawSpan(1, 6));
-      else if (Drawn == Kind::Loss)
-        Fleet.LossShare = Random.uniform() < 0.5 ? 0 : 0.25;
-      else if (Drawn == Kind::DroppedHistory)
-        Fleet.store().dropHistory();
-      Fleet.runFor(DrawSpan(0.1, 1.5));
-    }
-    Fleet.runFor(6s);
-  }
-
   static std::vector<std::size_t> thirdOf(ChangeFleet &Fleet) {
     std::vector<std::size_t> Selected;
     for (std::size_t I = 0; I < Fleet.size(); I += 3)
