--- a/packages/gateway/include/mangodeck/gateway/peercatchup.h
+++ b/packages/gateway/include/mangodeck/gateway/peercatchup.h
@@ -136,8 +136,10 @@
   std::uint64_t m_Generation = 0; ///< Number of invalidations.
   TimePoint m_LastRoundAt{};
   TimePoint m_AskedForAllKeysAt{};
-  TimePoint m_FirstRoundAt{}; ///< Since the knowledge was current.
-  PeerQueryCounts m_Counts;   ///< Since then.
+  /// A round was due since the knowledge was last current.
+  bool m_IsBehind = false;
+  TimePoint m_BehindSince{}; ///< Of the first of these rounds.
+  PeerQueryCounts m_Counts;  ///< Since then.
 };
 
 } // namespace mangodeck
--- a/packages/gateway/src/peercatchup.cpp
+++ b/packages/gateway/src/peercatchup.cpp
@@ -51,9 +51,8 @@
   m_ConfirmedAt = Time;
   // While a round is due, its time is set already.
   if (!isDue(m_Time.now())) {
-    if (m_FirstRoundAt != TimePoint{})
-      m_Observer.onCaughtUp(std::exchange(m_FirstRoundAt, TimePoint{}),
-                            std::exchange(m_Counts, {}));
+    if (std::exchange(m_IsBehind, false))
+      m_Observer.onCaughtUp(m_BehindSince, m_Counts);
     restartRounds();
   } else if (m_NextCheckAt != TimePoint::max())
     return;
@@ -116,6 +115,10 @@
       queryRound(Now);
     return schedule(nextCheck());
   }
+  if (!std::exchange(m_IsBehind, true)) {
+    m_BehindSince = Now;
+    m_Counts = {};
+  }
   queryRound(Now);
   schedule(Now + m_Period);
   if (++m_Rounds >= RoundsAtFullRate)
@@ -124,8 +127,6 @@
 
 void PeerCatchUp::queryRound(TimePoint Now) {
   m_LastRoundAt = Now;
-  if (m_FirstRoundAt == TimePoint{})
-    m_FirstRoundAt = Now;
   for (int I = 0; I < QueriesPerRound; ++I)
     if (m_OpenQueries < MaxOpenQueries)
       sendQuery();
