--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -1,6 +1,7 @@
 #include "changefleet.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace mangodeck {
@@ -55,10 +56,17 @@
   append({Key, "", {}, true});
 }
 
-KeyPage SimulatedStore::list() const {
+KeyPage SimulatedStore::list(std::string_view After,
+                             std::size_t MaxItems) const {
   KeyPage Page;
-  for (const auto &[Key, Item] : m_Items)
-    Page.Items.push_back(Item);
+  for (auto Next = m_Items.upper_bound(std::string(After));
+       Next != m_Items.end(); ++Next) {
+    if (Page.Items.size() == MaxItems) {
+      Page.HasMore = true;
+      break;
+    }
+    Page.Items.push_back(Next->second);
+  }
   Page.AsOf = revision();
   return Page;
 }
@@ -78,6 +86,10 @@
   for (std::size_t I = 0; I < Settings.Daemons; ++I)
     m_Daemons.push_back(
         std::make_unique<Daemon>(*this, I, I % Settings.Domains));
+  m_Store.OnChange.push_back([this] {
+    const auto &Change = m_Store.history().back();
+    m_LastChanges[Change.Key] = {Change, m_Time.now()};
+  });
 }
 
 ChangeFleet::~ChangeFleet() = default;
@@ -159,9 +171,35 @@
       m_OldestView = std::max<Duration>(
           m_OldestView, Now - std::max(Since, m_WrittenAt[Next]));
   }
+  checkCompleteness();
   m_Time.at(Now + ViewCheckPeriod, [this] { checkViews(); });
 }
 
+void ChangeFleet::checkCompleteness() {
+  if (!m_IncompleteView.empty())
+    return;
+  for (const auto &Each : m_Daemons) {
+    if (!Each->IsRunning || Each->ConfirmedAt == TimePoint{})
+      continue;
+    for (const auto &[Key, Last] : m_LastChanges) {
+      const auto &[Change, WrittenAt] = Last;
+      if (WrittenAt >= Each->ConfirmedAt)
+        continue;
+      const auto Known = Each->KnownRevisions.find(Key);
+      const bool IsKnown = Known != Each->KnownRevisions.end();
+      if (IsKnown ? Known->second < Change.Revision.Number : !Change.Removed) {
+        m_IncompleteView =
+            fmt::format("{} lacks {} of revision {}, confirmed {:.2f} s after "
+                        "it, at {:.2f}",
+                        Each->Id, Key, Change.Revision.Number,
+                        toSeconds(Each->ConfirmedAt - WrittenAt),
+                        toSeconds(m_Time.now() - TimePoint(3600s)));
+        return;
+      }
+    }
+  }
+}
+
 int ChangeFleet::writeVersion() {
   const auto Version = static_cast<int>(m_WrittenAt.size());
   m_WrittenAt.push_back(m_Time.now());
--- a/packages/gateway/test/changefleet.h
+++ b/packages/gateway/test/changefleet.h
@@ -47,11 +47,14 @@
 public:
   void write(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
-  KeyPage list() const;
+  /// The keys after \p After, at most \p MaxItems of them.
+  KeyPage list(std::string_view After, std::size_t MaxItems) const;
   bool hasHistory(StoreRevision After) const {
     return After.Number >= m_HistoryFrom;
   }
   KeyChanges changesAfter(StoreRevision After) const;
+  /// All changes since the start.
+  const std::vector<KeyChange> &history() const { return m_History; }
   StoreRevision revision() const { return {1, m_Revision}; }
   void dropHistory() { m_HistoryFrom = m_Revision; }
   /// Called after each change.
@@ -76,6 +79,7 @@
   std::size_t ValueBytes = 12000; ///< Of the configuration.
   /// Of the other keys, as a listing has them.
   std::size_t OtherKeysBytes = 30000;
+  std::size_t PageItems = 500; ///< Of a listing.
   std::uint64_t Seed = 1;
 };
 
@@ -130,6 +134,9 @@
   /// Whether a daemon has taken its knowledge for current as of a time before
   /// which a version was written that it lacked.
   bool hasFalseConfirmation() const { return m_HasFalseConfirmation; }
+  /// The first confirmed view found to lack a change that had been made by
+  /// then; empty if there was none.
+  const std::string &incompleteView() const { return m_IncompleteView; }
   /// Calls to the store of all daemons.
   std::size_t storeCalls() const { return m_StoreCalls; }
   /// Queries of all daemons to each other.
@@ -153,6 +160,8 @@
   /// Renews the leases of the daemons' registrations, or lets them expire.
   void renewLeases();
   void checkViews();
+  /// Compares the confirmed views with the changes made by then.
+  void checkCompleteness();
   void sendRequests(Daemon &To, double Mbps, TimePoint Until);
 
   ChangeFleetSettings m_Settings;
@@ -162,6 +171,9 @@
   EventLog m_Log;
   std::vector<std::unique_ptr<Daemon>> m_Daemons;
   std::vector<TimePoint> m_WrittenAt; ///< By version.
+  /// Last change of each key, and its time.
+  std::map<std::string, std::pair<KeyChange, TimePoint>> m_LastChanges;
+  std::string m_IncompleteView;
   std::map<std::size_t, TimePoint> m_DomainsCutUntil;
   Duration m_OldestView{0};
   Duration m_LongestWithoutView{0};
@@ -204,6 +216,8 @@
   std::map<int, TimePoint> TakenAt; ///< First time with that version or later.
   /// Last change of each other key; "removed": the key is gone.
   std::map<std::string, std::string> Values;
+  /// Revision of the last change of each key.
+  std::map<std::string, std::int64_t> KnownRevisions;
   std::string Id;
   KeyFollower &follower() { return *m_Followers.back(); }
 
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(start_storeRejects_viewIsTakenFromOthers);
   CPPUNIT_TEST(change_drawnMixOfImpairments_isInForceInTime);
   CPPUNIT_TEST(change_eachPairOfImpairments_isInForceInTime);
+  CPPUNIT_TEST(confirmedView_manyKeysChange_lacksNoChange);
   CPPUNIT_TEST(targetLeaves_storeRejectsWholeDomain_isKnownInTime);
   CPPUNIT_TEST(targetLeaves_linksNarrowed_isKnownSoonAfterwards);
   CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
@@ -240,6 +241,34 @@
     CPPUNIT_ASSERT_MESSAGE(Faults, Faults.empty());
   }
 
+  // Regression: messages that claimed to hold all changes of a span lacked
+  // some.
+  void confirmedView_manyKeysChange_lacksNoChange() {
+    const char *Text = std::getenv("MANGODECK_KEY_SEEDS"); // "FIRST COUNT"
+    std::uint64_t First = 1;
+    std::uint64_t Count = 6;
+    if (Text)
+      std::istringstream(Text) >> First >> Count;
+    auto Kinds = AllImpairments;
+    Kinds.insert(Kinds.end(), 4, Impairment::KeyBurst);
+    std::string Faults;
+    for (const std::size_t Size : {2, 8, 48})
+      for (auto Seed = First; Seed < First + Count; ++Seed)
+        for (const bool FewServed : {false, true}) {
+          auto Settings = settingsOf(Size, Deadlines[Seed % 3], Seed);
+          Settings.PageItems = Seed % 2 == 0 ? 500 : 60;
+          ChangeFleet Fleet(Settings);
+          Fleet.start();
+          Fleet.startChecks();
+          playMix(Fleet, Kinds, 30s, FewServed);
+          if (!Fleet.incompleteView().empty())
+            Faults +=
+                fmt::format("{} daemons, seed {}, {} served: {}\n", Size, Seed,
+                            FewServed ? "few" : "all", Fleet.incompleteView());
+        }
+    CPPUNIT_ASSERT_MESSAGE(Faults, Faults.empty());
+  }
+
   // Marks of targets that leave, and removals, come by the same way as the
   // configuration.
   void targetLeaves_storeRejectsWholeDomain_isKnownInTime() {
--- a/packages/gateway/test/changefleetdaemon.cpp
+++ b/packages/gateway/test/changefleetdaemon.cpp
@@ -65,6 +65,7 @@
   Version = 0;
   ConfirmedAt = TimePoint{};
   Values.clear();
+  KnownRevisions.clear();
   m_Peers.emplace(Id, FailureDomain(std::to_string(Domain)));
   m_Followers.push_back(std::make_unique<KeyFollower>(
       m_Fleet.m_Time, *this, *this, *this, *this, *this, m_Fleet.m_Log,
@@ -202,7 +203,7 @@
   });
 }
 
-void ChangeFleet::Daemon::list(std::string_view,
+void ChangeFleet::Daemon::list(std::string_view After,
                                KeyValueStore::Callback<KeyPage> Done) {
   const auto Pending = std::make_shared<decltype(Done)>(std::move(Done));
   const auto Finish = [this, Pending,
@@ -215,14 +216,14 @@
   };
   runAt(m_Fleet.m_Time.now() + CallTimeout,
         [Finish] { Finish(unexpected(make_error_code(Errc::Timeout))); });
-  callStore([this, Finish] {
+  callStore([this, Finish, After = std::string(After)] {
     if (isSilent())
       return;
     if (Access == StoreAccess::Rejects)
       return receive(CallBytes, [Finish] {
         Finish(unexpected(make_error_code(Errc::Unavailable)));
       });
-    auto Page = m_Fleet.m_Store.list();
+    auto Page = m_Fleet.m_Store.list(After, m_Fleet.m_Settings.PageItems);
     const auto Bytes = sizeOf(Page.Items) + m_Fleet.m_Settings.OtherKeysBytes;
     receive(Bytes, [Finish, Page = std::move(Page)] { Finish(Page); });
   });
@@ -362,6 +363,7 @@
 }
 
 bool ChangeFleet::Daemon::onKeyUpdated(const KeyChange &Change) {
+  KnownRevisions[Change.Key] = Change.Revision.Number;
   if (Change.Key.starts_with(FleetPeerPrefix)) {
     const auto Vm = Change.Key.substr(FleetPeerPrefix.size());
     const auto Port = std::stoi(Vm.substr(Vm.find('-') + 1));
@@ -383,6 +385,7 @@
 }
 
 void ChangeFleet::Daemon::onKeyRemoved(const KeyChange &Change, bool) {
+  KnownRevisions[Change.Key] = Change.Revision.Number;
   if (Change.Key.starts_with(FleetPeerPrefix))
     return m_Peers->markUnlisted(Change.Key.substr(FleetPeerPrefix.size()),
                                  m_Fleet.m_Time.now());
--- a/packages/gateway/test/changefleetmix.cpp
+++ b/packages/gateway/test/changefleetmix.cpp
@@ -2,6 +2,23 @@
 
 namespace mangodeck {
 
+namespace {
+
+/// Writes or removes \p Count keys of 300 bytes, as when targets register.
+void changeKeys(ChangeFleet &Fleet, std::size_t Count) {
+  for (std::size_t I = 0; I < Count; ++I) {
+    const auto Key =
+        "server/" +
+        std::to_string(static_cast<int>(Fleet.random().uniform() * 200));
+    if (Fleet.random().uniform() < 0.3)
+      Fleet.store().remove(Key);
+    else
+      Fleet.store().write(Key, std::string(300, 'x'));
+  }
+}
+
+} // namespace
+
 void serveOnly(ChangeFleet &Fleet, const std::vector<std::size_t> &Served,
                StoreAccess Others) {
   for (std::size_t I = 0; I < Fleet.size(); ++I)
@@ -60,6 +77,8 @@
       Fleet.LossShare = Random.uniform() < 0.5 ? 0 : 0.25;
     else if (Drawn == Impairment::DroppedHistory)
       Fleet.store().dropHistory();
+    else if (Drawn == Impairment::KeyBurst)
+      changeKeys(Fleet, 1 + Draw(60));
     Fleet.runFor(DrawSpan(0.1, 1.5));
   }
   Fleet.runFor(6s);
--- a/packages/gateway/test/changefleetmix.h
+++ b/packages/gateway/test/changefleetmix.h
@@ -16,7 +16,9 @@
   SilentConnections,
   CutDomain,
   Loss,
-  DroppedHistory
+  DroppedHistory,
+  /// Many other keys are written and removed at once.
+  KeyBurst
 };
 
 inline const std::vector<Impairment> AllImpairments{
