--- a/packages/gateway/include/mangodeck/gateway/keyreplica.h
+++ b/packages/gateway/include/mangodeck/gateway/keyreplica.h
@@ -22,6 +22,10 @@
   /// Whether \p Change is newer than what is known of its key. A removed key is
   /// remembered, so that a delayed copy of its value does not bring it back.
   bool isNewer(const KeyChange &Change) const;
+  /// Whether \p Change is newer than what is known of its key, and a daemon
+  /// that knows all changes up to a revision behind it would know it: an
+  /// unknown key has not been removed since.
+  bool isMissing(const KeyChange &Change) const;
   bool contains(const std::string &Key) const { return m_Items.contains(Key); }
   /// Records a newer value. \p IsHeartbeat: it makes no difference to any
   /// daemon and is left out of changesAfter().
--- a/packages/gateway/src/keyreplica.cpp
+++ b/packages/gateway/src/keyreplica.cpp
@@ -26,6 +26,14 @@
          Change.Revision > Removed->second.Change.Change.Revision;
 }
 
+bool KeyReplica::isMissing(const KeyChange &Change) const {
+  if (!isNewer(Change))
+    return false;
+  if (contains(Change.Key))
+    return true;
+  return !Change.Removed && Change.Revision > m_CompleteFrom;
+}
+
 void KeyReplica::update(const KeyChange &Change, bool IsHeartbeat) {
   if (const auto Removed = m_Removals.find(Change.Key);
       Removed != m_Removals.end()) {
