--- a/packages/gateway/test/changefleet.h
+++ b/packages/gateway/test/changefleet.h
@@ -216,7 +216,7 @@
   std::map<int, TimePoint> TakenAt; ///< First time with that version or later.
   /// Last change of each other key; "removed": the key is gone.
   std::map<std::string, std::string> Values;
-  /// Revision of the last change of each key.
+  /// Revision of the last change of each key that exists.
   std::map<std::string, std::int64_t> KnownRevisions;
   std::string Id;
   KeyFollower &follower() { return *m_Followers.back(); }
--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(change_drawnMixOfImpairments_isInForceInTime);
   CPPUNIT_TEST(change_eachPairOfImpairments_isInForceInTime);
   CPPUNIT_TEST(confirmedView_manyKeysChange_lacksNoChange);
+  CPPUNIT_TEST(confirmedView_startsWithKeysKnownEarly_lacksNoChange);
   CPPUNIT_TEST(targetLeaves_storeRejectsWholeDomain_isKnownInTime);
   CPPUNIT_TEST(targetLeaves_linksNarrowed_isKnownSoonAfterwards);
   CPPUNIT_TEST(calm_anySize_asksNoPeersAndCallsDoNotGrow);
@@ -249,26 +250,21 @@
     std::uint64_t Count = 6;
     if (Text)
       std::istringstream(Text) >> First >> Count;
-    auto Kinds = AllImpairments;
-    Kinds.insert(Kinds.end(), 4, Impairment::KeyBurst);
     std::string Faults;
     for (const std::size_t Size : {2, 8, 48})
       for (auto Seed = First; Seed < First + Count; ++Seed)
-        for (const bool FewServed : {false, true}) {
-          auto Settings = settingsOf(Size, Deadlines[Seed % 3], Seed);
-          Settings.PageItems = Seed % 2 == 0 ? 500 : 60;
-          ChangeFleet Fleet(Settings);
-          Fleet.start();
-          Fleet.startChecks();
-          playMix(Fleet, Kinds, 30s, FewServed);
-          if (!Fleet.incompleteView().empty())
-            Faults +=
-                fmt::format("{} daemons, seed {}, {} served: {}\n", Size, Seed,
-                            FewServed ? "few" : "all", Fleet.incompleteView());
-        }
+        for (const bool FewServed : {false, true})
+          Faults += playKeyChanges(Size, Seed, FewServed);
     CPPUNIT_ASSERT_MESSAGE(Faults, Faults.empty());
   }
 
+  // Regression: a daemon that began with the keys of another one, whose listing
+  // was in progress, left a version out of its messages.
+  void confirmedView_startsWithKeysKnownEarly_lacksNoChange() {
+    const auto Fault = playKeyChanges(48, 57, true);
+    CPPUNIT_ASSERT_MESSAGE(Fault, Fault.empty());
+  }
+
   // Marks of targets that leave, and removals, come by the same way as the
   // configuration.
   void targetLeaves_storeRejectsWholeDomain_isKnownInTime() {
@@ -419,6 +415,24 @@
     return Settings;
   }
 
+  /// Plays all impairments beside many changes of other keys. Returns what a
+  /// confirmed view lacked; empty if nothing.
+  static std::string playKeyChanges(std::size_t Size, std::uint64_t Seed,
+                                    bool FewServed) {
+    auto Kinds = AllImpairments;
+    Kinds.insert(Kinds.end(), 4, Impairment::KeyBurst);
+    auto Settings = settingsOf(Size, Deadlines[Seed % 3], Seed);
+    Settings.PageItems = Seed % 2 == 0 ? 500 : 60;
+    ChangeFleet Fleet(Settings);
+    Fleet.start();
+    Fleet.startChecks();
+    playMix(Fleet, Kinds, 30s, FewServed);
+    if (Fleet.incompleteView().empty())
+      return {};
+    return fmt::format("{} daemons, seed {}, {} served: {}\n", Size, Seed,
+                       FewServed ? "few" : "all", Fleet.incompleteView());
+  }
+
   static void writeVersions(ChangeFleet &Fleet, int Count, Duration Interval) {
     for (int I = 0; I < Count; ++I) {
       Fleet.writeVersion();
--- a/packages/gateway/test/changefleetdaemon.cpp
+++ b/packages/gateway/test/changefleetdaemon.cpp
@@ -385,7 +385,7 @@
 }
 
 void ChangeFleet::Daemon::onKeyRemoved(const KeyChange &Change, bool) {
-  KnownRevisions[Change.Key] = Change.Revision.Number;
+  KnownRevisions.erase(Change.Key);
   if (Change.Key.starts_with(FleetPeerPrefix))
     return m_Peers->markUnlisted(Change.Key.substr(FleetPeerPrefix.size()),
                                  m_Fleet.m_Time.now());
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -145,6 +145,11 @@
   CPPUNIT_TEST(peers_valueOmittedAndStoreRejects_giveValue);
   CPPUNIT_TEST(peers_answerWithGap_givesValuesOnly);
   CPPUNIT_TEST(peers_ownChanges_areTold);
+  CPPUNIT_TEST(relay_missedChangeIsRepeated_isApplied);
+  CPPUNIT_TEST(relay_forgottenRemoval_oldValueIsNotBroughtBack);
+  CPPUNIT_TEST(listing_keysMayHaveComeAndGone_gapIsToldToPeers);
+  CPPUNIT_TEST(listing_keysMayHaveComeAndGone_gapIsRelayed);
+  CPPUNIT_TEST(peers_keyKnownEarlyIsNotMentioned_revisionIsNotTaken);
   CPPUNIT_TEST(relayMessage_encodedAndDecoded_isUnchanged);
   CPPUNIT_TEST(relayMessage_withSender_tellsProcess);
   CPPUNIT_TEST(relayMessage_withoutSender_isAccepted);
@@ -544,6 +549,72 @@
     CPPUNIT_ASSERT_EQUAL(std::string("v"), m_Observer.Values["a"]);
   }
 
+  // Regression: a change that a former message had left out was ignored when
+  // later ones told it, since its revision was confirmed.
+  void relay_missedChangeIsRepeated_isApplied() {
+    followRelay();
+    m_Follower->onRelayedChanges({{0, 10}, {0, 30}, 0ms, {}});
+    m_Follower->onRelayedChanges(
+        {{0, 10},
+         {0, 31},
+         0ms,
+         {change("a", "new", 25), change("c", "3", 26)}});
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), m_Observer.Values["a"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), m_Observer.Values["c"]);
+  }
+
+  void relay_forgottenRemoval_oldValueIsNotBroughtBack() {
+    followRelay();
+    m_Follower->onRelayedChanges(
+        {{0, 5}, {0, 31}, 0ms, {change("gone", "1", 7)}});
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("gone"));
+  }
+
+  // Regression: a target that had registered and left between two listings of
+  // this daemon was left registered at those that asked it for changes.
+  void listing_keysMayHaveComeAndGone_gapIsToldToPeers() {
+    answerFirstList();
+    listAgain(20);
+    CPPUNIT_ASSERT(m_Follower->answer({0, 15})->From == (StoreRevision{0, 20}));
+    CPPUNIT_ASSERT(m_Follower->answer({0, 10})->From == (StoreRevision{0, 10}));
+    CPPUNIT_ASSERT(m_Follower->answer({0, 20})->From == (StoreRevision{0, 20}));
+  }
+
+  void listing_keysMayHaveComeAndGone_gapIsRelayed() {
+    m_Relay.Relaying = true;
+    answerFirstList();
+    listAgain(20);
+    const auto Message = m_Relay.Sent.at(0);
+    CPPUNIT_ASSERT(Message.From == (StoreRevision{0, 10}));
+    // A receiver between both listings lacks the removals; one at the first
+    // listing does not.
+    tearDown();
+    setUp();
+    followRelay(); // Knows revision 12.
+    m_Follower->onRelayedChanges(Message);
+    CPPUNIT_ASSERT(m_Store.Watches.back() == (StoreRevision{0, 12}));
+    CPPUNIT_ASSERT(m_Follower->answer({0, 12})->To == (StoreRevision{0, 12}));
+  }
+
+  // Regression: a key learned from an answer with a gap stayed, although its
+  // removal was in that gap of the next daemon's listing.
+  void peers_keyKnownEarlyIsNotMentioned_revisionIsNotTaken() {
+    answerFirstList();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::LimitExceeded)));
+    awaitQuery();
+    m_Peers.LastDone(RelayedChanges{
+        {0, 30}, {0, 40}, 0ms, {change("early", "1", 35)}, "x", 1});
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), m_Observer.Values["early"]);
+    awaitQuery();
+    m_Peers.LastDone(RelayedChanges{{0, 10}, {0, 40}, 0ms, {}, "y", 1});
+    CPPUNIT_ASSERT(m_Follower->answer({0, 10})->To == (StoreRevision{0, 10}));
+    awaitQuery();
+    m_Peers.LastDone(
+        RelayedChanges{{0, 10}, {0, 41}, 0ms, {removal("early", 38)}, "z", 1});
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("early"));
+    CPPUNIT_ASSERT(m_Follower->answer({0, 10})->To == (StoreRevision{0, 41}));
+  }
+
   void relaying_noChanges_confirmsPeriodically() {
     m_Relay.Relaying = true;
     answerFirstList();
@@ -744,6 +815,27 @@
     return {{Key, Value, {0, Revision}, false}, false, false};
   }
 
+  static RelayedChange removal(const char *Key, std::int64_t Revision) {
+    return {{Key, "", {0, Revision}, true}, false, false};
+  }
+
+  /// The store has dropped its history; nothing has changed up to \p Revision.
+  void listAgain(std::int64_t Revision) {
+    m_Store.answerWatch(unexpected(make_error_code(Errc::StaleStore)));
+    m_Store.answerList(
+        KeyPage{{{"a", "1", {0, 5}, false}, {"b", "2", {0, 6}, false}},
+                false,
+                {0, Revision}});
+  }
+
+  /// Runs until another daemon is asked.
+  void awaitQuery() {
+    const auto Queries = m_Peers.Queries.size();
+    for (int I = 0; I < 3 && m_Peers.Queries.size() == Queries; ++I)
+      runTimers();
+    CPPUNIT_ASSERT(m_Peers.Queries.size() > Queries);
+  }
+
   /// The follower has listed, and a relay has told it the store at revision 12.
   void followRelay() {
     answerFirstList();
