gateway: a daemon that begins with another one's keys tells the changes known early

Cause: a daemon can know a change before all that precede it are known, from a page of a listing in progress or an answer with a gap. One that starts without the store takes over such a change with all keys, and then restarted its RelayWindow, which dropped the change: its next message claimed to hold all changes of a span and lacked it. The receivers took the end of the span for their revision, passed the message on, and ignored the change in later messages. More changes than fit into a message dropped it in the same way. Change: what is known beyond the revision stays in the window.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -98,7 +98,8 @@
 /// Heartbeats, which make no difference to the daemons, are left out, too.
 class RelayWindow {
 public:
-  /// Forgets all changes. The next message starts at \p Known.
+  /// Forgets the changes up to \p Known, at which the next message starts. Later
+  /// ones stay: they can be known before all that precede them are.
   void restart(StoreRevision Known);
   /// Records a change that makes a difference. If it removes a key, the last
   /// heartbeat of that key is recorded before it, so that receivers know the
@@ -121,6 +122,7 @@
   };
 
   void append(RelayedChange Relayed);
+  void forgetUntil(StoreRevision Known);
   /// Takes the changes up to \p Known out of m_Changes.
   Batch takeBatch(StoreRevision Known);
 
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -137,12 +137,21 @@
 void RelayWindow::restart(StoreRevision Known) {
   m_Sent.clear();
   m_From = Known;
-  m_Changes.clear();
-  m_Bytes = 0;
-  m_LatestOmitted = {};
+  forgetUntil(Known);
   m_LastHeartbeats.clear();
 }
 
+void RelayWindow::forgetUntil(StoreRevision Known) {
+  std::erase_if(m_Changes, [&](const RelayedChange &Each) {
+    return Each.Change.Revision <= Known;
+  });
+  if (m_LatestOmitted > Known)
+    return; // The next messages leave a gap up to it.
+  m_Bytes = 0;
+  for (const auto &Each : m_Changes)
+    m_Bytes += sizeOf(Each);
+}
+
 void RelayWindow::append(RelayedChange Relayed) {
   m_Bytes += sizeOf(Relayed);
   if (m_Bytes <= MaxMessageBytes)
@@ -155,10 +164,7 @@
   Batch Taken{std::exchange(m_From, Known), {}, 0};
   if (m_Bytes > MaxMessageBytes) {
     Taken.Bytes = m_Bytes;
-    if (m_LatestOmitted <= Known) {
-      m_Changes.clear();
-      m_Bytes = 0;
-    }
+    forgetUntil(Known);
     return Taken;
   }
   // A change can be known before all that precede it are, as from a listing in
