gateway: a daemon applies a change that it missed when another message tells it

Change: it is applied if the key is known with an older value, or unknown and its removal would be remembered. change_missed tells of it. Result: relay_missedChangeIsRepeated_isApplied failed before, and passes; a forgotten removal is not undone (relay_forgottenRemoval_..).

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -134,9 +134,9 @@
   void finishFirstListing();
   /// Removes the keys that another daemon, which has told all keys, lacks.
   void removeUnlisted(const RelayedChanges &AllKeys);
-  /// Logs \p Change if it is missing although all changes up to its revision
-  /// had been confirmed.
-  void reportIfMissed(const KeyChange &Change);
+  /// Whether \p Change is missing although all changes up to its revision had
+  /// been confirmed, which is logged.
+  bool wasMissed(const KeyChange &Change);
   /// Applies the changes of a message that are newer than what is known.
   void applyAll(const RelayedChanges &Message);
   IncarnationId ownIncarnation() const;
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -133,7 +133,7 @@
   for (const auto &Item : Page->Items) {
     m_Listed.insert(Item.Key);
     if (m_HasListing)
-      reportIfMissed(Item);
+      wasMissed(Item);
     apply(Item, false);
   }
   if (Page->HasMore && !Page->Items.empty())
--- a/packages/gateway/src/keyfollowerpeers.cpp
+++ b/packages/gateway/src/keyfollowerpeers.cpp
@@ -237,21 +237,22 @@
     apply(Change, isAfterOutage(m_Time.now()));
 }
 
-void KeyFollower::reportIfMissed(const KeyChange &Change) {
+bool KeyFollower::wasMissed(const KeyChange &Change) {
   if (Change.Revision > m_Revision || !m_Replica.isMissing(Change))
-    return;
+    return false;
   m_Log.write("change_missed",
               {{"key", Change.Key},
                {"removed", Change.Removed},
                {"change_revision", Change.Revision.Number},
                {"revision", m_Revision.Number},
                {"confirmed_ms", ageMs(m_ConfirmedAt, m_Time.now())}});
+  return true;
 }
 
 void KeyFollower::applyAll(const RelayedChanges &Message) {
   for (const auto &Relayed : Message.Changes) {
-    reportIfMissed(Relayed.Change);
-    if (Relayed.Change.Revision > m_Revision && !Relayed.ValueOmitted)
+    const bool IsLater = Relayed.Change.Revision > m_Revision;
+    if ((IsLater || wasMissed(Relayed.Change)) && !Relayed.ValueOmitted)
       apply(Relayed.Change, Relayed.AfterOutage);
   }
   m_Revision = std::max(m_Revision, Message.To);
