gateway: daemons state between which revisions removals are unknown to them

Callers: requests are still sent to a target that has left, at some daemons, until these list all keys by themselves; the same for orders of roll-outs and registrations of daemons. Cause: a listing shows neither a key that was added since the last known revision nor its removal. The daemon claimed to know all removals of that span nevertheless, in its answers and its messages, and one that knew the key by another way kept it. Change: RevisionGap. A receiver at a revision inside the gap reads the changes elsewhere; others take the gap over. Messages without one are as before. Result: two tests of KeyFollowerTest failed before, and pass.

--- a/packages/gateway/include/mangodeck/gateway/changerelay.h
+++ b/packages/gateway/include/mangodeck/gateway/changerelay.h
@@ -38,9 +38,20 @@
   Duration SentAt{0}; ///< Of the query, by its steady clock.
 };
 
+/// Revisions between which keys may have been added and removed again
+/// unnoticed: listings at both show neither.
+struct RevisionGap {
+  StoreRevision From;
+  StoreRevision To;
+  /// Whether a daemon at \p Revision may know keys whose removal is not known.
+  bool contains(StoreRevision Revision) const {
+    return From < Revision && Revision < To;
+  }
+};
+
 /// All changes of the store after From and up to To that make a difference to a
-/// daemon. A receiver that knows the store at From or later knows it at To
-/// after it has applied them.
+/// daemon. A receiver that knows the store at From or later, and at no revision
+/// in one of Gaps, knows it at To after it has applied them.
 struct RelayedChanges {
   StoreRevision From;
   StoreRevision To;
@@ -61,6 +72,7 @@
   IncarnationId Receiver = UnknownIncarnation;
   /// Where the receiver can ask the sender; not part of the encoded message.
   std::optional<PeerEndpoint> Sender = std::nullopt;
+  std::vector<RevisionGap> Gaps = {};
 };
 
 /// Values above this size are sent as their difference from the value before.
@@ -98,8 +110,8 @@
 /// Heartbeats, which make no difference to the daemons, are left out, too.
 class RelayWindow {
 public:
-  /// Forgets the changes up to \p Known, at which the next message starts. Later
-  /// ones stay: they can be known before all that precede them are.
+  /// Forgets the changes up to \p Known, at which the next message starts.
+  /// Later ones stay: they can be known before all that precede them are.
   void restart(StoreRevision Known);
   /// Records a change that makes a difference. If it removes a key, the last
   /// heartbeat of that key is recorded before it, so that receivers know the
@@ -107,6 +119,8 @@
   /// a large value.
   void record(const KeyChange &Change, bool AfterOutage,
               std::optional<ValueDelta> Delta = std::nullopt);
+  /// Records that removals are not known; see RevisionGap.
+  void recordGap(const RevisionGap &Gap) { m_Gaps.push_back(Gap); }
   /// Records an update that makes no difference.
   void recordHeartbeat(const KeyChange &Change);
   /// The next message, also of a daemon that does not send it; the store has
@@ -118,6 +132,7 @@
   struct Batch {
     StoreRevision From;
     std::vector<RelayedChange> Changes;
+    std::vector<RevisionGap> Gaps;
     std::size_t Bytes = 0;
   };
 
@@ -129,7 +144,8 @@
   std::deque<Batch> m_Sent; ///< To be repeated, the latest last.
   StoreRevision m_From;     ///< The changes of m_Changes follow it.
   std::vector<RelayedChange> m_Changes;
-  std::size_t m_Bytes = 0; ///< Of m_Changes, and of those left out.
+  std::vector<RevisionGap> m_Gaps; ///< After m_From.
+  std::size_t m_Bytes = 0;         ///< Of m_Changes, and of those left out.
   /// The latest of those left out.
   StoreRevision m_LatestOmitted;
   std::unordered_map<std::string, KeyChange> m_LastHeartbeats; ///< By key.
--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -132,6 +132,10 @@
                  Duration Interval);
   /// All keys are known up to m_Revision.
   void finishFirstListing();
+  /// The store is now known as of \p Listed, by a list of all keys.
+  void recordListed(StoreRevision Listed);
+  /// Whether the message does not take the own knowledge to its end.
+  bool leavesGap(const RelayedChanges &Message) const;
   /// Removes the keys that another daemon, which has told all keys, lacks.
   void removeUnlisted(const RelayedChanges &AllKeys);
   /// Whether \p Change is missing although all changes up to its revision had
--- a/packages/gateway/include/mangodeck/gateway/keyreplica.h
+++ b/packages/gateway/include/mangodeck/gateway/keyreplica.h
@@ -50,9 +50,13 @@
   /// revisions, from their differences. Those whose base is not known, or is
   /// another one, stay omitted.
   void resolveDeltas(std::vector<RelayedChange> &Changes) const;
-  /// changesAfter() lacks removals if it is asked for those before this
-  /// revision.
-  StoreRevision completeFrom() const { return m_CompleteFrom; }
+  /// Records that removals are not known; see RevisionGap.
+  void recordGap(const RevisionGap &Gap);
+  /// The least revision, at least \p After, for which changesAfter() lacks no
+  /// removal.
+  StoreRevision completeFrom(StoreRevision After) const;
+  /// The gaps that begin at \p After or later.
+  std::vector<RevisionGap> gapsAfter(StoreRevision After) const;
   /// All keys are known as of \p Listed, and no removals before.
   void restart(StoreRevision Listed);
 
@@ -75,7 +79,9 @@
   std::unordered_map<std::string, Item> m_Items;
   std::unordered_map<std::string, Removal> m_Removals;
   std::map<StoreRevision, std::string> m_RemovalOrder;
+  /// Removals before may not be known.
   StoreRevision m_CompleteFrom;
+  std::deque<RevisionGap> m_Gaps; ///< After m_CompleteFrom, the latest last.
 };
 
 } // namespace mangodeck
--- a/packages/gateway/src/changerelay.cpp
+++ b/packages/gateway/src/changerelay.cpp
@@ -17,8 +17,10 @@
 constexpr int RelayTag = 4;
 /// First byte of a MessagePack array of up to 15 elements, plus their number.
 constexpr unsigned char ArrayMarker = 0x90;
-/// Elements of a message to a subscriber, to a failure domain, of one that does
-/// not state when it was sent, and of one that does not state its sender.
+/// Elements of a message with gaps, to a subscriber, to a failure domain, of
+/// one that does not state when it was sent, and of one that does not state its
+/// sender.
+constexpr std::size_t GapFields = 12;
 constexpr std::size_t SubscriberFields = 11;
 constexpr std::size_t TimedRelayFields = 10;
 constexpr std::size_t RelayFields = 8;
@@ -45,6 +47,23 @@
                       Delta.ValueBytes, Delta.Bytes});
 }
 
+Json encodeGaps(const std::vector<RevisionGap> &Gaps) {
+  Json Numbers = Json::array();
+  for (const auto &Each : Gaps) {
+    Numbers.push_back(Each.From.Number);
+    Numbers.push_back(Each.To.Number);
+  }
+  return Numbers;
+}
+
+std::vector<RevisionGap> decodeGaps(const Json &Numbers, std::uint64_t Era) {
+  std::vector<RevisionGap> Gaps;
+  for (std::size_t I = 0; I < Numbers.size(); I += 2)
+    Gaps.push_back({{Era, Numbers.at(I).get<std::int64_t>()},
+                    {Era, Numbers.at(I + 1).get<std::int64_t>()}});
+  return Gaps;
+}
+
 ValueDelta decodeDelta(const Json &Fields) {
   ValueDelta Delta;
   Delta.BaseRevision = Fields.at(0).get<std::int64_t>();
@@ -73,13 +92,16 @@
   Json Fields = Json::array({RelayTag, Message.To.Era, Message.From.Number,
                              Message.To.Number, Age.count(), std::move(Changes),
                              Message.Vm, Message.Incarnation});
-  if (Message.SentAt != Duration{0}) {
+  const bool HasGaps = !Message.Gaps.empty();
+  if (Message.SentAt != Duration{0} || HasGaps) {
     Fields.push_back(
         std::chrono::duration_cast<std::chrono::microseconds>(Message.SentAt)
             .count());
     Fields.push_back(Message.Suspensions);
-    if (Message.Receiver != UnknownIncarnation)
+    if (Message.Receiver != UnknownIncarnation || HasGaps)
       Fields.push_back(Message.Receiver);
+    if (HasGaps)
+      Fields.push_back(encodeGaps(Message.Gaps));
   }
   std::string Bytes;
   Json::to_msgpack(Fields, Bytes);
@@ -90,7 +112,8 @@
   if (Bytes.size() < 2 || Bytes[1] != RelayTag)
     return std::nullopt;
   const auto Marker = static_cast<unsigned char>(Bytes[0]);
-  if (Marker != ArrayMarker + SubscriberFields &&
+  if (Marker != ArrayMarker + GapFields &&
+      Marker != ArrayMarker + SubscriberFields &&
       Marker != ArrayMarker + TimedRelayFields &&
       Marker != ArrayMarker + RelayFields &&
       Marker != ArrayMarker + AnonymousRelayFields)
@@ -128,6 +151,8 @@
     }
     if (Fields.size() >= SubscriberFields)
       Message.Receiver = Fields[10].get<IncarnationId>();
+    if (Fields.size() >= GapFields)
+      Message.Gaps = decodeGaps(Fields[11], Era);
     return Message;
   } catch (const Json::exception &) {
     return std::nullopt;
@@ -137,6 +162,7 @@
 void RelayWindow::restart(StoreRevision Known) {
   m_Sent.clear();
   m_From = Known;
+  m_Gaps.clear();
   forgetUntil(Known);
   m_LastHeartbeats.clear();
 }
@@ -161,7 +187,7 @@
 }
 
 RelayWindow::Batch RelayWindow::takeBatch(StoreRevision Known) {
-  Batch Taken{std::exchange(m_From, Known), {}, 0};
+  Batch Taken{std::exchange(m_From, Known), {}, std::exchange(m_Gaps, {}), 0};
   if (m_Bytes > MaxMessageBytes) {
     Taken.Bytes = m_Bytes;
     forgetUntil(Known);
@@ -222,9 +248,11 @@
   for (; m_Sent.size() > 1 && Bytes > MaxRepeatedBytes; m_Sent.pop_front())
     Bytes -= m_Sent.front().Bytes;
   Message.From = m_Sent.front().From;
-  for (const auto &Each : m_Sent)
+  for (const auto &Each : m_Sent) {
     Message.Changes.insert(Message.Changes.end(), Each.Changes.begin(),
                            Each.Changes.end());
+    Message.Gaps.insert(Message.Gaps.end(), Each.Gaps.begin(), Each.Gaps.end());
+  }
   return Message;
 }
 
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -149,6 +149,7 @@
        m_Replica.findUnlisted(m_Listed, *m_ListingRevision))
     apply(Change, isAfterOutage(m_Time.now()));
   m_Listed.clear();
+  recordListed(*m_ListingRevision);
   // Other daemons may have told later changes meanwhile.
   m_Revision = std::max(m_Revision, *m_ListingRevision);
   m_IsListed = true;
@@ -164,6 +165,14 @@
   awaitNextWatch();
 }
 
+void KeyFollower::recordListed(StoreRevision Listed) {
+  const RevisionGap Gap{m_Revision, Listed};
+  if (!m_HasListing || Gap.From >= Gap.To)
+    return;
+  m_Replica.recordGap(Gap);
+  m_Window.recordGap(Gap);
+}
+
 void KeyFollower::finishFirstListing() {
   m_Replica.restart(m_Revision);
   m_Window.restart(m_Revision);
--- a/packages/gateway/src/keyfollowerpeers.cpp
+++ b/packages/gateway/src/keyfollowerpeers.cpp
@@ -124,7 +124,7 @@
   m_Replica.resolveDeltas(Message.Changes);
   const bool MissesValue = missesValue(Message);
   m_Observer.onOrigin({ChangeSource::Relay, Message.Vm, Message.Incarnation});
-  if (Message.From > m_Revision || MissesValue) {
+  if (leavesGap(Message) || MissesValue) {
     // The store usually gives an omitted value at once.
     m_Log.write("relay_incomplete",
                 {{"revision", m_Revision.Number},
@@ -158,7 +158,7 @@
     return std::nullopt;
   const auto After = Query.After;
   RelayedChanges Message;
-  Message.From = std::max(After, m_Replica.completeFrom());
+  Message.From = m_Replica.completeFrom(After);
   if (After.Number == 0) // All keys.
     Message.From = {m_Revision.Era, 0};
   // Revisions of an earlier era tell nothing of this one.
@@ -169,6 +169,8 @@
   Message.SentAt = m_Time.now().time_since_epoch();
   Message.Suspensions = m_Suspensions;
   Message.Changes = m_Replica.changesAfter(After, Query.AcceptsDeltas);
+  if (After.Number != 0)
+    Message.Gaps = m_Replica.gapsAfter(Message.From);
   m_Relay.stamp(Message);
   return Message;
 }
@@ -194,11 +196,12 @@
   m_NeedsWholeValues = missesValue(Message);
   // After a gap, the changes of each key are right, but those of others may be
   // missing.
-  if ((!IsFirst && Message.From > m_Revision) || m_NeedsWholeValues) {
+  const bool LeavesGap = !IsFirst && leavesGap(Message);
+  if (LeavesGap || m_NeedsWholeValues) {
     for (const auto &Relayed : Message.Changes)
       if (!Relayed.Change.Removed && !Relayed.ValueOmitted)
         apply(Relayed.Change, Relayed.AfterOutage);
-    if (Message.From > m_Revision && !m_StoreReachable && Message.Sender)
+    if (LeavesGap && !m_StoreReachable && Message.Sender)
       m_CatchUp.askForAllKeys(*Message.Sender);
     return;
   }
@@ -235,6 +238,13 @@
       Listed.insert(Relayed.Change.Key);
   for (const auto &Change : m_Replica.findUnlisted(Listed, AllKeys.To))
     apply(Change, isAfterOutage(m_Time.now()));
+  recordListed(AllKeys.To);
+}
+
+bool KeyFollower::leavesGap(const RelayedChanges &Message) const {
+  return Message.From > m_Revision ||
+         std::any_of(Message.Gaps.begin(), Message.Gaps.end(),
+                     [&](const auto &Gap) { return Gap.contains(m_Revision); });
 }
 
 bool KeyFollower::wasMissed(const KeyChange &Change) {
@@ -255,6 +265,11 @@
     if ((IsLater || wasMissed(Relayed.Change)) && !Relayed.ValueOmitted)
       apply(Relayed.Change, Relayed.AfterOutage);
   }
+  for (const auto &Gap : Message.Gaps)
+    if (Gap.From >= m_Revision) {
+      m_Replica.recordGap(Gap);
+      m_Window.recordGap(Gap);
+    }
   m_Revision = std::max(m_Revision, Message.To);
 }
 
--- a/packages/gateway/src/keyreplica.cpp
+++ b/packages/gateway/src/keyreplica.cpp
@@ -11,6 +11,9 @@
 /// large deployment that leave within the longest time for which a daemon asks
 /// others.
 constexpr std::size_t MaxRemovals = 1024;
+/// Above the number of listings, each after a failed call, in the longest time
+/// for which a daemon asks others.
+constexpr std::size_t MaxGaps = 16;
 /// Former values that are kept of a large value, and the size above which
 /// values travel whole: DEFLATE refers to the last 32 KiB only.
 constexpr std::size_t MaxFormerValues = 4;
@@ -31,7 +34,34 @@
     return false;
   if (contains(Change.Key))
     return true;
-  return !Change.Removed && Change.Revision > m_CompleteFrom;
+  return !Change.Removed && Change.Revision > m_CompleteFrom &&
+         std::none_of(m_Gaps.begin(), m_Gaps.end(), [&](const auto &Each) {
+           return Each.contains(Change.Revision);
+         });
+}
+
+void KeyReplica::recordGap(const RevisionGap &Gap) {
+  m_Gaps.push_back(Gap);
+  if (m_Gaps.size() <= MaxGaps)
+    return;
+  m_CompleteFrom = std::max(m_CompleteFrom, m_Gaps.front().To);
+  m_Gaps.pop_front();
+}
+
+StoreRevision KeyReplica::completeFrom(StoreRevision After) const {
+  auto From = std::max(After, m_CompleteFrom);
+  for (const auto &Each : m_Gaps)
+    if (Each.contains(From))
+      From = Each.To;
+  return From;
+}
+
+std::vector<RevisionGap> KeyReplica::gapsAfter(StoreRevision After) const {
+  std::vector<RevisionGap> Later;
+  for (const auto &Each : m_Gaps)
+    if (Each.From >= After)
+      Later.push_back(Each);
+  return Later;
 }
 
 void KeyReplica::update(const KeyChange &Change, bool IsHeartbeat) {
@@ -155,6 +185,7 @@
 void KeyReplica::restart(StoreRevision Listed) {
   m_Removals.clear();
   m_RemovalOrder.clear();
+  m_Gaps.clear();
   m_CompleteFrom = Listed;
 }
 
