gateway: a key known early is confirmed only by a message that tells of it

Cause: an answer with a gap gives keys of revisions beyond the own one. The next answer, complete from the own revision, need not tell that such a key has been removed: its sender may have listed before the key was added and after its removal. The key stayed. Change: m_EarlyKeys. A message that tells nothing of one leaves a gap. Result: peers_keyKnownEarlyIsNotMentioned_.. failed before, and passes.

--- a/packages/gateway/include/mangodeck/gateway/keyfollower.h
+++ b/packages/gateway/include/mangodeck/gateway/keyfollower.h
@@ -136,6 +136,13 @@
   void recordListed(StoreRevision Listed);
   /// Whether the message does not take the own knowledge to its end.
   bool leavesGap(const RelayedChanges &Message) const;
+  /// Whether the message does not tell what became of a key that is known
+  /// early: its sender may not know of it, nor of its removal.
+  bool leavesKeyOpen(const RelayedChanges &Message) const;
+  /// Applies a change that is known before all that precede it are.
+  void applyEarly(const KeyChange &Change, bool AfterOutage);
+  /// All changes up to \p Revision are known.
+  void advance(StoreRevision Revision);
   /// Removes the keys that another daemon, which has told all keys, lacks.
   void removeUnlisted(const RelayedChanges &AllKeys);
   /// Whether \p Change is missing although all changes up to its revision had
@@ -207,6 +214,8 @@
   /// Keys on the pages of the current listing.
   std::unordered_set<std::string> m_Listed;
   StoreRevision m_Revision; ///< Watches start after this revision.
+  /// Keys that were written after it, as far as they are known.
+  std::map<std::string, StoreRevision> m_EarlyKeys;
   /// Revision of the current listing's first page; std::nullopt before it.
   std::optional<StoreRevision> m_ListingRevision;
   /// The store was restored and no listing has been completed since.
--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -134,7 +134,7 @@
     m_Listed.insert(Item.Key);
     if (m_HasListing)
       wasMissed(Item);
-    apply(Item, false);
+    applyEarly(Item, false);
   }
   if (Page->HasMore && !Page->Items.empty())
     return listFrom(Page->Items.back().Key);
@@ -150,8 +150,7 @@
     apply(Change, isAfterOutage(m_Time.now()));
   m_Listed.clear();
   recordListed(*m_ListingRevision);
-  // Other daemons may have told later changes meanwhile.
-  m_Revision = std::max(m_Revision, *m_ListingRevision);
+  advance(*m_ListingRevision);
   m_IsListed = true;
   const bool IsFirst = !std::exchange(m_HasListing, true);
   if (IsFirst)
@@ -165,6 +164,19 @@
   awaitNextWatch();
 }
 
+void KeyFollower::applyEarly(const KeyChange &Change, bool AfterOutage) {
+  if (Change.Revision > m_Revision && m_Replica.isNewer(Change))
+    m_EarlyKeys[Change.Key] = Change.Revision;
+  apply(Change, AfterOutage);
+}
+
+void KeyFollower::advance(StoreRevision Revision) {
+  // Other daemons may have told later changes meanwhile.
+  m_Revision = std::max(m_Revision, Revision);
+  std::erase_if(m_EarlyKeys,
+                [&](const auto &Each) { return Each.second <= m_Revision; });
+}
+
 void KeyFollower::recordListed(StoreRevision Listed) {
   const RevisionGap Gap{m_Revision, Listed};
   if (!m_HasListing || Gap.From >= Gap.To)
@@ -222,7 +234,7 @@
   for (const auto &Change : Answer->Changes)
     if (Change.Revision > m_Revision) // Else the relay has told it.
       apply(Change, isAfterOutage(m_Time.now()));
-  m_Revision = std::max(m_Revision, Answer->AsOf);
+  advance(Answer->AsOf);
   // An answer without changes is sent at the end of the wait; one with changes
   // may have been on its way for any time since the start.
   const bool HasWaited =
--- a/packages/gateway/src/keyfollowerpeers.cpp
+++ b/packages/gateway/src/keyfollowerpeers.cpp
@@ -199,8 +199,9 @@
   const bool LeavesGap = !IsFirst && leavesGap(Message);
   if (LeavesGap || m_NeedsWholeValues) {
     for (const auto &Relayed : Message.Changes)
-      if (!Relayed.Change.Removed && !Relayed.ValueOmitted)
-        apply(Relayed.Change, Relayed.AfterOutage);
+      if (!Relayed.Change.Removed && !Relayed.ValueOmitted &&
+          (Relayed.Change.Revision > m_Revision || wasMissed(Relayed.Change)))
+        applyEarly(Relayed.Change, Relayed.AfterOutage);
     if (LeavesGap && !m_StoreReachable && Message.Sender)
       m_CatchUp.askForAllKeys(*Message.Sender);
     return;
@@ -243,8 +244,24 @@
 
 bool KeyFollower::leavesGap(const RelayedChanges &Message) const {
   return Message.From > m_Revision ||
-         std::any_of(Message.Gaps.begin(), Message.Gaps.end(),
-                     [&](const auto &Gap) { return Gap.contains(m_Revision); });
+         std::any_of(
+             Message.Gaps.begin(), Message.Gaps.end(),
+             [&](const auto &Gap) { return Gap.contains(m_Revision); }) ||
+         (Message.From.Number != 0 && leavesKeyOpen(Message));
+}
+
+bool KeyFollower::leavesKeyOpen(const RelayedChanges &Message) const {
+  const auto Tells = [&](const std::string &Key, StoreRevision Revision) {
+    return std::any_of(Message.Changes.begin(), Message.Changes.end(),
+                       [&](const RelayedChange &Each) {
+                         return Each.Change.Key == Key &&
+                                Each.Change.Revision >= Revision;
+                       });
+  };
+  return std::any_of(
+      m_EarlyKeys.begin(), m_EarlyKeys.end(), [&](const auto &Early) {
+        return Early.second <= Message.To && !Tells(Early.first, Early.second);
+      });
 }
 
 bool KeyFollower::wasMissed(const KeyChange &Change) {
@@ -262,15 +279,18 @@
 void KeyFollower::applyAll(const RelayedChanges &Message) {
   for (const auto &Relayed : Message.Changes) {
     const bool IsLater = Relayed.Change.Revision > m_Revision;
-    if ((IsLater || wasMissed(Relayed.Change)) && !Relayed.ValueOmitted)
+    if ((IsLater || wasMissed(Relayed.Change)) && !Relayed.ValueOmitted) {
+      if (!Relayed.Change.Removed && Relayed.Change.Revision > Message.To)
+        m_EarlyKeys[Relayed.Change.Key] = Relayed.Change.Revision;
       apply(Relayed.Change, Relayed.AfterOutage);
+    }
   }
   for (const auto &Gap : Message.Gaps)
     if (Gap.From >= m_Revision) {
       m_Replica.recordGap(Gap);
       m_Window.recordGap(Gap);
     }
-  m_Revision = std::max(m_Revision, Message.To);
+  advance(Message.To);
 }
 
 void KeyFollower::onTold(TimePoint ConfirmedAt) {
