gateway: a removal between two pages of a listing keeps its revision

A key that was removed before its page was read counted as removed as of the first page; the watch that followed told the removal with its revision, which was ignored. A daemon between both revisions was not told. Change: the later revision is taken over and relayed. The fleet model compares all keys in every fourth check.

--- a/packages/gateway/src/keyfollower.cpp
+++ b/packages/gateway/src/keyfollower.cpp
@@ -321,6 +321,8 @@
     m_Replica.remove(Change, AfterOutage);
     m_Observer.onKeyRemoved(Change, AfterOutage);
     m_Window.record(Change, AfterOutage);
+  } else if (m_Replica.redateRemoval(Change)) {
+    m_Window.record(Change, AfterOutage);
   }
 }
 
--- a/packages/gateway/src/keyreplica.cpp
+++ b/packages/gateway/src/keyreplica.cpp
@@ -101,6 +101,15 @@
   }
 }
 
+bool KeyReplica::redateRemoval(const KeyChange &Change) {
+  const auto Known = m_Removals.find(Change.Key);
+  if (Known == m_Removals.end())
+    return false;
+  m_RemovalOrder.insert_or_assign(Change.Revision, Change.Key);
+  Known->second.Change.Change.Revision = Change.Revision;
+  return true;
+}
+
 std::vector<KeyChange>
 KeyReplica::findUnlisted(const std::unordered_set<std::string> &Listed,
                          StoreRevision AsOf) const {
--- a/packages/gateway/test/changefleet.cpp
+++ b/packages/gateway/test/changefleet.cpp
@@ -17,6 +17,8 @@
 constexpr Duration LeaseTimeToLive = 6s;
 constexpr Duration LeaseRenewPeriod = 500ms;
 constexpr Duration ViewCheckPeriod = 50ms;
+/// Periods between two comparisons of all keys.
+constexpr std::size_t CompletenessCheckPeriods = 4;
 /// Time for which a daemon must be unimpaired to be in touch, beyond the
 /// deadline.
 constexpr Duration ContactAllowance = 1s;
@@ -171,7 +173,8 @@
       m_OldestView = std::max<Duration>(
           m_OldestView, Now - std::max(Since, m_WrittenAt[Next]));
   }
-  checkCompleteness();
+  if (++m_ViewChecks % CompletenessCheckPeriods == 0)
+    checkCompleteness();
   m_Time.at(Now + ViewCheckPeriod, [this] { checkViews(); });
 }
 
--- a/packages/gateway/test/changefleet.h
+++ b/packages/gateway/test/changefleet.h
@@ -174,6 +174,7 @@
   /// Last change of each key, and its time.
   std::map<std::string, std::pair<KeyChange, TimePoint>> m_LastChanges;
   std::string m_IncompleteView;
+  std::size_t m_ViewChecks = 0;
   std::map<std::size_t, TimePoint> m_DomainsCutUntil;
   Duration m_OldestView{0};
   Duration m_LongestWithoutView{0};
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(listing_keysMayHaveComeAndGone_gapIsToldToPeers);
   CPPUNIT_TEST(listing_keysMayHaveComeAndGone_gapIsRelayed);
   CPPUNIT_TEST(peers_keyKnownEarlyIsNotMentioned_revisionIsNotTaken);
+  CPPUNIT_TEST(listing_keyRemovedBetweenPages_isToldAtItsRevision);
   CPPUNIT_TEST(relayMessage_encodedAndDecoded_isUnchanged);
   CPPUNIT_TEST(relayMessage_withSender_tellsProcess);
   CPPUNIT_TEST(relayMessage_withoutSender_isAccepted);
@@ -615,6 +616,20 @@
     CPPUNIT_ASSERT(m_Follower->answer({0, 10})->To == (StoreRevision{0, 41}));
   }
 
+  // Regression: a key that was removed between two pages of a listing counted
+  // as removed before the first one.
+  void listing_keyRemovedBetweenPages_isToldAtItsRevision() {
+    answerFirstList();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::StaleStore)));
+    m_Store.answerList(KeyPage{{{"a", "1", {0, 5}, false}}, true, {0, 20}});
+    m_Store.answerList(KeyPage{{}, false, {0, 30}});
+    runTimers();
+    m_Store.answerWatch(KeyChanges{{{"b", "", {0, 25}, true}}, {0, 30}});
+    const auto Told = m_Follower->answer({0, 22});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Told->Changes.size());
+    CPPUNIT_ASSERT(Told->Changes[0].Change.Revision == (StoreRevision{0, 25}));
+  }
+
   void relaying_noChanges_confirmsPeriodically() {
     m_Relay.Relaying = true;
     answerFirstList();
