--- a/packages/gateway/include/mangodeck/gateway/keyreplica.h
+++ b/packages/gateway/include/mangodeck/gateway/keyreplica.h
@@ -33,8 +33,8 @@
   /// Records the removal of a key; see RelayedChange for \p AfterOutage.
   void remove(const KeyChange &Change, bool AfterOutage);
   /// Records a later revision of a removal that is known already; returns
-  /// whether it is. A listing shows a removal between two of its pages as one of
-  /// before the first page.
+  /// whether it is. A listing shows a removal between two of its pages as one
+  /// of before the first page.
   bool redateRemoval(const KeyChange &Change);
   /// The removals of the keys whose revisions are at most \p AsOf and that are
   /// not in \p Listed, a complete listing as of that revision.
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -153,6 +153,7 @@
   CPPUNIT_TEST(listing_keyRemovedBetweenPages_isToldAtItsRevision);
   CPPUNIT_TEST(relayMessage_encodedAndDecoded_isUnchanged);
   CPPUNIT_TEST(relayMessage_withSender_tellsProcess);
+  CPPUNIT_TEST(relayMessage_withGaps_tellsThem);
   CPPUNIT_TEST(relayMessage_withoutSender_isAccepted);
   CPPUNIT_TEST(relayMessage_invalidBytes_areRejected);
   CPPUNIT_TEST(minDaemonsForRelay_anyDeadline_savesCalls);
@@ -803,6 +804,19 @@
     CPPUNIT_ASSERT_EQUAL(IncarnationId(41), Decoded->Incarnation);
   }
 
+  void relayMessage_withGaps_tellsThem() {
+    RelayedChanges Message{{1, 1}, {1, 9}, 0ms, {change("a", "v", 2)}};
+    Message.Gaps = {{{1, 2}, {1, 5}}, {{1, 6}, {1, 9}}};
+    const auto Decoded = decodeRelayedChanges(encodeRelayedChanges(Message));
+    CPPUNIT_ASSERT(Decoded.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Decoded->Gaps.size());
+    CPPUNIT_ASSERT(Decoded->Gaps[1].From == (StoreRevision{1, 6}));
+    CPPUNIT_ASSERT(Decoded->Gaps[1].To == (StoreRevision{1, 9}));
+    CPPUNIT_ASSERT(Decoded->Gaps[0].contains({1, 3}));
+    CPPUNIT_ASSERT(!Decoded->Gaps[0].contains({1, 2}));
+    CPPUNIT_ASSERT(!Decoded->Gaps[0].contains({1, 5}));
+  }
+
   /// Daemons of the version before send messages of six elements.
   void relayMessage_withoutSender_isAccepted() {
     const char Bytes[] = "\x96\x04\x01\x01\x02\x00\x90";
