gateway: a key that an answer also removes is neither taken early nor listed

Cause: an answer holds the last value of a removed key before its removal. Of an answer with a gap the value was taken without the removal, and in an answer with all keys the key counted as listed, so that it was not removed. Change: existingKeys(). Result: peers_keyRemovedInSameAnswer_isNotKept failed before, and passes; seed 133 passes.

--- a/packages/gateway/src/keyfollowerpeers.cpp
+++ b/packages/gateway/src/keyfollowerpeers.cpp
@@ -30,6 +30,18 @@
   return fromSeconds(toSeconds(Whole) * Part);
 }
 
+/// The keys that the message tells of and that exist at its end. The last value
+/// of a removed key precedes its removal.
+std::unordered_set<std::string> existingKeys(const RelayedChanges &Message) {
+  std::unordered_set<std::string> Keys;
+  for (const auto &Relayed : Message.Changes)
+    if (Relayed.Change.Removed)
+      Keys.erase(Relayed.Change.Key);
+    else
+      Keys.insert(Relayed.Change.Key);
+  return Keys;
+}
+
 } // namespace
 
 void KeyFollower::publish() {
@@ -198,8 +210,9 @@
   // missing.
   const bool LeavesGap = !IsFirst && leavesGap(Message);
   if (LeavesGap || m_NeedsWholeValues) {
+    const auto Existing = existingKeys(Message);
     for (const auto &Relayed : Message.Changes)
-      if (!Relayed.Change.Removed && !Relayed.ValueOmitted &&
+      if (Existing.contains(Relayed.Change.Key) && !Relayed.ValueOmitted &&
           (Relayed.Change.Revision > m_Revision || wasMissed(Relayed.Change)))
         applyEarly(Relayed.Change, Relayed.AfterOutage);
     if (LeavesGap && !m_StoreReachable && Message.Sender)
@@ -233,11 +246,8 @@
 }
 
 void KeyFollower::removeUnlisted(const RelayedChanges &AllKeys) {
-  std::unordered_set<std::string> Listed;
-  for (const auto &Relayed : AllKeys.Changes)
-    if (!Relayed.Change.Removed)
-      Listed.insert(Relayed.Change.Key);
-  for (const auto &Change : m_Replica.findUnlisted(Listed, AllKeys.To))
+  const auto Existing = existingKeys(AllKeys);
+  for (const auto &Change : m_Replica.findUnlisted(Existing, AllKeys.To))
     apply(Change, isAfterOutage(m_Time.now()));
   recordListed(AllKeys.To);
 }
--- a/packages/gateway/test/keyfollower_test.cpp
+++ b/packages/gateway/test/keyfollower_test.cpp
@@ -151,6 +151,7 @@
   CPPUNIT_TEST(listing_keysMayHaveComeAndGone_gapIsRelayed);
   CPPUNIT_TEST(peers_keyKnownEarlyIsNotMentioned_revisionIsNotTaken);
   CPPUNIT_TEST(listing_keyRemovedBetweenPages_isToldAtItsRevision);
+  CPPUNIT_TEST(peers_keyRemovedInSameAnswer_isNotKept);
   CPPUNIT_TEST(relayMessage_encodedAndDecoded_isUnchanged);
   CPPUNIT_TEST(relayMessage_withSender_tellsProcess);
   CPPUNIT_TEST(relayMessage_withGaps_tellsThem);
@@ -631,6 +632,35 @@
     CPPUNIT_ASSERT(Told->Changes[0].Change.Revision == (StoreRevision{0, 25}));
   }
 
+  // Regression: of an answer with a gap, the last value of a key was taken and
+  // its removal was not; an answer with all keys then took it for listed.
+  void peers_keyRemovedInSameAnswer_isNotKept() {
+    answerFirstList();
+    m_Store.answerWatch(unexpected(make_error_code(Errc::LimitExceeded)));
+    awaitQuery();
+    m_Peers.LastDone(
+        RelayedChanges{{0, 30},
+                       {0, 40},
+                       0ms,
+                       {change("gone", "1", 35), removal("gone", 36),
+                        change("early", "1", 37)},
+                       "x",
+                       1});
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("gone"));
+    CPPUNIT_ASSERT(m_Observer.Values.contains("early"));
+    awaitQuery();
+    m_Peers.LastDone(RelayedChanges{
+        {0, 0},
+        {0, 41},
+        0ms,
+        {change("early", "0", 3), removal("early", 4), change("a", "1", 5)},
+        "y",
+        1});
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("early"));
+    CPPUNIT_ASSERT(!m_Observer.Values.contains("b"));
+    CPPUNIT_ASSERT(m_Observer.Values.contains("a"));
+  }
+
   void relaying_noChanges_confirmsPeriodically() {
     m_Relay.Relaying = true;
     answerFirstList();
