--- a/packages/gateway/test/changefleet_test.cpp
+++ b/packages/gateway/test/changefleet_test.cpp
@@ -415,7 +415,7 @@
     return Settings;
   }
 
-  /// Plays all impairments beside many changes of other keys. Returns what a
+  /// Plays all impairments and many changes of other keys. Returns what a
   /// confirmed view lacked; empty if nothing.
   static std::string playKeyChanges(std::size_t Size, std::uint64_t Seed,
                                     bool FewServed) {
